--- /dev/null
+++ b/forward/budget.go
@@ -0,0 +1,98 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// RetryLimit bounds the requests that are sent once more to one service, over
+// all hosts: Ratio of the service's requests and Slack more in each Window.
+type RetryLimit struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// retryBudget is this host's part of a RetryLimit: the ratio of its own
+// requests, and an even part of the slack. The zero value allows nothing.
+type retryBudget struct {
+	mu       sync.Mutex
+	limit    RetryLimit
+	hosts    int
+	services map[ServiceName]*retryWindow
+}
+
+// retryWindow counts one service's requests and repeats in a window that
+// slides by buckets.
+type retryWindow struct {
+	buckets [windowBuckets]struct{ first, again float64 }
+	// at is the number of the newest bucket since the zero time.
+	at int64
+}
+
+const (
+	// windowBuckets is how many parts a window slides by.
+	windowBuckets = 10
+	// usedPart of the limit is used, so that hosts that count a little
+	// differently stay within it together.
+	usedPart = 0.8
+)
+
+// setHosts says how many hosts share the limit.
+func (b *retryBudget) setHosts(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hosts = max(n, 1)
+}
+
+func (b *retryBudget) setLimit(l RetryLimit) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit = l
+}
+
+// first counts a request that is sent for the first time.
+func (b *retryBudget) first(now time.Time, service ServiceName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	w.buckets[w.at%windowBuckets].first++
+}
+
+// take reports whether a request may be sent once more, and counts it.
+func (b *retryBudget) take(now time.Time, service ServiceName) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(now, service)
+	var first, again float64
+	for _, bucket := range w.buckets {
+		first += bucket.first
+		again += bucket.again
+	}
+	if again+1 > usedPart*(b.limit.Ratio*first+b.limit.Slack/float64(max(b.hosts, 1))) {
+		return false
+	}
+	w.buckets[w.at%windowBuckets].again++
+	return true
+}
+
+func (b *retryBudget) window(now time.Time, service ServiceName) *retryWindow {
+	if b.services == nil {
+		b.services = map[ServiceName]*retryWindow{}
+	}
+	w := b.services[service]
+	if w == nil {
+		w = &retryWindow{}
+		b.services[service] = w
+	}
+	at := now.UnixNano() / max(int64(b.limit.Window)/windowBuckets, 1)
+	for steps := 0; w.at < at && steps < windowBuckets; steps++ {
+		w.at++
+		w.buckets[w.at%windowBuckets] = struct{ first, again float64 }{}
+	}
+	w.at = max(w.at, at)
+	return w
+}
--- /dev/null
+++ b/forward/call.go
@@ -0,0 +1,187 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// RequestID is the caller's name for one request; it is passed on as it came.
+type RequestID string
+
+// Call is one caller's request, read whole.
+type Call struct {
+	ID     RequestID
+	Method string
+	// Host and Path choose the route; Target is the path and query as sent.
+	Host, Path, Target string
+	// Header is what is passed on: nothing that belongs to one connection or
+	// that this system sets itself.
+	Header http.Header
+	Body   []byte
+	// Key is the caller's; empty when it gave none.
+	Key string
+	// Arrived is when the request began to be served here.
+	Arrived time.Time
+	// Patience is how long the caller waits; zero when it didn't say.
+	Patience time.Duration
+	// Prompt is what a generation asks of an engine's memory; zero for other
+	// requests.
+	Prompt Prompt
+}
+
+// Prompt is the size of a generation's request.
+type Prompt struct {
+	Tokens policy.Tokens
+	// MostOut bounds the answer; zero when the caller set no bound.
+	MostOut policy.Tokens
+	// LikelyOut is the caller's guess of the answer's length; zero when it
+	// made none.
+	LikelyOut policy.Tokens
+	// Prefix names the first PrefixTokens of the prompt, which other prompts
+	// may share; zero when none are.
+	Prefix       uint64
+	PrefixTokens policy.Tokens
+}
+
+// Sink takes the answer on its way to the caller. Its methods return an error
+// when the caller is gone.
+type Sink interface {
+	// Whole answers with an upstream's whole answer.
+	Whole(a *Answer, body []byte) error
+	// Begin answers with an upstream's status and header; what follows is
+	// written as it comes.
+	Begin(a *Answer) error
+	Write(p []byte) error
+	// Refuse is the final answer to a request that failed.
+	Refuse(r Refusal) error
+	// Cut ends an answer that has begun so that the caller sees that it isn't
+	// whole.
+	Cut()
+}
+
+// Code is the stable word for why a request failed here.
+type Code string
+
+// The codes. Those up to CodeLate promise that the request has not run and
+// never will.
+const (
+	CodeNotReady    Code = "not_ready"
+	CodeStopping    Code = "stopping"
+	CodeNoRoute     Code = "no_route"
+	CodeBadKey      Code = "bad_key"
+	CodeBadRequest  Code = "bad_request"
+	CodeTooLarge    Code = "too_large"
+	CodeNoUpstream  Code = "no_upstream"
+	CodeOverloaded  Code = "overloaded"
+	CodeLate        Code = "late"
+	CodeLost        Code = "upstream_lost"
+	CodeBadAnswer   Code = "bad_answer"
+	CodeTimeout     Code = "timeout"
+	CodeCallerLeft  Code = "caller_left"
+	CodeInterrupted Code = "interrupted"
+)
+
+// Refusal is the final answer to a request that failed.
+type Refusal struct {
+	Code Code
+	// MayHaveRun is whether an upstream may have worked on the request.
+	MayHaveRun bool
+	// RetryAfter is when to come back; zero says nothing.
+	RetryAfter time.Duration
+}
+
+// Outgoing is a request on its way to an upstream.
+type Outgoing struct {
+	Call    *Call
+	Account resource.Account
+	// Left is how long the upstream may work.
+	Left    time.Duration
+	Urgency Urgency
+	// Continue takes a run up from where another engine stopped it.
+	Continue *Continuation
+	// BackupAt is an engine that a copy of the run is kept on; empty for none.
+	BackupAt string
+}
+
+// Continuation says where a run's memory is and what the caller has of it.
+type Continuation struct {
+	// Source is the address of the engine that the memory came from.
+	Source string
+	Handle string
+	// LastEvent is the id of the last event that the caller has.
+	LastEvent string
+}
+
+// Answer is an upstream's answer. Body is to be closed, which ends the work if
+// it isn't done.
+type Answer struct {
+	Status int
+	// Header is what is passed on to the caller.
+	Header http.Header
+	// Length is the body's, or -1 when the upstream didn't say.
+	Length int64
+	Body   io.ReadCloser
+	// NotRun is the upstream's word that it didn't run the request and won't.
+	NotRun bool
+	// OtherInstance says that the address is another upstream's by now.
+	OtherInstance bool
+	// Leaving is the upstream's word that it is about to leave.
+	Leaving bool
+	// Signed says that the answer carries the upstream's signature.
+	Signed bool
+	// Encoded says that the body isn't in the form that the caller asked for.
+	Encoded bool
+}
+
+// Errors of a Transport, besides those of the context.
+var (
+	// ErrNotSent says that no byte of the request can have reached the
+	// upstream.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrForeign says that the bytes on the connection were no answer to this
+	// request.
+	ErrForeign = errors.New("the answer isn't this request's")
+)
+
+// Transport sends requests to upstreams. After any error but ErrNotSent the
+// request may have run. When the context ends, the connection is closed.
+type Transport interface {
+	Send(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error)
+	// Move copies a run's memory to another engine.
+	Move(ctx context.Context, from Upstream, r MoveRequest) (Moved, error)
+	// Discard frees a copy that won't be used.
+	Discard(ctx context.Context, at Upstream, handle string) error
+}
+
+// MoveRequest asks the engine that runs a request to copy its memory.
+type MoveRequest struct {
+	ID RequestID
+	To string
+	// Stop ends the run at the source before the last part is copied.
+	Stop bool
+}
+
+// Moved is an engine's answer to a MoveRequest.
+type Moved struct {
+	// Handle names the copy; it may be set beside an error.
+	Handle string
+	// Events is how many events the run had made.
+	Events int
+}
+
+// Errors of Transport.Move.
+var (
+	ErrNoRun    = errors.New("the engine doesn't have the run")
+	ErrMoveBusy = errors.New("another copy of the run is under way")
+	ErrNoRoom   = errors.New("the target has no room or can't be reached")
+	ErrMoveLost = errors.New("the engine gave no answer to the move")
+)
--- /dev/null
+++ b/forward/config.go
@@ -0,0 +1,185 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// Version numbers the configurations of a site; a newer one is higher. The
+// zero value stands for no configuration.
+type Version uint64
+
+// Urgency ranks requests: 0 is the most urgent, MostPatient the least.
+type Urgency int
+
+// The range of Urgency, and what a request has that nobody ranked.
+const (
+	MostPatient    Urgency = 9
+	DefaultUrgency Urgency = 5
+)
+
+// Kind says what may be done with a request that failed.
+type Kind string
+
+// The kinds of request.
+const (
+	// KindSafe may run more than once.
+	KindSafe Kind = "safe"
+	// KindUnsafe runs at most once.
+	KindUnsafe Kind = "unsafe"
+	// KindStream is answered with a series of events and runs at most once.
+	KindStream Kind = "stream"
+)
+
+// ServiceName names a group of upstreams that can take each other's requests.
+type ServiceName = resource.Name
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service ServiceName
+	// Weight is relative to the other shares' weights.
+	Weight int
+}
+
+// Route leads requests to services. Its zero value matches nothing.
+type Route struct {
+	Name string
+	Host string
+	// PathPrefix begins and ends with a slash.
+	PathPrefix string
+	Kind       Kind
+	// Timeout is how long a request may be held; zero sets no bound.
+	Timeout time.Duration
+	// Objective is the aimed time to the answer or its first event.
+	Objective time.Duration
+	// GapObjective is the aimed longest pause between events; zero sets none.
+	GapObjective time.Duration
+	Urgency      Urgency
+	// Attempts is how many upstreams one request may be sent to.
+	Attempts int
+	// Public routes take requests without a key.
+	Public bool
+	Shares []Share
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Batch is how many runs one engine decodes at once.
+	Batch int
+	// Memory is one engine's room for prompts and answers.
+	Memory policy.Tokens
+	// TokenBytes is the memory of one token, which a move sends.
+	TokenBytes float64
+	// LinkBitsPerSecond is the rate at which an engine's memory is moved.
+	LinkBitsPerSecond float64
+	// Moves and Backups say whether runs can be moved and copied as they grow.
+	Moves, Backups bool
+	// EventTokens is how many tokens an event of a stream holds.
+	EventTokens policy.Tokens
+}
+
+// Service is a group of upstreams. Engine is nil for plain services.
+type Service struct {
+	Name ServiceName
+	// MaxConns is how many connections one upstream takes from all hosts.
+	MaxConns int
+	Engine   *Engine
+}
+
+// Account is a client account.
+type Account struct {
+	Name resource.Account
+	Keys []string
+	// Urgency goes before the route's when Ranked.
+	Urgency Urgency
+	Ranked  bool
+}
+
+// Limits bound what a caller may send. Zero fields set no bound.
+type Limits struct {
+	HeaderBytes, BodyBytes     int64
+	HeaderTimeout, IdleTimeout time.Duration
+}
+
+// Config is one whole configuration as its source gave it.
+type Config struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+}
+
+// Table is a configuration made ready for look-ups. It is never changed after
+// NewTable. Nil is the table of a host that has no configuration yet.
+type Table struct {
+	Version Version
+	Limits  Limits
+	// Keyed says that requests need a key on routes that aren't public.
+	Keyed bool
+
+	// routes holds each host's routes, the longest prefixes first.
+	routes   map[string][]Route
+	services map[ServiceName]Service
+	accounts map[string]Account
+}
+
+// NewTable makes a configuration ready for look-ups.
+func NewTable(c Config) *Table {
+	t := &Table{
+		Version: c.Version, Limits: c.Limits, Keyed: len(c.Accounts) > 0,
+		routes: map[string][]Route{}, services: map[ServiceName]Service{}, accounts: map[string]Account{},
+	}
+	for _, r := range c.Routes {
+		host := strings.ToLower(r.Host)
+		t.routes[host] = append(t.routes[host], r)
+	}
+	for _, routes := range t.routes {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	for _, s := range c.Services {
+		t.services[s.Name] = s
+	}
+	for _, a := range c.Accounts {
+		for _, key := range a.Keys {
+			t.accounts[key] = a
+		}
+	}
+	return t
+}
+
+// Match finds the route with the longest prefix of the path. The host may
+// carry a port.
+func (t *Table) Match(host, path string) (Route, bool) {
+	if at := strings.LastIndexByte(host, ':'); at >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:at]
+	}
+	for _, r := range t.routes[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return Route{}, false
+}
+
+// Service returns a declared service.
+func (t *Table) Service(name ServiceName) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Services returns every declared service.
+func (t *Table) Services() map[ServiceName]Service { return t.services }
+
+// Account returns the account that holds a key.
+func (t *Table) Account(key string) (Account, bool) {
+	a, ok := t.accounts[key]
+	return a, ok
+}
--- /dev/null
+++ b/forward/engines.go
@@ -0,0 +1,313 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// engines places generations on the engines of each service. Each host decides
+// by itself on what it knows: its own runs exactly, and its peers' runs as they
+// tell them.
+type engines struct {
+	zone member.Zone
+
+	mu    sync.Mutex
+	pools map[ServiceName]*enginePool
+}
+
+// enginePool is the placement of one service's engines.
+type enginePool struct {
+	pool *policy.Pool
+	spec Engine
+	// listed are the engines that take work, as the pool was told.
+	listed map[member.UpstreamID]Upstream
+	// waiting are the requests that wait for a place.
+	waiting map[policy.RunID]chan policy.Decision
+	// own are this host's runs, theirs those of its peers.
+	own    map[policy.RunID]*ownRun
+	theirs map[policy.RunID]member.HostID
+	// steps are the observed times of a step, by engine.
+	steps map[member.UpstreamID]time.Duration
+}
+
+// ownRun is one generation of this host that holds a place.
+type ownRun struct {
+	request policy.Request
+	// engine changes under the lock of engines.
+	engine member.UpstreamID
+	// made counts the tokens passed on so far.
+	made atomic.Int64
+}
+
+// Placement settings.
+const (
+	// farCostToStart is what an engine of another zone costs a new run: it
+	// should matter only among engines that are about equally full, for the
+	// link adds a millisecond.
+	farCostToStart = 0.02
+	// farCostToMove weighs that a move between zones takes the links twice as
+	// long.
+	farCostToMove = 0.15
+	// stepUnknown is assumed of an engine until a run on it has shown its step.
+	stepUnknown = 10 * time.Millisecond
+	// stepMemory is the weight of the newest observation of a step.
+	stepMemory = 0.1
+	// refreshEvery is how often the pools are told where their runs stand.
+	refreshEvery = 100 * time.Millisecond
+	// longestQueue bounds the wait for a place; it is a part of the objective,
+	// so that a refusal still leaves the caller time to come back.
+	queuePart = 4
+	// retryMost bounds what a refused caller is told to wait: engines that
+	// leave are replaced within a few seconds.
+	retryMost  = 2 * time.Second
+	retryLeast = 50 * time.Millisecond
+)
+
+func newEngines(zone member.Zone) *engines {
+	return &engines{zone: zone, pools: map[ServiceName]*enginePool{}}
+}
+
+// configure takes in the engine services of a new configuration.
+func (e *engines) configure(t *Table) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, s := range t.Services() {
+		if s.Engine == nil {
+			continue
+		}
+		p := e.pools[name]
+		if p == nil {
+			p = &enginePool{
+				listed: map[member.UpstreamID]Upstream{}, waiting: map[policy.RunID]chan policy.Decision{},
+				own: map[policy.RunID]*ownRun{}, theirs: map[policy.RunID]member.HostID{},
+				steps: map[member.UpstreamID]time.Duration{},
+			}
+			p.pool = policy.NewPool(poolSettings(*s.Engine))
+			e.pools[name] = p
+		}
+		p.spec = *s.Engine
+		p.pool.SetSettings(poolSettings(p.spec))
+	}
+}
+
+// stepBound is the longest step that placement aims at: well under the pause
+// between two events of a stream that a person notices.
+const stepBound = 40 * time.Millisecond
+
+func poolSettings(e Engine) policy.Settings {
+	return policy.Settings{BetweenTokens: stepBound, MaxBatch: e.Batch}
+}
+
+// list tells which engines take work now.
+func (e *engines) list(now time.Time, service ServiceName, takers []Upstream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return
+	}
+	ids := make([]member.UpstreamID, 0, len(takers))
+	clear(p.listed)
+	for _, u := range takers {
+		ids = append(ids, u.ID)
+		p.listed[u.ID] = u
+	}
+	p.pool.SetEngines(ids)
+	for _, u := range takers {
+		p.pool.SetZone(u.ID, u.Zone)
+	}
+	p.refresh(now)
+}
+
+// refresh tells the pool how its engines stand and decides what waits.
+func (p *enginePool) refresh(now time.Time) {
+	for id, run := range p.own {
+		p.pool.Progress(now, id, policy.Tokens(run.made.Load()))
+	}
+	for id := range p.listed {
+		step := p.steps[id]
+		if step == 0 {
+			step = stepUnknown
+		}
+		p.pool.Report(now, policy.Report{Engine: id, Memory: p.spec.Memory, Step: step})
+	}
+	p.advance(now)
+}
+
+func (p *enginePool) advance(now time.Time) {
+	for _, d := range p.pool.Advance(now) {
+		if waiting := p.waiting[d.Run]; waiting != nil {
+			delete(p.waiting, d.Run)
+			waiting <- d
+		}
+	}
+}
+
+// refreshAll is to be called every refreshEvery.
+func (e *engines) refreshAll(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		p.refresh(now)
+	}
+}
+
+// place finds an engine for a generation; it waits until the request's
+// deadline at most.
+func (e *engines) place(ctx context.Context, now time.Time, service ServiceName, r policy.Request) (Upstream, *ownRun, policy.Decision) {
+	r.Zone, r.FarCost = e.zone, farCostToStart
+	e.mu.Lock()
+	p := e.pools[service]
+	if p == nil {
+		e.mu.Unlock()
+		return Upstream{}, nil, policy.Decision{Verdict: policy.Refused, Reason: policy.ReasonNoEngine, RetryAfter: retryMost}
+	}
+	d := p.pool.Submit(now, r)
+	if d.Verdict == policy.Queued {
+		decided := make(chan policy.Decision, 1)
+		p.waiting[r.Run] = decided
+		e.mu.Unlock()
+		select {
+		case d = <-decided:
+		case <-ctx.Done():
+			return Upstream{}, nil, e.withdraw(p, r.Run, decided)
+		}
+		e.mu.Lock()
+	}
+	defer e.mu.Unlock()
+	if d.Verdict != policy.Granted {
+		return Upstream{}, nil, d
+	}
+	run := &ownRun{request: r, engine: d.Engine}
+	p.own[r.Run] = run
+	return p.listed[d.Engine], run, d
+}
+
+// withdraw takes back a request whose caller left while it waited.
+func (e *engines) withdraw(p *enginePool, run policy.RunID, decided chan policy.Decision) policy.Decision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(p.waiting, run)
+	p.pool.Finish(time.Now(), policy.Finish{Run: run})
+	select {
+	case <-decided:
+	default:
+	}
+	return policy.Decision{Run: run, Verdict: policy.Refused, Reason: policy.ReasonDeadline}
+}
+
+// finish frees a run's place; whole says that its length is known.
+func (e *engines) finish(now time.Time, service ServiceName, run *ownRun, whole bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return
+	}
+	delete(p.own, run.request.Run)
+	p.pool.Finish(now, policy.Finish{Run: run.request.Run, Made: policy.Tokens(run.made.Load()), Whole: whole})
+	p.advance(now)
+}
+
+// relocate finds another engine for a run whose engine leaves.
+func (e *engines) relocate(now time.Time, service ServiceName, run *ownRun) (Upstream, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return Upstream{}, false
+	}
+	p.pool.Progress(now, run.request.Run, policy.Tokens(run.made.Load()))
+	id, found := p.pool.Relocate(now, run.request.Run, farCostToMove)
+	if !found {
+		return Upstream{}, false
+	}
+	run.engine = id
+	return p.listed[id], true
+}
+
+// observeStep takes in how long an engine took for each of some tokens.
+func (e *engines) observeStep(service ServiceName, engine member.UpstreamID, step time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return
+	}
+	old := p.steps[engine]
+	if old == 0 {
+		old = step
+	}
+	p.steps[engine] = old + time.Duration(stepMemory*float64(step-old))
+}
+
+// RunState is what a host tells its peers of one of its runs.
+type RunState struct {
+	Run     policy.RunID
+	Service ServiceName
+	Engine  member.UpstreamID
+	Account resource.Account
+	Prompt  policy.Tokens
+	Made    policy.Tokens
+	Limit   policy.Tokens
+}
+
+// states lists this host's runs.
+func (e *engines) states() []RunState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var states []RunState
+	for service, p := range e.pools {
+		for id, run := range p.own {
+			states = append(states, RunState{
+				Run: id, Service: service, Engine: run.engine, Account: run.request.Account,
+				Prompt: run.request.Prompt, Made: policy.Tokens(run.made.Load()), Limit: run.request.Limit,
+			})
+		}
+	}
+	return states
+}
+
+// adopt replaces what is known of a peer's runs.
+func (e *engines) adopt(now time.Time, host member.HostID, states []RunState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := make(map[policy.RunID]RunState, len(states))
+	for _, s := range states {
+		listed[s.Run] = s
+	}
+	for _, p := range e.pools {
+		for id, of := range p.theirs {
+			if of != host {
+				continue
+			}
+			s, still := listed[id]
+			if still && p.pool.EngineOf(id) == s.Engine {
+				continue
+			}
+			delete(p.theirs, id)
+			p.pool.Finish(now, policy.Finish{Run: id})
+		}
+	}
+	for id, s := range listed {
+		p := e.pools[s.Service]
+		if p == nil || p.own[id] != nil {
+			continue
+		}
+		if _, known := p.theirs[id]; known {
+			p.pool.Progress(now, id, s.Made)
+			continue
+		}
+		p.theirs[id] = host
+		p.pool.Adopt(now, policy.Request{Run: id, Account: s.Account, Prompt: s.Prompt, Limit: s.Limit}, s.Engine, s.Made)
+	}
+}
--- /dev/null
+++ b/forward/fleet.go
@@ -0,0 +1,297 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sync"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// Revision numbers the changes of what the platform holds.
+type Revision uint64
+
+// Upstream is one engine or plain service instance as the host list has it.
+type Upstream struct {
+	ID      member.UpstreamID
+	Service ServiceName
+	// Address is IP:port.
+	Address string
+	Zone    member.Zone
+	// Slots is how many requests it works on at once.
+	Slots   int
+	Leaving bool
+	// Revision is the list's when this was written.
+	Revision Revision
+}
+
+// Change is one change of the host list: an upstream as it now is, or, with
+// Gone, one that was dropped from the list at Upstream.Revision.
+type Change struct {
+	Upstream
+	Gone bool
+}
+
+// Fleet is what this host believes about the upstreams. The zero value knows
+// none and works. It is safe for use by several goroutines.
+//
+// An upstream that the list dropped stays known as leaving for a while, for it
+// goes on serving what it already runs.
+type Fleet struct {
+	mu        sync.Mutex
+	upstreams map[member.UpstreamID]*known
+	// revision is the newest that was taken in.
+	revision Revision
+	// trustGoneFrom is when a missing upstream is believed to be gone: during
+	// and shortly after an outage the list may lack upstreams that live.
+	trustGoneFrom time.Time
+	// changed closes at the next change and is made anew.
+	changed chan struct{}
+}
+
+// known is an upstream and the marks that this host has put on it.
+type known struct {
+	Upstream
+	// gone says that the list no longer has it; missing, that the list lacks
+	// it but isn't believed yet.
+	gone, missing bool
+	// leftAt is when it was first known to be leaving; zero while it isn't.
+	leftAt time.Time
+	// leaving closes when it starts leaving.
+	leaving chan struct{}
+	// suspectUntil keeps new work away after a connection failed.
+	suspectUntil time.Time
+}
+
+const (
+	// listSettles is how long after an outage of the platform the list may
+	// still lack upstreams that live: the platform says about two seconds.
+	listSettles = 2500 * time.Millisecond
+	// forgetGone is how long a dropped upstream is remembered. Its address may
+	// be another's by then; the id guards against that.
+	forgetGone = 30 * time.Second
+	// suspectFor is how long an upstream that refused a connection gets no new
+	// work: about two heartbeats of the upstreams.
+	suspectFor = 2 * time.Second
+)
+
+// Apply takes changes of the list in. Older ones than what is known of the same
+// upstream change nothing. It returns those that made a difference.
+func (f *Fleet) Apply(now time.Time, changes []Change) []Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []Change
+	for _, c := range changes {
+		if f.apply(now, c) {
+			news = append(news, c)
+		}
+	}
+	f.notify(len(news) > 0)
+	return news
+}
+
+// Replace takes the whole list in as of a revision: what it lacks is gone.
+func (f *Fleet) Replace(now time.Time, list []Upstream, at Revision) []Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []Change
+	listed := make(map[member.UpstreamID]bool, len(list))
+	for _, u := range list {
+		listed[u.ID] = true
+		if f.apply(now, Change{Upstream: u}) {
+			news = append(news, Change{Upstream: u})
+		}
+	}
+	for id, k := range f.upstreams {
+		if listed[id] || k.Revision > at {
+			continue
+		}
+		gone := Change{Upstream: k.Upstream, Gone: true}
+		gone.Revision = at
+		if f.apply(now, gone) {
+			news = append(news, gone)
+		}
+	}
+	f.revision = max(f.revision, at)
+	f.notify(len(news) > 0)
+	return news
+}
+
+func (f *Fleet) apply(now time.Time, c Change) bool {
+	if f.upstreams == nil {
+		f.upstreams = map[member.UpstreamID]*known{}
+	}
+	f.revision = max(f.revision, c.Revision)
+	k := f.upstreams[c.ID]
+	if k == nil {
+		if c.Gone {
+			return false
+		}
+		k = &known{leaving: make(chan struct{})}
+		f.upstreams[c.ID] = k
+	} else if c.Revision < k.Revision {
+		return false
+	}
+	if c.Gone {
+		return f.drop(now, k, c.Revision)
+	}
+	same := !k.gone && !k.missing && k.Upstream == c.Upstream
+	// An id is of one incarnation: once it leaves, it never comes back.
+	c.Leaving = c.Leaving || k.Leaving
+	k.Upstream, k.missing = c.Upstream, false
+	if c.Leaving {
+		k.leave(now)
+	}
+	return !same
+}
+
+func (f *Fleet) drop(now time.Time, k *known, at Revision) bool {
+	k.Revision = at
+	if k.gone {
+		return false
+	}
+	if now.Before(f.trustGoneFrom) && !k.Leaving {
+		k.missing = true
+		return false
+	}
+	k.gone, k.missing = true, false
+	k.leave(now)
+	return true
+}
+
+// leave marks the upstream as leaving, for good.
+func (k *known) leave(now time.Time) {
+	k.Leaving = true
+	if k.leftAt.IsZero() {
+		k.leftAt = now
+		close(k.leaving)
+	}
+}
+
+// MarkLeaving takes in another sign that an upstream leaves, such as its own
+// word in an answer.
+func (f *Fleet) MarkLeaving(now time.Time, id member.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil && !k.Leaving {
+		k.leave(now)
+		f.notify(true)
+	}
+}
+
+// Suspect keeps new work from an upstream for a while.
+func (f *Fleet) Suspect(now time.Time, id member.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil {
+		k.suspectUntil = now.Add(suspectFor)
+		f.notify(true)
+	}
+}
+
+// ListRegained tells that the list can be read again after an outage, in which
+// living upstreams may have been dropped from it.
+func (f *Fleet) ListRegained(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trustGoneFrom = now.Add(listSettles)
+}
+
+// ListLost tells that the list can't be read.
+func (f *Fleet) ListLost(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trustGoneFrom = now.Add(forgetGone)
+}
+
+// Settle drops what was missing when the list settled after an outage, and
+// forgets what is long gone. It is to be called from time to time.
+func (f *Fleet) Settle(now time.Time) []Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []Change
+	for id, k := range f.upstreams {
+		if k.missing && !now.Before(f.trustGoneFrom) {
+			k.gone, k.missing = true, false
+			k.leave(now)
+			news = append(news, Change{Upstream: k.Upstream, Gone: true})
+		}
+		if k.gone && now.Sub(k.leftAt) > forgetGone {
+			delete(f.upstreams, id)
+		}
+	}
+	f.notify(len(news) > 0)
+	return news
+}
+
+func (f *Fleet) notify(changed bool) {
+	if changed && f.changed != nil {
+		close(f.changed)
+		f.changed = nil
+	}
+}
+
+// Changed returns a channel that closes at the next change.
+func (f *Fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.changed == nil {
+		f.changed = make(chan struct{})
+	}
+	return f.changed
+}
+
+// Revision is the newest revision of the list that was taken in.
+func (f *Fleet) Revision() Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// Takers returns a service's upstreams that take new work.
+func (f *Fleet) Takers(now time.Time, service ServiceName) []Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var takers []Upstream
+	for _, k := range f.upstreams {
+		if k.Service == service && !k.Leaving && !k.missing && !now.Before(k.suspectUntil) {
+			takers = append(takers, k.Upstream)
+		}
+	}
+	if len(takers) > 0 {
+		return takers
+	}
+	// With nobody else, those under suspicion are better than nothing.
+	for _, k := range f.upstreams {
+		if k.Service == service && !k.Leaving {
+			takers = append(takers, k.Upstream)
+		}
+	}
+	return takers
+}
+
+// Listed returns what the list holds, for a peer that can't read it.
+func (f *Fleet) Listed() []Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var listed []Upstream
+	for _, k := range f.upstreams {
+		if !k.gone {
+			listed = append(listed, k.Upstream)
+		}
+	}
+	return listed
+}
+
+// Leaving returns a channel that closes when the upstream starts leaving, and
+// nil for one that isn't known.
+func (f *Fleet) Leaving(id member.UpstreamID) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil {
+		return k.leaving
+	}
+	return nil
+}
--- /dev/null
+++ b/forward/forwarder.go
@@ -0,0 +1,388 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+)
+
+// Settings are what a forwarder is told at its start.
+type Settings struct {
+	Host member.HostID
+	Zone member.Zone
+	// Retries bounds the requests that are sent once more, over all hosts.
+	Retries RetryLimit
+	// DrainFor is how long an upstream surely goes on serving after the first
+	// sign that it leaves.
+	DrainFor time.Duration
+	// ContactBound is how old the proof of contact with the platform may be
+	// for this host to say that a route or key doesn't exist.
+	ContactBound time.Duration
+}
+
+// Journal takes the decision lines of the log. It must not block.
+type Journal interface {
+	// Request notes a decision about one request.
+	Request(id RequestID, event string, keyvals ...any)
+	// Belief notes a change of what this host believes.
+	Belief(event string, keyvals ...any)
+}
+
+// Observer counts what happens. It is called on the data path.
+type Observer interface {
+	Answered(kind Kind, outcome string, took time.Duration)
+	FirstEvent(took time.Duration)
+	Gap(d time.Duration)
+	Repeated(why string)
+	Moved(outcome string, pause time.Duration)
+}
+
+// Forwarder serves callers' requests. Use New.
+type Forwarder struct {
+	settings  Settings
+	transport Transport
+	journal   Journal
+	observer  Observer
+
+	fleet   *Fleet
+	table   atomic.Pointer[Table]
+	engines *engines
+	plain   *plainChooser
+	retries retryBudget
+	// contact is when this host last had proof that its configuration is the
+	// newest, in nanoseconds of Unix time.
+	contact atomic.Int64
+
+	mu sync.Mutex
+	// inFlight counts the requests under way.
+	inFlight int
+	stopping bool
+	// idle closes when the forwarder is stopping and nothing is in flight.
+	idle chan struct{}
+}
+
+// New returns a forwarder without a configuration.
+func New(s Settings, t Transport, j Journal, o Observer) *Forwarder {
+	f := &Forwarder{
+		settings: s, transport: t, journal: j, observer: o, fleet: &Fleet{},
+		engines: newEngines(s.Zone), plain: newPlainChooser(s.Zone), idle: make(chan struct{}),
+	}
+	f.retries.setLimit(s.Retries)
+	return f
+}
+
+// Fleet is what this host believes about the upstreams.
+func (f *Forwarder) Fleet() *Fleet { return f.fleet }
+
+// Table is the configuration in force here; nil before the first.
+func (f *Forwarder) Table() *Table { return f.table.Load() }
+
+// Configure puts a configuration in force, unless it is older than the one
+// that is. It reports whether it is now in force.
+func (f *Forwarder) Configure(now time.Time, c Config) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old := f.table.Load()
+	if old != nil && c.Version <= old.Version {
+		return c.Version == old.Version
+	}
+	t := NewTable(c)
+	f.engines.configure(t)
+	f.table.Store(t)
+	f.journal.Belief("configuration in force", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts))
+	f.listEngines(now, t)
+	return true
+}
+
+// ContactProved takes in that the configuration was the newest at a time.
+func (f *Forwarder) ContactProved(at time.Time) {
+	nanos := at.UnixNano()
+	for {
+		old := f.contact.Load()
+		if old >= nanos || f.contact.CompareAndSwap(old, nanos) {
+			return
+		}
+	}
+}
+
+// ContactAge is how long ago the configuration was last proved to be the newest.
+func (f *Forwarder) ContactAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, f.contact.Load()))
+}
+
+// SetHosts says how many hosts share the retry budget.
+func (f *Forwarder) SetHosts(n int) { f.retries.setHosts(n) }
+
+// SetRetryLimit changes the bound on repeats.
+func (f *Forwarder) SetRetryLimit(l RetryLimit) { f.retries.setLimit(l) }
+
+// Runs lists this host's generations, for its peers.
+func (f *Forwarder) Runs() []RunState { return f.engines.states() }
+
+// AdoptRuns takes in a peer's generations in place of what was known of them.
+func (f *Forwarder) AdoptRuns(now time.Time, host member.HostID, runs []RunState) {
+	f.engines.adopt(now, host, runs)
+}
+
+// Run keeps the placement up to date until the context ends.
+func (f *Forwarder) Run(ctx context.Context) {
+	tick := time.NewTicker(refreshEvery)
+	defer tick.Stop()
+	for {
+		changed := f.fleet.Changed()
+		if t := f.table.Load(); t != nil {
+			f.listEngines(time.Now(), t)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-tick.C:
+			for _, c := range f.fleet.Settle(time.Now()) {
+				f.journal.Belief("upstream dropped", "upstream", c.ID, "why", "still missing after the list settled")
+			}
+		}
+	}
+}
+
+// listEngines tells the placement which engines take work.
+func (f *Forwarder) listEngines(now time.Time, t *Table) {
+	for name, s := range t.Services() {
+		if s.Engine != nil {
+			f.engines.list(now, name, f.fleet.Takers(now, name))
+		}
+	}
+}
+
+// Ready reports whether this host should get new connections.
+func (f *Forwarder) Ready() bool { return f.table.Load() != nil && !f.Stopping() }
+
+// Stopping reports whether the host is about to stop.
+func (f *Forwarder) Stopping() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopping
+}
+
+// Stop refuses new streams from now on, and waits until nothing is in flight or
+// the context ends.
+func (f *Forwarder) Stop(ctx context.Context) {
+	f.mu.Lock()
+	running := f.inFlight
+	if !f.stopping {
+		f.stopping = true
+		if f.inFlight == 0 {
+			close(f.idle)
+		}
+	}
+	f.mu.Unlock()
+	f.journal.Belief("stopping", "running", running)
+	select {
+	case <-f.idle:
+	case <-ctx.Done():
+	}
+}
+
+// InFlight is how many requests are under way.
+func (f *Forwarder) InFlight() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.inFlight
+}
+
+func (f *Forwarder) enter() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight++
+}
+
+func (f *Forwarder) leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight--
+	if f.stopping && f.inFlight == 0 {
+		select {
+		case <-f.idle:
+		default:
+			close(f.idle)
+		}
+	}
+}
+
+// When refused callers are told to come back.
+const (
+	// retryNotReady: a host that starts has its configuration in well under a
+	// second.
+	retryNotReady = 300 * time.Millisecond
+	// retryStopping sends the caller on at once, for another host takes it.
+	retryStopping = 10 * time.Millisecond
+	// retryUnknown is told where nothing is known.
+	retryUnknown = 200 * time.Millisecond
+)
+
+// exchange is one request on its way through this host.
+type exchange struct {
+	*Forwarder
+	call    *Call
+	to      Sink
+	route   Route
+	service Service
+	account Account
+	// deadline is the earlier of the caller's and the route's.
+	deadline time.Time
+	// urgency is the account's, or else the route's.
+	urgency Urgency
+}
+
+// Serve answers one request. The context ends when the caller leaves.
+func (f *Forwarder) Serve(ctx context.Context, c *Call, to Sink) {
+	f.enter()
+	defer f.leave()
+	x := &exchange{Forwarder: f, call: c, to: to}
+	refusal, ok := x.admit(c.Arrived)
+	if !ok {
+		x.refuse(refusal, "version", x.version())
+		return
+	}
+	cut := ctx
+	if !x.deadline.IsZero() {
+		var cancel context.CancelFunc
+		cut, cancel = context.WithDeadlineCause(ctx, x.deadline, errDeadline)
+		defer cancel()
+	}
+	if x.route.Kind == KindStream {
+		x.serveStream(cut)
+		return
+	}
+	x.servePlain(cut)
+}
+
+func (x *exchange) version() Version {
+	if t := x.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// admit finds the route, the account and the service, or says why not.
+func (x *exchange) admit(now time.Time) (Refusal, bool) {
+	t := x.table.Load()
+	if t == nil {
+		return Refusal{Code: CodeNotReady, RetryAfter: retryNotReady}, false
+	}
+	var found bool
+	if x.route, found = t.Match(x.call.Host, x.call.Path); !found {
+		return x.unknown(now, CodeNoRoute), false
+	}
+	if t.Keyed && !x.route.Public {
+		if x.account, found = t.Account(x.call.Key); !found {
+			return x.unknown(now, CodeBadKey), false
+		}
+	}
+	if x.Stopping() && x.route.Kind == KindStream {
+		return Refusal{Code: CodeStopping, RetryAfter: retryStopping}, false
+	}
+	x.urgency = x.route.Urgency
+	if x.account.Ranked {
+		x.urgency = x.account.Urgency
+	}
+	x.deadline = earliest(now, x.call.Patience, x.route.Timeout)
+	x.service, found = t.Service(x.pickService(now))
+	if !found {
+		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
+	}
+	return Refusal{}, true
+}
+
+// unknown refuses for what the configuration doesn't hold, but only while the
+// configuration is known to be the newest; else another host may know more.
+func (x *exchange) unknown(now time.Time, code Code) Refusal {
+	if x.ContactAge(now) > x.settings.ContactBound {
+		return Refusal{Code: CodeNotReady, RetryAfter: retryNotReady}
+	}
+	return Refusal{Code: code}
+}
+
+func earliest(from time.Time, bounds ...time.Duration) time.Time {
+	var first time.Time
+	for _, b := range bounds {
+		if b <= 0 {
+			continue
+		}
+		if at := from.Add(b); first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// pickService draws one of the route's shares by weight; one without upstreams
+// is passed over while another has some.
+func (x *exchange) pickService(now time.Time) ServiceName {
+	total := 0
+	for _, s := range x.route.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	draw := rand.IntN(total)
+	var picked ServiceName
+	for _, s := range x.route.Shares {
+		if draw < s.Weight {
+			picked = s.Service
+			break
+		}
+		draw -= s.Weight
+	}
+	if len(x.route.Shares) == 1 || len(x.fleet.Takers(now, picked)) > 0 {
+		return picked
+	}
+	for _, s := range x.route.Shares {
+		if s.Weight > 0 && len(x.fleet.Takers(now, s.Service)) > 0 {
+			return s.Service
+		}
+	}
+	return picked
+}
+
+// left is how long an upstream may still work on the request.
+func (x *exchange) left(now time.Time) time.Duration {
+	if x.deadline.IsZero() {
+		return 0
+	}
+	return max(x.deadline.Sub(now), time.Millisecond)
+}
+
+// refuse gives the caller its final answer and notes it.
+func (x *exchange) refuse(r Refusal, keyvals ...any) {
+	took := time.Since(x.call.Arrived)
+	keyvals = append([]any{"route", x.route.Name, "code", r.Code, "may_have_run", r.MayHaveRun, "retry_after", r.RetryAfter, "took", took}, keyvals...)
+	x.journal.Request(x.call.ID, "refused", keyvals...)
+	x.observer.Answered(x.route.Kind, string(r.Code), took)
+	if r.Code == CodeCallerLeft {
+		return
+	}
+	if err := x.to.Refuse(r); err != nil {
+		x.journal.Request(x.call.ID, "refusal not delivered", "err", err)
+	}
+}
+
+// answered notes the end of a request that an upstream answered.
+func (x *exchange) answered(outcome string, keyvals ...any) {
+	took := time.Since(x.call.Arrived)
+	x.observer.Answered(x.route.Kind, outcome, took)
+	keyvals = append([]any{"route", x.route.Name, "outcome", outcome, "took", took}, keyvals...)
+	x.journal.Request(x.call.ID, "answered", keyvals...)
+}
+
+// runID names the request's run on the engines.
+func (x *exchange) runID() policy.RunID { return policy.RunID(x.call.ID) }
--- /dev/null
+++ b/forward/move.go
@@ -0,0 +1,236 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// Timing of moves.
+const (
+	// quickCopy is how long a copy may take for the links to count as free: the
+	// last part, for which the run stands still, then takes no longer, well
+	// under the pause that a person notices.
+	quickCopy = 40 * time.Millisecond
+	// moveMargin is how long before the engine may be gone the run is stopped
+	// for its last part even if the links are busy.
+	moveMargin = 500 * time.Millisecond
+	// movePause is waited before a move that couldn't be made is tried again.
+	movePause = 50 * time.Millisecond
+	// moveTimeout bounds one copy; several may wait on one link.
+	moveTimeout = 3 * time.Second
+)
+
+// handover says where a stopped run goes on.
+type handover struct {
+	to     Upstream
+	source Upstream
+	handle string
+	// stopped is when the run was stopped.
+	stopped time.Time
+}
+
+// mover watches one engine of a stream and moves the run when it leaves.
+type mover struct {
+	from Upstream
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu sync.Mutex
+	// stopping says that the run was told to stop at the source; it isn't at
+	// its end when its stream is.
+	stopping bool
+	// handle names a copy that was made; empty for none.
+	handle string
+	next   *handover
+}
+
+// watch starts a mover for the engine that the stream comes from.
+func (s *streamExchange) watch(ctx context.Context, u Upstream) *mover {
+	ctx, stop := context.WithCancel(ctx)
+	m := &mover{from: u, stop: stop, done: make(chan struct{})}
+	if s.service.Engine == nil || !s.service.Engine.Moves || s.run == nil {
+		close(m.done)
+		return m
+	}
+	leaving := s.fleet.Leaving(u.ID)
+	run := s.run
+	go func() {
+		defer close(m.done)
+		select {
+		case <-ctx.Done():
+			return
+		case <-leaving:
+		}
+		next := m.evacuate(ctx, s.exchange, run, time.Now())
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.next = next
+	}()
+	return m
+}
+
+// stopped reports whether the run was told to stop, so that the end of its
+// stream isn't the end of the answer.
+func (m *mover) stopped() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
+// cancel ends the mover and frees a copy that won't be used.
+func (m *mover) cancel(s *streamExchange) {
+	m.stop()
+	<-m.done
+	m.mu.Lock()
+	handle := m.handle
+	m.mu.Unlock()
+	if handle == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := s.transport.Discard(ctx, m.from, handle); err != nil {
+			// The engines free it by themselves within seconds.
+			s.journal.Request(s.call.ID, "copy not freed", "upstream", m.from.ID, "err", err)
+		}
+	}()
+}
+
+// handover waits for a move that is under way and returns where the run goes
+// on, or nil when it was lost.
+func (m *mover) handover(ctx context.Context) *handover {
+	if !m.stopped() {
+		return nil
+	}
+	select {
+	case <-m.done:
+	case <-ctx.Done():
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.next
+}
+
+// evacuate copies the run to another engine while it goes on, and then stops it
+// for the last part. A nil result means that there is nothing left to move.
+func (m *mover) evacuate(ctx context.Context, x *exchange, run *ownRun, noticed time.Time) *handover {
+	gone := noticed.Add(x.settings.DrainFor)
+	x.journal.Request(x.call.ID, "engine leaves", "upstream", m.from.ID, "list_revision", x.fleet.Revision())
+	for ctx.Err() == nil {
+		to, found := x.engines.relocate(time.Now(), x.service.Name, run)
+		if !found {
+			pauseFor(ctx, movePause)
+			continue
+		}
+		next, err := m.moveTo(ctx, x, to, gone)
+		if next != nil {
+			return next
+		}
+		x.journal.Request(x.call.ID, "move failed", "from", m.from.ID, "to", to.ID, "err", err, "since_notice", time.Since(noticed))
+		if m.stopped() {
+			return nil
+		}
+		if errors.Is(err, ErrNoRoom) {
+			x.fleet.Suspect(time.Now(), to.ID)
+		}
+		pauseFor(ctx, movePause)
+	}
+	return nil
+}
+
+// moveTo moves the run to one engine.
+func (m *mover) moveTo(ctx context.Context, x *exchange, to Upstream, gone time.Time) (*handover, error) {
+	for {
+		began := time.Now()
+		if _, err := m.copy(ctx, x, to, false); err != nil {
+			return nil, err
+		}
+		now := time.Now()
+		if now.Sub(began) < quickCopy || now.Add(moveMargin).After(gone) {
+			break
+		}
+	}
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	stopped := time.Now()
+	moved, err := m.copy(ctx, x, to, true)
+	switch {
+	case err == nil:
+		return &handover{to: to, source: m.from, handle: moved.Handle, stopped: stopped}, nil
+	case errors.Is(err, ErrNoRun), errors.Is(err, ErrMoveBusy):
+		// Nothing was stopped: the run has ended, or a copy is still going.
+		m.mu.Lock()
+		m.stopping = false
+		m.mu.Unlock()
+		return nil, err
+	case errors.Is(err, ErrNoRoom) && moved.Handle != "":
+		return &handover{to: m.from, source: m.from, handle: moved.Handle, stopped: stopped}, nil
+	case m.handle != "":
+		// Whether the run stopped isn't known; its stream will tell.
+		return &handover{to: to, source: m.from, handle: m.handle, stopped: stopped}, nil
+	}
+	return nil, err
+}
+
+// copy has the run's memory copied once and waits until it is.
+func (m *mover) copy(ctx context.Context, x *exchange, to Upstream, stop bool) (Moved, error) {
+	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
+	defer cancel()
+	began := time.Now()
+	moved, err := x.transport.Move(ctx, m.from, MoveRequest{ID: x.call.ID, To: to.Address, Stop: stop})
+	if moved.Handle != "" {
+		m.mu.Lock()
+		m.handle = moved.Handle
+		m.mu.Unlock()
+	}
+	x.journal.Request(x.call.ID, "copied", "from", m.from.ID, "to", to.ID, "stop", stop, "took", time.Since(began), "events", moved.Events, "err", err)
+	return moved, err
+}
+
+// takeUp sends the request to the engine that holds the copy; when that refuses
+// it, to the engine where the run stopped.
+func (s *streamExchange) takeUp(ctx context.Context, h *handover) (Upstream, *Answer, error) {
+	targets := []Upstream{h.to}
+	if h.to.ID != h.source.ID {
+		targets = append(targets, h.source)
+	}
+	var last error
+	for _, u := range targets {
+		a, err := s.send(ctx, u, &Continuation{Source: h.source.Address, Handle: h.handle, LastEvent: s.lastEvent})
+		if err == nil && a.Status == 200 && a.Signed {
+			s.moves++
+			s.observer.Moved("ok", time.Since(h.stopped))
+			s.journal.Request(s.call.ID, "moved", "from", h.source.ID, "to", u.ID, "after", s.lastEvent, "pause", time.Since(h.stopped))
+			return u, a, nil
+		}
+		s.journal.Request(s.call.ID, "not taken up", "upstream", u.ID, "status", status(a), "err", err)
+		last = err
+		if a != nil {
+			closeBody(a)
+			last = ErrNoRoom
+		}
+		if err != nil && !errors.Is(err, ErrNotSent) {
+			// It may have been taken up there: two runs must not be joined.
+			break
+		}
+	}
+	s.observer.Moved("lost", time.Since(h.stopped))
+	return Upstream{}, nil, last
+}
+
+// pauseFor waits for a while or until the context ends.
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/forward/plain.go
@@ -0,0 +1,297 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// errDeadline is the cause of a context that ended with the request's time.
+var errDeadline = errors.New("the request's time is over")
+
+const (
+	// heldBytes is the longest answer that is read whole before it is passed
+	// on, so that a broken one can still be replaced.
+	heldBytes = 1 << 20
+	// mostDials bounds the upstreams that a request which was not sent yet is
+	// tried on.
+	mostDials = 3
+	// secondTryPart is the part of the objective after which a request that
+	// may be repeated is sent to a second upstream, too.
+	secondTryPart = 0.6
+)
+
+// plainTry is one upstream's part in a plain exchange.
+type plainTry struct {
+	upstream Upstream
+	answer   *Answer
+	body     []byte
+	// long says that the body goes on after what was held.
+	long bool
+	err  error
+	took time.Duration
+}
+
+// good reports whether the answer may be given to the caller as a success.
+func (t *plainTry) good() bool {
+	a := t.answer
+	return t.err == nil && a.Signed && !a.Encoded && !a.NotRun && a.Status < http.StatusInternalServerError && !promising(a.Status)
+}
+
+// plainExchange sends one request to one upstream after another.
+type plainExchange struct {
+	*exchange
+	tries chan plainTry
+	tried []member.UpstreamID
+	// sent counts the upstreams that may have got the request, dials those
+	// that surely didn't, and open the tries that haven't ended.
+	sent, dials, open int
+	// mayHaveRun is whether a try that ended may have run.
+	mayHaveRun bool
+	// failure is an upstream's own failure, which the caller gets when nothing
+	// better comes.
+	failure *plainTry
+	// lastCode says what the last try failed of.
+	lastCode Code
+}
+
+// servePlain answers a request by one upstream's whole answer.
+func (x *exchange) servePlain(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	p := &plainExchange{exchange: x, tries: make(chan plainTry, mostDials+max(x.route.Attempts, 1)+1)}
+	x.retries.first(time.Now(), x.service.Name)
+	if !p.launch(ctx) {
+		x.refuse(Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, "service", x.service.Name)
+		return
+	}
+	second := p.secondTryTimer()
+	defer second.Stop()
+	for p.open > 0 {
+		select {
+		case <-ctx.Done():
+			p.giveUp(ctx)
+			return
+		case <-second.C:
+			p.again(ctx, "slow")
+		case t := <-p.tries:
+			p.open--
+			if p.ended(ctx, &t) {
+				return
+			}
+		}
+	}
+	p.failed()
+}
+
+// secondTryTimer fires when the first try has been slow; never for a request
+// that may not be repeated.
+func (p *plainExchange) secondTryTimer() *time.Timer {
+	if p.route.Kind != KindSafe || p.route.Attempts < 2 || p.route.Objective <= 0 {
+		t := time.NewTimer(time.Hour)
+		t.Stop()
+		return t
+	}
+	return time.NewTimer(time.Duration(secondTryPart * float64(p.route.Objective)))
+}
+
+// launch sends the request to the best upstream that wasn't tried yet.
+func (p *plainExchange) launch(ctx context.Context) bool {
+	now := time.Now()
+	u, found := p.plain.choose(now, p.fleet.Takers(now, p.service.Name), p.tried)
+	if !found {
+		return false
+	}
+	p.tried = append(p.tried, u.ID)
+	p.open++
+	p.sent++
+	out := &Outgoing{Call: p.call, Account: p.account.Name, Left: p.left(now), Urgency: p.urgency}
+	go func() { p.tries <- p.try(ctx, now, u, out) }()
+	return true
+}
+
+// try sends the request once and reads the answer.
+func (p *plainExchange) try(ctx context.Context, began time.Time, u Upstream, out *Outgoing) plainTry {
+	t := plainTry{upstream: u}
+	t.answer, t.err = p.transport.Send(ctx, u, out)
+	if t.err == nil {
+		t.body, t.long, t.err = hold(t.answer)
+	}
+	now := time.Now()
+	t.took = now.Sub(began)
+	switch {
+	case errors.Is(t.err, ErrNotSent), t.err == nil && t.answer.OtherInstance:
+		p.plain.done(now, u.ID, 0, true)
+	default:
+		p.plain.done(now, u.ID, t.took, !t.good())
+	}
+	return t
+}
+
+// hold reads an answer's body, whole if it isn't too long.
+func hold(a *Answer) (body []byte, long bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(a.Body, heldBytes))
+	if err == nil && len(body) == heldBytes {
+		return body, true, nil
+	}
+	if closing := a.Body.Close(); err == nil && closing != nil {
+		err = closing
+	}
+	return body, false, err
+}
+
+// ended takes in one try. It reports whether the caller has its answer.
+func (p *plainExchange) ended(ctx context.Context, t *plainTry) bool {
+	if t.good() {
+		p.deliver(t)
+		return true
+	}
+	now := time.Now()
+	why := p.judge(now, t)
+	p.journal.Request(p.call.ID, "try failed", "upstream", t.upstream.ID, "why", why, "status", status(t.answer), "err", t.err, "took", t.took)
+	switch why {
+	case "not_sent":
+		p.sent--
+		p.dials++
+		p.lastCode = CodeNoUpstream
+		if p.dials < mostDials && ctx.Err() == nil {
+			p.launch(ctx)
+		}
+	case "not_run":
+		p.lastCode = CodeOverloaded
+		p.again(ctx, why)
+	default:
+		p.mayHaveRun = true
+		if p.route.Kind == KindSafe {
+			p.again(ctx, why)
+		}
+	}
+	return false
+}
+
+// judge says what a failed try means and marks the upstream accordingly.
+func (p *plainExchange) judge(now time.Time, t *plainTry) string {
+	switch {
+	case errors.Is(t.err, ErrNotSent):
+		p.fleet.Suspect(now, t.upstream.ID)
+		return "not_sent"
+	case t.err != nil:
+		p.lastCode = CodeLost
+		return "lost"
+	case t.answer.OtherInstance:
+		p.fleet.MarkLeaving(now, t.upstream.ID)
+		return "not_sent"
+	case t.answer.NotRun:
+		return "not_run"
+	case t.answer.Signed && !t.answer.Encoded && !promising(t.answer.Status):
+		p.failure = t
+		return "upstream_failed"
+	default:
+		p.lastCode = CodeBadAnswer
+		return "bad_answer"
+	}
+}
+
+// promising reports whether a status says that the request has not run; an
+// upstream's own such status without its word doesn't count as that.
+func promising(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+func status(a *Answer) int {
+	if a == nil {
+		return 0
+	}
+	return a.Status
+}
+
+// again sends the request to another upstream if the route and the budget allow
+// it.
+func (p *plainExchange) again(ctx context.Context, why string) {
+	if ctx.Err() != nil || p.sent >= p.route.Attempts {
+		return
+	}
+	if !p.retries.take(time.Now(), p.service.Name) {
+		p.journal.Request(p.call.ID, "not repeated", "why", "retry budget used up", "after", why)
+		return
+	}
+	if p.launch(ctx) {
+		p.observer.Repeated(why)
+	}
+}
+
+// deliver gives the caller an upstream's answer.
+func (p *plainExchange) deliver(t *plainTry) {
+	var err error
+	if t.long {
+		err = p.deliverLong(t)
+	} else {
+		err = p.to.Whole(t.answer, t.body)
+	}
+	outcome := "ok"
+	if err != nil {
+		outcome = "not_delivered"
+	}
+	p.answered(outcome, "upstream", t.upstream.ID, "status", t.answer.Status, "tries", len(p.tried), "err", err)
+}
+
+// deliverLong passes on an answer that is too long to be held.
+func (p *plainExchange) deliverLong(t *plainTry) error {
+	defer t.answer.Body.Close()
+	err := p.to.Begin(t.answer)
+	if err == nil {
+		err = p.to.Write(t.body)
+	}
+	chunk := make([]byte, 64<<10)
+	for err == nil {
+		n, readErr := t.answer.Body.Read(chunk)
+		if n > 0 {
+			err = p.to.Write(chunk[:n])
+		}
+		if errors.Is(readErr, io.EOF) {
+			return err
+		}
+		if readErr != nil {
+			err = readErr
+		}
+	}
+	p.to.Cut()
+	return err
+}
+
+// failed answers when every try has ended without a good answer.
+func (p *plainExchange) failed() {
+	switch {
+	case p.failure != nil:
+		p.deliver(p.failure)
+	case p.mayHaveRun:
+		p.refuse(Refusal{Code: p.lastCode, MayHaveRun: true}, "tries", len(p.tried))
+	default:
+		p.refuse(Refusal{Code: p.lastCode, RetryAfter: retryUnknown}, "tries", len(p.tried))
+	}
+}
+
+// giveUp answers when the request's time is over, or notes that its caller has
+// left. Tries that are still open end with the context.
+func (p *plainExchange) giveUp(ctx context.Context) {
+	if !errors.Is(context.Cause(ctx), errDeadline) {
+		p.refuse(Refusal{Code: CodeCallerLeft, MayHaveRun: true}, "tries", len(p.tried))
+		return
+	}
+	if p.failure != nil {
+		p.deliver(p.failure)
+		return
+	}
+	p.refuse(Refusal{Code: CodeTimeout, MayHaveRun: true}, "tries", len(p.tried))
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,323 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/shedpath/shedpath/policy"
+)
+
+// streamExchange passes one stream on, from one engine after another when it is
+// moved.
+type streamExchange struct {
+	*exchange
+	run *ownRun
+	// begun says that the caller has the answer's beginning.
+	begun bool
+	// lastEvent is the id of the last event that the caller has, and events
+	// how many it has.
+	lastEvent string
+	events    int
+	// lastAt is when the last event was passed on; zero before the first.
+	lastAt time.Time
+	// longest is the longest pause between two events.
+	longest time.Duration
+	// moves counts the engines that the run was moved to.
+	moves int
+	// callerGone is the error of the caller's connection.
+	callerGone error
+}
+
+// serveStream answers a request with a stream of events.
+func (x *exchange) serveStream(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := &streamExchange{exchange: x}
+	x.retries.first(time.Now(), x.service.Name)
+	sent := 0
+	var last Refusal
+	for dials := 0; dials < mostDials; dials++ {
+		u, refusal, ok := s.place(ctx)
+		if !ok {
+			s.refuse(refusal, "service", x.service.Name)
+			return
+		}
+		answer, err := s.send(ctx, u, nil)
+		if err == nil && !answer.NotRun && !answer.OtherInstance {
+			s.answerFrom(ctx, u, answer)
+			return
+		}
+		s.free(false)
+		last = s.judge(ctx, u, answer, err)
+		if last.MayHaveRun || last.Code == CodeCallerLeft {
+			break
+		}
+		if err == nil && answer.NotRun {
+			// The engine had the request: it counts against the route's bound.
+			sent++
+			if sent >= x.route.Attempts || !x.retries.take(time.Now(), x.service.Name) {
+				break
+			}
+			x.observer.Repeated("not_run")
+		}
+	}
+	s.refuse(last, "service", x.service.Name, "sent", sent)
+}
+
+// place finds an engine, or says why there is none.
+func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
+	now := time.Now()
+	p := s.call.Prompt
+	r := policy.Request{
+		Run: s.runID(), Route: policyRoute(s.route), Account: s.account.Name,
+		// The policy ranks upwards.
+		Priority: int(MostPatient - s.urgency),
+		Prompt:   max(p.Tokens, 1), Limit: p.MostOut, Prefix: p.Prefix, PrefixTokens: p.PrefixTokens,
+		Bytes:    len(s.call.Body),
+		Deadline: s.call.Arrived.Add(s.route.Objective / queuePart),
+	}
+	if s.service.Engine == nil {
+		return s.placePlain(now)
+	}
+	u, run, d := s.engines.place(ctx, now, s.service.Name, r)
+	if d.Verdict != policy.Granted {
+		return u, s.noPlace(ctx, d), false
+	}
+	s.run = run
+	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
+	return u, Refusal{}, true
+}
+
+// placePlain picks an upstream for a stream that isn't an engine's.
+func (s *streamExchange) placePlain(now time.Time) (Upstream, Refusal, bool) {
+	u, found := s.plain.choose(now, s.fleet.Takers(now, s.service.Name), nil)
+	if !found {
+		return u, Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
+	}
+	s.plain.done(now, u.ID, 0, false)
+	return u, Refusal{}, true
+}
+
+func (s *streamExchange) noPlace(ctx context.Context, d policy.Decision) Refusal {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
+		return Refusal{Code: CodeCallerLeft}
+	}
+	wait := min(max(d.RetryAfter, retryLeast), retryMost)
+	if d.Reason == policy.ReasonNoEngine {
+		return Refusal{Code: CodeNoUpstream, RetryAfter: wait}
+	}
+	return Refusal{Code: CodeOverloaded, RetryAfter: wait}
+}
+
+func policyRoute(r Route) ServiceName { return ServiceName(r.Name) }
+
+// free gives the run's place back; whole says that its length is known.
+func (s *streamExchange) free(whole bool) {
+	if s.run != nil {
+		s.engines.finish(time.Now(), s.service.Name, s.run, whole)
+		s.run = nil
+	}
+}
+
+func (s *streamExchange) send(ctx context.Context, u Upstream, c *Continuation) (*Answer, error) {
+	out := &Outgoing{Call: s.call, Account: s.account.Name, Left: s.left(time.Now()), Urgency: s.urgency, Continue: c}
+	return s.transport.Send(ctx, u, out)
+}
+
+// judge says what a send that brought no stream means for the caller, and marks
+// the upstream accordingly.
+func (s *streamExchange) judge(ctx context.Context, u Upstream, a *Answer, err error) Refusal {
+	now := time.Now()
+	s.journal.Request(s.call.ID, "try failed", "upstream", u.ID, "status", status(a), "err", err)
+	if a != nil {
+		closeBody(a)
+	}
+	switch {
+	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
+		s.fleet.Suspect(now, u.ID)
+		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+		return Refusal{Code: CodeCallerLeft, MayHaveRun: true}
+	case ctx.Err() != nil:
+		return Refusal{Code: CodeTimeout, MayHaveRun: !errors.Is(err, ErrNotSent)}
+	case err != nil:
+		return Refusal{Code: CodeLost, MayHaveRun: true}
+	case a.OtherInstance:
+		s.fleet.MarkLeaving(now, u.ID)
+		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
+	default:
+		return Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
+	}
+}
+
+// closeBody closes the body of an answer that isn't passed on. Nothing is lost
+// when that fails: the connection is given up either way.
+func closeBody(a *Answer) {
+	if a.Body != nil {
+		_ = a.Body.Close()
+	}
+}
+
+// answerFrom passes an engine's answer on.
+func (s *streamExchange) answerFrom(ctx context.Context, u Upstream, a *Answer) {
+	if a.Status != http.StatusOK {
+		s.passFailure(ctx, u, a)
+		return
+	}
+	if !a.Signed || a.Encoded {
+		closeBody(a)
+		s.free(false)
+		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID)
+		return
+	}
+	err := s.follow(ctx, u, a)
+	s.free(err == nil)
+	s.end(ctx, u, err)
+}
+
+// passFailure gives the caller an engine's own failure.
+func (s *streamExchange) passFailure(ctx context.Context, u Upstream, a *Answer) {
+	t := plainTry{upstream: u, answer: a}
+	t.body, t.long, t.err = hold(a)
+	s.free(false)
+	p := &plainExchange{exchange: s.exchange}
+	if t.err != nil || !a.Signed || promising(a.Status) {
+		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID, "status", a.Status, "err", t.err)
+		return
+	}
+	p.deliver(&t)
+}
+
+// end closes the answer: whole, cut, or refused when nothing had come.
+func (s *streamExchange) end(ctx context.Context, u Upstream, err error) {
+	about := []any{"upstream", u.ID, "events", s.events, "moves", s.moves, "longest_pause", s.longest, "err", err}
+	left := s.callerGone != nil || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
+	switch {
+	case err == nil:
+		s.answered("ok", about...)
+	case s.begun:
+		s.to.Cut()
+		if left {
+			s.answered("caller_left", about...)
+			return
+		}
+		s.answered("cut", about...)
+	case left:
+		s.refuse(Refusal{Code: CodeCallerLeft, MayHaveRun: true}, about...)
+	case ctx.Err() != nil:
+		s.refuse(Refusal{Code: CodeTimeout, MayHaveRun: true}, about...)
+	default:
+		s.refuse(Refusal{Code: CodeLost, MayHaveRun: true}, about...)
+	}
+}
+
+// follow passes a run's events on, from one engine after another, until the
+// stream has ended.
+func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) error {
+	first := a
+	for {
+		m := s.watch(ctx, u)
+		err := s.relay(first, a)
+		closeBody(a)
+		if err == nil && !m.stopped() {
+			m.cancel(s)
+			return s.finish(first)
+		}
+		next := m.handover(ctx)
+		if next == nil && err == nil && !m.stopped() {
+			// The run had ended by itself before it could be stopped.
+			m.cancel(s)
+			return s.finish(first)
+		}
+		if next == nil {
+			m.cancel(s)
+			return notEOF(err)
+		}
+		m.stop()
+		if u, a, err = s.takeUp(ctx, next); err != nil {
+			return err
+		}
+	}
+}
+
+// notEOF is the error of a stream that ended before its end.
+func notEOF(err error) error {
+	if err == nil {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// finish begins the answer of a stream that had no event at all.
+func (s *streamExchange) finish(first *Answer) error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	return s.to.Begin(first)
+}
+
+// relay passes on what one engine sends. It returns nil at a clean end.
+func (s *streamExchange) relay(first, a *Answer) error {
+	events := newEventReader(a.Body)
+	for {
+		event, id, err := events.next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.pass(time.Now(), first, event, id); err != nil {
+			return err
+		}
+	}
+}
+
+// pass gives one event to the caller.
+func (s *streamExchange) pass(now time.Time, first *Answer, event []byte, id string) error {
+	if !s.begun {
+		s.begun = true
+		s.observer.FirstEvent(now.Sub(s.call.Arrived))
+		if s.callerGone = s.to.Begin(first); s.callerGone != nil {
+			return s.callerGone
+		}
+	} else if !s.lastAt.IsZero() {
+		gap := now.Sub(s.lastAt)
+		s.longest = max(s.longest, gap)
+		s.observer.Gap(gap)
+		s.learn(gap)
+	}
+	if s.callerGone = s.to.Write(event); s.callerGone != nil {
+		return s.callerGone
+	}
+	s.lastAt = now
+	s.events++
+	if id != "" {
+		s.lastEvent = id
+	}
+	if s.run != nil {
+		s.run.made.Add(int64(s.eventTokens()))
+	}
+	return nil
+}
+
+func (s *streamExchange) eventTokens() policy.Tokens {
+	if s.service.Engine == nil {
+		return 1
+	}
+	return max(s.service.Engine.EventTokens, 1)
+}
+
+// learn takes the time between two events as the engine's step.
+func (s *streamExchange) learn(gap time.Duration) {
+	if s.run != nil {
+		s.engines.observeStep(s.service.Name, s.run.engine, gap/time.Duration(s.eventTokens()))
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -98,7 +98,7 @@
 		return usageError{fmt.Errorf("%w; see '%s --help'", err, cmd.CommandPath())}
 	})
 	root.AddCommand(
-		newEntryCommand(s), newDevCommand(s), newDemoCommand(s), newApplyCommand(s), newGetCommand(s),
+		newEntryCommand(s), newServeCommand(s), newDevCommand(s), newDemoCommand(s), newApplyCommand(s), newGetCommand(s),
 		newWatchCommand(s), newDeleteCommand(s), newDrainCommand(s), newStatusCommand(s), newLoadCommand(s),
 	)
 	wrapArgErrors(root)
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,94 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/shedpath/shedpath/internal/telemetry"
+	"github.com/shedpath/shedpath/platform"
+)
+
+func newServeCommand(system *System) *cobra.Command {
+	return &cobra.Command{
+		Use:   "serve",
+		Short: "Run an entry host on the users' platform",
+		Long: `serve runs an entry host that takes its settings, its configuration and its
+upstreams from the users' platform. The settings file is named by the variable
+SHEDPATH_NODE_FILE. SIGTERM stops it without cutting a running call, within the
+grace that the settings give; SIGHUP rereads the settings.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), system) },
+	}
+}
+
+func serve(ctx context.Context, system *System) error {
+	path, err := platform.SettingsPath(system.Environment)
+	if err != nil {
+		return usageError{err}
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return usageError{err}
+	}
+	t := telemetry.NewForward(system.Stdout)
+	defer t.Close()
+	d, err := platform.New(settings, t)
+	if err != nil {
+		return err
+	}
+	stop, _, release := system.untilSignals(ctx)
+	defer release()
+	go reloadSettings(stop, path, d, t)
+	return d.Run(stop)
+}
+
+// settingsEvery is how often the settings file is looked at; it may change
+// without a signal.
+const settingsEvery = 2 * time.Second
+
+// reloadSettings rereads the settings at each SIGHUP and when the file has
+// changed. Settings that can't be read leave the old ones in force.
+func reloadSettings(ctx context.Context, path string, d *platform.Daemon, t *telemetry.Forward) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	tick := time.NewTicker(settingsEvery)
+	defer tick.Stop()
+	before := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		case <-tick.C:
+			if now := modified(path); now.Equal(before) {
+				continue
+			}
+		}
+		before = modified(path)
+		settings, err := platform.ReadSettings(path)
+		if err != nil {
+			t.Belief("settings not reloaded", "err", err)
+			continue
+		}
+		d.Reload(settings)
+	}
+}
+
+// modified is when a file last changed; zero when that can't be told, as when
+// it is being replaced.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- /dev/null
+++ b/internal/telemetry/forward.go
@@ -0,0 +1,154 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/shedpath/shedpath/forward"
+)
+
+// Forward logs and counts what a forwarder does. Use NewForward.
+type Forward struct {
+	ring     *RingLog
+	logger   log.Logger
+	sampler  sampler
+	registry *prometheus.Registry
+
+	answered   *prometheus.CounterVec
+	took       *prometheus.HistogramVec
+	firstEvent prometheus.Observer
+	gap        prometheus.Observer
+	repeated   *prometheus.CounterVec
+	moved      *prometheus.CounterVec
+	movePause  prometheus.Observer
+	store      *prometheus.CounterVec
+	unlogged   prometheus.Counter
+}
+
+var (
+	callBuckets  = []float64{.005, .01, .02, .03, .05, .07, .1, .15, .2, .3, .5, 1, 2, 5, 10, 40}
+	pauseBuckets = []float64{.005, .01, .02, .03, .05, .07, .1, .14, .18, .25, .5, 1, 2, 5}
+)
+
+// NewForward returns telemetry that logs to a writer.
+func NewForward(to io.Writer) *Forward {
+	f := &Forward{ring: NewRingLog(to), registry: prometheus.NewRegistry()}
+	f.logger = log.With(log.NewLogfmtLogger(f.ring), "ts", log.DefaultTimestampUTC)
+	f.answered = f.counter("answers_total", "Requests by kind and how they ended.", "kind", "outcome")
+	f.took = f.histogram("request_seconds", "Time from a request's arrival to the end of its answer.", callBuckets, "kind")
+	f.firstEvent = f.histogram("first_event_seconds", "Time to a stream's first event.", callBuckets).WithLabelValues()
+	f.gap = f.histogram("event_gap_seconds", "Time between two events of a stream.", pauseBuckets).WithLabelValues()
+	f.repeated = f.counter("repeats_total", "Requests that were sent once more.", "why")
+	f.moved = f.counter("moves_total", "Runs that were moved to another engine.", "outcome")
+	f.movePause = f.histogram("move_pause_seconds", "How long a moved run stood still.", pauseBuckets).WithLabelValues()
+	f.store = f.counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
+	f.unlogged = f.counter("unlogged_requests_total", "Decisions that were left out of the log by sampling.").WithLabelValues()
+	f.registry.MustRegister(
+		collectors.NewGoCollector(),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: "shedpath", Name: "log_lines_dropped_total", Help: "Log lines that didn't fit into the ring.",
+		}, func() float64 { return float64(f.ring.Dropped()) }),
+	)
+	return f
+}
+
+func (f *Forward) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "shedpath", Name: name, Help: help}, labels)
+	f.registry.MustRegister(c)
+	return c
+}
+
+func (f *Forward) histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "shedpath", Name: name, Help: help, Buckets: buckets}, labels)
+	f.registry.MustRegister(h)
+	return h
+}
+
+// Handler serves the metrics.
+func (f *Forward) Handler() http.Handler {
+	return promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{})
+}
+
+// Close writes the lines that still wait.
+func (f *Forward) Close() { f.ring.Close() }
+
+// Request notes a decision about one request, unless the log is over its rate
+// and the request isn't one of the sample.
+func (f *Forward) Request(id forward.RequestID, event string, keyvals ...any) {
+	if !f.sampler.keep(time.Now(), string(id)) {
+		f.unlogged.Inc()
+		return
+	}
+	f.log(append([]any{"msg", event, "request", id}, keyvals...))
+}
+
+// Belief notes a change of what this host believes.
+func (f *Forward) Belief(event string, keyvals ...any) {
+	f.log(append([]any{"msg", event}, keyvals...))
+}
+
+func (f *Forward) log(keyvals []any) {
+	// The ring takes every line; one that can't be encoded is a mistake in the
+	// call and shows in the tests.
+	_ = f.logger.Log(keyvals...)
+}
+
+// Answered counts a request's end.
+func (f *Forward) Answered(kind forward.Kind, outcome string, took time.Duration) {
+	f.answered.WithLabelValues(string(kind), outcome).Inc()
+	f.took.WithLabelValues(string(kind)).Observe(took.Seconds())
+}
+
+// FirstEvent counts the time to a stream's first event.
+func (f *Forward) FirstEvent(took time.Duration) { f.firstEvent.Observe(took.Seconds()) }
+
+// Gap counts the time between two events.
+func (f *Forward) Gap(d time.Duration) { f.gap.Observe(d.Seconds()) }
+
+// Repeated counts a request that was sent once more.
+func (f *Forward) Repeated(why string) { f.repeated.WithLabelValues(why).Inc() }
+
+// Moved counts a run that was moved.
+func (f *Forward) Moved(outcome string, pause time.Duration) {
+	f.moved.WithLabelValues(outcome).Inc()
+	f.movePause.Observe(pause.Seconds())
+}
+
+// StoreCall counts a call to the platform's store.
+func (f *Forward) StoreCall(call, outcome string) { f.store.WithLabelValues(call, outcome).Inc() }
+
+// sampler keeps the log within a rate: above it, only a part of the requests is
+// logged, chosen by id, so that what is logged of a request is whole.
+type sampler struct {
+	mu     sync.Mutex
+	second int64
+	lines  int
+	// part is the number of requests that one in the log stands for.
+	part uint64
+}
+
+// linesPerSecond is the rate of request lines above which the log is sampled;
+// a line costs about 10 µs of the processor.
+const linesPerSecond = 300
+
+func (s *sampler) keep(now time.Time, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if second := now.Unix(); second != s.second {
+		s.part = uint64(s.lines/linesPerSecond) + 1
+		s.second, s.lines = second, 0
+	}
+	s.lines++
+	return s.part <= 1 || xxhash.Sum64String(id)%s.part == 0
+}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -82,7 +82,11 @@
 	}
 	memory := float64(e.report.Memory)
 	read := float64(r.Prompt - e.cache.reusable(now, r))
-	return (weightRead*read+weightPeak*peak)/memory + weightStep*step/float64(p.settings.BetweenTokens), true
+	cost := (weightRead*read+weightPeak*peak)/memory + weightStep*step/float64(p.settings.BetweenTokens)
+	if e.zone != r.Zone {
+		cost += r.FarCost
+	}
+	return cost, true
 }
 
 // room is the memory that admission may fill. One of several deciders keeps to
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -6,6 +6,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // horizons are the numbers of steps ahead at which an engine's memory is
@@ -42,6 +44,7 @@
 // engine is what a Pool knows of one engine.
 type engine struct {
 	id     EngineID
+	zone   member.Zone
 	report Report
 	// reported is when the report came; zero means never.
 	reported time.Time
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,10 @@
 	Deadline time.Time
 	// Avoid is an engine that just failed this generation.
 	Avoid EngineID
+	// Zone is where the request came in, and FarCost what an engine of another
+	// zone costs more, as a share of an engine's memory. Zero minds no zones.
+	Zone    member.Zone
+	FarCost float64
 }
 
 // Verdict says what became of a request.
--- /dev/null
+++ b/policy/relocate.go
@@ -0,0 +1,78 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import (
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// SetZone says which availability zone an engine is in.
+func (p *Pool) SetZone(id EngineID, zone member.Zone) {
+	if e := p.engine(id); e != nil {
+		e.zone = zone
+	}
+}
+
+// Progress takes in how many tokens a run has made, which its engine's memory
+// is foreseen from.
+func (p *Pool) Progress(now time.Time, id RunID, made Tokens) {
+	run := p.runs[id]
+	if run == nil || made <= run.made {
+		return
+	}
+	run.made = made
+	run.began = now.Add(-time.Duration(made) * run.engine.step())
+}
+
+// Relocate finds another engine for a run whose engine is about to leave, and
+// counts the run there from now on. The move has to fit the run as it has grown
+// so far. It returns false when no engine has room; the run then stays counted
+// where it is.
+func (p *Pool) Relocate(now time.Time, id RunID, farCost float64) (EngineID, bool) {
+	run := p.runs[id]
+	if run == nil {
+		return "", false
+	}
+	grown := run.Request
+	grown.Prompt += run.made
+	if run.Limit > 0 {
+		grown.Limit = max(run.Limit-run.made, 1)
+	}
+	grown.Prefix, grown.Avoid = 0, run.engine.id
+	grown.Zone, grown.FarCost = run.engine.zone, farCost
+	to := p.choose(now, &grown)
+	if to == nil {
+		return "", false
+	}
+	p.rehome(now, run, to)
+	return to.id, true
+}
+
+// Return counts a run on the engine that it was on before Relocate.
+func (p *Pool) Return(now time.Time, id RunID, engine EngineID) {
+	run, e := p.runs[id], p.engine(engine)
+	if run == nil || e == nil {
+		return
+	}
+	p.rehome(now, run, e)
+}
+
+func (p *Pool) rehome(now time.Time, run *placed, to *engine) {
+	run.engine.remove(run)
+	run.engine.refresh(now)
+	began := run.began
+	to.add(now, run)
+	run.began = began
+	p.blocked = false
+}
+
+// EngineOf returns the engine that a run is counted on, or nothing.
+func (p *Pool) EngineOf(id RunID) EngineID {
+	if run := p.runs[id]; run != nil {
+		return run.engine.id
+	}
+	return ""
+}
