--- a/forward/engines.go
+++ b/forward/engines.go
@@ -50,13 +50,13 @@
 
 // Placement settings.
 const (
-	// farCostToStart is what an engine of another zone costs a new run: it
-	// should matter only among engines that are about equally full, for the
-	// link adds a millisecond.
-	farCostToStart = 0.02
-	// farCostToMove weighs that a move between zones takes the links twice as
-	// long.
-	farCostToMove = 0.15
+	// farCostToStart is what an engine of another zone costs a new run, as a
+	// share of an engine's memory: a stream across zones is cut when the zones
+	// are, so it goes there only when the own zone's engines are much fuller.
+	farCostToStart = 0.3
+	// farCostToMove is the same for a run that moves; a move between zones also
+	// takes the links twice as long.
+	farCostToMove = 0.3
 	// stepUnknown is assumed of an engine until a run on it has shown its step.
 	stepUnknown = 10 * time.Millisecond
 	// stepMemory is the weight of the newest observation of a step.
