forward: hosts share runs, the list of upstreams and the configuration

One host a zone watches the list, the others follow it; each host tells its zone of a new run at once.

--- a/forward/config.go
+++ b/forward/config.go
@@ -41,10 +41,10 @@
 // ServiceName names a group of upstreams that can take each other's requests.
 type ServiceName = resource.Name
 
-// Share is one service's part of a route's requests.
-type Share struct {
+// WeightedService is one service's part of a route's requests.
+type WeightedService struct {
 	Service ServiceName
-	// Weight is relative to the other shares' weights.
+	// Weight is relative to the other services' weights.
 	Weight int
 }
 
@@ -66,7 +66,8 @@
 	Attempts int
 	// Public routes take requests without a key.
 	Public bool
-	Shares []Share
+	// Services take the route's requests by weight.
+	Services []WeightedService
 }
 
 // Engine describes the model engines of a service.
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -281,6 +281,20 @@
 	return states
 }
 
+// forget drops the runs of peers that aren't known any more.
+func (e *engines) forget(now time.Time, isKnown func(member.HostID) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		for id, host := range p.theirs {
+			if !isKnown(host) {
+				delete(p.theirs, id)
+				p.pool.Finish(now, policy.Finish{Run: id})
+			}
+		}
+	}
+}
+
 // adopt replaces what is known of a peer's runs.
 func (e *engines) adopt(now time.Time, host member.HostID, states []RunState) {
 	e.mu.Lock()
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -199,6 +199,14 @@
 	f.trustGoneFrom = now.Add(listSettles)
 }
 
+// ListTrusted tells that a peer whose list is up to date is followed: it has
+// judged itself what is gone.
+func (f *Fleet) ListTrusted() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.trustGoneFrom = time.Time{}
+}
+
 // ListLost tells that the list can't be read.
 func (f *Fleet) ListLost(now time.Time) {
 	f.mu.Lock()
@@ -272,17 +280,19 @@
 	return takers
 }
 
-// Listed returns what the list holds, for a peer that can't read it.
-func (f *Fleet) Listed() []Upstream {
+// Since returns what changed after a revision, for a peer that follows this
+// host. What was dropped long before isn't told any more; such a peer had it as
+// missing by then.
+func (f *Fleet) Since(after Revision) ([]Change, Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var listed []Upstream
+	var changes []Change
 	for _, k := range f.upstreams {
-		if !k.gone {
-			listed = append(listed, k.Upstream)
+		if k.Revision > after {
+			changes = append(changes, Change{Upstream: k.Upstream, Gone: k.gone})
 		}
 	}
-	return listed
+	return changes, f.revision
 }
 
 // Leaving returns a channel that closes when the upstream starts leaving, and
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -10,14 +10,15 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
 
 // Settings are what a forwarder is told at its start.
 type Settings struct {
-	Host member.HostID
-	Zone member.Zone
+	// Self is this host, as its peers know it.
+	Self Peer
+	// Seeds are addresses of peers to try while none is known.
+	Seeds []string
 	// Retries bounds the requests that are sent once more, over all hosts.
 	Retries RetryLimit
 	// DrainFor is how long an upstream surely goes on serving after the first
@@ -60,6 +61,17 @@
 	// contact is when this host last had proof that its configuration is the
 	// newest, in nanoseconds of Unix time.
 	contact atomic.Int64
+	// listContact is the same for the list of upstreams, by the origin itself.
+	listContact atomic.Int64
+	// newest is the configuration in force as it came, for peers.
+	newest atomic.Pointer[Config]
+	peers  *peerSet
+	// peerPort is set by RunPeers, under the lock of peers.
+	peerPort Peers
+	// originLost says that the origin can't be read.
+	originLost atomic.Bool
+	// fetching says that a configuration is being fetched from a peer.
+	fetching atomic.Bool
 
 	mu sync.Mutex
 	// inFlight counts the requests under way.
@@ -73,7 +85,7 @@
 func New(s Settings, t Transport, j Journal, o Observer) *Forwarder {
 	f := &Forwarder{
 		settings: s, transport: t, journal: j, observer: o, fleet: &Fleet{},
-		engines: newEngines(s.Zone), plain: newPlainChooser(s.Zone), idle: make(chan struct{}),
+		engines: newEngines(s.Self.Zone), plain: newPlainChooser(s.Self.Zone), peers: newPeerSet(s.Self, s.Seeds), idle: make(chan struct{}),
 	}
 	f.retries.setLimit(s.Retries)
 	return f
@@ -96,6 +108,7 @@
 	}
 	t := NewTable(c)
 	f.engines.configure(t)
+	f.newest.Store(&c)
 	f.table.Store(t)
 	f.journal.Belief("configuration in force", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts))
 	f.listEngines(now, t)
@@ -103,35 +116,16 @@
 }
 
 // ContactProved takes in that the configuration was the newest at a time.
-func (f *Forwarder) ContactProved(at time.Time) {
-	nanos := at.UnixNano()
-	for {
-		old := f.contact.Load()
-		if old >= nanos || f.contact.CompareAndSwap(old, nanos) {
-			return
-		}
-	}
-}
+func (f *Forwarder) ContactProved(at time.Time) { raise(&f.contact, at) }
 
 // ContactAge is how long ago the configuration was last proved to be the newest.
 func (f *Forwarder) ContactAge(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, f.contact.Load()))
 }
 
-// SetHosts says how many hosts share the retry budget.
-func (f *Forwarder) SetHosts(n int) { f.retries.setHosts(n) }
-
 // SetRetryLimit changes the bound on repeats.
 func (f *Forwarder) SetRetryLimit(l RetryLimit) { f.retries.setLimit(l) }
 
-// Runs lists this host's generations, for its peers.
-func (f *Forwarder) Runs() []RunState { return f.engines.states() }
-
-// AdoptRuns takes in a peer's generations in place of what was known of them.
-func (f *Forwarder) AdoptRuns(now time.Time, host member.HostID, runs []RunState) {
-	f.engines.adopt(now, host, runs)
-}
-
 // Run keeps the placement up to date until the context ends.
 func (f *Forwarder) Run(ctx context.Context) {
 	tick := time.NewTicker(refreshEvery)
@@ -173,31 +167,24 @@
 }
 
 // Stop refuses new streams from now on, and waits until nothing is in flight or
-// the context ends.
+// the context ends. It may be called again to wait again.
 func (f *Forwarder) Stop(ctx context.Context) {
 	f.mu.Lock()
 	running := f.inFlight
-	if !f.stopping {
-		f.stopping = true
-		if f.inFlight == 0 {
-			close(f.idle)
-		}
+	f.stopping = true
+	f.idle = make(chan struct{})
+	if running == 0 {
+		close(f.idle)
 	}
+	idle := f.idle
 	f.mu.Unlock()
 	f.journal.Belief("stopping", "running", running)
 	select {
-	case <-f.idle:
+	case <-idle:
 	case <-ctx.Done():
 	}
 }
 
-// InFlight is how many requests are under way.
-func (f *Forwarder) InFlight() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.inFlight
-}
-
 func (f *Forwarder) enter() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -324,11 +311,11 @@
 	return first
 }
 
-// pickService draws one of the route's shares by weight; one without upstreams
+// pickService draws one of the route's services by weight; one without upstreams
 // is passed over while another has some.
 func (x *exchange) pickService(now time.Time) ServiceName {
 	total := 0
-	for _, s := range x.route.Shares {
+	for _, s := range x.route.Services {
 		total += s.Weight
 	}
 	if total <= 0 {
@@ -336,17 +323,17 @@
 	}
 	draw := rand.IntN(total)
 	var picked ServiceName
-	for _, s := range x.route.Shares {
+	for _, s := range x.route.Services {
 		if draw < s.Weight {
 			picked = s.Service
 			break
 		}
 		draw -= s.Weight
 	}
-	if len(x.route.Shares) == 1 || len(x.fleet.Takers(now, picked)) > 0 {
+	if len(x.route.Services) == 1 || len(x.fleet.Takers(now, picked)) > 0 {
 		return picked
 	}
-	for _, s := range x.route.Shares {
+	for _, s := range x.route.Services {
 		if s.Weight > 0 && len(x.fleet.Takers(now, s.Service)) > 0 {
 			return s.Service
 		}
--- /dev/null
+++ b/forward/peers.go
@@ -0,0 +1,463 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// Peer is another entry host.
+type Peer = member.Entry
+
+// Share is what a host tells its peers of itself.
+type Share struct {
+	From Peer
+	// Version is the configuration in force, and ConfigAge how long ago it was
+	// proved to be the newest.
+	Version   Version
+	ConfigAge time.Duration
+	// ListAge is how long ago the host's list of upstreams was proved to be up
+	// to date by the origin itself.
+	ListAge  time.Duration
+	Stopping bool
+	// Runs are all generations of the host.
+	Runs []RunState
+}
+
+// FollowRequest asks a peer for what is newer than what the asker has. Zero
+// values ask for everything.
+type FollowRequest struct {
+	Version Version
+	List    Revision
+	// Wait is how long the peer may wait for something newer.
+	Wait time.Duration
+}
+
+// FollowReply is what a peer has that is newer.
+type FollowReply struct {
+	// Config is nil when it isn't newer.
+	Config  *Config
+	Changes []Change
+	List    Revision
+	// ListAge is as in Share.
+	ListAge time.Duration
+}
+
+// Peers is the interface to the other hosts.
+type Peers interface {
+	// Share tells a peer about this host and returns the same of the peer,
+	// without its runs.
+	Share(ctx context.Context, to Peer, s Share) (Share, error)
+	Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error)
+}
+
+// Directory lists the hosts of the site.
+type Directory interface {
+	// Announce puts this host on the list for a time, or keeps it there.
+	Announce(ctx context.Context, self Peer, ttl time.Duration) error
+	// Withdraw takes this host off the list.
+	Withdraw(ctx context.Context) error
+	Hosts(ctx context.Context) ([]Peer, error)
+}
+
+// Timing of what hosts tell each other.
+const (
+	// shareEvery is the period of shares to each peer; a new run is told at
+	// once, to the peers of the own zone.
+	shareEvery = 500 * time.Millisecond
+	// shareTimeout bounds one share.
+	shareTimeout = 700 * time.Millisecond
+	// shareSoon gathers the changes of a moment into one share.
+	shareSoon = 3 * time.Millisecond
+	// peerSilent is how long after its last word a peer counts as gone.
+	peerSilent = 1600 * time.Millisecond
+	// peerForgotten is how long a silent peer is still tried, and its runs are
+	// still counted on their engines.
+	peerForgotten = 20 * time.Second
+	// followWait and followTimeout bound a call that follows a peer's list.
+	followWait    = 700 * time.Millisecond
+	followTimeout = 1100 * time.Millisecond
+	// listFresh is how recent a peer's proof of its list must be to follow it:
+	// its watch returns every listWait at least.
+	listFresh = listWait + 600*time.Millisecond
+	// directoryEvery is the period of reading the directory, and directoryTTL
+	// how long an entry stays without being renewed.
+	directoryEvery = 4 * time.Second
+	directoryTTL   = 12 * time.Second
+)
+
+// peerSet is what a host knows of its peers.
+type peerSet struct {
+	self Peer
+
+	mu    sync.Mutex
+	known map[member.HostID]*peerState
+	// seeds are addresses of peers whose names aren't known yet.
+	seeds []string
+	// wake asks for a share to the own zone at once.
+	wake chan struct{}
+}
+
+// peerState is what a host knows of one peer.
+type peerState struct {
+	Peer
+	// heard is when it last said something.
+	heard    time.Time
+	tried    time.Time
+	listAge  time.Duration
+	stopping bool
+	// sending says that a share to it is under way.
+	sending bool
+}
+
+func newPeerSet(self Peer, seeds []string) *peerSet {
+	return &peerSet{self: self, known: map[member.HostID]*peerState{}, seeds: seeds, wake: make(chan struct{}, 1)}
+}
+
+// hear takes in what a peer said.
+func (p *peerSet) hear(now time.Time, s Share) (isNew bool) {
+	if s.From.ID == p.self.ID || s.From.ID == "" {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.known[s.From.ID]
+	if state == nil {
+		state = &peerState{}
+		p.known[s.From.ID] = state
+		isNew = true
+	}
+	state.Peer, state.heard, state.stopping = s.From, now, s.Stopping
+	state.listAge = s.ListAge
+	return isNew
+}
+
+// list takes in the directory: peers that were not known are tried.
+func (p *peerSet) list(now time.Time, peers []Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range peers {
+		if peer.ID != p.self.ID && p.known[peer.ID] == nil {
+			p.known[peer.ID] = &peerState{Peer: peer, tried: now, heard: now.Add(-peerSilent)}
+		}
+	}
+}
+
+// targets returns the peers to share with now: those of the own zone, and all
+// when the period is over. It marks them as being sent to.
+func (p *peerSet) targets(now time.Time, all bool) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var to []Peer
+	for id, s := range p.known {
+		if now.Sub(s.heard) > peerForgotten {
+			delete(p.known, id)
+			continue
+		}
+		if s.sending || !all && (s.Zone != p.self.Zone || now.Sub(s.heard) > peerSilent) {
+			continue
+		}
+		s.sending = true
+		to = append(to, s.Peer)
+	}
+	return to
+}
+
+func (p *peerSet) sent(id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.sending = false
+	}
+}
+
+// live counts this host and the peers that were heard lately.
+func (p *peerSet) live(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, s := range p.known {
+		if now.Sub(s.heard) <= peerSilent {
+			n++
+		}
+	}
+	return n
+}
+
+// isKnown reports whether a peer is still remembered; the runs of one that isn't are
+// no longer counted.
+func (p *peerSet) isKnown(id member.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[id] != nil
+}
+
+// leader returns the peer whose list this host follows: the first live host of
+// the zone by name, if that isn't this one. A host that can't read the list
+// itself follows any peer whose list is fresh.
+func (p *peerSet) leader(now time.Time, needed bool) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *peerState
+	for _, s := range p.known {
+		if now.Sub(s.heard) > peerSilent || s.stopping || s.listAge+now.Sub(s.heard) > listFresh+shareEvery {
+			continue
+		}
+		if !needed && (s.Zone != p.self.Zone || s.ID > p.self.ID) {
+			continue
+		}
+		if best == nil || p.better(s, best) {
+			best = s
+		}
+	}
+	if best == nil {
+		return Peer{}, false
+	}
+	return best.Peer, true
+}
+
+// better orders the peers to follow: the own zone's first, then by name.
+func (p *peerSet) better(a, b *peerState) bool {
+	if near := a.Zone == p.self.Zone; near != (b.Zone == p.self.Zone) {
+		return near
+	}
+	return a.ID < b.ID
+}
+
+// nudge asks for a share to the own zone at once.
+func (p *peerSet) nudge() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// raise moves a time forward, never back.
+func raise(to *atomic.Int64, at time.Time) {
+	nanos := at.UnixNano()
+	for {
+		old := to.Load()
+		if old >= nanos || to.CompareAndSwap(old, nanos) {
+			return
+		}
+	}
+}
+
+// RunPeers tells the peers about this host until the context ends.
+func (f *Forwarder) RunPeers(ctx context.Context, peers Peers) {
+	f.peers.mu.Lock()
+	f.peerPort = peers
+	f.peers.mu.Unlock()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	tick := time.NewTicker(shareEvery)
+	defer tick.Stop()
+	for {
+		all := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			all = true
+		case <-f.peers.wake:
+			pauseFor(ctx, shareSoon)
+		}
+		now := time.Now()
+		f.retries.setHosts(f.peers.live(now))
+		f.engines.forget(now, f.peers.isKnown)
+		share := f.share(now)
+		for _, to := range f.peers.targets(now, all) {
+			sending.Go(func() { f.shareWith(ctx, peers, to, share) })
+		}
+		if all {
+			f.callSeeds(ctx, &sending, peers, share)
+		}
+	}
+}
+
+// callSeeds tries the addresses that the settings name while no peer is known.
+func (f *Forwarder) callSeeds(ctx context.Context, sending *sync.WaitGroup, peers Peers, share Share) {
+	f.peers.mu.Lock()
+	known := len(f.peers.known)
+	f.peers.mu.Unlock()
+	if known > 0 {
+		return
+	}
+	for _, address := range f.peers.seeds {
+		if address != f.peers.self.PeerAddress {
+			sending.Go(func() { f.shareWith(ctx, peers, Peer{PeerAddress: address}, share) })
+		}
+	}
+}
+
+func (f *Forwarder) share(now time.Time) Share {
+	s := Share{
+		From: f.peers.self, ConfigAge: f.ContactAge(now), ListAge: f.ListAge(now), Stopping: f.Stopping(),
+		Runs: f.engines.states(),
+	}
+	if t := f.table.Load(); t != nil {
+		s.Version = t.Version
+	}
+	return s
+}
+
+func (f *Forwarder) shareWith(ctx context.Context, peers Peers, to Peer, share Share) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	reply, err := peers.Share(ctx, to, share)
+	f.peers.sent(to.ID)
+	if err == nil {
+		f.hear(ctx, reply)
+	}
+}
+
+// hear takes in what a peer says of itself, and fetches its configuration if
+// that is newer.
+func (f *Forwarder) hear(ctx context.Context, s Share) {
+	now := time.Now()
+	if f.peers.hear(now, s) {
+		f.journal.Belief("peer found", "peer", s.From.ID, "zone", s.From.Zone)
+	}
+	version := Version(0)
+	if t := f.table.Load(); t != nil {
+		version = t.Version
+	}
+	if s.Version <= version {
+		if s.Version == version && version > 0 {
+			f.ContactProved(now.Add(-s.ConfigAge))
+		}
+		return
+	}
+	f.fetchConfig(ctx, s.From, version)
+}
+
+// fetchConfig takes a newer configuration over from a peer.
+func (f *Forwarder) fetchConfig(ctx context.Context, from Peer, version Version) {
+	f.peers.mu.Lock()
+	peers := f.peerPort
+	f.peers.mu.Unlock()
+	if peers == nil || !f.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	defer f.fetching.Store(false)
+	reply, err := peers.Follow(ctx, from, FollowRequest{Version: version, List: noList})
+	if err != nil {
+		f.journal.Belief("configuration not fetched", "peer", from.ID, "err", err)
+		return
+	}
+	if reply.Config != nil && f.Configure(time.Now(), *reply.Config) {
+		f.journal.Belief("configuration fetched", "peer", from.ID, "version", reply.Config.Version)
+	}
+}
+
+// noList asks a peer for no changes of the list.
+const noList = ^Revision(0)
+
+// OnShare serves a peer's share.
+func (f *Forwarder) OnShare(ctx context.Context, s Share) Share {
+	f.engines.adopt(time.Now(), s.From.ID, s.Runs)
+	f.hear(ctx, s)
+	reply := f.share(time.Now())
+	reply.Runs = nil
+	return reply
+}
+
+// OnFollow serves a peer that follows this host.
+func (f *Forwarder) OnFollow(ctx context.Context, r FollowRequest) FollowReply {
+	if r.List != noList && r.Wait > 0 {
+		changed := f.fleet.Changed()
+		if f.fleet.Revision() <= r.List {
+			timer := time.NewTimer(r.Wait)
+			defer timer.Stop()
+			select {
+			case <-changed:
+			case <-timer.C:
+			case <-ctx.Done():
+			}
+		}
+	}
+	var reply FollowReply
+	if c := f.newest.Load(); c != nil && c.Version > r.Version {
+		reply.Config = c
+	}
+	if r.List != noList {
+		reply.Changes, reply.List = f.fleet.Since(r.List)
+	}
+	reply.ListAge = f.ListAge(time.Now())
+	return reply
+}
+
+// followPeer takes over what a peer's list has that is newer. It reports
+// whether the peer's list can be relied on.
+func (f *Forwarder) followPeer(ctx context.Context, leader Peer) bool {
+	f.peers.mu.Lock()
+	peers := f.peerPort
+	f.peers.mu.Unlock()
+	if peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	defer cancel()
+	reply, err := peers.Follow(ctx, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: followWait})
+	if err != nil || reply.ListAge > listFresh {
+		if ctx.Err() == nil || err != nil {
+			f.journal.Belief("leader not followed", "peer", leader.ID, "list_age", reply.ListAge, "err", err)
+		}
+		f.peers.distrust(leader.ID)
+		return false
+	}
+	now := time.Now()
+	if reply.Config != nil {
+		f.Configure(now, *reply.Config)
+	}
+	f.noteList(f.fleet.Apply(now, reply.Changes))
+	return true
+}
+
+// distrust keeps a peer from being followed until it has spoken again.
+func (p *peerSet) distrust(id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.listAge = peerForgotten
+	}
+}
+
+func (f *Forwarder) versionInForce() Version {
+	if t := f.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// RunDirectory keeps this host in the directory and learns the others from it,
+// until the context ends.
+func (f *Forwarder) RunDirectory(ctx context.Context, d Directory) {
+	dep := dependency{name: "directory", journal: f.journal}
+	for ctx.Err() == nil {
+		err := d.Announce(ctx, f.peers.self, directoryTTL)
+		var hosts []Peer
+		if err == nil {
+			hosts, err = d.Hosts(ctx)
+		}
+		if err != nil {
+			dep.failed(ctx, err)
+			pauseFor(ctx, directoryEvery/8)
+			continue
+		}
+		dep.ok(time.Now())
+		f.peers.list(time.Now(), hosts)
+		pauseFor(ctx, directoryEvery)
+	}
+	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	if err := d.Withdraw(leaving); err != nil {
+		f.journal.Belief("directory entry not withdrawn", "err", err)
+	}
+}
--- /dev/null
+++ b/internal/peer/forward.go
@@ -0,0 +1,178 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// wireShare is forward.Share; ages are in milliseconds.
+type wireShare struct {
+	ID, Zone, Address string
+	Version           uint64
+	ConfigAge         int64
+	ListAge           int64
+	Stopping          bool
+	Runs              []wireRunState
+}
+
+type wireRunState struct {
+	Run, Service, Engine, Account string
+	Prompt, Made, Limit           int
+}
+
+func toWireShare(s forward.Share) wireShare {
+	w := wireShare{
+		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Version: uint64(s.Version),
+		ConfigAge: s.ConfigAge.Milliseconds(), ListAge: s.ListAge.Milliseconds(), Stopping: s.Stopping,
+	}
+	for _, r := range s.Runs {
+		w.Runs = append(w.Runs, wireRunState{
+			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Account: string(r.Account),
+			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit),
+		})
+	}
+	return w
+}
+
+func (w wireShare) share() forward.Share {
+	s := forward.Share{
+		From:    forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
+		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
+		ListAge: time.Duration(w.ListAge) * time.Millisecond, Stopping: w.Stopping,
+	}
+	for _, r := range w.Runs {
+		s.Runs = append(s.Runs, forward.RunState{
+			Run: policy.RunID(r.Run), Service: forward.ServiceName(r.Service), Engine: member.UpstreamID(r.Engine),
+			Account: resource.Account(r.Account),
+			Prompt:  policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
+		})
+	}
+	return s
+}
+
+// wireFollow is forward.FollowRequest; the wait is in milliseconds.
+type wireFollow struct {
+	Version, List uint64
+	Wait          int64
+}
+
+// wireFollowed is forward.FollowReply. Config is JSON, for it is large, rare
+// and shared with no hot path.
+type wireFollowed struct {
+	Config  []byte
+	Changes []wireChange
+	List    uint64
+	ListAge int64
+}
+
+type wireChange struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	Leaving, Gone              bool
+	Revision                   uint64
+}
+
+func toWireFollowed(r forward.FollowReply) (wireFollowed, error) {
+	w := wireFollowed{List: uint64(r.List), ListAge: r.ListAge.Milliseconds()}
+	if r.Config != nil {
+		var err error
+		if w.Config, err = json.Marshal(r.Config); err != nil {
+			return w, trace.Wrap(err)
+		}
+	}
+	for _, c := range r.Changes {
+		w.Changes = append(w.Changes, wireChange{
+			ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
+			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Revision: uint64(c.Revision),
+		})
+	}
+	return w, nil
+}
+
+func (w wireFollowed) reply() (forward.FollowReply, error) {
+	r := forward.FollowReply{List: forward.Revision(w.List), ListAge: time.Duration(w.ListAge) * time.Millisecond}
+	if len(w.Config) > 0 {
+		r.Config = &forward.Config{}
+		if err := json.Unmarshal(w.Config, r.Config); err != nil {
+			return r, trace.Wrap(err, "the peer's configuration can't be read")
+		}
+	}
+	for _, c := range w.Changes {
+		r.Changes = append(r.Changes, forward.Change{
+			Upstream: forward.Upstream{
+				ID: member.UpstreamID(c.ID), Service: forward.ServiceName(c.Service), Address: c.Address,
+				Zone: member.Zone(c.Zone), Slots: c.Slots, Leaving: c.Leaving, Revision: forward.Revision(c.Revision),
+			},
+			Gone: c.Gone,
+		})
+	}
+	return r, nil
+}
+
+// Share tells a peer about this host.
+func (m *Mesh) Share(ctx context.Context, to forward.Peer, s forward.Share) (forward.Share, error) {
+	var answer wireShare
+	if err := m.call(ctx, to.PeerAddress, kindShare, toWireShare(s), &answer); err != nil {
+		return forward.Share{}, err
+	}
+	return answer.share(), nil
+}
+
+// Follow asks a peer for what is newer there.
+func (m *Mesh) Follow(ctx context.Context, to forward.Peer, r forward.FollowRequest) (forward.FollowReply, error) {
+	var answer wireFollowed
+	request := wireFollow{Version: uint64(r.Version), List: uint64(r.List), Wait: r.Wait.Milliseconds()}
+	if err := m.call(ctx, to.PeerAddress, kindFollow, request, &answer); err != nil {
+		return forward.FollowReply{}, err
+	}
+	return answer.reply()
+}
+
+// forwardPeer is what peers ask of a forwarder.
+type forwardPeer interface {
+	OnShare(ctx context.Context, s forward.Share) forward.Share
+	OnFollow(ctx context.Context, r forward.FollowRequest) forward.FollowReply
+}
+
+// ServeForward serves the peers of a forwarder until the context ends.
+func (m *Mesh) ServeForward(ctx context.Context, listener net.Listener, f forwardPeer, refused func(error)) error {
+	handle := func(ctx context.Context, _ member.HostID, k kind, body []byte) (any, error) {
+		return serveForward(ctx, f, k, body)
+	}
+	return m.serve(ctx, listener, handle, func(member.HostID) {}, refused)
+}
+
+func serveForward(ctx context.Context, f forwardPeer, k kind, body []byte) (any, error) {
+	switch k {
+	case kindShare:
+		var w wireShare
+		if err := msgpack.Unmarshal(body, &w); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		return toWireShare(f.OnShare(ctx, w.share())), nil
+	case kindFollow:
+		var w wireFollow
+		if err := msgpack.Unmarshal(body, &w); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		r := forward.FollowRequest{
+			Version: forward.Version(w.Version), List: forward.Revision(w.List), Wait: time.Duration(w.Wait) * time.Millisecond,
+		}
+		return toWireFollowed(f.OnFollow(ctx, r))
+	default:
+		return nil, trace.BadParameter("unknown call %d", k)
+	}
+}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -20,6 +20,8 @@
 	kindFinished
 	kindRunning
 	kindLog
+	kindShare
+	kindFollow
 )
 
 // The wire types are arrays, to keep heartbeats small. Times travel as what is
