--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -241,6 +241,13 @@
 	}
 }
 
+// Wake closes the channel of Changed although nothing has changed here.
+func (f *Fleet) Wake() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notify(true)
+}
+
 // Changed returns a channel that closes at the next change.
 func (f *Fleet) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -28,12 +28,10 @@
 var ErrHistoryGone = errors.New("the history is gone")
 
 const (
-	// configWait is how long a watch of the configuration waits. Changes end it
-	// at once; peers tell of changes that it misses.
-	configWait = 8 * time.Second
-	// listWait is how long a watch of the list waits. One that stays silent for
-	// longer has lost its connection, and notices to move runs are short.
-	listWait = time.Second
+	// watchWait is how long a watch waits. Changes end it at once, but a watch
+	// may miss them, so its silence is believed no longer than this: half of
+	// the time in which a configuration has to be in force.
+	watchWait = time.Second
 	// failLeast and failMost bound the pause after a failed call; it doubles
 	// with each failure in a row.
 	failLeast = 50 * time.Millisecond
@@ -79,12 +77,26 @@
 	return true
 }
 
+// followingCheck is how often a host that follows a peer looks whether it still
+// does.
+const followingCheck = 100 * time.Millisecond
+
+// following reports whether a peer gives this host what is new.
+func (f *Forwarder) following(now time.Time) bool {
+	return now.Sub(time.Unix(0, f.followed.Load())) < followTimeout
+}
+
 // FollowConfig keeps the configuration up to date until the context ends.
 func (f *Forwarder) FollowConfig(ctx context.Context, from Origin) {
 	d := dependency{name: "configuration watch", journal: f.journal}
 	var at Revision
 	read := true
 	for ctx.Err() == nil {
+		if f.following(time.Now()) {
+			read = true
+			pauseFor(ctx, followingCheck)
+			continue
+		}
 		asked := time.Now()
 		var c Config
 		var found bool
@@ -93,7 +105,7 @@
 		if read {
 			c, found, next, err = from.ReadConfig(ctx)
 		} else {
-			c, found, next, err = from.WatchConfig(ctx, at, configWait)
+			c, found, next, err = from.WatchConfig(ctx, at, watchWait)
 		}
 		switch {
 		case errors.Is(err, ErrHistoryGone):
@@ -183,7 +195,7 @@
 		}
 	} else {
 		var changes []Change
-		changes, next, err = l.from.WatchUpstreams(ctx, l.at, listWait)
+		changes, next, err = l.from.WatchUpstreams(ctx, l.at, watchWait)
 		if err == nil {
 			proved = time.Now()
 			news = l.fleet.Apply(proved, changes)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -63,6 +63,8 @@
 	contact atomic.Int64
 	// listContact is the same for the list of upstreams, by the origin itself.
 	listContact atomic.Int64
+	// followed is when a peer that is followed last answered, in the same unit.
+	followed atomic.Int64
 	// newest is the configuration in force as it came, for peers.
 	newest atomic.Pointer[Config]
 	peers  *peerSet
@@ -112,6 +114,7 @@
 	f.table.Store(t)
 	f.journal.Belief("configuration in force", "version", c.Version, "routes", len(c.Routes), "accounts", len(c.Accounts))
 	f.listEngines(now, t)
+	f.fleet.Wake()
 	return true
 }
 
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -45,8 +45,8 @@
 	Config  *Config
 	Changes []Change
 	List    Revision
-	// ListAge is as in Share.
-	ListAge time.Duration
+	// ConfigAge and ListAge are as in Share.
+	ConfigAge, ListAge time.Duration
 }
 
 // Peers is the interface to the other hosts.
@@ -84,8 +84,8 @@
 	followWait    = 700 * time.Millisecond
 	followTimeout = 1100 * time.Millisecond
 	// listFresh is how recent a peer's proof of its list must be to follow it:
-	// its watch returns every listWait at least.
-	listFresh = listWait + 600*time.Millisecond
+	// its watch returns every watchWait at least.
+	listFresh = watchWait + 600*time.Millisecond
 	// directoryEvery is the period of reading the directory, and directoryTTL
 	// how long an entry stays without being renewed.
 	directoryEvery = 4 * time.Second
@@ -372,7 +372,7 @@
 func (f *Forwarder) OnFollow(ctx context.Context, r FollowRequest) FollowReply {
 	if r.List != noList && r.Wait > 0 {
 		changed := f.fleet.Changed()
-		if f.fleet.Revision() <= r.List {
+		if f.fleet.Revision() <= r.List && f.versionInForce() <= r.Version {
 			timer := time.NewTimer(r.Wait)
 			defer timer.Stop()
 			select {
@@ -389,7 +389,8 @@
 	if r.List != noList {
 		reply.Changes, reply.List = f.fleet.Since(r.List)
 	}
-	reply.ListAge = f.ListAge(time.Now())
+	now := time.Now()
+	reply.ConfigAge, reply.ListAge = f.ContactAge(now), f.ListAge(now)
 	return reply
 }
 
@@ -405,10 +406,8 @@
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	reply, err := peers.Follow(ctx, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: followWait})
-	if err != nil || reply.ListAge > listFresh {
-		if ctx.Err() == nil || err != nil {
-			f.journal.Belief("leader not followed", "peer", leader.ID, "list_age", reply.ListAge, "err", err)
-		}
+	if err != nil || reply.ListAge > listFresh || reply.ConfigAge > listFresh {
+		f.journal.Belief("leader not followed", "peer", leader.ID, "list_age", reply.ListAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
 		return false
 	}
@@ -416,6 +415,8 @@
 	if reply.Config != nil {
 		f.Configure(now, *reply.Config)
 	}
+	f.ContactProved(now.Add(-reply.ConfigAge))
+	f.followed.Store(now.UnixNano())
 	f.noteList(f.fleet.Apply(now, reply.Changes))
 	return true
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -72,10 +72,10 @@
 // wireFollowed is forward.FollowReply. Config is JSON, for it is large, rare
 // and shared with no hot path.
 type wireFollowed struct {
-	Config  []byte
-	Changes []wireChange
-	List    uint64
-	ListAge int64
+	Config             []byte
+	Changes            []wireChange
+	List               uint64
+	ConfigAge, ListAge int64
 }
 
 type wireChange struct {
@@ -86,7 +86,7 @@
 }
 
 func toWireFollowed(r forward.FollowReply) (wireFollowed, error) {
-	w := wireFollowed{List: uint64(r.List), ListAge: r.ListAge.Milliseconds()}
+	w := wireFollowed{List: uint64(r.List), ConfigAge: r.ConfigAge.Milliseconds(), ListAge: r.ListAge.Milliseconds()}
 	if r.Config != nil {
 		var err error
 		if w.Config, err = json.Marshal(r.Config); err != nil {
@@ -103,7 +103,10 @@
 }
 
 func (w wireFollowed) reply() (forward.FollowReply, error) {
-	r := forward.FollowReply{List: forward.Revision(w.List), ListAge: time.Duration(w.ListAge) * time.Millisecond}
+	r := forward.FollowReply{
+		List: forward.Revision(w.List), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
+		ListAge: time.Duration(w.ListAge) * time.Millisecond,
+	}
 	if len(w.Config) > 0 {
 		r.Config = &forward.Config{}
 		if err := json.Unmarshal(w.Config, r.Config); err != nil {
