--- a/forward/engines.go
+++ b/forward/engines.go
@@ -239,6 +239,18 @@
 	return p.listed[id], true
 }
 
+// worth orders the runs that have to leave an engine: those that will go on for
+// long and have gone far first, for short ones end by themselves.
+func (e *engines) worth(service ServiceName, run *ownRun) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return 0
+	}
+	return int(p.pool.MeanLength(&run.request)) + int(run.made.Load())
+}
+
 // observeStep takes in how long an engine took for each of some tokens.
 func (e *engines) observeStep(service ServiceName, engine member.UpstreamID, step time.Duration) {
 	e.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -68,6 +68,7 @@
 	// newest is the configuration in force as it came, for peers.
 	newest atomic.Pointer[Config]
 	peers  *peerSet
+	turns  turns
 	// peerPort is set by RunPeers, under the lock of peers.
 	peerPort Peers
 	// originLost says that the origin can't be read.
--- a/forward/move.go
+++ b/forward/move.go
@@ -19,6 +19,8 @@
 	// moveMargin is how long before the engine may be gone the run is stopped
 	// for its last part even if the links are busy.
 	moveMargin = 500 * time.Millisecond
+	// noticeGather is waited after the first sign that an engine leaves.
+	noticeGather = 5 * time.Millisecond
 	// movePause is waited before a move that couldn't be made is tried again.
 	movePause = 50 * time.Millisecond
 	// moveTimeout bounds one copy; several may wait on one link.
@@ -86,8 +88,14 @@
 func (m *mover) cancel(s *streamExchange) {
 	m.stop()
 	<-m.done
+	m.discard(s.exchange)
+}
+
+// discard frees the copy that was made, if any, in the background.
+func (m *mover) discard(x *exchange) {
 	m.mu.Lock()
 	handle := m.handle
+	m.handle = ""
 	m.mu.Unlock()
 	if handle == "" {
 		return
@@ -95,9 +103,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		if err := s.transport.Discard(ctx, m.from, handle); err != nil {
+		if err := x.transport.Discard(ctx, m.from, handle); err != nil {
 			// The engines free it by themselves within seconds.
-			s.journal.Request(s.call.ID, "copy not freed", "upstream", m.from.ID, "err", err)
+			x.journal.Request(x.call.ID, "copy not freed", "upstream", m.from.ID, "err", err)
 		}
 	}()
 }
@@ -122,39 +130,78 @@
 func (m *mover) evacuate(ctx context.Context, x *exchange, run *ownRun, noticed time.Time) *handover {
 	gone := noticed.Add(x.settings.DrainFor)
 	x.journal.Request(x.call.ID, "engine leaves", "upstream", m.from.ID, "list_revision", x.fleet.Revision())
+	// Engines often leave together; the others' notices are a moment behind.
+	pauseFor(ctx, noticeGather)
 	for ctx.Err() == nil {
-		to, found := x.engines.relocate(time.Now(), x.service.Name, run)
-		if !found {
-			pauseFor(ctx, movePause)
-			continue
-		}
-		next, err := m.moveTo(ctx, x, to, gone)
+		next, err := m.tryMove(ctx, x, run, gone)
 		if next != nil {
 			return next
 		}
-		x.journal.Request(x.call.ID, "move failed", "from", m.from.ID, "to", to.ID, "err", err, "since_notice", time.Since(noticed))
+		x.journal.Request(x.call.ID, "move failed", "from", m.from.ID, "err", err, "since_notice", time.Since(noticed))
 		if m.stopped() {
 			return nil
 		}
-		if errors.Is(err, ErrNoRoom) {
-			x.fleet.Suspect(time.Now(), to.ID)
-		}
 		pauseFor(ctx, movePause)
 	}
 	return nil
 }
 
+// errNoTarget says that no other engine has room for a run.
+var errNoTarget = errors.New("no other engine has room")
+
+// tryMove waits for the turn and moves the run to the engine that suits best
+// then.
+func (m *mover) tryMove(ctx context.Context, x *exchange, run *ownRun, gone time.Time) (*handover, error) {
+	turn, cancel := context.WithDeadline(ctx, gone.Add(-moveMargin))
+	end := x.takeTurn(turn, m.from, TurnRequest{Engine: m.from.ID, Run: run.request.Run, Worth: x.engines.worth(x.service.Name, run)})
+	cancel()
+	defer end()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	to, found := x.engines.relocate(time.Now(), x.service.Name, run)
+	if !found {
+		return nil, errNoTarget
+	}
+	x.peers.nudge()
+	next, err := m.moveTo(ctx, x, to, m.expected(x, run, to), gone)
+	if errors.Is(err, ErrNoRoom) {
+		x.fleet.Suspect(time.Now(), to.ID)
+	}
+	if err != nil {
+		m.discard(x)
+	}
+	return next, err
+}
+
+// expected is how long the whole copy takes on free links.
+func (m *mover) expected(x *exchange, run *ownRun, to Upstream) time.Duration {
+	e := x.service.Engine
+	if e.LinkBitsPerSecond <= 0 {
+		return 0
+	}
+	bits := 8 * e.TokenBytes * (float64(run.request.Prompt) + float64(run.made.Load()))
+	took := time.Duration(bits / e.LinkBitsPerSecond * float64(time.Second))
+	if to.Zone != m.from.Zone {
+		took *= 2
+	}
+	return took
+}
+
 // moveTo moves the run to one engine.
-func (m *mover) moveTo(ctx context.Context, x *exchange, to Upstream, gone time.Time) (*handover, error) {
+func (m *mover) moveTo(ctx context.Context, x *exchange, to Upstream, expected time.Duration, gone time.Time) (*handover, error) {
+	free := expected + quickCopy
 	for {
 		began := time.Now()
 		if _, err := m.copy(ctx, x, to, false); err != nil {
 			return nil, err
 		}
 		now := time.Now()
-		if now.Sub(began) < quickCopy || now.Add(moveMargin).After(gone) {
+		if now.Sub(began) <= free || now.Add(moveMargin).After(gone) {
 			break
 		}
+		// The links were busy with others' copies.
+		free = quickCopy
 	}
 	m.mu.Lock()
 	m.stopping = true
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -55,6 +55,10 @@
 	// without its runs.
 	Share(ctx context.Context, to Peer, s Share) (Share, error)
 	Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error)
+	// Turn waits at an arbiter for the turn to move a run; EndTurn gives it
+	// back.
+	Turn(ctx context.Context, to Peer, r TurnRequest) error
+	EndTurn(ctx context.Context, to Peer, r TurnRequest) error
 }
 
 // Directory lists the hosts of the site.
--- /dev/null
+++ b/forward/turns.go
@@ -0,0 +1,208 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+)
+
+// TurnRequest asks for the turn to move a run off an engine. An engine's link
+// copies one run after another; when several hosts copy at once, a stopped run
+// stands still while others' copies are sent.
+type TurnRequest struct {
+	Engine member.UpstreamID
+	Run    policy.RunID
+	// Worth orders those that wait: the highest goes first.
+	Worth int
+}
+
+// turns gives out the turns of the engines that this host arbitrates. The zero
+// value works. It is soft: a turn that isn't ended runs out.
+type turns struct {
+	mu      sync.Mutex
+	engines map[member.UpstreamID]*turnLine
+}
+
+// turnLine is one engine's line.
+type turnLine struct {
+	// holder has the turn until then; empty when nobody has.
+	holder policy.RunID
+	until  time.Time
+	// opened is when the first request came.
+	opened  time.Time
+	waiting []*turnWaiter
+}
+
+type turnWaiter struct {
+	TurnRequest
+	granted chan struct{}
+}
+
+const (
+	// turnGather is how long the first request for an engine waits for others,
+	// so that the order matters: hosts learn of a leaving within milliseconds.
+	turnGather = 8 * time.Millisecond
+	// turnLasts is the longest turn: moves take 0.2 to 0.8 s.
+	turnLasts = 900 * time.Millisecond
+	// turnIdle is when a line that nobody uses is forgotten.
+	turnIdle = 10 * time.Second
+	// turnCheck is how often a waiter looks whether the holder's turn ran out.
+	turnCheck = 20 * time.Millisecond
+)
+
+// take waits for the turn. The error is the context's.
+func (t *turns) take(ctx context.Context, r TurnRequest) error {
+	w := &turnWaiter{TurnRequest: r, granted: make(chan struct{})}
+	line := t.join(time.Now(), w)
+	pauseFor(ctx, turnGather)
+	tick := time.NewTicker(turnCheck)
+	defer tick.Stop()
+	for {
+		t.grant(time.Now(), line)
+		select {
+		case <-w.granted:
+			return nil
+		case <-ctx.Done():
+			t.withdraw(line, w)
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+func (t *turns) join(now time.Time, w *turnWaiter) *turnLine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.engines == nil {
+		t.engines = map[member.UpstreamID]*turnLine{}
+	}
+	for id, l := range t.engines {
+		if len(l.waiting) == 0 && now.Sub(l.until) > turnIdle && now.Sub(l.opened) > turnIdle {
+			delete(t.engines, id)
+		}
+	}
+	line := t.engines[w.Engine]
+	if line == nil {
+		line = &turnLine{opened: now}
+		t.engines[w.Engine] = line
+	}
+	line.waiting = append(line.waiting, w)
+	return line
+}
+
+// grant gives the turn to the one that is worth most, if nobody has it.
+func (t *turns) grant(now time.Time, line *turnLine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if line.holder != "" && now.Before(line.until) || len(line.waiting) == 0 || now.Sub(line.opened) < turnGather {
+		return
+	}
+	best := 0
+	for i, w := range line.waiting {
+		if w.Worth > line.waiting[best].Worth {
+			best = i
+		}
+	}
+	w := line.waiting[best]
+	line.waiting = slices.Delete(line.waiting, best, best+1)
+	line.holder, line.until = w.Run, now.Add(turnLasts)
+	close(w.granted)
+}
+
+func (t *turns) withdraw(line *turnLine, w *turnWaiter) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := slices.Index(line.waiting, w); i >= 0 {
+		line.waiting = slices.Delete(line.waiting, i, i+1)
+		return
+	}
+	if line.holder == w.Run {
+		line.holder = ""
+	}
+}
+
+// end gives a turn back.
+func (t *turns) end(now time.Time, engine member.UpstreamID, run policy.RunID) {
+	t.mu.Lock()
+	line := t.engines[engine]
+	if line == nil || line.holder != run {
+		t.mu.Unlock()
+		return
+	}
+	line.holder = ""
+	t.mu.Unlock()
+	t.grant(now, line)
+}
+
+// arbiter returns the live host of the engine's zone that gives out its turns;
+// it is this host when the zone has no other.
+func (p *peerSet) arbiter(now time.Time, u Upstream) Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	best, highest := p.self, uint64(0)
+	consider := func(peer Peer) {
+		if weight := xxhash.Sum64String(string(peer.ID) + " " + string(u.ID)); weight >= highest {
+			best, highest = peer, weight
+		}
+	}
+	if p.self.Zone == u.Zone {
+		consider(p.self)
+	}
+	for _, s := range p.known {
+		if s.Zone == u.Zone && now.Sub(s.heard) <= peerSilent {
+			consider(s.Peer)
+		}
+	}
+	return best
+}
+
+// takeTurn waits for the turn to move a run off an engine, and returns how to
+// end it. When the arbiter can't be reached, or it is late, the run goes without.
+func (f *Forwarder) takeTurn(ctx context.Context, from Upstream, r TurnRequest) (end func()) {
+	arbiter := f.peers.arbiter(time.Now(), from)
+	if arbiter.ID == f.peers.self.ID {
+		if err := f.turns.take(ctx, r); err != nil {
+			return func() {}
+		}
+		return func() { f.turns.end(time.Now(), r.Engine, r.Run) }
+	}
+	f.peers.mu.Lock()
+	peers := f.peerPort
+	f.peers.mu.Unlock()
+	err := peers.Turn(ctx, arbiter, r)
+	if err != nil {
+		f.journal.Request(RequestID(r.Run), "no turn", "arbiter", arbiter.ID, "err", err)
+		return func() {}
+	}
+	return func() {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
+			defer cancel()
+			if err := peers.EndTurn(ctx, arbiter, r); err != nil {
+				// The turn runs out by itself.
+				f.journal.Request(RequestID(r.Run), "turn not ended", "arbiter", arbiter.ID, "err", err)
+			}
+		}()
+	}
+}
+
+// OnTurn serves a peer that asks for a turn.
+func (f *Forwarder) OnTurn(ctx context.Context, r TurnRequest) error {
+	if err := f.turns.take(ctx, r); err != nil {
+		return errors.New("the turn did not come in time")
+	}
+	return nil
+}
+
+// OnEndTurn serves a peer that ends its turn.
+func (f *Forwarder) OnEndTurn(r TurnRequest) { f.turns.end(time.Now(), r.Engine, r.Run) }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -144,10 +144,44 @@
 	return answer.reply()
 }
 
+// wireTurn is forward.TurnRequest. Wait is how long the arbiter may hold it, in
+// milliseconds: the caller's context doesn't travel.
+type wireTurn struct {
+	Engine, Run string
+	Worth       int
+	Wait        int64
+}
+
+func toWireTurn(r forward.TurnRequest) wireTurn {
+	return wireTurn{Engine: string(r.Engine), Run: string(r.Run), Worth: r.Worth}
+}
+
+func (w wireTurn) request() forward.TurnRequest {
+	return forward.TurnRequest{Engine: member.UpstreamID(w.Engine), Run: policy.RunID(w.Run), Worth: w.Worth}
+}
+
+// Turn waits at an arbiter for the turn to move a run.
+func (m *Mesh) Turn(ctx context.Context, to forward.Peer, r forward.TurnRequest) error {
+	var answer bool
+	w := toWireTurn(r)
+	if deadline, ok := ctx.Deadline(); ok {
+		w.Wait = time.Until(deadline).Milliseconds()
+	}
+	return m.call(ctx, to.PeerAddress, kindTurn, w, &answer)
+}
+
+// EndTurn gives a turn back to its arbiter.
+func (m *Mesh) EndTurn(ctx context.Context, to forward.Peer, r forward.TurnRequest) error {
+	var answer bool
+	return m.call(ctx, to.PeerAddress, kindEndTurn, toWireTurn(r), &answer)
+}
+
 // forwardPeer is what peers ask of a forwarder.
 type forwardPeer interface {
 	OnShare(ctx context.Context, s forward.Share) forward.Share
 	OnFollow(ctx context.Context, r forward.FollowRequest) forward.FollowReply
+	OnTurn(ctx context.Context, r forward.TurnRequest) error
+	OnEndTurn(r forward.TurnRequest)
 }
 
 // ServeForward serves the peers of a forwarder until the context ends.
@@ -175,6 +209,18 @@
 			Version: forward.Version(w.Version), List: forward.Revision(w.List), Wait: time.Duration(w.Wait) * time.Millisecond,
 		}
 		return toWireFollowed(f.OnFollow(ctx, r))
+	case kindTurn, kindEndTurn:
+		var w wireTurn
+		if err := msgpack.Unmarshal(body, &w); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		if k == kindEndTurn {
+			f.OnEndTurn(w.request())
+			return true, nil
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(w.Wait)*time.Millisecond)
+		defer cancel()
+		return true, f.OnTurn(ctx, w.request())
 	default:
 		return nil, trace.BadParameter("unknown call %d", k)
 	}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -22,6 +22,8 @@
 	kindLog
 	kindShare
 	kindFollow
+	kindTurn
+	kindEndTurn
 )
 
 // The wire types are arrays, to keep heartbeats small. Times travel as what is
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -76,3 +76,6 @@
 	}
 	return ""
 }
+
+// MeanLength is the expected length of an answer, from those that ended.
+func (p *Pool) MeanLength(r *Request) Tokens { return p.lengths.Mean(r) }
