forward: moves choose targets whose link is free; crowded engines cost more

Cause of late moved streams: two leaving engines copied to one target, whose link held the last part of one behind the whole copy of the other.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -53,10 +53,10 @@
 	// farCostToStart is what an engine of another zone costs a new run, as a
 	// share of an engine's memory: a stream across zones is cut when the zones
 	// are, so it goes there only when the own zone's engines are much fuller.
-	farCostToStart = 0.3
+	farCostToStart = 0.2
 	// farCostToMove is the same for a run that moves; a move between zones also
 	// takes the links twice as long.
-	farCostToMove = 0.3
+	farCostToMove = 0.2
 	// stepUnknown is assumed of an engine until a run on it has shown its step.
 	stepUnknown = 10 * time.Millisecond
 	// stepMemory is the weight of the newest observation of a step.
@@ -108,9 +108,17 @@
 const stepBound = 40 * time.Millisecond
 
 func poolSettings(e Engine) policy.Settings {
-	return policy.Settings{BetweenTokens: stepBound, MaxBatch: e.Batch, ReadRate: readRate}
+	s := policy.Settings{BetweenTokens: stepBound, MaxBatch: e.Batch, ReadRate: readRate}
+	if e.Moves && e.TokenBytes > 0 {
+		s.Movable = policy.Tokens(e.LinkBitsPerSecond / 8 / e.TokenBytes * shortNotice.Seconds())
+	}
+	return s
 }
 
+// shortNotice is the shortest notice of an engine that leaves that was seen on
+// the users' days, less what the first move waits.
+const shortNotice = 1400 * time.Millisecond
+
 // list tells which engines take work now.
 func (e *engines) list(now time.Time, service ServiceName, takers []Upstream) {
 	e.mu.Lock()
@@ -222,8 +230,9 @@
 	p.advance(now)
 }
 
-// relocate finds another engine for a run whose engine leaves.
-func (e *engines) relocate(now time.Time, service ServiceName, run *ownRun) (Upstream, bool) {
+// relocate finds another engine for a run whose engine leaves, not one of those
+// to be avoided.
+func (e *engines) relocate(now time.Time, service ServiceName, run *ownRun, avoid []member.UpstreamID) (Upstream, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.pools[service]
@@ -231,7 +240,7 @@
 		return Upstream{}, false
 	}
 	p.pool.Progress(now, run.request.Run, policy.Tokens(run.made.Load()))
-	id, found := p.pool.Relocate(now, run.request.Run, farCostToMove)
+	id, found := p.pool.Relocate(now, run.request.Run, farCostToMove, avoid)
 	if !found {
 		return Upstream{}, false
 	}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -302,6 +302,17 @@
 	return changes, f.revision
 }
 
+// LeftAt is when the upstream was first known to be leaving, or otherwise for
+// one that isn't.
+func (f *Fleet) LeftAt(id member.UpstreamID, otherwise time.Time) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil && !k.leftAt.IsZero() {
+		return k.leftAt
+	}
+	return otherwise
+}
+
 // Leaving returns a channel that closes when the upstream starts leaving, and
 // nil for one that isn't known.
 func (f *Fleet) Leaving(id member.UpstreamID) <-chan struct{} {
--- a/forward/move.go
+++ b/forward/move.go
@@ -8,6 +8,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // Timing of moves.
@@ -21,6 +23,10 @@
 	moveMargin = 500 * time.Millisecond
 	// noticeGather is waited after the first sign that an engine leaves.
 	noticeGather = 5 * time.Millisecond
+	// mostTargets is how many engines are asked whether their link is free, and
+	// targetTurnTimeout how long each answer may take.
+	mostTargets       = 4
+	targetTurnTimeout = 30 * time.Millisecond
 	// movePause is waited before a move that couldn't be made is tried again.
 	movePause = 50 * time.Millisecond
 	// moveTimeout bounds one copy; several may wait on one link.
@@ -68,7 +74,7 @@
 			return
 		case <-leaving:
 		}
-		next := m.evacuate(ctx, s.exchange, run, time.Now())
+		next := m.evacuate(ctx, s.exchange, run, s.fleet.LeftAt(u.ID, time.Now()))
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.next = next
@@ -152,17 +158,22 @@
 // tryMove waits for the turn and moves the run to the engine that suits best
 // then.
 func (m *mover) tryMove(ctx context.Context, x *exchange, run *ownRun, gone time.Time) (*handover, error) {
+	r := TurnRequest{Engine: m.from.ID, Run: run.request.Run, Worth: x.engines.worth(x.service.Name, run)}
 	turn, cancel := context.WithDeadline(ctx, gone.Add(-moveMargin))
-	end := x.takeTurn(turn, m.from, TurnRequest{Engine: m.from.ID, Run: run.request.Run, Worth: x.engines.worth(x.service.Name, run)})
+	end, err := x.takeTurn(turn, m.from, r)
 	cancel()
+	if err != nil {
+		x.journal.Request(x.call.ID, "no turn", "engine", m.from.ID, "err", err)
+	}
 	defer end()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	to, found := x.engines.relocate(time.Now(), x.service.Name, run)
+	to, endTarget, found := m.target(ctx, x, run)
 	if !found {
 		return nil, errNoTarget
 	}
+	defer endTarget()
 	x.peers.nudge()
 	next, err := m.moveTo(ctx, x, to, m.expected(x, run, to), gone)
 	if errors.Is(err, ErrNoRoom) {
@@ -174,6 +185,28 @@
 	return next, err
 }
 
+// target finds the best engine whose link isn't in use by another move; when all
+// that were tried are, it is the last of them.
+func (m *mover) target(ctx context.Context, x *exchange, run *ownRun) (to Upstream, end func(), found bool) {
+	var busy []member.UpstreamID
+	end = func() {}
+	for range mostTargets {
+		next, ok := x.engines.relocate(time.Now(), x.service.Name, run, busy)
+		if !ok {
+			break
+		}
+		to, found = next, true
+		turn, cancel := context.WithTimeout(ctx, targetTurnTimeout)
+		free, err := x.takeTurn(turn, to, TurnRequest{Engine: to.ID, Run: run.request.Run, AtOnce: true})
+		cancel()
+		if err == nil {
+			return to, free, true
+		}
+		busy = append(busy, to.ID)
+	}
+	return to, end, found
+}
+
 // expected is how long the whole copy takes on free links.
 func (m *mover) expected(x *exchange, run *ownRun, to Upstream) time.Duration {
 	e := x.service.Engine
--- a/forward/turns.go
+++ b/forward/turns.go
@@ -24,6 +24,8 @@
 	Run    policy.RunID
 	// Worth orders those that wait: the highest goes first.
 	Worth int
+	// AtOnce asks only whether the turn is free.
+	AtOnce bool
 }
 
 // turns gives out the turns of the engines that this host arbitrates. The zero
@@ -80,23 +82,43 @@
 	}
 }
 
+// try takes the turn if nobody has it or waits for it.
+func (t *turns) try(now time.Time, r TurnRequest) bool {
+	line := t.line(now, r.Engine)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if line.holder != "" && now.Before(line.until) || len(line.waiting) > 0 {
+		return false
+	}
+	line.holder, line.until = r.Run, now.Add(turnLasts)
+	return true
+}
+
 func (t *turns) join(now time.Time, w *turnWaiter) *turnLine {
+	line := t.line(now, w.Engine)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	line.waiting = append(line.waiting, w)
+	return line
+}
+
+// line returns an engine's line, and forgets those that nobody uses.
+func (t *turns) line(now time.Time, engine member.UpstreamID) *turnLine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.engines == nil {
 		t.engines = map[member.UpstreamID]*turnLine{}
 	}
 	for id, l := range t.engines {
-		if len(l.waiting) == 0 && now.Sub(l.until) > turnIdle && now.Sub(l.opened) > turnIdle {
+		if id != engine && len(l.waiting) == 0 && now.Sub(l.until) > turnIdle && now.Sub(l.opened) > turnIdle {
 			delete(t.engines, id)
 		}
 	}
-	line := t.engines[w.Engine]
+	line := t.engines[engine]
 	if line == nil {
 		line = &turnLine{opened: now}
-		t.engines[w.Engine] = line
+		t.engines[engine] = line
 	}
-	line.waiting = append(line.waiting, w)
 	return line
 }
 
@@ -166,23 +188,29 @@
 	return best
 }
 
-// takeTurn waits for the turn to move a run off an engine, and returns how to
-// end it. When the arbiter can't be reached, or it is late, the run goes without.
-func (f *Forwarder) takeTurn(ctx context.Context, from Upstream, r TurnRequest) (end func()) {
-	arbiter := f.peers.arbiter(time.Now(), from)
+// errNoTurn is an arbiter's word that another has the turn.
+var errNoTurn = errors.New("another has the turn")
+
+// takeTurn asks for the turn of an engine's link and returns how to end it. When
+// the arbiter can't be reached, or the turn doesn't come in time, the error says
+// so, and the run may go without.
+func (f *Forwarder) takeTurn(ctx context.Context, at Upstream, r TurnRequest) (end func(), err error) {
+	nothing := func() {}
+	arbiter := f.peers.arbiter(time.Now(), at)
 	if arbiter.ID == f.peers.self.ID {
-		if err := f.turns.take(ctx, r); err != nil {
-			return func() {}
+		if err := f.OnTurn(ctx, r); err != nil {
+			return nothing, err
 		}
-		return func() { f.turns.end(time.Now(), r.Engine, r.Run) }
+		return func() { f.turns.end(time.Now(), r.Engine, r.Run) }, nil
 	}
 	f.peers.mu.Lock()
 	peers := f.peerPort
 	f.peers.mu.Unlock()
-	err := peers.Turn(ctx, arbiter, r)
-	if err != nil {
-		f.journal.Request(RequestID(r.Run), "no turn", "arbiter", arbiter.ID, "err", err)
-		return func() {}
+	if peers == nil {
+		return nothing, errNoTurn
+	}
+	if err := peers.Turn(ctx, arbiter, r); err != nil {
+		return nothing, err
 	}
 	return func() {
 		go func() {
@@ -193,13 +221,19 @@
 				f.journal.Request(RequestID(r.Run), "turn not ended", "arbiter", arbiter.ID, "err", err)
 			}
 		}()
-	}
+	}, nil
 }
 
 // OnTurn serves a peer that asks for a turn.
 func (f *Forwarder) OnTurn(ctx context.Context, r TurnRequest) error {
+	if r.AtOnce {
+		if !f.turns.try(time.Now(), r) {
+			return errNoTurn
+		}
+		return nil
+	}
 	if err := f.turns.take(ctx, r); err != nil {
-		return errors.New("the turn did not come in time")
+		return errNoTurn
 	}
 	return nil
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -149,15 +149,16 @@
 type wireTurn struct {
 	Engine, Run string
 	Worth       int
+	AtOnce      bool
 	Wait        int64
 }
 
 func toWireTurn(r forward.TurnRequest) wireTurn {
-	return wireTurn{Engine: string(r.Engine), Run: string(r.Run), Worth: r.Worth}
+	return wireTurn{Engine: string(r.Engine), Run: string(r.Run), Worth: r.Worth, AtOnce: r.AtOnce}
 }
 
 func (w wireTurn) request() forward.TurnRequest {
-	return forward.TurnRequest{Engine: member.UpstreamID(w.Engine), Run: policy.RunID(w.Run), Worth: w.Worth}
+	return forward.TurnRequest{Engine: member.UpstreamID(w.Engine), Run: policy.RunID(w.Run), Worth: w.Worth, AtOnce: w.AtOnce}
 }
 
 // Turn waits at an arbiter for the turn to move a run.
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/resource"
@@ -17,6 +18,7 @@
 	weightPeak = 1.0
 	weightStep = 0.5
 	weightWait = 1.0
+	weightMove = 0.5
 )
 
 // choose returns the engine with room at the lowest cost, or nil. It allocates
@@ -27,7 +29,7 @@
 	var best *engine
 	lowest := 0.0
 	for _, e := range p.engines {
-		if e == p.kept || !e.takes(oldest) || e.id == r.Avoid {
+		if e == p.kept || !e.takes(oldest) || e.id == r.Avoid || slices.Contains(r.AvoidAlso, e.id) {
 			continue
 		}
 		cost, fits := p.cost(now, e, r, &grown, line)
@@ -87,7 +89,17 @@
 	if e.zone != r.Zone {
 		cost += r.FarCost
 	}
-	return cost + p.waitCost(now, e, r, read), true
+	return cost + p.moveCost(peak) + p.waitCost(now, e, r, read), true
+}
+
+// moveCost weighs that what an engine holds has to be moved off it when it
+// leaves: the square of its part of what can be.
+func (p *Pool) moveCost(peak float64) float64 {
+	if p.settings.Movable <= 0 {
+		return 0
+	}
+	part := peak / float64(p.settings.Movable)
+	return weightMove * part * part
 }
 
 // waitCost weighs the time to the first token: the square of its part of the
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,8 @@
 	Deadline time.Time
 	// Avoid is an engine that just failed this generation.
 	Avoid EngineID
+	// AvoidAlso are further engines that won't do.
+	AvoidAlso []EngineID
 	// Zone is where the request came in, and FarCost what an engine of another
 	// zone costs more, as a share of an engine's memory. Zero minds no zones.
 	Zone    member.Zone
@@ -129,6 +131,9 @@
 	// its decoding. Zero leaves the prompts that wait to be read out of
 	// account.
 	ReadRate float64
+	// Movable is how many tokens of memory can be moved off an engine between
+	// the notice that it leaves and its end. Zero leaves that out of account.
+	Movable Tokens
 }
 
 // Defaults for the fields of Settings.
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -28,10 +28,10 @@
 }
 
 // Relocate finds another engine for a run whose engine is about to leave, and
-// counts the run there from now on. The move has to fit the run as it has grown
+// counts the run there from now on. Engines to be avoided aren't considered. The move has to fit the run as it has grown
 // so far. It returns false when no engine has room; the run then stays counted
 // where it is.
-func (p *Pool) Relocate(now time.Time, id RunID, farCost float64) (EngineID, bool) {
+func (p *Pool) Relocate(now time.Time, id RunID, farCost float64, avoid []EngineID) (EngineID, bool) {
 	run := p.runs[id]
 	if run == nil {
 		return "", false
@@ -41,7 +41,7 @@
 	if run.Limit > 0 {
 		grown.Limit = max(run.Limit-run.made, 1)
 	}
-	grown.Prefix, grown.Avoid = 0, run.engine.id
+	grown.Prefix, grown.Avoid, grown.AvoidAlso = 0, run.engine.id, avoid
 	grown.Zone, grown.FarCost = run.engine.zone, farCost
 	to := p.choose(now, &grown)
 	if to == nil {
