forward: engines are asked whether they leave while the list is lost

One host asks each engine that carries runs and tells the others; a refused connection counts as the upstream's end, for a start has an id of its own.

--- a/forward/call.go
+++ b/forward/call.go
@@ -147,6 +147,9 @@
 	// ErrNotSent says that no byte of the request can have reached the
 	// upstream.
 	ErrNotSent = errors.New("the request was not sent")
+	// ErrNotThere says, beside ErrNotSent, that nobody serves at the address:
+	// the upstream has ended, for each start has an id and entry of its own.
+	ErrNotThere = errors.New("nobody serves at the address")
 	// ErrForeign says that the bytes on the connection were no answer to this
 	// request.
 	ErrForeign = errors.New("the answer isn't this request's")
@@ -158,6 +161,8 @@
 	Send(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error)
 	// Move copies a run's memory to another engine.
 	Move(ctx context.Context, from Upstream, r MoveRequest) (Moved, error)
+	// Report asks an engine how it is.
+	Report(ctx context.Context, u Upstream) (Report, error)
 	// Discard frees a copy that won't be used.
 	Discard(ctx context.Context, at Upstream, handle string) error
 }
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -275,6 +277,23 @@
 	p.steps[engine] = old + time.Duration(stepMemory*float64(step-old))
 }
 
+// busy lists the engines that carry runs, of this host or its peers.
+func (e *engines) busy() []member.UpstreamID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	carrying := map[member.UpstreamID]bool{}
+	for _, p := range e.pools {
+		for _, run := range p.own {
+			carrying[run.engine] = true
+		}
+		for id := range p.theirs {
+			carrying[p.pool.EngineOf(id)] = true
+		}
+	}
+	delete(carrying, "")
+	return slices.Collect(maps.Keys(carrying))
+}
+
 // RunState is what a host tells its peers of one of its runs.
 type RunState struct {
 	Run     policy.RunID
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -59,6 +59,10 @@
 	gone, missing bool
 	// leftAt is when it was first known to be leaving; zero while it isn't.
 	leftAt time.Time
+	// goneAt is when it ends; zero while that isn't known.
+	goneAt time.Time
+	// observed is when this host itself saw that it leaves, not by the list.
+	observed time.Time
 	// leaving closes when it starts leaving.
 	leaving chan struct{}
 	// suspectUntil keeps new work away after a connection failed.
@@ -170,15 +174,52 @@
 	}
 }
 
-// MarkLeaving takes in another sign that an upstream leaves, such as its own
-// word in an answer.
-func (f *Fleet) MarkLeaving(now time.Time, id member.UpstreamID) {
+// MarkLeaving takes in another sign than the list's that an upstream leaves; in
+// is how long it will still serve, zero when that isn't known. Own observations
+// are told to the peers.
+func (f *Fleet) MarkLeaving(now time.Time, id member.UpstreamID, in time.Duration, own bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if k := f.upstreams[id]; k != nil && !k.Leaving {
-		k.leave(now)
-		f.notify(true)
+	k := f.upstreams[id]
+	if k == nil || k.Leaving {
+		return
+	}
+	k.leave(now)
+	if in > 0 {
+		k.goneAt = now.Add(in)
+	}
+	if own {
+		k.observed = now
+	}
+	f.notify(true)
+}
+
+// Marks returns this host's own late observations of upstreams that leave.
+func (f *Fleet) Marks(now time.Time) []LeavingMark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var marks []LeavingMark
+	for id, k := range f.upstreams {
+		if k.observed.IsZero() || now.Sub(k.observed) > markShared {
+			continue
+		}
+		mark := LeavingMark{Engine: id}
+		if !k.goneAt.IsZero() {
+			mark.In = max(k.goneAt.Sub(now), time.Millisecond)
+		}
+		marks = append(marks, mark)
+	}
+	return marks
+}
+
+// Upstream returns what is known of an upstream.
+func (f *Fleet) Upstream(id member.UpstreamID) (Upstream, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil {
+		return k.Upstream, true
 	}
+	return Upstream{}, false
 }
 
 // Suspect keeps new work from an upstream for a while.
@@ -302,15 +343,20 @@
 	return changes, f.revision
 }
 
-// LeftAt is when the upstream was first known to be leaving, or otherwise for
-// one that isn't.
-func (f *Fleet) LeftAt(id member.UpstreamID, otherwise time.Time) time.Time {
+// GoneAt is when an upstream that leaves will be gone: by its own word, or drain
+// after the first sign.
+func (f *Fleet) GoneAt(id member.UpstreamID, now time.Time, drain time.Duration) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if k := f.upstreams[id]; k != nil && !k.leftAt.IsZero() {
-		return k.leftAt
+	k := f.upstreams[id]
+	switch {
+	case k == nil || k.leftAt.IsZero():
+		return now.Add(drain)
+	case !k.goneAt.IsZero():
+		return k.goneAt
+	default:
+		return k.leftAt.Add(drain)
 	}
-	return otherwise
 }
 
 // Leaving returns a channel that closes when the upstream starts leaving, and
--- a/forward/move.go
+++ b/forward/move.go
@@ -74,7 +74,7 @@
 			return
 		case <-leaving:
 		}
-		next := m.evacuate(ctx, s.exchange, run, s.fleet.LeftAt(u.ID, time.Now()))
+		next := m.evacuate(ctx, s.exchange, run)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.next = next
@@ -133,9 +133,10 @@
 
 // evacuate copies the run to another engine while it goes on, and then stops it
 // for the last part. A nil result means that there is nothing left to move.
-func (m *mover) evacuate(ctx context.Context, x *exchange, run *ownRun, noticed time.Time) *handover {
-	gone := noticed.Add(x.settings.DrainFor)
-	x.journal.Request(x.call.ID, "engine leaves", "upstream", m.from.ID, "list_revision", x.fleet.Revision())
+func (m *mover) evacuate(ctx context.Context, x *exchange, run *ownRun) *handover {
+	now := time.Now()
+	gone := x.fleet.GoneAt(m.from.ID, now, x.settings.DrainFor)
+	x.journal.Request(x.call.ID, "engine leaves", "upstream", m.from.ID, "foreseen_left", gone.Sub(now), "list_revision", x.fleet.Revision())
 	// Engines often leave together; the others' notices are a moment behind.
 	pauseFor(ctx, noticeGather)
 	for ctx.Err() == nil {
@@ -143,7 +144,7 @@
 		if next != nil {
 			return next
 		}
-		x.journal.Request(x.call.ID, "move failed", "from", m.from.ID, "err", err, "since_notice", time.Since(noticed))
+		x.journal.Request(x.call.ID, "move failed", "from", m.from.ID, "err", err, "foreseen_left", time.Until(gone))
 		if m.stopped() {
 			return nil
 		}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -28,6 +28,8 @@
 	Stopping bool
 	// Runs are all generations of the host.
 	Runs []RunState
+	// Leaving are the host's own observations of engines that leave.
+	Leaving []LeavingMark
 }
 
 // FollowRequest asks a peer for what is newer than what the asker has. Zero
@@ -106,6 +108,8 @@
 	seeds []string
 	// wake asks for a share to the own zone at once.
 	wake chan struct{}
+	// wakeAll asks for a share to all peers at once.
+	wakeAll chan struct{}
 }
 
 // peerState is what a host knows of one peer.
@@ -121,7 +125,7 @@
 }
 
 func newPeerSet(self Peer, seeds []string) *peerSet {
-	return &peerSet{self: self, known: map[member.HostID]*peerState{}, seeds: seeds, wake: make(chan struct{}, 1)}
+	return &peerSet{self: self, known: map[member.HostID]*peerState{}, seeds: seeds, wake: make(chan struct{}, 1), wakeAll: make(chan struct{}, 1)}
 }
 
 // hear takes in what a peer said.
@@ -242,6 +246,14 @@
 	}
 }
 
+// nudgeAll asks for a share to all peers at once.
+func (p *peerSet) nudgeAll() {
+	select {
+	case p.wakeAll <- struct{}{}:
+	default:
+	}
+}
+
 // raise moves a time forward, never back.
 func raise(to *atomic.Int64, at time.Time) {
 	nanos := at.UnixNano()
@@ -269,6 +281,8 @@
 			return
 		case <-tick.C:
 			all = true
+		case <-f.peers.wakeAll:
+			all = true
 		case <-f.peers.wake:
 			pauseFor(ctx, shareSoon)
 		}
@@ -303,7 +317,7 @@
 func (f *Forwarder) share(now time.Time) Share {
 	s := Share{
 		From: f.peers.self, ConfigAge: f.ContactAge(now), ListAge: f.ListAge(now), Stopping: f.Stopping(),
-		Runs: f.engines.states(),
+		Runs: f.engines.states(), Leaving: f.fleet.Marks(now),
 	}
 	if t := f.table.Load(); t != nil {
 		s.Version = t.Version
@@ -325,6 +339,9 @@
 // that is newer.
 func (f *Forwarder) hear(ctx context.Context, s Share) {
 	now := time.Now()
+	for _, mark := range s.Leaving {
+		f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
+	}
 	if f.peers.hear(now, s) {
 		f.journal.Belief("peer found", "peer", s.From.ID, "zone", s.From.Zone)
 	}
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -180,13 +180,13 @@
 func (p *plainExchange) judge(now time.Time, t *plainTry) string {
 	switch {
 	case errors.Is(t.err, ErrNotSent):
-		p.fleet.Suspect(now, t.upstream.ID)
+		p.unreachable(now, t.upstream, t.err)
 		return "not_sent"
 	case t.err != nil:
 		p.lastCode = CodeLost
 		return "lost"
 	case t.answer.OtherInstance:
-		p.fleet.MarkLeaving(now, t.upstream.ID)
+		p.fleet.MarkLeaving(now, t.upstream.ID, 0, true)
 		return "not_sent"
 	case t.answer.NotRun:
 		return "not_run"
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -143,7 +143,7 @@
 	}
 	switch {
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
-		s.fleet.Suspect(now, u.ID)
+		s.unreachable(now, u, err)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return Refusal{Code: CodeCallerLeft, MayHaveRun: true}
@@ -152,7 +152,7 @@
 	case err != nil:
 		return Refusal{Code: CodeLost, MayHaveRun: true}
 	case a.OtherInstance:
-		s.fleet.MarkLeaving(now, u.ID)
+		s.fleet.MarkLeaving(now, u.ID, 0, true)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	default:
 		return Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -26,6 +26,13 @@
 	ListAge           int64
 	Stopping          bool
 	Runs              []wireRunState
+	Leaving           []wireLeaving
+}
+
+// wireLeaving is forward.LeavingMark; In is in milliseconds.
+type wireLeaving struct {
+	Engine string
+	In     int64
 }
 
 type wireRunState struct {
@@ -44,6 +51,9 @@
 			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit),
 		})
 	}
+	for _, mark := range s.Leaving {
+		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), In: mark.In.Milliseconds()})
+	}
 	return w
 }
 
@@ -60,6 +70,11 @@
 			Prompt:  policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
 		})
 	}
+	for _, mark := range w.Leaving {
+		s.Leaving = append(s.Leaving, forward.LeavingMark{
+			Engine: member.UpstreamID(mark.Engine), In: time.Duration(mark.In) * time.Millisecond,
+		})
+	}
 	return s
 }
 
