--- a/forward/call.go
+++ b/forward/call.go
@@ -161,8 +161,8 @@
 	Send(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error)
 	// Move copies a run's memory to another engine.
 	Move(ctx context.Context, from Upstream, r MoveRequest) (Moved, error)
-	// Report asks an engine how it is.
-	Report(ctx context.Context, u Upstream) (Report, error)
+	// Healthy asks an upstream whether it is well and isn't leaving.
+	Healthy(ctx context.Context, u Upstream, path string) (bool, error)
 	// Discard frees a copy that won't be used.
 	Discard(ctx context.Context, at Upstream, handle string) error
 }
--- a/forward/config.go
+++ b/forward/config.go
@@ -89,6 +89,8 @@
 // Service is a group of upstreams. Engine is nil for plain services.
 type Service struct {
 	Name ServiceName
+	// HealthPath is where an upstream says whether it is well.
+	HealthPath string
 	// MaxConns is how many connections one upstream takes from all hosts.
 	MaxConns int
 	Engine   *Engine
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -63,6 +63,9 @@
 	stepUnknown = 10 * time.Millisecond
 	// stepMemory is the weight of the newest observation of a step.
 	stepMemory = 0.1
+	// shortAnswer is the mean length of answers that an engine which leaves
+	// mostly still ends: at 10 ms a token, half a second.
+	shortAnswer = 50
 	// readRate is how many prompt tokens an engine reads in a second beside its
 	// decoding: the users' sheets give 14,000, and steps in which a part of a
 	// prompt is read take about twice as long as others.
@@ -250,8 +253,9 @@
 	return p.listed[id], true
 }
 
-// worth orders the runs that have to leave an engine: those that will go on for
-// long and have gone far first, for short ones end by themselves.
+// worth orders the runs that have to leave an engine: those of routes with long
+// answers first, for short ones end by themselves; among them the smallest, so
+// that most are moved in the time that there is.
 func (e *engines) worth(service ServiceName, run *ownRun) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -259,7 +263,11 @@
 	if p == nil {
 		return 0
 	}
-	return int(p.pool.MeanLength(&run.request)) + int(run.made.Load())
+	memory := int(run.request.Prompt) + int(run.made.Load())
+	if p.pool.MeanLength(&run.request) < shortAnswer {
+		memory += int(p.spec.Memory)
+	}
+	return -memory
 }
 
 // observeStep takes in how long an engine took for each of some tokens.
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -63,6 +63,8 @@
 	goneAt time.Time
 	// observed is when this host itself saw that it leaves, not by the list.
 	observed time.Time
+	// hinted says that only another sign than the list's tells that it leaves.
+	hinted bool
 	// leaving closes when it starts leaving.
 	leaving chan struct{}
 	// suspectUntil keeps new work away after a connection failed.
@@ -73,6 +75,9 @@
 	// listSettles is how long after an outage of the platform the list may
 	// still lack upstreams that live: the platform says about two seconds.
 	listSettles = 2500 * time.Millisecond
+	// lapseAfter is the shortest outage in which entries run out: upstreams
+	// write to theirs about every 1.2 s, and three misses drop it.
+	lapseAfter = 1500 * time.Millisecond
 	// forgetGone is how long a dropped upstream is remembered. Its address may
 	// be another's by then; the id guards against that.
 	forgetGone = 30 * time.Second
@@ -142,6 +147,10 @@
 		return f.drop(now, k, c.Revision)
 	}
 	same := !k.gone && !k.missing && k.Upstream == c.Upstream
+	if k.hinted && !c.Leaving && !k.gone {
+		// The list knows better than other signs.
+		k.Leaving, k.hinted, k.leftAt, k.leaving = false, false, time.Time{}, make(chan struct{})
+	}
 	// An id is of one incarnation: once it leaves, it never comes back.
 	c.Leaving = c.Leaving || k.Leaving
 	k.Upstream, k.missing = c.Upstream, false
@@ -160,7 +169,7 @@
 		k.missing = true
 		return false
 	}
-	k.gone, k.missing = true, false
+	k.gone, k.missing, k.hinted = true, false, false
 	k.leave(now)
 	return true
 }
@@ -185,6 +194,7 @@
 		return
 	}
 	k.leave(now)
+	k.hinted = true
 	if in > 0 {
 		k.goneAt = now.Add(in)
 	}
@@ -212,6 +222,19 @@
 	return marks
 }
 
+// Missing lists the upstreams that the list lacks without being believed.
+func (f *Fleet) Missing() []member.UpstreamID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var missing []member.UpstreamID
+	for id, k := range f.upstreams {
+		if k.missing {
+			missing = append(missing, id)
+		}
+	}
+	return missing
+}
+
 // Upstream returns what is known of an upstream.
 func (f *Fleet) Upstream(id member.UpstreamID) (Upstream, bool) {
 	f.mu.Lock()
@@ -232,12 +255,15 @@
 	}
 }
 
-// ListRegained tells that the list can be read again after an outage, in which
-// living upstreams may have been dropped from it.
-func (f *Fleet) ListRegained(now time.Time) {
+// ListRegained tells that the list can be read again after an outage. In a long
+// one, living upstreams may have been dropped from it.
+func (f *Fleet) ListRegained(now time.Time, lostFor time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.trustGoneFrom = now.Add(listSettles)
+	f.trustGoneFrom = time.Time{}
+	if lostFor >= lapseAfter {
+		f.trustGoneFrom = now.Add(listSettles)
+	}
 }
 
 // ListTrusted tells that a peer whose list is up to date is followed: it has
@@ -336,7 +362,7 @@
 	defer f.mu.Unlock()
 	var changes []Change
 	for _, k := range f.upstreams {
-		if k.Revision > after {
+		if k.Revision > after && !k.missing {
 			changes = append(changes, Change{Upstream: k.Upstream, Gone: k.gone})
 		}
 	}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -66,15 +66,17 @@
 	pauseFor(ctx, failPause(d.failures))
 }
 
-// ok notes a success and reports whether it ended an outage.
-func (d *dependency) ok(now time.Time) bool {
+// ok notes a success and returns how long the outage was that it ended; zero
+// when there was none.
+func (d *dependency) ok(now time.Time) time.Duration {
 	d.failures = 0
 	if d.lost.IsZero() {
-		return false
+		return 0
 	}
-	d.journal.Belief("dependency regained", "what", d.name, "lost_for", now.Sub(d.lost))
+	lostFor := now.Sub(d.lost)
+	d.journal.Belief("dependency regained", "what", d.name, "lost_for", lostFor)
 	d.lost = time.Time{}
-	return true
+	return lostFor
 }
 
 // followingCheck is how often a host that follows a peer looks whether it still
@@ -212,8 +214,8 @@
 		return
 	}
 	l.noteList(news)
-	if l.dep.ok(time.Now()) {
-		l.fleet.ListRegained(time.Now())
+	if lostFor := l.dep.ok(time.Now()); lostFor > 0 {
+		l.fleet.ListRegained(time.Now(), lostFor)
 	}
 	l.listProved(proved)
 	l.read, l.at = false, max(l.at, next)
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -12,14 +14,6 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-// Report is what an engine says of itself; it is some hundred milliseconds old.
-type Report struct {
-	Leaving bool
-	// LeavesIn is how long the engine will still serve; zero when it doesn't
-	// say.
-	LeavesIn time.Duration
-}
-
 // LeavingMark is a host's own observation that an engine leaves, for its peers.
 type LeavingMark struct {
 	Engine member.UpstreamID
@@ -51,7 +45,11 @@
 			return
 		case now := <-tick.C:
 			if !f.listKnown(now) {
-				f.scout(ctx, now)
+				f.scout(ctx, now, f.engines.busy())
+				continue
+			}
+			if missing := f.fleet.Missing(); len(missing) > 0 {
+				f.scout(ctx, now, intersect(f.engines.busy(), missing))
 			}
 		}
 	}
@@ -63,28 +61,44 @@
 	return f.following(now) || f.ListAge(now) <= listLate
 }
 
-// scout asks the engines that this host is the arbiter of and that carry runs.
-func (f *Forwarder) scout(ctx context.Context, now time.Time) {
+// intersect returns the ids that are in both lists.
+func intersect(a, b []member.UpstreamID) []member.UpstreamID {
+	return slices.DeleteFunc(a, func(id member.UpstreamID) bool { return !slices.Contains(b, id) })
+}
+
+// scout asks those of some engines that this host is the arbiter of.
+func (f *Forwarder) scout(ctx context.Context, now time.Time, ids []member.UpstreamID) {
+	t := f.table.Load()
+	if t == nil {
+		return
+	}
 	var asking conc.WaitGroup
-	for _, id := range f.engines.busy() {
+	for _, id := range ids {
 		u, known := f.fleet.Upstream(id)
-		if !known || u.Leaving || f.peers.arbiter(now, u).ID != f.peers.self.ID {
+		service, declared := t.Service(u.Service)
+		if !known || !declared || u.Leaving || f.peers.arbiter(now, u).ID != f.peers.self.ID {
 			continue
 		}
-		asking.Go(func() { f.ask(ctx, u) })
+		asking.Go(func() { f.ask(ctx, u, service.HealthPath) })
 	}
 	asking.Wait()
 }
 
-func (f *Forwarder) ask(ctx context.Context, u Upstream) {
+// ask takes an engine's word that it isn't well as a sign that it leaves. No
+// answer says nothing.
+func (f *Forwarder) ask(ctx context.Context, u Upstream, path string) {
 	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
-	r, err := f.transport.Report(ctx, u)
-	if err != nil || !r.Leaving {
+	well, err := f.transport.Healthy(ctx, u, path)
+	now := time.Now()
+	if errors.Is(err, ErrNotThere) {
+		f.unreachable(now, u, err)
 		return
 	}
-	now := time.Now()
-	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "in", r.LeavesIn, "list_age", f.ListAge(now))
-	f.fleet.MarkLeaving(now, u.ID, r.LeavesIn, true)
+	if err != nil || well {
+		return
+	}
+	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "list_age", f.ListAge(now))
+	f.fleet.MarkLeaving(now, u.ID, 0, true)
 	f.peers.nudgeAll()
 }
