forward: runs move home, and to engines that suit them much better

Cause: after moves, and after engines were replaced, runs sit across zones (lost at a zone cut) and crowd some engines (not emptied in time). A run whose engine costs 0.1 (home) or 0.3 of a memory more than another moves there when both links are free. A framed answer that has its end is whole now.

--- a/forward/call.go
+++ b/forward/call.go
@@ -129,6 +129,8 @@
 	Header http.Header
 	// Length is the body's, or -1 when the upstream didn't say.
 	Length int64
+	// Framed says that the body's end can be told from a broken connection.
+	Framed bool
 	Body   io.ReadCloser
 	// NotRun is the upstream's word that it didn't run the request and won't.
 	NotRun bool
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -63,6 +63,12 @@
 	stepUnknown = 10 * time.Millisecond
 	// stepMemory is the weight of the newest observation of a step.
 	stepMemory = 0.1
+	// gainToReturn is by how much an engine must suit a run of another zone
+	// better for the run to move there, and gainToBalance the same for a run of
+	// this zone; as a share of an engine's memory. A move has a price, and the
+	// run stands still for some ten milliseconds.
+	gainToReturn  = 0.1
+	gainToBalance = 0.3
 	// shortAnswer is the mean length of answers that an engine which leaves
 	// mostly still ends: at 10 ms a token, half a second.
 	shortAnswer = 50
@@ -285,6 +291,36 @@
 	p.steps[engine] = old + time.Duration(stepMemory*float64(step-old))
 }
 
+// improve finds an engine that suits a run much better than its own.
+func (e *engines) improve(now time.Time, service ServiceName, run *ownRun, avoid []member.UpstreamID) (to Upstream, from member.UpstreamID, found bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil || p.listed[run.engine].ID == "" {
+		return Upstream{}, "", false
+	}
+	gain := gainToBalance
+	if p.listed[run.engine].Zone != e.zone {
+		gain = gainToReturn
+	}
+	p.pool.Progress(now, run.request.Run, policy.Tokens(run.made.Load()))
+	id, found := p.pool.Improve(now, run.request.Run, e.zone, farCostToStart, gain, avoid)
+	if !found {
+		return Upstream{}, "", false
+	}
+	from, run.engine = run.engine, id
+	return p.listed[id], from, true
+}
+
+// stay counts a run on an engine again that it wasn't moved from.
+func (e *engines) stay(now time.Time, service ServiceName, run *ownRun, engine member.UpstreamID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.pools[service]; p != nil && p.pool.Return(now, run.request.Run, engine) {
+		run.engine = engine
+	}
+}
+
 // busy lists the engines that carry runs, of this host or its peers.
 func (e *engines) busy() []member.UpstreamID {
 	e.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -77,6 +77,9 @@
 	// fetching says that a configuration is being fetched from a peer.
 	fetching atomic.Bool
 
+	// improving lets one run of this host at a time move to a better engine.
+	improving sync.Mutex
+
 	mu sync.Mutex
 	// inFlight counts the requests under way.
 	inFlight int
--- a/forward/move.go
+++ b/forward/move.go
@@ -27,6 +27,10 @@
 	// targetTurnTimeout how long each answer may take.
 	mostTargets       = 4
 	targetTurnTimeout = 30 * time.Millisecond
+	// improveEvery is how often a run looks for a much better engine, and
+	// improveAfter after how many tokens: most short answers end before.
+	improveEvery = 600 * time.Millisecond
+	improveAfter = 40
 	// movePause is waited before a move that couldn't be made is tried again.
 	movePause = 50 * time.Millisecond
 	// moveTimeout bounds one copy; several may wait on one link.
@@ -65,16 +69,10 @@
 		close(m.done)
 		return m
 	}
-	leaving := s.fleet.Leaving(u.ID)
-	run := s.run
+	run, leaving := s.run, s.fleet.Leaving(u.ID)
 	go func() {
 		defer close(m.done)
-		select {
-		case <-ctx.Done():
-			return
-		case <-leaving:
-		}
-		next := m.evacuate(ctx, s.exchange, run)
+		next := m.run(ctx, s.exchange, run, leaving)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.next = next
@@ -82,6 +80,57 @@
 	return m
 }
 
+// run waits until the engine leaves, or another suits the run much better, and
+// moves the run.
+func (m *mover) run(ctx context.Context, x *exchange, run *ownRun, leaving <-chan struct{}) *handover {
+	tick := time.NewTicker(improveEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-leaving:
+			return m.evacuate(ctx, x, run)
+		case <-tick.C:
+			if next := m.improve(ctx, x, run); next != nil || m.stopped() {
+				return next
+			}
+		}
+	}
+}
+
+// improve moves the run to an engine that suits it much better, if there is one
+// and nothing else uses the links.
+func (m *mover) improve(ctx context.Context, x *exchange, run *ownRun) *handover {
+	if run.made.Load() < improveAfter || !x.improving.TryLock() {
+		return nil
+	}
+	defer x.improving.Unlock()
+	to, from, found := x.engines.improve(time.Now(), x.service.Name, run, nil)
+	if !found {
+		return nil
+	}
+	endSource, err := x.takeTurn(ctx, m.from, TurnRequest{Engine: m.from.ID, Run: run.request.Run, AtOnce: true})
+	defer endSource()
+	if err == nil {
+		var endTarget func()
+		endTarget, err = x.takeTurn(ctx, to, TurnRequest{Engine: to.ID, Run: run.request.Run, AtOnce: true})
+		defer endTarget()
+	}
+	var next *handover
+	if err == nil {
+		x.peers.nudge()
+		next, err = m.moveTo(ctx, x, to, m.expected(x, run, to), time.Now().Add(moveTimeout))
+	}
+	if next != nil {
+		return next
+	}
+	x.journal.Request(x.call.ID, "not moved to a better engine", "from", m.from.ID, "to", to.ID, "err", err)
+	x.engines.stay(time.Now(), x.service.Name, run, from)
+	m.discard(x)
+	return nil
+}
+
 // stopped reports whether the run was told to stop, so that the end of its
 // stream isn't the end of the answer.
 func (m *mover) stopped() bool {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -228,7 +228,9 @@
 		m := s.watch(ctx, u)
 		err := s.relay(first, a)
 		closeBody(a)
-		if err == nil && !m.stopped() {
+		if err == nil && (a.Framed || !m.stopped()) {
+			// A framed answer that has its end is whole, whatever became of a
+			// move: the run ended before it could be stopped.
 			m.cancel(s)
 			return s.finish(first)
 		}
