forward: hosts find each other in the first second; fewer shares between zones

Cause of the largest price on the grown sites: hosts read the directory again only 4 s after their start, and until then each of 62 watched the list while 45 engines registered (3,744 watches). The directory is read again after 0.5 s, and shares to other zones go to three hosts a period.

--- a/forward/follow.go
+++ b/forward/follow.go
@@ -148,6 +148,9 @@
 	tried time.Time
 }
 
+// alonePause is waited between two watches while no peer is known.
+const alonePause = 150 * time.Millisecond
+
 // originPause is how long a host whose origin failed follows a peer before it
 // tries the origin again.
 const originPause = time.Second
@@ -219,6 +222,11 @@
 	}
 	l.listProved(proved)
 	l.read, l.at = false, max(l.at, next)
+	if l.peers.live(proved) == 1 {
+		// Hosts that start together don't know each other yet, and each change
+		// would be told to every one of them.
+		pauseFor(ctx, alonePause)
+	}
 }
 
 func (f *Forwarder) noteList(news []Change) {
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,8 +82,13 @@
 	shareTimeout = 700 * time.Millisecond
 	// shareSoon gathers the changes of a moment into one share.
 	shareSoon = 3 * time.Millisecond
-	// peerSilent is how long after its last word a peer counts as gone.
+	// farShares is how many peers of other zones are told in each period, one
+	// after another: bytes between zones have a price.
+	farShares = 3
+	// peerSilent is how long after its last word a peer of the own zone counts
+	// as gone, and farSilent the same for one of another zone.
 	peerSilent = 1600 * time.Millisecond
+	farSilent  = 15 * time.Second
 	// peerForgotten is how long a silent peer is still tried, and its runs are
 	// still counted on their engines.
 	peerForgotten = 20 * time.Second
@@ -93,9 +99,13 @@
 	// its watch returns every watchWait at least.
 	listFresh = watchWait + 600*time.Millisecond
 	// directoryEvery is the period of reading the directory, and directoryTTL
-	// how long an entry stays without being renewed.
-	directoryEvery = 4 * time.Second
-	directoryTTL   = 12 * time.Second
+	// how long an entry stays without being renewed. New hosts make themselves
+	// known by calling, so this is for what got lost.
+	directoryEvery = 6 * time.Second
+	directoryTTL   = 18 * time.Second
+	// directorySoon is when the directory is read again after the start, for
+	// hosts mostly start together.
+	directorySoon = 500 * time.Millisecond
 )
 
 // peerSet is what a host knows of its peers.
@@ -122,6 +132,16 @@
 	stopping bool
 	// sending says that a share to it is under way.
 	sending bool
+	// failed says that the last share didn't arrive.
+	failed bool
+}
+
+// live reports whether the peer is believed to be there.
+func (s *peerState) live(now time.Time, own member.Zone) bool {
+	if s.Zone == own {
+		return now.Sub(s.heard) <= peerSilent
+	}
+	return !s.failed && now.Sub(s.heard) <= farSilent
 }
 
 func newPeerSet(self Peer, seeds []string) *peerSet {
@@ -141,7 +161,7 @@
 		p.known[s.From.ID] = state
 		isNew = true
 	}
-	state.Peer, state.heard, state.stopping = s.From, now, s.Stopping
+	state.Peer, state.heard, state.stopping, state.failed = s.From, now, s.Stopping, false
 	state.listAge = s.ListAge
 	return isNew
 }
@@ -157,31 +177,41 @@
 	}
 }
 
-// targets returns the peers to share with now: those of the own zone, and all
-// when the period is over. It marks them as being sent to.
-func (p *peerSet) targets(now time.Time, all bool) []Peer {
+// targets returns the peers to share with now, and marks them as being sent to:
+// those of the own zone, and when the period is over some of the other zones, or
+// every peer when each must know.
+func (p *peerSet) targets(now time.Time, period, every bool) []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var to []Peer
+	var far []*peerState
+	send := func(s *peerState) {
+		s.sending, s.tried = true, now
+		to = append(to, s.Peer)
+	}
 	for id, s := range p.known {
-		if now.Sub(s.heard) > peerForgotten {
+		switch {
+		case now.Sub(s.heard) > peerForgotten:
 			delete(p.known, id)
-			continue
+		case s.sending:
+		case every || s.Zone == p.self.Zone && (period || s.live(now, p.self.Zone)):
+			send(s)
+		case period && s.Zone != p.self.Zone:
+			far = append(far, s)
 		}
-		if s.sending || !all && (s.Zone != p.self.Zone || now.Sub(s.heard) > peerSilent) {
-			continue
-		}
-		s.sending = true
-		to = append(to, s.Peer)
+	}
+	slices.SortFunc(far, func(a, b *peerState) int { return a.tried.Compare(b.tried) })
+	for _, s := range far[:min(len(far), farShares)] {
+		send(s)
 	}
 	return to
 }
 
-func (p *peerSet) sent(id member.HostID) {
+func (p *peerSet) sent(id member.HostID, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.known[id]; s != nil {
-		s.sending = false
+		s.sending, s.failed = false, err != nil
 	}
 }
 
@@ -191,7 +221,7 @@
 	defer p.mu.Unlock()
 	n := 1
 	for _, s := range p.known {
-		if now.Sub(s.heard) <= peerSilent {
+		if s.live(now, p.self.Zone) {
 			n++
 		}
 	}
@@ -214,7 +244,10 @@
 	defer p.mu.Unlock()
 	var best *peerState
 	for _, s := range p.known {
-		if now.Sub(s.heard) > peerSilent || s.stopping || s.listAge+now.Sub(s.heard) > listFresh+shareEvery {
+		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.listAge+now.Sub(s.heard) > listFresh+shareEvery {
+			continue
+		}
+		if s.listAge > listFresh {
 			continue
 		}
 		if !needed && (s.Zone != p.self.Zone || s.ID > p.self.ID) {
@@ -275,14 +308,14 @@
 	tick := time.NewTicker(shareEvery)
 	defer tick.Stop()
 	for {
-		all := false
+		period, every := false, false
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			all = true
+			period = true
 		case <-f.peers.wakeAll:
-			all = true
+			every = true
 		case <-f.peers.wake:
 			pauseFor(ctx, shareSoon)
 		}
@@ -290,10 +323,10 @@
 		f.retries.setHosts(f.peers.live(now))
 		f.engines.forget(now, f.peers.isKnown)
 		share := f.share(now)
-		for _, to := range f.peers.targets(now, all) {
+		for _, to := range f.peers.targets(now, period, every) {
 			sending.Go(func() { f.shareWith(ctx, peers, to, share) })
 		}
-		if all {
+		if period {
 			f.callSeeds(ctx, &sending, peers, share)
 		}
 	}
@@ -329,7 +362,7 @@
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
 	reply, err := peers.Share(ctx, to, share)
-	f.peers.sent(to.ID)
+	f.peers.sent(to.ID, err)
 	if err == nil {
 		f.hear(ctx, reply)
 	}
@@ -462,6 +495,7 @@
 // until the context ends.
 func (f *Forwarder) RunDirectory(ctx context.Context, d Directory) {
 	dep := dependency{name: "directory", journal: f.journal}
+	pause := directorySoon
 	for ctx.Err() == nil {
 		err := d.Announce(ctx, f.peers.self, directoryTTL)
 		var hosts []Peer
@@ -475,7 +509,8 @@
 		}
 		dep.ok(time.Now())
 		f.peers.list(time.Now(), hosts)
-		pauseFor(ctx, directoryEvery)
+		pauseFor(ctx, pause)
+		pause = min(2*pause, directoryEvery)
 	}
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
--- a/forward/turns.go
+++ b/forward/turns.go
@@ -181,7 +181,7 @@
 		consider(p.self)
 	}
 	for _, s := range p.known {
-		if s.Zone == u.Zone && now.Sub(s.heard) <= peerSilent {
+		if s.Zone == u.Zone && s.live(now, p.self.Zone) {
 			consider(s.Peer)
 		}
 	}
