--- /dev/null
+++ b/forward/fake_test.go
@@ -0,0 +1,194 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// fakeTransport plays upstreams by what each test says.
+type fakeTransport struct {
+	mu sync.Mutex
+	// send answers a request; nil refuses every one.
+	send func(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error)
+	move func(ctx context.Context, from Upstream, r MoveRequest) (Moved, error)
+	// healthy answers health questions; nil says well.
+	healthy func(u Upstream) (bool, error)
+	// sent are the upstreams that got the request, in order.
+	sent []member.UpstreamID
+	// discarded are the handles that were freed.
+	discarded []string
+}
+
+func (f *fakeTransport) Send(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, u.ID)
+	f.mu.Unlock()
+	if f.send == nil {
+		return nil, ErrNotSent
+	}
+	return f.send(ctx, u, r)
+}
+
+func (f *fakeTransport) Move(ctx context.Context, from Upstream, r MoveRequest) (Moved, error) {
+	if f.move == nil {
+		return Moved{}, ErrNoRun
+	}
+	return f.move(ctx, from, r)
+}
+
+func (f *fakeTransport) Discard(_ context.Context, _ Upstream, handle string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.discarded = append(f.discarded, handle)
+	return nil
+}
+
+func (f *fakeTransport) Healthy(_ context.Context, u Upstream, _ string) (bool, error) {
+	if f.healthy == nil {
+		return true, nil
+	}
+	return f.healthy(u)
+}
+
+func (f *fakeTransport) sentTo() []member.UpstreamID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]member.UpstreamID(nil), f.sent...)
+}
+
+// fakeSink keeps what the caller gets.
+type fakeSink struct {
+	mu      sync.Mutex
+	status  int
+	body    strings.Builder
+	refused *Refusal
+	cut     bool
+	// gone has the caller's connection fail.
+	gone bool
+	// wrote, when set, is told of each write.
+	wrote func(p []byte)
+}
+
+var errGone = errors.New("the caller is gone")
+
+func (s *fakeSink) Whole(a *Answer, body []byte) error {
+	s.status = a.Status
+	s.body.Write(body)
+	return nil
+}
+
+func (s *fakeSink) Begin(a *Answer) error {
+	s.status = a.Status
+	return nil
+}
+
+func (s *fakeSink) Write(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone {
+		return errGone
+	}
+	s.body.Write(p)
+	if s.wrote != nil {
+		s.wrote(p)
+	}
+	return nil
+}
+
+func (s *fakeSink) Refuse(r Refusal) error {
+	s.refused = &r
+	return nil
+}
+
+func (s *fakeSink) Cut() { s.cut = true }
+
+// silentJournal and silentObserver keep nothing.
+type (
+	silentJournal  struct{}
+	silentObserver struct{}
+)
+
+func (silentJournal) Request(RequestID, string, ...any)     {}
+func (silentJournal) Belief(string, ...any)                 {}
+func (silentObserver) Answered(Kind, string, time.Duration) {}
+func (silentObserver) FirstEvent(time.Duration)             {}
+func (silentObserver) Gap(time.Duration)                    {}
+func (silentObserver) Repeated(string)                      {}
+func (silentObserver) Moved(string, time.Duration)          {}
+
+// testConfig has a route of each kind; "/llm/" leads to engines.
+func testConfig(version Version) Config {
+	engine := &Engine{
+		Batch: 24, Memory: 34000, TokenBytes: 327680, LinkBitsPerSecond: 47e9, Moves: true, EventTokens: 4,
+	}
+	route := func(path string, kind Kind, service ServiceName, attempts int) Route {
+		return Route{
+			Name: path, Host: "shop.example", PathPrefix: path, Kind: kind, Timeout: 800 * time.Millisecond,
+			Objective: 150 * time.Millisecond, Attempts: attempts,
+			Services: []WeightedService{{Service: service, Weight: 1}},
+		}
+	}
+	llm := route("/llm/", KindStream, "llm", 1)
+	llm.Timeout, llm.Objective = 39*time.Second, 1800*time.Millisecond
+	return Config{
+		Version: version,
+		Routes: []Route{
+			route("/status/", KindSafe, "app", 2), route("/order/", KindUnsafe, "app", 1), llm,
+		},
+		Services: []Service{{Name: "app"}, {Name: "llm", Engine: engine}},
+		Accounts: []Account{{Name: "counter", Keys: []string{"k1"}}},
+	}
+}
+
+// newForwarder returns a forwarder with testConfig and three upstreams of each
+// service.
+func newForwarder(t *testing.T, transport Transport) *Forwarder {
+	t.Helper()
+	f := New(Settings{
+		Self: Peer{ID: "h1", Zone: "z1", PeerAddress: "10.0.0.1:1"}, DrainFor: 2 * time.Second, ContactBound: 3 * time.Second,
+		Retries: RetryLimit{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}, transport, silentJournal{}, silentObserver{})
+	now := time.Now()
+	var list []Upstream
+	for _, service := range []ServiceName{"app", "llm"} {
+		for n := 1; n <= 3; n++ {
+			id := fmt.Sprintf("%s%d", service, n)
+			list = append(list, Upstream{
+				ID: member.UpstreamID(id), Service: service, Address: "10.1.0.1:" + id, Zone: "z1", Slots: 6, Revision: 1,
+			})
+		}
+	}
+	f.fleet.Replace(now, list, 1)
+	f.Configure(now, testConfig(1))
+	f.ContactProved(now)
+	f.listProved(now)
+	return f
+}
+
+func call(path string) *Call {
+	return &Call{
+		ID: "r1", Method: http.MethodPost, Host: "shop.example:80", Path: path + "x", Target: path + "x",
+		Header: http.Header{}, Key: "k1", Arrived: time.Now(), Patience: 39 * time.Second,
+		Prompt: Prompt{Tokens: 3000, MostOut: 2000},
+	}
+}
+
+// answer is an upstream's good answer.
+func answer(status int, body string) *Answer {
+	return &Answer{
+		Status: status, Header: http.Header{}, Length: int64(len(body)), Framed: true, Signed: true,
+		Body: io.NopCloser(strings.NewReader(body)),
+	}
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -161,10 +161,10 @@
 }
 
 func (f *Fleet) drop(now time.Time, k *known, at Revision) bool {
-	k.Revision = at
 	if k.gone {
 		return false
 	}
+	k.Revision = at
 	if now.Before(f.trustGoneFrom) && !k.Leaving {
 		k.missing = true
 		return false
--- /dev/null
+++ b/forward/fleet_test.go
@@ -0,0 +1,177 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+func up(id member.UpstreamID, at Revision, leaving bool) Upstream {
+	return Upstream{ID: id, Service: "llm", Address: "10.0.0.9:1", Revision: at, Leaving: leaving}
+}
+
+func takers(f *Fleet, now time.Time) map[member.UpstreamID]bool {
+	got := map[member.UpstreamID]bool{}
+	for _, u := range f.Takers(now, "llm") {
+		got[u.ID] = true
+	}
+	return got
+}
+
+// TestFleet has the list's changes taken in, in whatever order they come.
+func TestFleet(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var f Fleet
+	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, 5)
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
+	f.Apply(now, []Change{{Upstream: up("a", 7, true)}})
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true})
+	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}})), 0) // older
+	f.Apply(now, []Change{{Upstream: up("a", 8, false)}})
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true}) // leaving is for good
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 9}, Gone: true}})
+	is.Equal(len(takers(&f, now)), 0)
+	select {
+	case <-f.Leaving("b"): // dropped without a notice: it leaves now
+	default:
+		t.Fatal("b should be leaving")
+	}
+	f.Replace(now, []Upstream{up("c", 10, false)}, 11)
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"c": true})
+	changes, at := f.Since(9)
+	is.Equal(at, Revision(11))
+	is.Equal(len(changes), 2) // c, and a, which this list lacks
+}
+
+// TestFleetOutage has an upstream that the list lacks after a long outage kept
+// until the list has settled, and not told to peers as listed.
+func TestFleetOutage(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := Fleet{}
+	f.Replace(now, []Upstream{up("a", 1, false), up("b", 1, false)}, 1)
+	f.ListLost(now)
+	now = now.Add(5 * time.Second)
+	f.Replace(now, []Upstream{up("a", 1, false)}, 9)
+	f.ListRegained(now, 5*time.Second)
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true}) // no new work
+	is.Equal(f.Missing(), []member.UpstreamID{"b"})
+	changes, _ := f.Since(1)
+	is.Equal(len(changes), 0)
+	is.Equal(len(f.Settle(now.Add(time.Second))), 0)
+	select {
+	case <-f.Leaving("b"):
+		t.Fatal("b may come back")
+	default:
+	}
+	f.Apply(now, []Change{{Upstream: up("b", 10, false)}})
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 12}, Gone: true}})
+	is.Equal(len(f.Settle(now.Add(3*time.Second))), 1) // still missing: gone
+	<-f.Leaving("b")
+}
+
+// TestFleetShortOutage has a list that was lost for a moment believed at once.
+func TestFleetShortOutage(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := Fleet{}
+	f.Replace(now, []Upstream{up("a", 1, false)}, 1)
+	f.ListLost(now)
+	f.ListRegained(now, 80*time.Millisecond)
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: 2}, Gone: true}})
+	<-f.Leaving("a")
+	is.Equal(len(takers(&f, now)), 0)
+}
+
+// TestFleetHint has a sign that an upstream leaves taken back when the list
+// knows better.
+func TestFleetHint(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := Fleet{}
+	f.Replace(now, []Upstream{up("a", 1, false)}, 1)
+	f.MarkLeaving(now, "a", 900*time.Millisecond, true)
+	is.Equal(len(takers(&f, now)), 0)
+	is.Equal(f.GoneAt("a", now, 2*time.Second), now.Add(900*time.Millisecond))
+	is.Equal(f.Marks(now), []LeavingMark{{Engine: "a", In: 900 * time.Millisecond}})
+	is.Equal(len(f.Marks(now.Add(time.Minute))), 0)
+	f.Replace(now, []Upstream{up("a", 1, false)}, 4)
+	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true})
+}
+
+// TestTurns has runs leave an engine one at a time, the worthiest first, and a
+// turn that isn't ended run out.
+func TestTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var line turns
+		var order []string
+		for _, r := range []TurnRequest{{"e", "small", 3, false}, {"e", "big", 1, false}, {"e", "mid", 2, false}} {
+			go func() {
+				if line.take(t.Context(), r) == nil {
+					order = append(order, string(r.Run))
+					time.Sleep(50 * time.Millisecond)
+					line.end(time.Now(), r.Engine, r.Run)
+				}
+			}()
+		}
+		time.Sleep(time.Second)
+		is.Equal(order, []string{"small", "mid", "big"})
+		is.True(line.try(time.Now(), TurnRequest{Engine: "e", Run: "now", AtOnce: true}))
+		is.True(!line.try(time.Now(), TurnRequest{Engine: "e", Run: "other", AtOnce: true}))
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		is.True(line.take(ctx, TurnRequest{Engine: "e", Run: "late"}) != nil)
+		cancel()
+		time.Sleep(time.Second) // nobody ends the turn of "now"
+		is.True(line.try(time.Now(), TurnRequest{Engine: "e", Run: "other", AtOnce: true}))
+	})
+}
+
+// TestLeader has a host follow the first of its zone with a fresh list, and any
+// host when it can't read the list itself.
+func TestLeader(t *testing.T) {
+	now := time.Now()
+	peer := func(id, zone string, listAge time.Duration, stopping bool) Share {
+		return Share{From: Peer{ID: member.HostID(id), Zone: member.Zone(zone)}, ListAge: listAge, Stopping: stopping}
+	}
+	fresh, old := 500*time.Millisecond, 5*time.Second
+	for name, c := range map[string]struct {
+		peers  []Share
+		needed bool
+		want   member.HostID
+	}{
+		"alone":                    {nil, false, ""},
+		"first of the zone":        {[]Share{peer("h1", "z1", fresh, false), peer("h2", "z1", fresh, false)}, false, "h1"},
+		"this host is first":       {[]Share{peer("h7", "z1", fresh, false)}, false, ""},
+		"needed, later in zone":    {[]Share{peer("h7", "z1", fresh, false)}, true, "h7"},
+		"first has an old list":    {[]Share{peer("h1", "z1", old, false), peer("h2", "z1", fresh, false)}, false, "h2"},
+		"first is stopping":        {[]Share{peer("h1", "z1", fresh, true)}, false, ""},
+		"other zone":               {[]Share{peer("h1", "z2", fresh, false)}, false, ""},
+		"needed, other zone":       {[]Share{peer("h1", "z2", fresh, false)}, true, "h1"},
+		"needed, own zone is near": {[]Share{peer("h1", "z2", fresh, false), peer("h8", "z1", fresh, false)}, true, "h8"},
+		"needed, nobody is fresh":  {[]Share{peer("h1", "z2", old, false)}, true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeerSet(Peer{ID: "h5", Zone: "z1"}, nil)
+			for _, s := range c.peers {
+				p.hear(now, s)
+			}
+			leader, found := p.leader(now.Add(time.Second), c.needed)
+			is.Equal(leader.ID, c.want)
+			is.Equal(found, c.want != "")
+			_, found = p.leader(now.Add(time.Minute), c.needed)
+			is.True(!found) // they went silent
+		})
+	}
+}
--- /dev/null
+++ b/forward/plain_test.go
@@ -0,0 +1,353 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// TestAdmit has what isn't in force refused, each for its own reason, and
+// nothing sent.
+func TestAdmit(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(f *Forwarder, c *Call)
+		code   Code
+	}{
+		"no configuration yet": {func(f *Forwarder, _ *Call) { f.table.Store(nil) }, CodeNotReady},
+		"unknown path":         {func(_ *Forwarder, c *Call) { c.Path = "/none/" }, CodeNoRoute},
+		"unknown host":         {func(_ *Forwarder, c *Call) { c.Host = "other.example" }, CodeNoRoute},
+		"unknown key":          {func(_ *Forwarder, c *Call) { c.Key = "k2" }, CodeBadKey},
+		"no key":               {func(_ *Forwarder, c *Call) { c.Key = "" }, CodeBadKey},
+		"unknown path, contact lost": {func(f *Forwarder, c *Call) {
+			f.contact.Store(0)
+			c.Path = "/none/"
+		}, CodeNotReady},
+		"unknown key, contact lost": {func(f *Forwarder, c *Call) {
+			f.contact.Store(0)
+			c.Key = "k2"
+		}, CodeNotReady},
+		"key taken away": {func(f *Forwarder, _ *Call) {
+			next := testConfig(2)
+			next.Accounts[0].Keys = []string{"k3"}
+			f.Configure(time.Now(), next)
+		}, CodeBadKey},
+		"route dropped": {func(f *Forwarder, _ *Call) {
+			next := testConfig(2)
+			next.Routes = next.Routes[1:]
+			f.Configure(time.Now(), next)
+		}, CodeNoRoute},
+		"no upstream": {func(f *Forwarder, _ *Call) { f.fleet.Replace(time.Now(), nil, 2) }, CodeNoUpstream},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &fakeTransport{}
+			f := newForwarder(t, transport)
+			request, sink := call("/status/"), &fakeSink{}
+			c.change(f, request)
+			f.Serve(t.Context(), request, sink)
+			is.True(sink.refused != nil)
+			is.Equal(sink.refused.Code, c.code)
+			is.True(!sink.refused.MayHaveRun)
+			is.Equal(len(transport.sentTo()), 0)
+			if c.code == CodeNotReady {
+				is.True(sink.refused.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+// TestNeverOlder has a configuration that is older than the one in force change
+// nothing.
+func TestNeverOlder(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	is.True(f.Configure(time.Now(), testConfig(7)))
+	old := testConfig(3)
+	old.Routes = nil
+	is.True(!f.Configure(time.Now(), old))
+	is.Equal(f.Table().Version, Version(7))
+	_, found := f.Table().Match("shop.example", "/status/x")
+	is.True(found)
+}
+
+// TestLongestPrefix has the route with the longest prefix win.
+func TestLongestPrefix(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(Config{Routes: []Route{
+		{Name: "all", Host: "a.example", PathPrefix: "/"},
+		{Name: "deep", Host: "a.example", PathPrefix: "/x/y/"},
+		{Name: "x", Host: "A.example", PathPrefix: "/x/"},
+	}})
+	for path, want := range map[string]string{"/": "all", "/x/y/z": "deep", "/x/y": "x", "/xy": "all"} {
+		r, found := table.Match("a.EXAMPLE:8080", path)
+		is.True(found)
+		is.Equal(r.Name, want)
+	}
+}
+
+// TestPlain has one request answered, repeated or refused by what its upstreams
+// do.
+func TestPlain(t *testing.T) {
+	notRun := func() *Answer { a := answer(503, ""); a.NotRun = true; return a }
+	unsigned := func() *Answer { a := answer(200, "x"); a.Signed = false; return a }
+	encoded := func() *Answer { a := answer(200, "x"); a.Encoded = true; return a }
+	other := func() *Answer { a := answer(421, ""); a.OtherInstance = true; return a }
+	short := func() *Answer {
+		a := answer(200, "")
+		a.Body = io.NopCloser(io.MultiReader(errReader{}))
+		return a
+	}
+	type step func() (*Answer, error)
+	ok := func() (*Answer, error) { return answer(200, "fine"), nil }
+	say := func(a func() *Answer) step { return func() (*Answer, error) { return a(), nil } }
+	failing := func(err error) step { return func() (*Answer, error) { return nil, err } }
+	broken := say(func() *Answer { return answer(500, "broken") })
+	for name, c := range map[string]struct {
+		path   string
+		steps  []step
+		status int
+		code   Code
+		mayRun bool
+		sent   int
+	}{
+		"first try":                           {"/order/", []step{ok}, 200, "", false, 1},
+		"safe, upstream failed once":          {"/status/", []step{broken, ok}, 200, "", false, 2},
+		"safe, failed twice":                  {"/status/", []step{broken, broken}, 500, "", false, 2},
+		"safe, lost once":                     {"/status/", []step{failing(io.ErrUnexpectedEOF), ok}, 200, "", false, 2},
+		"safe, answer cut short once":         {"/status/", []step{say(short), ok}, 200, "", false, 2},
+		"safe, answer unsigned once":          {"/status/", []step{say(unsigned), ok}, 200, "", false, 2},
+		"unsafe, upstream failed":             {"/order/", []step{broken, ok}, 500, "", false, 1},
+		"unsafe, lost":                        {"/order/", []step{failing(io.ErrUnexpectedEOF), ok}, 0, CodeLost, true, 1},
+		"unsafe, answer cut short":            {"/order/", []step{say(short), ok}, 0, CodeLost, true, 1},
+		"unsafe, answer unsigned":             {"/order/", []step{say(unsigned), ok}, 0, CodeBadAnswer, true, 1},
+		"unsafe, answer encoded":              {"/order/", []step{say(encoded), ok}, 0, CodeBadAnswer, true, 1},
+		"unsafe, not sent":                    {"/order/", []step{failing(ErrNotSent), ok}, 200, "", false, 2},
+		"unsafe, other instance":              {"/order/", []step{say(other), ok}, 200, "", false, 2},
+		"unsafe, not run":                     {"/order/", []step{say(notRun), ok}, 0, CodeOverloaded, false, 1},
+		"safe, not run once":                  {"/status/", []step{say(notRun), ok}, 200, "", false, 2},
+		"unsafe, a 503 that promises nothing": {"/order/", []step{say(func() *Answer { return answer(503, "") }), ok}, 0, CodeBadAnswer, true, 1},
+		"unsafe, a 429 that promises nothing": {"/order/", []step{say(func() *Answer { return answer(429, "") }), ok}, 0, CodeBadAnswer, true, 1},
+		"never sent":                          {"/order/", []step{failing(ErrNotSent), failing(ErrNotSent), failing(ErrNotSent)}, 0, CodeNoUpstream, false, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := 0
+			transport := &fakeTransport{}
+			transport.send = func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+				n++
+				return c.steps[n-1]()
+			}
+			f, sink := newForwarder(t, transport), &fakeSink{}
+			f.Serve(t.Context(), call(c.path), sink)
+			is.Equal(len(transport.sentTo()), c.sent)
+			is.Equal(sink.status, c.status)
+			if c.code == "" {
+				is.True(sink.refused == nil)
+				return
+			}
+			is.Equal(sink.refused.Code, c.code)
+			is.Equal(sink.refused.MayHaveRun, c.mayRun)
+			is.True(c.mayRun || sink.refused.RetryAfter > 0)
+		})
+	}
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// TestUnsafeRunsOnce has a request that may not be repeated go to one upstream
+// only, however many attempts its route allows, unless it surely did not run.
+func TestUnsafeRunsOnce(t *testing.T) {
+	notRun := answer(503, "")
+	notRun.NotRun = true
+	for name, c := range map[string]struct {
+		first *Answer
+		err   error
+		sent  int
+	}{
+		"lost":    {nil, io.ErrUnexpectedEOF, 1},
+		"failed":  {answer(500, ""), nil, 1},
+		"not run": {notRun, nil, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &fakeTransport{}
+			transport.send = func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+				if len(transport.sentTo()) == 1 {
+					return c.first, c.err
+				}
+				return answer(200, ""), nil
+			}
+			f := newForwarder(t, transport)
+			next := testConfig(2)
+			next.Routes[1].Attempts = 3
+			f.Configure(time.Now(), next)
+			f.Serve(t.Context(), call("/order/"), &fakeSink{})
+			is.Equal(len(transport.sentTo()), c.sent)
+		})
+	}
+}
+
+// TestSlowUpstream has a request that may be repeated sent to a second upstream
+// when the first is slow, and the first's work ended.
+func TestSlowUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ended := make(chan struct{})
+		first := true
+		transport := &fakeTransport{}
+		transport.send = func(ctx context.Context, _ Upstream, _ *Outgoing) (*Answer, error) {
+			if !first {
+				return answer(200, "second"), nil
+			}
+			first = false
+			<-ctx.Done()
+			close(ended)
+			return nil, ctx.Err()
+		}
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		began := time.Now()
+		f.Serve(t.Context(), call("/status/"), sink)
+		is.Equal(sink.body.String(), "second")
+		is.True(time.Since(began) < 150*time.Millisecond)
+		<-ended
+	})
+}
+
+// TestTimeout has a request answered when its route's time is over, and the
+// upstream's work ended.
+func TestTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{send: func(ctx context.Context, _ Upstream, r *Outgoing) (*Answer, error) {
+			is.True(r.Left <= 800*time.Millisecond)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		began := time.Now()
+		f.Serve(t.Context(), call("/order/"), sink)
+		is.Equal(time.Since(began), 800*time.Millisecond)
+		is.Equal(*sink.refused, Refusal{Code: CodeTimeout, MayHaveRun: true})
+		synctest.Wait()
+	})
+}
+
+// TestCallerLeft has the upstream's work end when the caller leaves.
+func TestCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		stopped := false
+		transport := &fakeTransport{send: func(ctx context.Context, _ Upstream, _ *Outgoing) (*Answer, error) {
+			<-ctx.Done()
+			stopped = true
+			return nil, ctx.Err()
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		time.AfterFunc(10*time.Millisecond, cancel)
+		f.Serve(ctx, call("/order/"), sink)
+		synctest.Wait()
+		is.True(stopped)
+		is.True(sink.refused == nil) // nobody is there to be told
+	})
+}
+
+// TestRetryBudget has repeats stop at the limit that all hosts share.
+func TestRetryBudget(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	b := retryBudget{limit: RetryLimit{Ratio: 0.2, Slack: 10, Window: 10 * time.Second}}
+	count := func(now time.Time) (n int) {
+		for b.take(now, "app") {
+			n++
+		}
+		return n
+	}
+	b.setHosts(1)
+	is.Equal(count(now), 8) // 0.8 of the slack
+	b.setHosts(5)
+	for range 100 {
+		b.first(now, "app")
+	}
+	is.Equal(count(now), 9) // 0.8 of (20 and a fifth of the slack), less the 8
+	is.Equal(count(now.Add(5*time.Second)), 0)
+	is.Equal(count(now.Add(11*time.Second)), 1) // only a part of the slack is left
+	var none retryBudget
+	is.True(!none.take(now, "app"))
+}
+
+// TestPlainChooser has an upstream that fails more than the others get less, and
+// be tried again later.
+func TestPlainChooser(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	c := newPlainChooser("z1")
+	from := []Upstream{{ID: "a", Zone: "z1"}, {ID: "b", Zone: "z1"}}
+	for range 30 {
+		for _, u := range from {
+			c.of(now, u.ID).inFlight++
+			c.done(now, u.ID, 20*time.Millisecond, u.ID == "a")
+		}
+	}
+	counts := map[string]int{}
+	for range 50 {
+		u, found := c.choose(now, from, nil)
+		is.True(found)
+		counts[string(u.ID)]++
+		c.done(now, u.ID, 0, false)
+	}
+	is.Equal(counts["b"], 50)
+	later := now.Add(time.Minute)
+	for range 50 {
+		u, _ := c.choose(later, from, nil)
+		counts[string(u.ID)]++
+		c.done(later, u.ID, 0, false)
+	}
+	is.True(counts["a"] > 5)
+	_, found := c.choose(now, from, []member.UpstreamID{"a", "b"})
+	is.True(!found)
+}
+
+// TestStopping has new streams refused at once while calls go on, and Stop wait
+// for what runs.
+func TestStopping(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+			time.Sleep(100 * time.Millisecond)
+			return answer(http.StatusOK, "late"), nil
+		}}
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		go f.Serve(t.Context(), call("/order/"), sink)
+		synctest.Wait()
+		began := time.Now()
+		f.Stop(t.Context())
+		is.Equal(time.Since(began), 100*time.Millisecond)
+		is.Equal(sink.body.String(), "late")
+		is.True(!f.Ready())
+		refused := &fakeSink{}
+		f.Serve(t.Context(), call("/llm/"), refused)
+		is.Equal(refused.refused.Code, CodeStopping)
+		is.True(refused.refused.RetryAfter > 0)
+		served := &fakeSink{}
+		f.Serve(t.Context(), call("/order/"), served)
+		is.Equal(served.status, 200)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		f.Stop(ctx)
+		is.True(!errors.Is(ctx.Err(), context.DeadlineExceeded))
+	})
+}
--- /dev/null
+++ b/forward/stream_test.go
@@ -0,0 +1,317 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// TestStream has events passed on as they are, and an answer that is cut short
+// never look whole.
+func TestStream(t *testing.T) {
+	const two = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	for name, c := range map[string]struct {
+		body io.Reader
+		want string
+		cut  bool
+		code Code
+	}{
+		"whole":                     {strings.NewReader(two), two, false, ""},
+		"windows line ends":         {strings.NewReader("id: 1\r\ndata: a\r\n\r\n"), "id: 1\r\ndata: a\r\n\r\n", false, ""},
+		"broken between two events": {io.MultiReader(strings.NewReader(two), errReader{}), two, true, ""},
+		"broken within an event":    {io.MultiReader(strings.NewReader(two+"id: 3\nda"), errReader{}), two, true, ""},
+		"ended within an event":     {strings.NewReader(two + "id: 3\nda"), two, true, ""},
+		"broken before any event":   {errReader{}, "", false, CodeLost},
+		"no event at all":           {strings.NewReader(""), "", false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+				a := answer(200, "")
+				a.Length, a.Body = -1, io.NopCloser(c.body)
+				return a, nil
+			}}
+			f, sink := newForwarder(t, transport), &fakeSink{}
+			f.Serve(t.Context(), call("/llm/"), sink)
+			is.Equal(sink.body.String(), c.want)
+			is.Equal(sink.cut, c.cut)
+			is.Equal(len(transport.sentTo()), 1) // a stream runs once
+			if c.code != "" {
+				is.Equal(*sink.refused, Refusal{Code: c.code, MayHaveRun: true})
+			}
+			is.Equal(len(f.engines.states()), 0) // its place is free again
+		})
+	}
+}
+
+// TestStreamNotBegun has a stream that no engine began refused, or sent on where
+// nothing was sent.
+func TestStreamNotBegun(t *testing.T) {
+	notRun := answer(503, "")
+	notRun.NotRun = true
+	for name, c := range map[string]struct {
+		first *Answer
+		err   error
+		sent  int
+		want  *Refusal
+	}{
+		"not sent":         {nil, ErrNotSent, 2, nil},
+		"not run":          {notRun, nil, 1, &Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}},
+		"lost":             {nil, io.ErrUnexpectedEOF, 1, &Refusal{Code: CodeLost, MayHaveRun: true}},
+		"engine's failure": {answer(500, "no"), nil, 1, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := 0
+			transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+				n++
+				if n == 1 {
+					return c.first, c.err
+				}
+				return answer(200, "id: 1\n\n"), nil
+			}}
+			f, sink := newForwarder(t, transport), &fakeSink{}
+			f.Serve(t.Context(), call("/llm/"), sink)
+			is.Equal(len(transport.sentTo()), c.sent)
+			is.Equal(sink.refused, c.want)
+		})
+	}
+}
+
+// TestStreamCallerLeft has the run end when the caller's connection fails.
+func TestStreamCallerLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		read, write := io.Pipe()
+		transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+			a := answer(200, "")
+			a.Body = read
+			return a, nil
+		}}
+		f, sink := newForwarder(t, transport), &fakeSink{gone: true}
+		go f.Serve(t.Context(), call("/llm/"), sink)
+		_, _ = io.WriteString(write, "id: 1\n\n")
+		synctest.Wait()
+		_, err := io.WriteString(write, "id: 2\n\n")
+		is.True(err != nil) // the body was closed
+	})
+}
+
+// engineScript plays the engines of a stream that is moved: the first makes
+// events until it is stopped or ends by itself, the one that takes up goes on.
+type engineScript struct {
+	is *is.I
+	// made is how many events the first engine makes, one each 20 ms; then it
+	// ends whole.
+	made int
+	// stopped closes when the first engine is told to stop.
+	stopped chan struct{}
+	// moveErr answers the stopping copy; copyTook is how long a copy takes.
+	moveErr  error
+	handle   string
+	copyTook time.Duration
+	// refuses are the engines that refuse to take up.
+	refuses map[member.UpstreamID]bool
+	// last is what the taking engine was told that the caller has.
+	last string
+	from string
+}
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: t\n\n", n) }
+
+func (e *engineScript) send(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error) {
+	if c := r.Continue; c != nil {
+		if e.refuses[u.ID] {
+			a := answer(503, "")
+			a.NotRun = true
+			return a, nil
+		}
+		e.last, e.from = c.LastEvent, c.Source+"/"+c.Handle
+		var n int
+		_, _ = fmt.Sscan(c.LastEvent, &n)
+		var rest strings.Builder
+		for i := n + 1; i <= e.made; i++ {
+			rest.WriteString(event(i))
+		}
+		return answer(200, rest.String()), nil
+	}
+	read, write := io.Pipe()
+	go func() {
+		for i := 1; i <= e.made; i++ {
+			select {
+			case <-e.stopped:
+				write.CloseWithError(io.ErrUnexpectedEOF)
+				return
+			case <-time.After(20 * time.Millisecond):
+				_, _ = io.WriteString(write, event(i))
+			}
+		}
+		_ = write.Close()
+	}()
+	a := answer(200, "")
+	a.Body = read
+	return a, nil
+}
+
+func (e *engineScript) move(_ context.Context, _ Upstream, r MoveRequest) (Moved, error) {
+	if !r.Stop {
+		time.Sleep(e.copyTook)
+		return Moved{Handle: "h"}, nil
+	}
+	if errors.Is(e.moveErr, ErrNoRun) {
+		return Moved{}, e.moveErr
+	}
+	close(e.stopped)
+	time.Sleep(2 * time.Millisecond)
+	return Moved{Handle: e.handle}, e.moveErr
+}
+
+// TestMove has a stream go on at another engine when its own leaves, with each
+// event once and in order, or be cut where it can't.
+func TestMove(t *testing.T) {
+	whole := func(n int) string {
+		var all strings.Builder
+		for i := 1; i <= n; i++ {
+			all.WriteString(event(i))
+		}
+		return all.String()
+	}
+	for name, c := range map[string]struct {
+		script engineScript
+		cut    bool
+		moved  bool
+		// upstreams is how many got the request.
+		upstreams int
+	}{
+		"moved":                      {engineScript{made: 60, handle: "h", copyTook: 200 * time.Millisecond}, false, true, 2},
+		"ends during the first copy": {engineScript{made: 8, handle: "h", copyTook: 200 * time.Millisecond, moveErr: ErrNoRun}, false, false, 1},
+		"target refuses, source goes on": {engineScript{
+			made: 60, handle: "h", copyTook: 200 * time.Millisecond,
+			refuses: map[member.UpstreamID]bool{"llm2": true, "llm3": true},
+		}, false, true, 3},
+		"no room for the last part, source goes on": {engineScript{
+			made: 60, handle: "h", copyTook: 200 * time.Millisecond, moveErr: ErrNoRoom,
+			refuses: map[member.UpstreamID]bool{"llm2": true, "llm3": true},
+		}, false, true, 2},
+		"stop unanswered, run stopped": {engineScript{
+			made: 60, copyTook: 200 * time.Millisecond, moveErr: ErrMoveLost,
+		}, false, true, 2},
+		"everybody refuses": {engineScript{
+			made: 60, handle: "h", copyTook: 200 * time.Millisecond,
+			refuses: map[member.UpstreamID]bool{"llm1": true, "llm2": true, "llm3": true},
+		}, true, false, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := c.script
+				e.stopped = make(chan struct{})
+				transport := &fakeTransport{send: e.send, move: e.move}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				f.fleet.Suspect(time.Now(), "llm2")
+				f.fleet.Suspect(time.Now(), "llm3")
+				f.listEngines(time.Now(), f.Table()) // the first engine gets the run
+				time.AfterFunc(100*time.Millisecond, func() {
+					f.fleet.Replace(time.Now(), leaving(f, "llm1"), 2)
+					f.listEngines(time.Now(), f.Table())
+				})
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.Equal(sink.cut, c.cut)
+				is.Equal(len(transport.sentTo()), c.upstreams)
+				if !c.cut {
+					is.Equal(sink.body.String(), whole(e.made))
+				}
+				if c.moved {
+					is.Equal(e.from, "10.1.0.1:llm1/h")
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestEndedWhileStopped has a stream that has its end be whole although a move
+// has got its memory: taken up again, its last events would come twice.
+func TestEndedWhileStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := engineScript{made: 14, stopped: make(chan struct{})}
+		transport := &fakeTransport{send: e.send}
+		transport.move = func(_ context.Context, _ Upstream, r MoveRequest) (Moved, error) {
+			time.Sleep(100 * time.Millisecond)
+			// The run ends by itself just before it is stopped.
+			return Moved{Handle: "h"}, nil
+		}
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		f.fleet.Suspect(time.Now(), "llm2")
+		f.fleet.Suspect(time.Now(), "llm3")
+		f.listEngines(time.Now(), f.Table())
+		time.AfterFunc(100*time.Millisecond, func() {
+			f.fleet.Replace(time.Now(), leaving(f, "llm1"), 2)
+			f.listEngines(time.Now(), f.Table())
+		})
+		f.Serve(t.Context(), call("/llm/"), sink)
+		is.Equal(strings.Count(sink.body.String(), "data"), 14)
+		is.Equal(len(transport.sentTo()), 1)
+		is.True(!sink.cut)
+		synctest.Wait()
+	})
+}
+
+// leaving lists a forwarder's upstreams with some of them leaving.
+func leaving(f *Forwarder, ids ...member.UpstreamID) []Upstream {
+	changes, _ := f.fleet.Since(0)
+	var list []Upstream
+	for _, c := range changes {
+		for _, id := range ids {
+			if c.ID == id {
+				c.Leaving = true
+			}
+		}
+		c.Revision = 2
+		list = append(list, c.Upstream)
+	}
+	return list
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid:2\n\n", 3)
+	f.Add("\n\n\r\n:c\n\n", 1)
+	f.Fuzz(func(t *testing.T, stream string, chunk int) {
+		r := newEventReader(&chunked{strings.NewReader(stream), max(chunk, 1) % 64})
+		var got strings.Builder
+		for {
+			e, _, err := r.next()
+			if err != nil {
+				break
+			}
+			if !strings.HasSuffix(string(e), "\n") {
+				t.Fatalf("an event without its end: %q", e)
+			}
+			got.Write(e)
+		}
+		if !strings.HasPrefix(stream, got.String()) {
+			t.Fatalf("%q isn't the beginning of %q", got.String(), stream)
+		}
+	})
+}
+
+// chunked reads a few bytes at a time.
+type chunked struct {
+	from io.Reader
+	n    int
+}
+
+func (c *chunked) Read(p []byte) (int, error) { return c.from.Read(p[:min(len(p), max(c.n, 1))]) }
