--- a/forward/call.go
+++ b/forward/call.go
@@ -149,9 +149,6 @@
 	// ErrNotSent says that no byte of the request can have reached the
 	// upstream.
 	ErrNotSent = errors.New("the request was not sent")
-	// ErrNotThere says, beside ErrNotSent, that nobody serves at the address:
-	// the upstream has ended, for each start has an id and entry of its own.
-	ErrNotThere = errors.New("nobody serves at the address")
 	// ErrForeign says that the bytes on the connection were no answer to this
 	// request.
 	ErrForeign = errors.New("the answer isn't this request's")
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -379,14 +378,5 @@
 	x.journal.Request(x.call.ID, "answered", keyvals...)
 }
 
-// unreachable takes in that a connection to an upstream failed.
-func (f *Forwarder) unreachable(now time.Time, u Upstream, err error) {
-	if errors.Is(err, ErrNotThere) {
-		f.fleet.MarkLeaving(now, u.ID, 0, true)
-		return
-	}
-	f.fleet.Suspect(now, u.ID)
-}
-
 // runID names the request's run on the engines.
 func (x *exchange) runID() policy.RunID { return policy.RunID(x.call.ID) }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -180,7 +180,7 @@
 func (p *plainExchange) judge(now time.Time, t *plainTry) string {
 	switch {
 	case errors.Is(t.err, ErrNotSent):
-		p.unreachable(now, t.upstream, t.err)
+		p.fleet.Suspect(now, t.upstream.ID)
 		return "not_sent"
 	case t.err != nil:
 		p.lastCode = CodeLost
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -200,6 +200,27 @@
 	}
 }
 
+// TestRefusedConnection has an upstream that couldn't be connected to be tried
+// again while nobody else is there: a link that is cut refuses, too.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	refuse := true
+	transport := &fakeTransport{}
+	transport.send = func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+		if refuse {
+			return nil, ErrNotSent
+		}
+		return answer(200, ""), nil
+	}
+	f := newForwarder(t, transport)
+	f.Serve(t.Context(), call("/order/"), &fakeSink{})
+	refuse = false
+	sink := &fakeSink{}
+	f.Serve(t.Context(), call("/order/"), sink)
+	is.Equal(sink.status, 200)
+	is.Equal(len(f.fleet.Marks(time.Now())), 0) // and peers aren't told that it leaves
+}
+
 // TestSlowUpstream has a request that may be repeated sent to a second upstream
 // when the first is slow, and the first's work ended.
 func TestSlowUpstream(t *testing.T) {
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"time"
 
@@ -91,10 +90,6 @@
 	defer cancel()
 	well, err := f.transport.Healthy(ctx, u, path)
 	now := time.Now()
-	if errors.Is(err, ErrNotThere) {
-		f.unreachable(now, u, err)
-		return
-	}
 	if err != nil || well {
 		return
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -143,7 +143,7 @@
 	}
 	switch {
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
-		s.unreachable(now, u, err)
+		s.fleet.Suspect(now, u.ID)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return Refusal{Code: CodeCallerLeft, MayHaveRun: true}
