--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
 )
 
 func up(id member.UpstreamID, at Revision, leaving bool) Upstream {
@@ -175,3 +177,57 @@
 		})
 	}
 }
+
+// failingOrigin has a list that can be read until it is lost.
+type failingOrigin struct {
+	Origin
+	lost atomic.Bool
+}
+
+func (o *failingOrigin) ReadUpstreams(context.Context) ([]Upstream, Revision, error) {
+	if o.lost.Load() {
+		return nil, 0, errGone
+	}
+	return []Upstream{up("llm1", 1, false)}, 1, nil
+}
+
+func (o *failingOrigin) WatchUpstreams(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
+	pauseFor(ctx, 100*time.Millisecond)
+	if o.lost.Load() {
+		return nil, 0, errGone
+	}
+	return nil, after, nil
+}
+
+// TestScout has the engines that carry runs asked as soon as the list is lost,
+// and one that isn't well count as leaving.
+func TestScout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var asked atomic.Int32
+		transport := &fakeTransport{healthy: func(u Upstream) (bool, error) {
+			asked.Add(1)
+			return u.ID != "llm1", nil
+		}}
+		f := newForwarder(t, transport)
+		ctx, cancel := context.WithCancel(t.Context())
+		origin := &failingOrigin{}
+		go f.FollowUpstreams(ctx, origin)
+		go f.RunScout(ctx)
+		_, run, _ := f.engines.place(ctx, time.Now(), "llm", policy.Request{Run: "r", Prompt: 100})
+		is.Equal(run.engine, member.UpstreamID("llm1"))
+		time.Sleep(2 * time.Second)
+		is.Equal(asked.Load(), int32(0)) // answers have a price
+		origin.lost.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		is.True(asked.Load() > 0)
+		select {
+		case <-f.fleet.Leaving("llm1"):
+		default:
+			t.Error("llm1 should be leaving")
+		}
+		is.Equal(f.OnFollow(ctx, FollowRequest{}).ListAge > listFresh, true)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -213,6 +213,10 @@
 	if err != nil {
 		l.read, l.tried = true, time.Now()
 		l.fleet.ListLost(l.tried)
+		// The proof is withdrawn, so that followers turn elsewhere at once and
+		// engines are asked themselves.
+		l.listContact.Store(0)
+		l.fleet.Wake()
 		l.dep.failed(ctx, err)
 		return
 	}
