--- a/forward/move.go
+++ b/forward/move.go
@@ -27,6 +27,9 @@
 	// targetTurnTimeout how long each answer may take.
 	mostTargets       = 4
 	targetTurnTimeout = 30 * time.Millisecond
+	// busyTargetWait is how long a run waits for a target in use: most of a
+	// copy's time.
+	busyTargetWait = 250 * time.Millisecond
 	// improveEvery is how often a run looks for a much better engine, and
 	// improveAfter after how many tokens: most short answers end before.
 	improveEvery = 600 * time.Millisecond
@@ -119,7 +122,7 @@
 	}
 	var next *handover
 	if err == nil {
-		x.peers.nudge()
+		x.tellPlaced(to)
 		next, err = m.moveTo(ctx, x, to, m.expected(x, run, to), time.Now().Add(moveTimeout))
 	}
 	if next != nil {
@@ -224,7 +227,7 @@
 		return nil, errNoTarget
 	}
 	defer endTarget()
-	x.peers.nudge()
+	x.tellPlaced(to)
 	next, err := m.moveTo(ctx, x, to, m.expected(x, run, to), gone)
 	if errors.Is(err, ErrNoRoom) {
 		x.fleet.Suspect(time.Now(), to.ID)
@@ -236,7 +239,7 @@
 }
 
 // target finds the best engine whose link isn't in use by another move; when all
-// that were tried are, it is the last of them.
+// that were tried are, it waits for the last of them.
 func (m *mover) target(ctx context.Context, x *exchange, run *ownRun) (to Upstream, end func(), found bool) {
 	var busy []member.UpstreamID
 	end = func() {}
@@ -254,7 +257,16 @@
 		}
 		busy = append(busy, to.ID)
 	}
-	return to, end, found
+	if !found {
+		return to, end, false
+	}
+	turn, cancel := context.WithTimeout(ctx, busyTargetWait)
+	defer cancel()
+	free, err := x.takeTurn(turn, to, TurnRequest{Engine: to.ID, Run: run.request.Run})
+	if err != nil {
+		x.journal.Request(x.call.ID, "no turn", "engine", to.ID, "err", err)
+	}
+	return to, free, true
 }
 
 // expected is how long the whole copy takes on free links.
@@ -294,13 +306,14 @@
 	switch {
 	case err == nil:
 		return &handover{to: to, source: m.from, handle: moved.Handle, stopped: stopped}, nil
-	case errors.Is(err, ErrNoRun), errors.Is(err, ErrMoveBusy):
-		// Nothing was stopped: the run has ended, or a copy is still going.
+	case errors.Is(err, ErrNoRun), errors.Is(err, ErrMoveBusy), errors.Is(err, ErrNoRoom) && moved.Handle == "":
+		// Nothing was stopped: the run has ended, a copy is still going, or the
+		// target is gone. An engine that has stopped a run names its copy.
 		m.mu.Lock()
 		m.stopping = false
 		m.mu.Unlock()
 		return nil, err
-	case errors.Is(err, ErrNoRoom) && moved.Handle != "":
+	case errors.Is(err, ErrNoRoom):
 		return &handover{to: m.from, source: m.from, handle: moved.Handle, stopped: stopped}, nil
 	case m.handle != "":
 		// Whether the run stopped isn't known; its stream will tell.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -287,6 +287,16 @@
 	}
 }
 
+// tellPlaced tells the peers at once of a run on an engine: those of the own
+// zone, or all when the engine is another zone's, whose hosts place there first.
+func (f *Forwarder) tellPlaced(u Upstream) {
+	if u.Zone == f.peers.self.Zone {
+		f.peers.nudge()
+		return
+	}
+	f.peers.nudgeAll()
+}
+
 // raise moves a time forward, never back.
 func raise(to *atomic.Int64, at time.Time) {
 	nanos := at.UnixNano()
@@ -316,6 +326,7 @@
 			period = true
 		case <-f.peers.wakeAll:
 			every = true
+			pauseFor(ctx, shareSoon)
 		case <-f.peers.wake:
 			pauseFor(ctx, shareSoon)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -92,7 +92,7 @@
 		return u, s.noPlace(ctx, d), false
 	}
 	s.run = run
-	s.peers.nudge()
+	s.tellPlaced(u)
 	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -119,9 +119,11 @@
 	// stopped closes when the first engine is told to stop.
 	stopped chan struct{}
 	// moveErr answers the stopping copy; copyTook is how long a copy takes.
-	moveErr  error
-	handle   string
-	copyTook time.Duration
+	moveErr error
+	// failStops is how many stops are refused without stopping the run.
+	failStops int
+	handle    string
+	copyTook  time.Duration
 	// refuses are the engines that refuse to take up.
 	refuses map[member.UpstreamID]bool
 	// last is what the taking engine was told that the caller has.
@@ -173,6 +175,10 @@
 	if errors.Is(e.moveErr, ErrNoRun) {
 		return Moved{}, e.moveErr
 	}
+	if e.failStops > 0 {
+		e.failStops--
+		return Moved{}, ErrNoRoom
+	}
 	close(e.stopped)
 	time.Sleep(2 * time.Millisecond)
 	return Moved{Handle: e.handle}, e.moveErr
@@ -205,6 +211,9 @@
 			made: 60, handle: "h", copyTook: 200 * time.Millisecond, moveErr: ErrNoRoom,
 			refuses: map[member.UpstreamID]bool{"llm2": true, "llm3": true},
 		}, false, true, 2},
+		"target gone before the last part": {engineScript{
+			made: 60, handle: "h", copyTook: 200 * time.Millisecond, failStops: 1,
+		}, false, true, 2},
 		"stop unanswered, run stopped": {engineScript{
 			made: 60, copyTook: 200 * time.Millisecond, moveErr: ErrMoveLost,
 		}, false, true, 2},
