--- a/forward/engines.go
+++ b/forward/engines.go
@@ -55,7 +55,7 @@
 	// farCostToStart is what an engine of another zone costs a new run, as a
 	// share of an engine's memory: a stream across zones is cut when the zones
 	// are, so it goes there only when the own zone's engines are much fuller.
-	farCostToStart = 0.2
+	farCostToStart = 0.35
 	// farCostToMove is the same for a run that moves; a move between zones also
 	// takes the links twice as long.
 	farCostToMove = 0.4
