--- a/forward/stream.go
+++ b/forward/stream.go
@@ -179,9 +179,9 @@
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID)
 		return
 	}
-	err := s.follow(ctx, u, a)
+	last, err := s.follow(ctx, u, a)
 	s.free(err == nil)
-	s.end(ctx, u, err)
+	s.end(ctx, last, err)
 }
 
 // passFailure gives the caller an engine's own failure.
@@ -221,8 +221,8 @@
 }
 
 // follow passes a run's events on, from one engine after another, until the
-// stream has ended.
-func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) error {
+// stream has ended. It returns the last engine.
+func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
 	first := a
 	for {
 		m := s.watch(ctx, u)
@@ -232,21 +232,21 @@
 			// A framed answer that has its end is whole, whatever became of a
 			// move: the run ended before it could be stopped.
 			m.cancel(s)
-			return s.finish(first)
+			return u, s.finish(first)
 		}
 		next := m.handover(ctx)
 		if next == nil && err == nil && !m.stopped() {
 			// The run had ended by itself before it could be stopped.
 			m.cancel(s)
-			return s.finish(first)
+			return u, s.finish(first)
 		}
 		if next == nil {
 			m.cancel(s)
-			return notEOF(err)
+			return u, notEOF(err)
 		}
 		m.stop()
 		if u, a, err = s.takeUp(ctx, next); err != nil {
-			return err
+			return next.to, err
 		}
 	}
 }
--- a/internal/web/request.go
+++ b/internal/web/request.go
@@ -76,8 +76,10 @@
 		return request, asked, badRequest("the prompt or the messages are missing")
 	case asked.N > 1:
 		return request, asked, badRequest("n must be 1: one answer is one generation")
-	case asked.limit() < 0:
+	case asked.MaxTokens < 0:
 		return request, asked, badRequest("max_tokens must not be negative")
+	case asked.MaxCompletionTokens < 0:
+		return request, asked, badRequest("max_completion_tokens must not be negative")
 	}
 	body, err := askForStream(text)
 	if err != nil {
--- /dev/null
+++ b/internal/web/request_test.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package web
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/entry"
+)
+
+// TestParseGeneration has a request that can't be met refused with the field's
+// name.
+func TestParseGeneration(t *testing.T) {
+	for name, c := range map[string]struct {
+		body string
+		// names is a word of the refusal; empty for a request that is taken.
+		names string
+	}{
+		"taken":                          {`{"model":"m","prompt":"x","max_tokens":5}`, ""},
+		"no model":                       {`{"prompt":"x"}`, "model"},
+		"no prompt":                      {`{"model":"m"}`, "prompt"},
+		"two answers":                    {`{"model":"m","prompt":"x","n":2}`, "n must"},
+		"negative max_tokens":            {`{"model":"m","prompt":"x","max_tokens":-5}`, "max_tokens"},
+		"negative max_completion_tokens": {`{"model":"m","prompt":"x","max_completion_tokens":-5}`, "max_completion_tokens"},
+		"negative beside a good one":     {`{"model":"m","prompt":"x","max_tokens":-5,"max_completion_tokens":9}`, "max_tokens"},
+		"not JSON":                       {`{`, "JSON"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, _, failure := parseGeneration(entry.ShapeCompletion, "a", []byte(c.body))
+			if c.names == "" {
+				is.True(failure == nil)
+				return
+			}
+			is.Equal(failure.Code, entry.CodeBadRequest)
+			is.Equal(failure.Run, entry.NotRun)
+			is.True(strings.Contains(failure.Message, c.names))
+		})
+	}
+}
