consul: internal/platform is named for what it speaks

Two packages named platform, one the users' platform's adapter, one the adapter by Consul's interface, would stop a newcomer. No behaviour changes.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -22,8 +22,8 @@
 	"github.com/spf13/cobra"
 	"github.com/tmaxmax/go-sse"
 
+	platformclient "github.com/shedpath/shedpath/internal/consul"
 	"github.com/shedpath/shedpath/internal/daemon"
-	platformclient "github.com/shedpath/shedpath/internal/platform"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/standin/engine"
 	"github.com/shedpath/shedpath/standin/platform"
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -16,7 +16,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/shedpath/shedpath/internal/bench"
-	platformclient "github.com/shedpath/shedpath/internal/platform"
+	platformclient "github.com/shedpath/shedpath/internal/consul"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/standin/engine"
 	"github.com/shedpath/shedpath/standin/platform"
--- a/internal/cli/entry.go
+++ b/internal/cli/entry.go
@@ -10,8 +10,8 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/shedpath/shedpath/internal/consul"
 	"github.com/shedpath/shedpath/internal/daemon"
-	"github.com/shedpath/shedpath/internal/platform"
 	"github.com/shedpath/shedpath/internal/telemetry"
 	"github.com/shedpath/shedpath/member"
 )
@@ -36,8 +36,8 @@
 	s.required(s.text("host-id", "", "name of this host, unique in the site", &f.host))
 	s.required(s.text("zone", "", "availability zone of this host", &f.zone))
 	s.required(s.url("platform", "", "URL of the platform's key-value service", &f.Platform))
-	s.number("platform-writes", platform.PlatformWrites, "writes a second that the service takes from all hosts", &f.PlatformWrites)
-	s.number("platform-reads", platform.PlatformReads, "reads a second that the service takes from all hosts", &f.PlatformReads)
+	s.number("platform-writes", consul.PlatformWrites, "writes a second that the service takes from all hosts", &f.PlatformWrites)
+	s.number("platform-reads", consul.PlatformReads, "reads a second that the service takes from all hosts", &f.PlatformReads)
 	s.truth("register", "put this host on the host list itself, where the platform doesn't", &f.Register)
 	s.peers("peers", "peers to know from the start, as HOST@ZONE=IP:port,...", &f.Peers)
 	s.secret("peer-key", "key shared by all entries of the site", leastPeerKey, &f.PeerKey)
--- a/internal/platform/client.go
+++ b/internal/consul/client.go
@@ -1,10 +1,10 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package platform is the adapter to the platform's key-value service and host
+// Package consul is the adapter to the platform's key-value service and host
 // list, by Consul's published HTTP interface. Every call passes one budget and
 // one breaker.
-package platform
+package consul
 
 import (
 	"bytes"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -22,9 +22,9 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/internal/consul"
 	"github.com/shedpath/shedpath/internal/engine"
 	"github.com/shedpath/shedpath/internal/peer"
-	"github.com/shedpath/shedpath/internal/platform"
 	"github.com/shedpath/shedpath/internal/service"
 	"github.com/shedpath/shedpath/internal/telemetry"
 	"github.com/shedpath/shedpath/internal/web"
@@ -81,8 +81,8 @@
 
 	entry   *entry.Entry
 	mesh    *peer.Mesh
-	store   *platform.Client
-	budget  *platform.Budget
+	store   *consul.Client
+	budget  *consul.Budget
 	metrics *telemetry.Metrics
 
 	callerListener, adminListener, peerListener net.Listener
@@ -150,14 +150,14 @@
 	}
 	d.shutdownTraces = shutdown
 	d.metrics = telemetry.NewMetrics()
-	d.budget = platform.NewBudget(s.PlatformWrites, s.PlatformReads)
-	d.store = platform.New(s.Platform, platform.WithBudget(d.budget), platform.WithObserver(d.metrics.PlatformCall))
+	d.budget = consul.NewBudget(s.PlatformWrites, s.PlatformReads)
+	d.store = consul.New(s.Platform, consul.WithBudget(d.budget), consul.WithObserver(d.metrics.PlatformCall))
 	d.mesh = peer.NewMesh(s.Host, []byte(s.PeerKey))
 	d.entry = entry.New(entry.Settings{
 		Self: d.self(), Seeds: s.Peers, GenerationKey: derive(s.PeerKey, "generation ids"), Alone: s.Alone,
 		HostListEvery: s.HostListEvery, ConfigPollEvery: s.ConfigPollEvery, LoadEvery: s.LoadEvery,
 	}, entry.Ports{
-		Store: d.store, Claims: d.store.Class(platform.ClaimCalls), Outcomes: d.store.Class(platform.StatusCalls),
+		Store: d.store, Claims: d.store.Class(consul.ClaimCalls), Outcomes: d.store.Class(consul.StatusCalls),
 		Hosts: d.store, Leases: d.store, Peers: d.mesh,
 		Engines: engine.New(), Services: service.New(),
 		Observer: d.metrics, Logger: d.logger, Tracer: tracer,
