forward: one watch of everything for the configuration and the list

Cause of the largest price but machines: two watches a leader, each answered once a second. The store takes an empty prefix, so one watch serves both; the two loops that followed them become one. An entry that can't be read no longer ends a watch: the rest is taken in and the finding logged (red test).

--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -143,8 +143,8 @@
 // host when it can't read the list itself.
 func TestLeader(t *testing.T) {
 	now := time.Now()
-	peer := func(id, zone string, listAge time.Duration, stopping bool) Share {
-		return Share{From: Peer{ID: member.HostID(id), Zone: member.Zone(zone)}, ListAge: listAge, Stopping: stopping}
+	peer := func(id, zone string, originAge time.Duration, stopping bool) Share {
+		return Share{From: Peer{ID: member.HostID(id), Zone: member.Zone(zone)}, OriginAge: originAge, Stopping: stopping}
 	}
 	fresh, old := 500*time.Millisecond, 5*time.Second
 	for name, c := range map[string]struct {
@@ -180,23 +180,22 @@
 
 // failingOrigin has a list that can be read until it is lost.
 type failingOrigin struct {
-	Origin
 	lost atomic.Bool
 }
 
-func (o *failingOrigin) ReadUpstreams(context.Context) ([]Upstream, Revision, error) {
+func (o *failingOrigin) Read(context.Context) (News, error) {
 	if o.lost.Load() {
-		return nil, 0, errGone
+		return News{}, errGone
 	}
-	return []Upstream{up("llm1", 1, false)}, 1, nil
+	return News{Changes: []Change{{Upstream: up("llm1", 1, false)}}, At: 1}, nil
 }
 
-func (o *failingOrigin) WatchUpstreams(ctx context.Context, after Revision, wait time.Duration) ([]Change, Revision, error) {
+func (o *failingOrigin) Watch(ctx context.Context, after Revision, _ time.Duration) (News, error) {
 	pauseFor(ctx, 100*time.Millisecond)
 	if o.lost.Load() {
-		return nil, 0, errGone
+		return News{}, errGone
 	}
-	return nil, after, nil
+	return News{At: after}, nil
 }
 
 // TestScout has the engines that carry runs asked as soon as the list is lost,
@@ -212,7 +211,7 @@
 		f := newForwarder(t, transport)
 		ctx, cancel := context.WithCancel(t.Context())
 		origin := &failingOrigin{}
-		go f.FollowUpstreams(ctx, origin)
+		go f.Follow(ctx, origin)
 		go f.RunScout(ctx)
 		_, run, _ := f.engines.place(ctx, time.Now(), "llm", policy.Request{Run: "r", Prompt: 100})
 		is.Equal(run.engine, member.UpstreamID("llm1"))
@@ -226,7 +225,7 @@
 		default:
 			t.Error("llm1 should be leaving")
 		}
-		is.Equal(f.OnFollow(ctx, FollowRequest{}).ListAge > listFresh, true)
+		is.Equal(f.OnFollow(ctx, FollowRequest{}).OriginAge > originFresh, true)
 		cancel()
 		synctest.Wait()
 	})
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -10,17 +10,25 @@
 	"time"
 )
 
-// Origin is where the configuration and the list of upstreams are kept. Waiting
-// calls answer at the next change after a revision, or with nothing when the
-// wait is over.
+// News is what an Origin has that is new, as of a revision.
+type News struct {
+	// Config is nil when the configuration isn't new, or isn't there yet.
+	Config *Config
+	// Changes are those of the list of upstreams.
+	Changes []Change
+	At      Revision
+	// Unread is what couldn't be read of it; nil when all could.
+	Unread error
+}
+
+// Origin is where the configuration and the list of upstreams are kept.
 type Origin interface {
-	// ReadConfig returns the configuration, which isn't there before the
-	// first.
-	ReadConfig(ctx context.Context) (c Config, found bool, at Revision, err error)
-	WatchConfig(ctx context.Context, after Revision, wait time.Duration) (c Config, found bool, at Revision, err error)
-	// ReadUpstreams returns the whole list as of a revision.
-	ReadUpstreams(ctx context.Context) (list []Upstream, at Revision, err error)
-	WatchUpstreams(ctx context.Context, after Revision, wait time.Duration) (changes []Change, at Revision, err error)
+	// Read returns everything: the configuration, and each upstream as a
+	// change.
+	Read(ctx context.Context) (News, error)
+	// Watch returns the next news after a revision, or none when the wait is
+	// over.
+	Watch(ctx context.Context, after Revision, wait time.Duration) (News, error)
 }
 
 // ErrHistoryGone is an Origin's word that it no longer has the changes after a
@@ -79,69 +87,14 @@
 	return lostFor
 }
 
-// followingCheck is how often a host that follows a peer looks whether it still
-// does.
-const followingCheck = 100 * time.Millisecond
-
-// following reports whether a peer gives this host what is new.
-func (f *Forwarder) following(now time.Time) bool {
-	return now.Sub(time.Unix(0, f.followed.Load())) < followTimeout
-}
-
-// FollowConfig keeps the configuration up to date until the context ends.
-func (f *Forwarder) FollowConfig(ctx context.Context, from Origin) {
-	d := dependency{name: "configuration watch", journal: f.journal}
-	var at Revision
-	read := true
-	for ctx.Err() == nil {
-		if f.following(time.Now()) {
-			read = true
-			pauseFor(ctx, followingCheck)
-			continue
-		}
-		asked := time.Now()
-		var c Config
-		var found bool
-		var next Revision
-		var err error
-		if read {
-			c, found, next, err = from.ReadConfig(ctx)
-		} else {
-			c, found, next, err = from.WatchConfig(ctx, at, watchWait)
-		}
-		switch {
-		case errors.Is(err, ErrHistoryGone):
-			read = true
-			continue
-		case err != nil:
-			f.originLost.Store(true)
-			d.failed(ctx, err)
-			// What was missed meanwhile is read at once, not waited for.
-			read = true
-			continue
-		}
-		f.originLost.Store(false)
-		d.ok(time.Now())
-		if found {
-			f.Configure(time.Now(), c)
-		}
-		if read {
-			f.ContactProved(asked)
-		} else {
-			f.ContactProved(time.Now())
-		}
-		read, at = false, max(at, next)
-	}
-}
-
-// listFollower keeps the list of upstreams up to date, from the origin or from
-// a peer that watches the origin.
-type listFollower struct {
+// follower keeps the configuration and the list of upstreams up to date, from
+// the origin or from a peer that watches the origin.
+type follower struct {
 	*Forwarder
 	from Origin
 	dep  dependency
-	// read says that the list has to be read whole; at is the revision that a
-	// watch goes on from.
+	// read says that everything has to be read; at is the revision that a watch
+	// goes on from.
 	read bool
 	at   Revision
 	// tried is when the origin failed last.
@@ -155,84 +108,107 @@
 // tries the origin again.
 const originPause = time.Second
 
-// FollowUpstreams keeps the list of upstreams up to date until the context
-// ends.
-func (f *Forwarder) FollowUpstreams(ctx context.Context, from Origin) {
-	l := &listFollower{Forwarder: f, from: from, dep: dependency{name: "list watch", journal: f.journal}, read: true}
+// Follow keeps the configuration and the list of upstreams up to date until the
+// context ends.
+func (f *Forwarder) Follow(ctx context.Context, from Origin) {
+	w := &follower{Forwarder: f, from: from, dep: dependency{name: "store", journal: f.journal}, read: true}
 	for ctx.Err() == nil {
-		if l.followLeader(ctx) {
+		if w.followLeader(ctx) {
 			continue
 		}
-		l.followOrigin(ctx)
+		w.followOrigin(ctx)
 	}
 }
 
 // followLeader takes over what a peer has that is newer. It reports false when
 // this host has to ask the origin itself.
-func (l *listFollower) followLeader(ctx context.Context) bool {
+func (w *follower) followLeader(ctx context.Context) bool {
 	now := time.Now()
-	needed := l.dep.failures > 0 && (l.originLost.Load() || now.Sub(l.tried) < originPause)
-	if l.read && !needed {
+	needed := w.dep.failures > 0 && now.Sub(w.tried) < originPause
+	if w.read && !needed {
 		return false
 	}
-	leader, found := l.peers.leader(now, needed)
-	if !found || !l.followPeer(ctx, leader) {
+	leader, found := w.peers.leader(now, needed)
+	if !found || !w.followPeer(ctx, leader) {
 		return false
 	}
 	if needed {
-		l.fleet.ListTrusted()
+		w.fleet.ListTrusted()
 	}
-	l.at = max(l.at, l.fleet.Revision())
+	w.at = max(w.at, w.fleet.Revision())
 	return true
 }
 
-// followOrigin reads the list or waits for its next change.
-func (l *listFollower) followOrigin(ctx context.Context) {
+// followOrigin reads everything or waits for the next news.
+func (w *follower) followOrigin(ctx context.Context) {
 	proved := time.Now()
-	var news []Change
-	var next Revision
+	var news News
 	var err error
-	if l.read {
-		var list []Upstream
-		list, next, err = l.from.ReadUpstreams(ctx)
-		if err == nil {
-			news = l.fleet.Replace(time.Now(), list, next)
-		}
+	if w.read {
+		news, err = w.from.Read(ctx)
 	} else {
-		var changes []Change
-		changes, next, err = l.from.WatchUpstreams(ctx, l.at, watchWait)
-		if err == nil {
-			proved = time.Now()
-			news = l.fleet.Apply(proved, changes)
-		}
+		news, err = w.from.Watch(ctx, w.at, watchWait)
 	}
-	if errors.Is(err, ErrHistoryGone) {
-		l.read = true
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		w.read = true
 		return
-	}
-	if err != nil {
-		l.read, l.tried = true, time.Now()
-		l.fleet.ListLost(l.tried)
-		// The proof is withdrawn, so that followers turn elsewhere at once and
-		// engines are asked themselves.
-		l.listContact.Store(0)
-		l.fleet.Wake()
-		l.dep.failed(ctx, err)
+	case err != nil:
+		w.lost(ctx, err)
 		return
+	case !w.read:
+		proved = time.Now()
 	}
-	l.noteList(news)
-	if lostFor := l.dep.ok(time.Now()); lostFor > 0 {
-		l.fleet.ListRegained(time.Now(), lostFor)
-	}
-	l.listProved(proved)
-	l.read, l.at = false, max(l.at, next)
-	if l.peers.live(proved) == 1 {
+	w.take(proved, news)
+	w.read, w.at = false, max(w.at, news.At)
+	if w.peers.live(proved) == 1 {
 		// Hosts that start together don't know each other yet, and each change
 		// would be told to every one of them.
 		pauseFor(ctx, alonePause)
 	}
 }
 
+// take takes in what the origin told, which was up to date at a time.
+func (w *follower) take(proved time.Time, news News) {
+	now := time.Now()
+	if news.Unread != nil {
+		w.journal.Belief("not all could be read", "revision", news.At, "err", news.Unread)
+	}
+	if news.Config != nil {
+		w.Configure(now, *news.Config)
+	}
+	if w.read {
+		list := make([]Upstream, 0, len(news.Changes))
+		for _, c := range news.Changes {
+			list = append(list, c.Upstream)
+		}
+		w.noteList(w.fleet.Replace(now, list, news.At))
+	} else {
+		w.noteList(w.fleet.Apply(now, news.Changes))
+	}
+	if lostFor := w.dep.ok(now); lostFor > 0 {
+		w.fleet.ListRegained(now, lostFor)
+	}
+	w.ContactProved(proved)
+	raise(&w.originContact, proved)
+}
+
+// lost takes in that the origin can't be had.
+func (w *follower) lost(ctx context.Context, err error) {
+	w.read, w.tried = true, time.Now()
+	w.fleet.ListLost(w.tried)
+	// The proof is withdrawn, so that followers turn elsewhere at once and
+	// engines are asked themselves.
+	w.originContact.Store(0)
+	w.fleet.Wake()
+	w.dep.failed(ctx, err)
+}
+
+// following reports whether a peer gives this host what is new.
+func (f *Forwarder) following(now time.Time) bool {
+	return now.Sub(time.Unix(0, f.followed.Load())) < followTimeout
+}
+
 func (f *Forwarder) noteList(news []Change) {
 	for _, n := range news {
 		f.journal.Belief("upstream listed", "upstream", n.ID, "service", n.Service, "zone", n.Zone,
@@ -240,10 +216,8 @@
 	}
 }
 
-// listProved takes in that the list was up to date at a time.
-func (f *Forwarder) listProved(at time.Time) { raise(&f.listContact, at) }
-
-// ListAge is how long ago the list was last proved to be up to date.
-func (f *Forwarder) ListAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.listContact.Load()))
+// OriginAge is how long ago the origin itself last proved that this host is up
+// to date.
+func (f *Forwarder) OriginAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, f.originContact.Load()))
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,8 +61,9 @@
 	// contact is when this host last had proof that its configuration is the
 	// newest, in nanoseconds of Unix time.
 	contact atomic.Int64
-	// listContact is the same for the list of upstreams, by the origin itself.
-	listContact atomic.Int64
+	// originContact is the same, by the origin itself and not by a peer; zero
+	// while the origin can't be had.
+	originContact atomic.Int64
 	// followed is when a peer that is followed last answered, in the same unit.
 	followed atomic.Int64
 	// newest is the configuration in force as it came, for peers.
@@ -71,8 +72,6 @@
 	turns  turns
 	// peerPort is set by RunPeers, under the lock of peers.
 	peerPort Peers
-	// originLost says that the origin can't be read.
-	originLost atomic.Bool
 	// fetching says that a configuration is being fetched from a peer.
 	fetching atomic.Bool
 
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -23,10 +23,10 @@
 	// proved to be the newest.
 	Version   Version
 	ConfigAge time.Duration
-	// ListAge is how long ago the host's list of upstreams was proved to be up
-	// to date by the origin itself.
-	ListAge  time.Duration
-	Stopping bool
+	// OriginAge is how long ago the origin itself proved that the host is up to
+	// date; hosts that follow a peer have none of late.
+	OriginAge time.Duration
+	Stopping  bool
 	// Runs are all generations of the host.
 	Runs []RunState
 	// Leaving are the host's own observations of engines that leave.
@@ -48,8 +48,8 @@
 	Config  *Config
 	Changes []Change
 	List    Revision
-	// ConfigAge and ListAge are as in Share.
-	ConfigAge, ListAge time.Duration
+	// ConfigAge and OriginAge are as in Share.
+	ConfigAge, OriginAge time.Duration
 }
 
 // Peers is the interface to the other hosts.
@@ -95,9 +95,9 @@
 	// followWait and followTimeout bound a call that follows a peer's list.
 	followWait    = 700 * time.Millisecond
 	followTimeout = 1100 * time.Millisecond
-	// listFresh is how recent a peer's proof of its list must be to follow it:
+	// originFresh is how recent a peer's proof by the origin must be to follow it:
 	// its watch returns every watchWait at least.
-	listFresh = watchWait + 600*time.Millisecond
+	originFresh = watchWait + 600*time.Millisecond
 	// directoryEvery is the period of reading the directory, and directoryTTL
 	// how long an entry stays without being renewed. New hosts make themselves
 	// known by calling, so this is for what got lost.
@@ -126,10 +126,10 @@
 type peerState struct {
 	Peer
 	// heard is when it last said something.
-	heard    time.Time
-	tried    time.Time
-	listAge  time.Duration
-	stopping bool
+	heard     time.Time
+	tried     time.Time
+	originAge time.Duration
+	stopping  bool
 	// sending says that a share to it is under way.
 	sending bool
 	// failed says that the last share didn't arrive.
@@ -162,7 +162,7 @@
 		isNew = true
 	}
 	state.Peer, state.heard, state.stopping, state.failed = s.From, now, s.Stopping, false
-	state.listAge = s.ListAge
+	state.originAge = s.OriginAge
 	return isNew
 }
 
@@ -244,10 +244,10 @@
 	defer p.mu.Unlock()
 	var best *peerState
 	for _, s := range p.known {
-		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.listAge+now.Sub(s.heard) > listFresh+shareEvery {
+		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.originAge+now.Sub(s.heard) > originFresh+shareEvery {
 			continue
 		}
-		if s.listAge > listFresh {
+		if s.originAge > originFresh {
 			continue
 		}
 		if !needed && (s.Zone != p.self.Zone || s.ID > p.self.ID) {
@@ -360,7 +360,7 @@
 
 func (f *Forwarder) share(now time.Time) Share {
 	s := Share{
-		From: f.peers.self, ConfigAge: f.ContactAge(now), ListAge: f.ListAge(now), Stopping: f.Stopping(),
+		From: f.peers.self, ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Runs: f.engines.states(), Leaving: f.fleet.Marks(now),
 	}
 	if t := f.table.Load(); t != nil {
@@ -455,7 +455,7 @@
 		reply.Changes, reply.List = f.fleet.Since(r.List)
 	}
 	now := time.Now()
-	reply.ConfigAge, reply.ListAge = f.ContactAge(now), f.ListAge(now)
+	reply.ConfigAge, reply.OriginAge = f.ContactAge(now), f.OriginAge(now)
 	return reply
 }
 
@@ -471,8 +471,8 @@
 	ctx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	reply, err := peers.Follow(ctx, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: followWait})
-	if err != nil || reply.ListAge > listFresh || reply.ConfigAge > listFresh {
-		f.journal.Belief("leader not followed", "peer", leader.ID, "list_age", reply.ListAge, "config_age", reply.ConfigAge, "err", err)
+	if err != nil || reply.OriginAge > originFresh || reply.ConfigAge > originFresh {
+		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
 		return false
 	}
@@ -491,7 +491,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.known[id]; s != nil {
-		s.listAge = peerForgotten
+		s.originAge = peerForgotten
 	}
 }
 
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -57,7 +57,7 @@
 // listKnown reports whether the list is up to date, by this host or by a peer
 // that it follows.
 func (f *Forwarder) listKnown(now time.Time) bool {
-	return f.following(now) || f.ListAge(now) <= listLate
+	return f.following(now) || f.OriginAge(now) <= listLate
 }
 
 // intersect returns the ids that are in both lists.
@@ -93,7 +93,7 @@
 	if err != nil || well {
 		return
 	}
-	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "list_age", f.ListAge(now))
+	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "origin_age", f.OriginAge(now))
 	f.fleet.MarkLeaving(now, u.ID, 0, true)
 	f.peers.nudgeAll()
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -23,7 +23,7 @@
 	ID, Zone, Address string
 	Version           uint64
 	ConfigAge         int64
-	ListAge           int64
+	OriginAge         int64
 	Stopping          bool
 	Runs              []wireRunState
 	Leaving           []wireLeaving
@@ -43,7 +43,7 @@
 func toWireShare(s forward.Share) wireShare {
 	w := wireShare{
 		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Version: uint64(s.Version),
-		ConfigAge: s.ConfigAge.Milliseconds(), ListAge: s.ListAge.Milliseconds(), Stopping: s.Stopping,
+		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
 	}
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
@@ -61,7 +61,7 @@
 	s := forward.Share{
 		From:    forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
-		ListAge: time.Duration(w.ListAge) * time.Millisecond, Stopping: w.Stopping,
+		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
@@ -87,10 +87,10 @@
 // wireFollowed is forward.FollowReply. Config is JSON, for it is large, rare
 // and shared with no hot path.
 type wireFollowed struct {
-	Config             []byte
-	Changes            []wireChange
-	List               uint64
-	ConfigAge, ListAge int64
+	Config               []byte
+	Changes              []wireChange
+	List                 uint64
+	ConfigAge, OriginAge int64
 }
 
 type wireChange struct {
@@ -101,7 +101,7 @@
 }
 
 func toWireFollowed(r forward.FollowReply) (wireFollowed, error) {
-	w := wireFollowed{List: uint64(r.List), ConfigAge: r.ConfigAge.Milliseconds(), ListAge: r.ListAge.Milliseconds()}
+	w := wireFollowed{List: uint64(r.List), ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds()}
 	if r.Config != nil {
 		var err error
 		if w.Config, err = json.Marshal(r.Config); err != nil {
@@ -120,7 +120,7 @@
 func (w wireFollowed) reply() (forward.FollowReply, error) {
 	r := forward.FollowReply{
 		List: forward.Revision(w.List), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
-		ListAge: time.Duration(w.ListAge) * time.Millisecond,
+		OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 	}
 	if len(w.Config) > 0 {
 		r.Config = &forward.Config{}
