--- /dev/null
+++ b/forward/peerset.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// peerSet is what a host knows of its peers.
+type peerSet struct {
+	self Peer
+
+	mu    sync.Mutex
+	known map[member.HostID]*peerState
+	// seeds are addresses of peers whose names aren't known yet.
+	seeds []string
+	// wake asks for a share to the own zone at once.
+	wake chan struct{}
+	// wakeAll asks for a share to all peers at once.
+	wakeAll chan struct{}
+}
+
+// peerState is what a host knows of one peer.
+type peerState struct {
+	Peer
+	// heard is when it last said something.
+	heard     time.Time
+	tried     time.Time
+	originAge time.Duration
+	stopping  bool
+	// sending says that a share to it is under way.
+	sending bool
+	// failed says that the last share didn't arrive.
+	failed bool
+}
+
+// live reports whether the peer is believed to be there.
+func (s *peerState) live(now time.Time, own member.Zone) bool {
+	if s.Zone == own {
+		return now.Sub(s.heard) <= peerSilent
+	}
+	return !s.failed && now.Sub(s.heard) <= farSilent
+}
+
+func newPeerSet(self Peer, seeds []string) *peerSet {
+	return &peerSet{self: self, known: map[member.HostID]*peerState{}, seeds: seeds, wake: make(chan struct{}, 1), wakeAll: make(chan struct{}, 1)}
+}
+
+// hear takes in what a peer said.
+func (p *peerSet) hear(now time.Time, s Share) (isNew bool) {
+	if s.From.ID == p.self.ID || s.From.ID == "" {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state := p.known[s.From.ID]
+	if state == nil {
+		state = &peerState{}
+		p.known[s.From.ID] = state
+		isNew = true
+	}
+	state.Peer, state.heard, state.stopping, state.failed = s.From, now, s.Stopping, false
+	state.originAge = s.OriginAge
+	return isNew
+}
+
+// list takes in the directory: peers that were not known are tried.
+func (p *peerSet) list(now time.Time, peers []Peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range peers {
+		if peer.ID != p.self.ID && p.known[peer.ID] == nil {
+			p.known[peer.ID] = &peerState{Peer: peer, tried: now, heard: now.Add(-peerSilent)}
+		}
+	}
+}
+
+// targets returns the peers to share with now, and marks them as being sent to:
+// those of the own zone, and when the period is over some of the other zones, or
+// every peer when each must know.
+func (p *peerSet) targets(now time.Time, period, every bool) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var to []Peer
+	var far []*peerState
+	send := func(s *peerState) {
+		s.sending, s.tried = true, now
+		to = append(to, s.Peer)
+	}
+	for id, s := range p.known {
+		switch {
+		case now.Sub(s.heard) > peerForgotten:
+			delete(p.known, id)
+		case s.sending:
+		case every || s.Zone == p.self.Zone && (period || s.live(now, p.self.Zone)):
+			send(s)
+		case period && s.Zone != p.self.Zone:
+			far = append(far, s)
+		}
+	}
+	slices.SortFunc(far, func(a, b *peerState) int { return a.tried.Compare(b.tried) })
+	for _, s := range far[:min(len(far), farShares)] {
+		send(s)
+	}
+	return to
+}
+
+func (p *peerSet) sent(id member.HostID, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.sending, s.failed = false, err != nil
+	}
+}
+
+// live counts this host and the peers that were heard lately.
+func (p *peerSet) live(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, s := range p.known {
+		if s.live(now, p.self.Zone) {
+			n++
+		}
+	}
+	return n
+}
+
+// isKnown reports whether a peer is still remembered; the runs of one that isn't are
+// no longer counted.
+func (p *peerSet) isKnown(id member.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.known[id] != nil
+}
+
+// leader returns the peer whose list this host follows: the first live host of
+// the zone by name, if that isn't this one. A host that can't read the list
+// itself follows any peer whose list is fresh.
+func (p *peerSet) leader(now time.Time, needed bool) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *peerState
+	for _, s := range p.known {
+		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.originAge+now.Sub(s.heard) > originFresh+shareEvery {
+			continue
+		}
+		if s.originAge > originFresh {
+			continue
+		}
+		if !needed && (s.Zone != p.self.Zone || s.ID > p.self.ID) {
+			continue
+		}
+		if best == nil || p.better(s, best) {
+			best = s
+		}
+	}
+	if best == nil {
+		return Peer{}, false
+	}
+	return best.Peer, true
+}
+
+// better orders the peers to follow: the own zone's first, then by name.
+func (p *peerSet) better(a, b *peerState) bool {
+	if near := a.Zone == p.self.Zone; near != (b.Zone == p.self.Zone) {
+		return near
+	}
+	return a.ID < b.ID
+}
+
+// nudge asks for a share to the own zone at once.
+func (p *peerSet) nudge() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// nudgeAll asks for a share to all peers at once.
+func (p *peerSet) nudgeAll() {
+	select {
+	case p.wakeAll <- struct{}{}:
+	default:
+	}
+}
+
+// distrust keeps a peer from being followed until it has spoken again.
+func (p *peerSet) distrust(id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.originAge = peerForgotten
+	}
+}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -5,7 +5,6 @@
 
 import (
 	"io"
-	"net/http"
 	"sync"
 	"time"
 
@@ -13,17 +12,16 @@
 	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shedpath/shedpath/forward"
 )
 
 // Forward logs and counts what a forwarder does. Use NewForward.
 type Forward struct {
-	ring     *RingLog
-	logger   log.Logger
-	sampler  sampler
-	registry *prometheus.Registry
+	ring    *RingLog
+	logger  log.Logger
+	sampler sampler
+	registry
 
 	answered   *prometheus.CounterVec
 	took       *prometheus.HistogramVec
@@ -43,7 +41,7 @@
 
 // NewForward returns telemetry that logs to a writer.
 func NewForward(to io.Writer) *Forward {
-	f := &Forward{ring: NewRingLog(to), registry: prometheus.NewRegistry()}
+	f := &Forward{ring: NewRingLog(to), registry: newRegistry()}
 	f.logger = log.With(log.NewLogfmtLogger(f.ring), "ts", log.DefaultTimestampUTC)
 	f.answered = f.counter("answers_total", "Requests by kind and how they ended.", "kind", "outcome")
 	f.took = f.histogram("request_seconds", "Time from a request's arrival to the end of its answer.", callBuckets, "kind")
@@ -54,7 +52,7 @@
 	f.movePause = f.histogram("move_pause_seconds", "How long a moved run stood still.", pauseBuckets).WithLabelValues()
 	f.store = f.counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
 	f.unlogged = f.counter("unlogged_requests_total", "Decisions that were left out of the log by sampling.").WithLabelValues()
-	f.registry.MustRegister(
+	f.all.MustRegister(
 		collectors.NewGoCollector(),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
 			Namespace: "shedpath", Name: "log_lines_dropped_total", Help: "Log lines that didn't fit into the ring.",
@@ -63,23 +61,6 @@
 	return f
 }
 
-func (f *Forward) counter(name, help string, labels ...string) *prometheus.CounterVec {
-	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "shedpath", Name: name, Help: help}, labels)
-	f.registry.MustRegister(c)
-	return c
-}
-
-func (f *Forward) histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
-	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "shedpath", Name: name, Help: help, Buckets: buckets}, labels)
-	f.registry.MustRegister(h)
-	return h
-}
-
-// Handler serves the metrics.
-func (f *Forward) Handler() http.Handler {
-	return promhttp.HandlerFor(f.registry, promhttp.HandlerOpts{})
-}
-
 // Close writes the lines that still wait.
 func (f *Forward) Close() { f.ring.Close() }
 
--- /dev/null
+++ b/internal/telemetry/forward_test.go
@@ -0,0 +1,80 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/forward"
+)
+
+// TestDecisionLines has a decision be one line with its request's id, and its
+// count be served.
+func TestDecisionLines(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	f := NewForward(&out)
+	f.Request("r1", "placed", "upstream", "i-1", "waited", time.Millisecond)
+	f.Belief("stopping", "running", 3)
+	f.Answered(forward.KindSafe, "ok", time.Millisecond)
+	f.Close()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 2)
+	is.True(strings.Contains(lines[0], "msg=placed request=r1 upstream=i-1 waited=1ms"))
+	page := httptest.NewRecorder()
+	f.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+	is.True(strings.Contains(page.Body.String(), `shedpath_answers_total{kind="safe",outcome="ok"} 1`))
+}
+
+// stuckWriter never takes a line before it is freed.
+type stuckWriter struct{ free chan struct{} }
+
+func (w stuckWriter) Write(p []byte) (int, error) {
+	<-w.free
+	return len(p), nil
+}
+
+// TestRingLog has lines dropped and counted, and nobody held up, when the log's
+// reader is stuck.
+func TestRingLog(t *testing.T) {
+	is := is.New(t)
+	w := stuckWriter{free: make(chan struct{})}
+	r := NewRingLog(w)
+	for range 3 * ringLines {
+		_, err := io.WriteString(r, "line\n")
+		is.NoErr(err)
+	}
+	is.True(r.Dropped() >= 2*ringLines-1)
+	close(w.free)
+	r.Close()
+}
+
+// TestSampler has whole stories kept above the log's rate.
+func TestSampler(t *testing.T) {
+	is := is.New(t)
+	var s sampler
+	now := time.Unix(100, 0)
+	for n := range 4 * linesPerSecond {
+		is.True(s.keep(now, fmt.Sprint("r", n))) // the first second sets the rate
+	}
+	now = now.Add(time.Second)
+	kept := 0
+	for n := range 1000 {
+		id := fmt.Sprint("r", n)
+		first := s.keep(now, id)
+		is.Equal(s.keep(now, id), first)
+		if first {
+			kept++
+		}
+	}
+	is.True(kept > 100 && kept < 300) // about one in five
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -5,12 +5,10 @@
 package telemetry
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/policy"
@@ -19,7 +17,7 @@
 
 // Metrics counts what an entry does. Use NewMetrics.
 type Metrics struct {
-	registry      *prometheus.Registry
+	registry
 	firstToken    *prometheus.HistogramVec
 	betweenTokens *prometheus.HistogramVec
 	stall         *prometheus.CounterVec
@@ -46,7 +44,7 @@
 
 // NewMetrics returns metrics in a registry of their own.
 func NewMetrics() *Metrics {
-	m := &Metrics{registry: prometheus.NewRegistry()}
+	m := &Metrics{registry: newRegistry()}
 	m.firstToken = m.histogram("first_token_seconds", "Time from a request to its first token.", firstTokenBuckets, "pool")
 	m.betweenTokens = m.histogram("between_tokens_seconds", "Time from one token to the next.", tokenBuckets, "pool")
 	m.stall = m.counter("stall_seconds_total", "Time that callers spent in pauses of a second and more.", "pool")
@@ -61,38 +59,10 @@
 	m.resumed = m.counter("resumes_total", "Streams that were taken up again.", "why")
 	m.spoilt = m.counter("spoilt_total", "Upstream events and answers that were kept from callers.", "what")
 	m.platform = m.counter("platform_calls_total", "Calls to the platform's service.", "call", "outcome")
-	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.all.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
 
-func (m *Metrics) counter(name, help string, labels ...string) *prometheus.CounterVec {
-	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "shedpath", Name: name, Help: help}, labels)
-	m.registry.MustRegister(c)
-	return c
-}
-
-func (m *Metrics) histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
-	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "shedpath", Name: name, Help: help, Buckets: buckets}, labels)
-	m.registry.MustRegister(h)
-	return h
-}
-
-func (m *Metrics) gauge(name, help string, labels ...string) *prometheus.GaugeVec {
-	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: "shedpath", Name: name, Help: help}, labels)
-	m.registry.MustRegister(g)
-	return g
-}
-
-// Gauge adds a value that is read when it is asked for.
-func (m *Metrics) Gauge(name, help string, read func() float64) {
-	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "shedpath", Name: name, Help: help}, read))
-}
-
-// Handler serves the metrics.
-func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
-}
-
 // FirstToken records the time to a first token.
 func (m *Metrics) FirstToken(pool resource.Name, d time.Duration) {
 	m.firstToken.WithLabelValues(string(pool)).Observe(d.Seconds())
--- /dev/null
+++ b/internal/telemetry/registry.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package telemetry
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// namespace begins every metric's name.
+const namespace = "shedpath"
+
+// registry makes and serves one process's metrics.
+type registry struct {
+	all *prometheus.Registry
+}
+
+func newRegistry() registry { return registry{all: prometheus.NewRegistry()} }
+
+func (r registry) counter(name, help string, labels ...string) *prometheus.CounterVec {
+	c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	r.all.MustRegister(c)
+	return c
+}
+
+func (r registry) histogram(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	h := prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}, labels)
+	r.all.MustRegister(h)
+	return h
+}
+
+func (r registry) gauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	g := prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+	r.all.MustRegister(g)
+	return g
+}
+
+// Gauge adds a value that is read when it is asked for.
+func (r registry) Gauge(name, help string, read func() float64) {
+	r.all.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, read))
+}
+
+// Handler serves the metrics.
+func (r registry) Handler() http.Handler { return promhttp.HandlerFor(r.all, promhttp.HandlerOpts{}) }
