forward: a race on a moving run's engine; hosts look for their peers at once

Found by -race on the new tests: a stream read its run's engine while its mover changed it, and learnt the old engine's step for the new one.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -4,6 +4,8 @@
 package forward
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -332,8 +334,15 @@
 	return f.revision
 }
 
-// Takers returns a service's upstreams that take new work.
+// Takers returns a service's upstreams that take new work, in the order of their
+// ids, so that decisions don't depend on the order of a map.
 func (f *Fleet) Takers(now time.Time, service ServiceName) []Upstream {
+	takers := f.takers(now, service)
+	slices.SortFunc(takers, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return takers
+}
+
+func (f *Fleet) takers(now time.Time, service ServiceName) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var takers []Upstream
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -97,12 +97,17 @@
 	// goes on from.
 	read bool
 	at   Revision
-	// tried is when the origin failed last.
-	tried time.Time
+	// began is when this host started to follow, tried when the origin failed
+	// last.
+	began, tried time.Time
 }
 
-// alonePause is waited between two watches while no peer is known.
-const alonePause = 150 * time.Millisecond
+// While no peer is known, alonePause is waited between two watches, but not for
+// longer than aloneLasts after the start: a site may have one host.
+const (
+	alonePause = 300 * time.Millisecond
+	aloneLasts = 3 * time.Second
+)
 
 // originPause is how long a host whose origin failed follows a peer before it
 // tries the origin again.
@@ -111,7 +116,7 @@
 // Follow keeps the configuration and the list of upstreams up to date until the
 // context ends.
 func (f *Forwarder) Follow(ctx context.Context, from Origin) {
-	w := &follower{Forwarder: f, from: from, dep: dependency{name: "store", journal: f.journal}, read: true}
+	w := &follower{Forwarder: f, from: from, dep: dependency{name: "store", journal: f.journal}, read: true, began: time.Now()}
 	for ctx.Err() == nil {
 		if w.followLeader(ctx) {
 			continue
@@ -161,7 +166,7 @@
 	}
 	w.take(proved, news)
 	w.read, w.at = false, max(w.at, news.At)
-	if w.peers.live(proved) == 1 {
+	if proved.Sub(w.began) < aloneLasts && w.peers.live(proved) == 1 {
 		// Hosts that start together don't know each other yet, and each change
 		// would be told to every one of them.
 		pauseFor(ctx, alonePause)
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -68,6 +68,9 @@
 	// shareEvery is the period of shares to each peer; a new run is told at
 	// once, to the peers of the own zone.
 	shareEvery = 500 * time.Millisecond
+	// startLasts is how long after its start a host looks for its peers more
+	// often.
+	startLasts = time.Second
 	// shareTimeout bounds one share.
 	shareTimeout = 700 * time.Millisecond
 	// shareSoon gathers the changes of a moment into one share.
@@ -118,15 +121,17 @@
 	f.peers.mu.Unlock()
 	var sending sync.WaitGroup
 	defer sending.Wait()
-	tick := time.NewTicker(shareEvery)
+	began := time.Now()
+	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
 		period, every := false, false
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case now := <-tick.C:
 			period = true
+			tick.Reset(sharePause(now.Sub(began)))
 		case <-f.peers.wakeAll:
 			every = true
 			pauseFor(ctx, shareSoon)
@@ -146,6 +151,15 @@
 	}
 }
 
+// sharePause is the time to the next share: short at first, for a host that
+// knows no peer watches the origin itself.
+func sharePause(sinceStart time.Duration) time.Duration {
+	if sinceStart < startLasts {
+		return shareEvery / 4
+	}
+	return shareEvery
+}
+
 // callSeeds tries the addresses that the settings name while no peer is known.
 func (f *Forwarder) callSeeds(ctx context.Context, sending *sync.WaitGroup, peers Peers, share Share) {
 	f.peers.mu.Lock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
 
@@ -18,6 +19,9 @@
 type streamExchange struct {
 	*exchange
 	run *ownRun
+	// from is the engine that the stream comes from now; the run is counted on
+	// another already while it moves.
+	from member.UpstreamID
 	// begun says that the caller has the answer's beginning.
 	begun bool
 	// lastEvent is the id of the last event that the caller has, and events
@@ -225,6 +229,7 @@
 func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
 	first := a
 	for {
+		s.from = u.ID
 		m := s.watch(ctx, u)
 		err := s.relay(first, a)
 		closeBody(a)
@@ -326,6 +331,6 @@
 // learn takes the time between two events as the engine's step.
 func (s *streamExchange) learn(gap time.Duration) {
 	if s.run != nil {
-		s.engines.observeStep(s.service.Name, s.run.engine, gap/time.Duration(s.eventTokens()))
+		s.engines.observeStep(s.service.Name, s.from, gap/time.Duration(s.eventTokens()))
 	}
 }
