--- a/forward/engines.go
+++ b/forward/engines.go
@@ -175,15 +175,6 @@
 	}
 }
 
-// refreshAll is to be called every refreshEvery.
-func (e *engines) refreshAll(now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, p := range e.pools {
-		p.refresh(now)
-	}
-}
-
 // place finds an engine for a generation; it waits until the request's
 // deadline at most.
 func (e *engines) place(ctx context.Context, now time.Time, service ServiceName, r policy.Request) (Upstream, *ownRun, policy.Decision) {
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -112,7 +112,6 @@
 // engineScript plays the engines of a stream that is moved: the first makes
 // events until it is stopped or ends by itself, the one that takes up goes on.
 type engineScript struct {
-	is *is.I
 	// made is how many events the first engine makes, one each 20 ms; then it
 	// ends whole.
 	made int
