--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -82,6 +82,8 @@
 	// inFlight counts the requests under way.
 	inFlight int
 	stopping bool
+	// stopBy is when the host will have stopped; zero when it isn't known.
+	stopBy time.Time
 	// idle closes when the forwarder is stopping and nothing is in flight.
 	idle chan struct{}
 }
@@ -172,12 +174,14 @@
 	return f.stopping
 }
 
-// Stop refuses new streams from now on, and waits until nothing is in flight or
+// Stop refuses new streams from now on, but for those that will surely have ended
+// when the context does, and waits until nothing is in flight or
 // the context ends. It may be called again to wait again.
 func (f *Forwarder) Stop(ctx context.Context) {
 	f.mu.Lock()
 	running := f.inFlight
 	f.stopping = true
+	f.stopBy, _ = ctx.Deadline()
 	f.idle = make(chan struct{})
 	if running == 0 {
 		close(f.idle)
@@ -280,7 +284,7 @@
 			return x.unknown(now, CodeBadKey), false
 		}
 	}
-	if x.Stopping() && x.route.Kind == KindStream {
+	if x.route.Kind == KindStream && !x.endsBeforeStop(now) {
 		return Refusal{Code: CodeStopping, RetryAfter: retryStopping}, false
 	}
 	x.urgency = x.route.Urgency
@@ -295,6 +299,30 @@
 	return Refusal{}, true
 }
 
+// Margins of a stream that a stopping host still takes: its length is a guess
+// that is often far off.
+const (
+	stopTimes  = 2
+	stopMargin = time.Second
+)
+
+// endsBeforeStop reports whether a stream will have ended when this host stops,
+// by the guess of its length; without one, none will.
+func (x *exchange) endsBeforeStop(now time.Time) bool {
+	x.mu.Lock()
+	stopping, by := x.stopping, x.stopBy
+	x.mu.Unlock()
+	if !stopping {
+		return true
+	}
+	p := x.call.Prompt
+	if p.LikelyOut <= 0 {
+		return false
+	}
+	takes := time.Duration(float64(p.Tokens)/readRate*float64(time.Second)) + time.Duration(p.LikelyOut)*stepUnknown
+	return now.Add(stopTimes*takes + stopMargin).Before(by)
+}
+
 // unknown refuses for what the configuration doesn't hold, but only while the
 // configuration is known to be the newest; else another host may know more.
 func (x *exchange) unknown(now time.Time, code Code) Refusal {
