forward: a stream tries each engine once, and passes over a zone that can't be reached

Cause: after a refused connection the same engine was often placed again, for the list that placement works on follows a moment later; three dials were soon used up when an outage of the store had left dead engines in the list. Test: TestStreamUnreachableEngines, red before (two of its cases).

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -36,10 +37,23 @@
 	longest time.Duration
 	// moves counts the engines that the run was moved to.
 	moves int
+	// dialed are the engines that couldn't be reached for this request, and
+	// avoid those and the ones that probably can't either.
+	dialed, avoid []member.UpstreamID
 	// callerGone is the error of the caller's connection.
 	callerGone error
 }
 
+const (
+	// mostStreamDials bounds the engines that one stream is tried on. A refused
+	// connection takes a millisecond or two, and after an outage of the list
+	// half of it may be gone.
+	mostStreamDials = 12
+	// dialPart is the part of the objective after which no further engine is
+	// tried: what is left has to do for the prompt.
+	dialPart = 0.5
+)
+
 // serveStream answers a request with a stream of events.
 func (x *exchange) serveStream(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -48,10 +62,10 @@
 	x.retries.first(time.Now(), x.service.Name)
 	sent := 0
 	var last Refusal
-	for dials := 0; dials < mostDials; dials++ {
+	for dials := 0; dials < mostStreamDials && (dials < mostDials || s.mayDial(time.Now())); dials++ {
 		u, refusal, ok := s.place(ctx)
 		if !ok {
-			s.refuse(refusal, "service", x.service.Name)
+			s.refuse(refusal, "service", x.service.Name, "avoided", len(s.avoid))
 			return
 		}
 		answer, err := s.send(ctx, u, nil)
@@ -76,16 +90,57 @@
 	s.refuse(last, "service", x.service.Name, "sent", sent)
 }
 
+// mayDial reports whether there is time to try another engine.
+func (s *streamExchange) mayDial(now time.Time) bool {
+	return s.route.Objective <= 0 || now.Sub(s.call.Arrived) < time.Duration(dialPart*float64(s.route.Objective))
+}
+
+// unreachable keeps this request from an engine that couldn't be connected to,
+// and from the others of its zone if that isn't this host's own: a link that is
+// cut leads to all of them.
+func (s *streamExchange) unreachable(now time.Time, u Upstream) {
+	s.dialed = append(s.dialed, u.ID)
+	s.avoid = append(s.avoid, u.ID)
+	if u.Zone == s.engines.zone {
+		return
+	}
+	for _, other := range s.fleet.Takers(now, s.service.Name) {
+		if other.Zone == u.Zone && other.ID != u.ID {
+			s.avoid = append(s.avoid, other.ID)
+		}
+	}
+}
+
+// untried reports whether an engine is left that hasn't been tried. Those that
+// were only guessed to be out of reach are tried when there are no others.
+func (s *streamExchange) untried(now time.Time) bool {
+	if len(s.avoid) == 0 {
+		return true
+	}
+	takers := s.fleet.Takers(now, s.service.Name)
+	without := func(tried []member.UpstreamID) bool {
+		return slices.ContainsFunc(takers, func(u Upstream) bool { return !slices.Contains(tried, u.ID) })
+	}
+	if without(s.avoid) {
+		return true
+	}
+	s.avoid = slices.Clone(s.dialed)
+	return without(s.dialed)
+}
+
 // place finds an engine, or says why there is none.
 func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
 	now := time.Now()
+	if !s.untried(now) {
+		return Upstream{}, Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
+	}
 	p := s.call.Prompt
 	r := policy.Request{
 		Run: s.runID(), Route: policyRoute(s.route), Account: s.account.Name,
 		// The policy ranks upwards.
 		Priority: int(MostPatient - s.urgency),
 		Prompt:   max(p.Tokens, 1), Limit: p.MostOut, Prefix: p.Prefix, PrefixTokens: p.PrefixTokens,
-		Bytes: len(s.call.Body), Objective: s.route.Objective,
+		Bytes: len(s.call.Body), Objective: s.route.Objective, AvoidAlso: s.avoid,
 		Deadline: s.call.Arrived.Add(s.route.Objective / queuePart),
 	}
 	if s.service.Engine == nil {
@@ -103,7 +158,7 @@
 
 // placePlain picks an upstream for a stream that isn't an engine's.
 func (s *streamExchange) placePlain(now time.Time) (Upstream, Refusal, bool) {
-	u, found := s.plain.choose(now, s.fleet.Takers(now, s.service.Name), nil)
+	u, found := s.plain.choose(now, s.fleet.Takers(now, s.service.Name), s.avoid)
 	if !found {
 		return u, Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
 	}
@@ -148,6 +203,7 @@
 	switch {
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		s.fleet.Suspect(now, u.ID)
+		s.unreachable(now, u)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
 		return Refusal{Code: CodeCallerLeft, MayHaveRun: true}
@@ -157,6 +213,8 @@
 		return Refusal{Code: CodeLost, MayHaveRun: true}
 	case a.OtherInstance:
 		s.fleet.MarkLeaving(now, u.ID, 0, true)
+		s.dialed = append(s.dialed, u.ID)
+		s.avoid = append(s.avoid, u.ID)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	default:
 		return Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -90,6 +90,54 @@
 	}
 }
 
+// TestStreamUnreachableEngines has a stream that many engines refuse the
+// connection of reach the one that lives, each being tried once; after an engine
+// of another zone none of that zone is.
+func TestStreamUnreachableEngines(t *testing.T) {
+	for name, c := range map[string]struct {
+		zones []member.Zone
+		// alive is the engine that can be reached; empty for none.
+		alive member.UpstreamID
+		sent  int
+	}{
+		"the last of eight lives":  {[]member.Zone{"z1", "z1", "z1", "z1", "z1", "z1", "z1", "z1"}, "e7", 8},
+		"none lives":               {[]member.Zone{"z1", "z1", "z1", "z1", "z1"}, "", 5},
+		"the other zones are cut":  {[]member.Zone{"z2", "z2", "z2", "z3", "z3", "z3", "z1"}, "e6", 1},
+		"all of the own zone died": {[]member.Zone{"z1", "z1", "z1", "z2", "z2"}, "e4", 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &fakeTransport{send: func(_ context.Context, u Upstream, _ *Outgoing) (*Answer, error) {
+				if u.ID != c.alive {
+					return nil, ErrNotSent
+				}
+				return answer(200, "id: 1\n\n"), nil
+			}}
+			f, sink := newForwarder(t, transport), &fakeSink{}
+			var list []Upstream
+			for n, zone := range c.zones {
+				id := member.UpstreamID(fmt.Sprintf("e%d", n))
+				list = append(list, Upstream{ID: id, Service: "llm", Address: "10.1.0.1:1", Zone: zone, Slots: 24, Revision: 2})
+			}
+			f.fleet.Replace(time.Now(), list, 2)
+			f.listEngines(time.Now(), f.Table())
+			f.Serve(t.Context(), call("/llm/"), sink)
+			sent := transport.sentTo()
+			is.True(len(sent) <= c.sent)
+			seen := map[member.UpstreamID]bool{}
+			for _, id := range sent {
+				is.True(!seen[id]) // tried once
+				seen[id] = true
+			}
+			if c.alive == "" {
+				is.Equal(sink.refused.Code, CodeNoUpstream)
+				return
+			}
+			is.Equal(sink.refused, nil)
+		})
+	}
+}
+
 // TestStreamCallerLeft has the run end when the caller's connection fails.
 func TestStreamCallerLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
