forward, platform: one host watches the store for several zones

Change: the host that leads its zone follows a host of an earlier zone, with short calls, so that a silent link is noticed within 0.3 s; it turns to the store itself at once when that fails, for 5 s. The proof of the origin is handed on with its age. The configuration, the list and the hosts are read by one call, and the hosts come with the watch; the directory is only written, each 20 s, and 2 s after a failure. Ruled out: entries without a lease (a call less a host): they would stay for ever. Tests: TestOfEarlierZone, TestFollowZone (new behaviour: without it the origin is watched by each zone).

--- a/forward/directory.go
+++ b/forward/directory.go
@@ -8,47 +8,37 @@
 	"time"
 )
 
-// Directory lists the hosts of the site.
+// Directory lists the hosts of the site. The origin's news tell who is on it.
 type Directory interface {
 	// Announce puts this host on the list for a time, or keeps it there.
 	Announce(ctx context.Context, self Peer, ttl time.Duration) error
 	// Withdraw takes this host off the list.
 	Withdraw(ctx context.Context) error
-	Hosts(ctx context.Context) ([]Peer, error)
 }
 
-// Timing of the directory.
+// Timing of the directory. Hosts that know each other keep in touch by
+// themselves; an entry is for those that start, so it may be late.
 const (
-	// directoryEvery is the period of reading the directory, and directoryTTL
-	// how long an entry stays without being renewed. New hosts make themselves
-	// known by calling, so this is for what got lost.
-	directoryEvery = 6 * time.Second
-	directoryTTL   = 18 * time.Second
-	// directorySoon is when the directory is read again after the start, for
-	// hosts mostly start together.
-	directorySoon = 500 * time.Millisecond
+	// directoryEvery is the period of renewing this host's entry, and
+	// directoryTTL how long an entry stays without that.
+	directoryEvery = 20 * time.Second
+	directoryTTL   = 60 * time.Second
+	// directoryRetry is the pause after a failed call. Refused calls have a
+	// price, too.
+	directoryRetry = 2 * time.Second
 )
 
-// RunDirectory keeps this host in the directory and learns the others from it,
-// until the context ends.
+// RunDirectory keeps this host in the directory until the context ends.
 func (f *Forwarder) RunDirectory(ctx context.Context, d Directory) {
 	dep := dependency{name: "directory", journal: f.journal}
-	pause := directorySoon
 	for ctx.Err() == nil {
-		err := d.Announce(ctx, f.peers.self, directoryTTL)
-		var hosts []Peer
-		if err == nil {
-			hosts, err = d.Hosts(ctx)
-		}
-		if err != nil {
+		if err := d.Announce(ctx, f.peers.self, directoryTTL); err != nil {
 			dep.failed(ctx, err)
-			pauseFor(ctx, directoryEvery/8)
+			pauseFor(ctx, directoryRetry)
 			continue
 		}
 		dep.ok(time.Now())
-		f.peers.list(time.Now(), hosts)
-		pauseFor(ctx, pause)
-		pause = min(2*pause, directoryEvery)
+		pauseFor(ctx, directoryEvery)
 	}
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -238,3 +238,103 @@
 		synctest.Wait()
 	})
 }
+
+// TestOfEarlierZone has the host that leads its zone follow the first live host of
+// the first zone before its own.
+func TestOfEarlierZone(t *testing.T) {
+	now := time.Now()
+	peer := func(id, zone string, stopping bool) Share {
+		return Share{From: Peer{ID: member.HostID(id), Zone: member.Zone(zone)}, Stopping: stopping}
+	}
+	for name, c := range map[string]struct {
+		peers      []Share
+		distrusted member.HostID
+		shunned    member.Zone
+		want       member.HostID
+	}{
+		"alone":                  {nil, "", "", ""},
+		"first of the first":     {[]Share{peer("h2", "z1", false), peer("h1", "z2", false), peer("h3", "z1", false)}, "", "", "h2"},
+		"only later zones":       {[]Share{peer("h1", "z3", false), peer("h2", "z4", false)}, "", "", ""},
+		"own zone doesn't count": {[]Share{peer("h1", "z3", false)}, "", "", ""},
+		"the first is stopping":  {[]Share{peer("h1", "z1", true), peer("h2", "z1", false)}, "", "", "h2"},
+		"the first failed":       {[]Share{peer("h1", "z1", false), peer("h2", "z1", false)}, "h1", "", "h2"},
+		"the zone is shunned":    {[]Share{peer("h1", "z1", false), peer("h2", "z2", false)}, "", "z1", "h2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeerSet(Peer{ID: "h5", Zone: "z3"}, nil)
+			for _, s := range c.peers {
+				p.hear(now, s)
+			}
+			p.distrust(c.distrusted)
+			got, found := p.ofEarlierZone(func(z member.Zone) bool { return z == c.shunned }, now.Add(time.Second))
+			is.Equal(got.ID, c.want)
+			is.Equal(found, c.want != "")
+		})
+	}
+}
+
+// countingOrigin can always be read, and counts its watches.
+type countingOrigin struct{ watches atomic.Int32 }
+
+func (o *countingOrigin) Read(context.Context) (News, error) { return News{At: 1}, nil }
+
+func (o *countingOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+	o.watches.Add(1)
+	pauseFor(ctx, wait)
+	return News{At: after}, nil
+}
+
+// followedPeers plays the peer that is followed.
+type followedPeers struct {
+	silent    atomic.Bool
+	originAge atomic.Int64
+	calls     atomic.Int32
+}
+
+func (p *followedPeers) Share(context.Context, Peer, Share) (Share, error) { return Share{}, errGone }
+func (p *followedPeers) Turn(context.Context, Peer, TurnRequest) error     { return nil }
+func (p *followedPeers) EndTurn(context.Context, Peer, TurnRequest) error  { return nil }
+func (p *followedPeers) Follow(ctx context.Context, _ Peer, r FollowRequest) (FollowReply, error) {
+	p.calls.Add(1)
+	if p.silent.Load() {
+		<-ctx.Done()
+		return FollowReply{}, ctx.Err()
+	}
+	pauseFor(ctx, r.Wait)
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load())}, nil
+}
+
+// TestFollowZone has one host watch the origin for several zones, and a zone turn
+// to the origin itself within a fraction of a second when the host that it follows
+// is silent or has lost the origin.
+func TestFollowZone(t *testing.T) {
+	for name, fail := range map[string]func(p *followedPeers){
+		"silent":          func(p *followedPeers) { p.silent.Store(true) },
+		"lost the origin": func(p *followedPeers) { p.originAge.Store(int64(time.Minute)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwarder(t, &fakeTransport{})
+				peers, origin := &followedPeers{}, &countingOrigin{}
+				f.peerPort = peers
+				f.peers.hear(time.Now(), Share{From: Peer{ID: "h9", Zone: "z0"}})
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Follow(ctx, origin)
+				time.Sleep(2 * time.Second)
+				is.Equal(origin.watches.Load(), int32(0)) // another host watches
+				is.True(f.OriginAge(time.Now()) < time.Second)
+				fail(peers)
+				calls := peers.calls.Load()
+				time.Sleep(zoneBounds.timeout + zoneBounds.wait)
+				is.True(origin.watches.Load() > 0)
+				time.Sleep(2 * time.Second)
+				is.True(peers.calls.Load() <= calls+1) // it is left alone for a while
+				is.True(f.OriginAge(time.Now()) < watchWait+time.Second)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -8,6 +8,8 @@
 	"errors"
 	"math/rand/v2"
 	"time"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // News is what an Origin has that is new, as of a revision.
@@ -16,6 +18,8 @@
 	Config *Config
 	// Changes are those of the list of upstreams.
 	Changes []Change
+	// Hosts are hosts of the site that were put on its directory.
+	Hosts []Peer
 	At      Revision
 	// Unread is what couldn't be read of it; nil when all could.
 	Unread error
@@ -100,6 +104,8 @@
 	// began is when this host started to follow, tried when the origin failed
 	// last.
 	began, tried time.Time
+	// shunned are the zones whose hosts couldn't be followed, until when.
+	shunned map[member.Zone]time.Time
 }
 
 // While no peer is known, alonePause is waited between two watches, but not for
@@ -134,7 +140,10 @@
 		return false
 	}
 	leader, found := w.peers.leader(now, needed)
-	if !found || !w.followPeer(ctx, leader) {
+	switch {
+	case found && !w.followPeer(ctx, leader, leaderBounds):
+		return false
+	case !found && (needed || !w.followZone(ctx, now)):
 		return false
 	}
 	if needed {
@@ -144,6 +153,24 @@
 	return true
 }
 
+// followZone has the host that leads its zone follow a host of an earlier zone,
+// so that one host watches the origin for all of them. It reports whether that
+// host could be followed; if not, its zone is left alone for a while.
+func (w *follower) followZone(ctx context.Context, now time.Time) bool {
+	far, found := w.peers.ofEarlierZone(func(z member.Zone) bool { return now.Before(w.shunned[z]) }, now)
+	if !found {
+		return false
+	}
+	if w.followPeer(ctx, far, zoneBounds) {
+		return true
+	}
+	if w.shunned == nil {
+		w.shunned = map[member.Zone]time.Time{}
+	}
+	w.shunned[far.Zone] = now.Add(shunZoneFor)
+	return false
+}
+
 // followOrigin reads everything or waits for the next news.
 func (w *follower) followOrigin(ctx context.Context) {
 	proved := time.Now()
@@ -182,6 +209,7 @@
 	if news.Config != nil {
 		w.Configure(now, *news.Config)
 	}
+	w.peers.list(now, news.Hosts)
 	if w.read {
 		list := make([]Upstream, 0, len(news.Changes))
 		for _, c := range news.Changes {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,8 +61,8 @@
 	// contact is when this host last had proof that its configuration is the
 	// newest, in nanoseconds of Unix time.
 	contact atomic.Int64
-	// originContact is the same, by the origin itself and not by a peer; zero
-	// while the origin can't be had.
+	// originContact is when the origin proved that the list is up to date, to
+	// this host or to the one that it follows; zero while neither has it.
 	originContact atomic.Int64
 	// followed is when a peer that is followed last answered, in the same unit.
 	followed atomic.Int64
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -22,8 +22,8 @@
 	// proved to be the newest.
 	Version   Version
 	ConfigAge time.Duration
-	// OriginAge is how long ago the origin itself proved that the host is up to
-	// date; hosts that follow a peer have none of late.
+	// OriginAge is how long ago the origin proved that the host is up to date,
+	// to it or to the host that it follows.
 	OriginAge time.Duration
 	Stopping  bool
 	// Runs are all generations of the host.
@@ -85,14 +85,36 @@
 	// peerForgotten is how long a silent peer is still tried, and its runs are
 	// still counted on their engines.
 	peerForgotten = 20 * time.Second
-	// followWait and followTimeout bound a call that follows a peer's list.
-	followWait    = 700 * time.Millisecond
+	// followTimeout is how long after a peer's answer this host counts as
+	// following it.
 	followTimeout = 1100 * time.Millisecond
+	// shunZoneFor is how long a zone isn't followed after that has failed.
+	shunZoneFor = 5 * time.Second
 	// originFresh is how recent a peer's proof by the origin must be to follow it:
 	// its watch returns every watchWait at least.
 	originFresh = watchWait + 600*time.Millisecond
 )
 
+// followBounds bound one call that follows a peer's list.
+type followBounds struct {
+	// wait is how long the peer may wait for news, and timeout how long the
+	// call may take.
+	wait, timeout time.Duration
+	// fresh is how recent the origin's proof must be that the peer has.
+	fresh time.Duration
+}
+
+var (
+	// leaderBounds are for a host of the own zone.
+	leaderBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh}
+	// zoneBounds are for a host of another zone. The whole zone hears of
+	// engines that leave through this call, and a link that is cut may just be
+	// silent: that is to be noticed in a fraction of an engine's notice.
+	zoneBounds = followBounds{
+		wait: 150 * time.Millisecond, timeout: 300 * time.Millisecond, fresh: watchWait + 250*time.Millisecond,
+	}
+)
+
 // tellPlaced tells the peers at once of a run on an engine: those of the own
 // zone, or all when the engine is another zone's, whose hosts place there first.
 func (f *Forwarder) tellPlaced(u Upstream) {
@@ -278,19 +300,24 @@
 
 // followPeer takes over what a peer's list has that is newer. It reports
 // whether the peer's list can be relied on.
-func (f *Forwarder) followPeer(ctx context.Context, leader Peer) bool {
+func (f *Forwarder) followPeer(ctx context.Context, leader Peer, bounds followBounds) bool {
 	f.peers.mu.Lock()
 	peers := f.peerPort
 	f.peers.mu.Unlock()
 	if peers == nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	call, cancel := context.WithTimeout(ctx, bounds.timeout)
 	defer cancel()
-	reply, err := peers.Follow(ctx, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: followWait})
-	if err != nil || reply.OriginAge > originFresh || reply.ConfigAge > originFresh {
+	reply, err := peers.Follow(call, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: bounds.wait})
+	if err != nil || reply.OriginAge > bounds.fresh || reply.ConfigAge > bounds.fresh {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
+		if err == nil {
+			// What this host knows is no newer than what its leader has.
+			f.originContact.Store(0)
+			f.followed.Store(0)
+		}
 		return false
 	}
 	now := time.Now()
@@ -298,6 +325,7 @@
 		f.Configure(now, *reply.Config)
 	}
 	f.ContactProved(now.Add(-reply.ConfigAge))
+	raise(&f.originContact, now.Add(-reply.OriginAge))
 	f.followed.Store(now.UnixNano())
 	f.noteList(f.fleet.Apply(now, reply.Changes))
 	return true
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -37,6 +37,9 @@
 	sending bool
 	// failed says that the last share didn't arrive.
 	failed bool
+	// distrusted says that it couldn't be followed; it may have spoken since
+	// only to others.
+	distrusted bool
 }
 
 // live reports whether the peer is believed to be there.
@@ -65,7 +68,7 @@
 		isNew = true
 	}
 	state.Peer, state.heard, state.stopping, state.failed = s.From, now, s.Stopping, false
-	state.originAge = s.OriginAge
+	state.originAge, state.distrusted = s.OriginAge, false
 	return isNew
 }
 
@@ -166,6 +169,26 @@
 	return best.Peer, true
 }
 
+// ofEarlierZone returns the first live host, by zone and name, of a zone that
+// comes before this host's and isn't shunned.
+func (p *peerSet) ofEarlierZone(shunned func(member.Zone) bool, now time.Time) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first *peerState
+	for _, s := range p.known {
+		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now, p.self.Zone) || shunned(s.Zone) {
+			continue
+		}
+		if first == nil || s.Zone < first.Zone || s.Zone == first.Zone && s.ID < first.ID {
+			first = s
+		}
+	}
+	if first == nil {
+		return Peer{}, false
+	}
+	return first.Peer, true
+}
+
 // better orders the peers to follow: the own zone's first, then by name.
 func (p *peerSet) better(a, b *peerState) bool {
 	if near := a.Zone == p.self.Zone; near != (b.Zone == p.self.Zone) {
@@ -195,6 +218,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.known[id]; s != nil {
-		s.originAge = peerForgotten
+		s.originAge, s.distrusted = peerForgotten, true
 	}
 }
