forward: hosts are told of each other by the host that they follow

Cause: with the directory read only at the start, hosts that start in the same moment didn't know each other: engines were overcommitted, for nobody knew the others' runs. Test: TestFollowZone checks that a listed host is learnt by following, and told on.

--- a/forward/directory.go
+++ b/forward/directory.go
@@ -16,6 +16,13 @@
 	Withdraw(ctx context.Context) error
 }
 
+// ListedHost is a host's entry in the directory.
+type ListedHost struct {
+	Peer
+	// Revision is the list's when the entry was written.
+	Revision Revision
+}
+
 // Timing of the directory. Hosts that know each other keep in touch by
 // themselves; an entry is for those that start, so it may be late.
 const (
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -88,11 +88,13 @@
 	suspectFor = 2 * time.Second
 )
 
-// Apply takes changes of the list in. Older ones than what is known of the same
-// upstream change nothing. It returns those that made a difference.
-func (f *Fleet) Apply(now time.Time, changes []Change) []Change {
+// Apply takes changes of the list in, which are all that there were up to a
+// revision. Older ones than what is known of the same upstream change nothing. It
+// returns those that made a difference.
+func (f *Fleet) Apply(now time.Time, changes []Change, at Revision) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.revision = max(f.revision, at)
 	var news []Change
 	for _, c := range changes {
 		if f.apply(now, c) {
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -36,12 +36,12 @@
 	var f Fleet
 	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, 5)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
-	f.Apply(now, []Change{{Upstream: up("a", 7, true)}})
+	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, 0)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true})
-	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}})), 0) // older
-	f.Apply(now, []Change{{Upstream: up("a", 8, false)}})
+	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}}, 0)), 0) // older
+	f.Apply(now, []Change{{Upstream: up("a", 8, false)}}, 0)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true}) // leaving is for good
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 9}, Gone: true}})
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 9}, Gone: true}}, 0)
 	is.Equal(len(takers(&f, now)), 0)
 	select {
 	case <-f.Leaving("b"): // dropped without a notice: it leaves now
@@ -76,9 +76,9 @@
 		t.Fatal("b may come back")
 	default:
 	}
-	f.Apply(now, []Change{{Upstream: up("b", 10, false)}})
+	f.Apply(now, []Change{{Upstream: up("b", 10, false)}}, 0)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 12}, Gone: true}})
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 12}, Gone: true}}, 0)
 	is.Equal(len(f.Settle(now.Add(3*time.Second))), 1) // still missing: gone
 	<-f.Leaving("b")
 }
@@ -91,7 +91,7 @@
 	f.Replace(now, []Upstream{up("a", 1, false)}, 1)
 	f.ListLost(now)
 	f.ListRegained(now, 80*time.Millisecond)
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: 2}, Gone: true}})
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: 2}, Gone: true}}, 0)
 	<-f.Leaving("a")
 	is.Equal(len(takers(&f, now)), 0)
 }
@@ -302,7 +302,7 @@
 		return FollowReply{}, ctx.Err()
 	}
 	pauseFor(ctx, r.Wait)
-	return FollowReply{OriginAge: time.Duration(p.originAge.Load())}, nil
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []ListedHost{{Peer: Peer{ID: "h7", Zone: "z1"}, Revision: 7}}, List: 7}, nil
 }
 
 // TestFollowZone has one host watch the origin for several zones, and a zone turn
@@ -324,6 +324,9 @@
 				go f.Follow(ctx, origin)
 				time.Sleep(2 * time.Second)
 				is.Equal(origin.watches.Load(), int32(0)) // another host watches
+				is.True(f.peers.isKnown("h7"))            // and tells of hosts that were listed since
+				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 6}).Hosts), 1)
+				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 7}).Hosts), 0)
 				is.True(f.OriginAge(time.Now()) < time.Second)
 				fail(peers)
 				calls := peers.calls.Load()
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -19,8 +19,8 @@
 	// Changes are those of the list of upstreams.
 	Changes []Change
 	// Hosts are hosts of the site that were put on its directory.
-	Hosts []Peer
-	At      Revision
+	Hosts []ListedHost
+	At    Revision
 	// Unread is what couldn't be read of it; nil when all could.
 	Unread error
 }
@@ -217,7 +217,7 @@
 		}
 		w.noteList(w.fleet.Replace(now, list, news.At))
 	} else {
-		w.noteList(w.fleet.Apply(now, news.Changes))
+		w.noteList(w.fleet.Apply(now, news.Changes, news.At))
 	}
 	if lostFor := w.dep.ok(now); lostFor > 0 {
 		w.fleet.ListRegained(now, lostFor)
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -46,7 +46,9 @@
 	// Config is nil when it isn't newer.
 	Config  *Config
 	Changes []Change
-	List    Revision
+	// Hosts are those that were put on the directory since.
+	Hosts []ListedHost
+	List  Revision
 	// ConfigAge and OriginAge are as in Share.
 	ConfigAge, OriginAge time.Duration
 }
@@ -292,6 +294,7 @@
 	}
 	if r.List != noList {
 		reply.Changes, reply.List = f.fleet.Since(r.List)
+		reply.Hosts = f.peers.listedSince(r.List)
 	}
 	now := time.Now()
 	reply.ConfigAge, reply.OriginAge = f.ContactAge(now), f.OriginAge(now)
@@ -327,7 +330,8 @@
 	f.ContactProved(now.Add(-reply.ConfigAge))
 	raise(&f.originContact, now.Add(-reply.OriginAge))
 	f.followed.Store(now.UnixNano())
-	f.noteList(f.fleet.Apply(now, reply.Changes))
+	f.peers.list(now, reply.Hosts)
+	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
 	return true
 }
 
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -35,6 +35,9 @@
 	stopping  bool
 	// sending says that a share to it is under way.
 	sending bool
+	// listed is the revision of its entry in the directory; zero when that
+	// isn't known.
+	listed Revision
 	// failed says that the last share didn't arrive.
 	failed bool
 	// distrusted says that it couldn't be followed; it may have spoken since
@@ -73,14 +76,33 @@
 }
 
 // list takes in the directory: peers that were not known are tried.
-func (p *peerSet) list(now time.Time, peers []Peer) {
+func (p *peerSet) list(now time.Time, hosts []ListedHost) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, peer := range peers {
-		if peer.ID != p.self.ID && p.known[peer.ID] == nil {
-			p.known[peer.ID] = &peerState{Peer: peer, tried: now, heard: now.Add(-peerSilent)}
+	for _, host := range hosts {
+		if host.ID == p.self.ID {
+			continue
+		}
+		s := p.known[host.ID]
+		if s == nil {
+			s = &peerState{Peer: host.Peer, tried: now, heard: now.Add(-peerSilent)}
+			p.known[host.ID] = s
+		}
+		s.listed = max(s.listed, host.Revision)
+	}
+}
+
+// listedSince returns the hosts whose entries were written after a revision.
+func (p *peerSet) listedSince(after Revision) []ListedHost {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var hosts []ListedHost
+	for _, s := range p.known {
+		if s.listed > after {
+			hosts = append(hosts, ListedHost{Peer: s.Peer, Revision: s.listed})
 		}
 	}
+	return hosts
 }
 
 // targets returns the peers to share with now, and marks them as being sent to:
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -89,6 +89,7 @@
 type wireFollowed struct {
 	Config               []byte
 	Changes              []wireChange
+	Hosts                []wireListedHost
 	List                 uint64
 	ConfigAge, OriginAge int64
 }
@@ -100,6 +101,11 @@
 	Revision                   uint64
 }
 
+type wireListedHost struct {
+	ID, Zone, Address string
+	Revision          uint64
+}
+
 func toWireFollowed(r forward.FollowReply) (wireFollowed, error) {
 	w := wireFollowed{List: uint64(r.List), ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds()}
 	if r.Config != nil {
@@ -114,6 +120,9 @@
 			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Revision: uint64(c.Revision),
 		})
 	}
+	for _, h := range r.Hosts {
+		w.Hosts = append(w.Hosts, wireListedHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress, Revision: uint64(h.Revision)})
+	}
 	return w, nil
 }
 
@@ -137,6 +146,12 @@
 			Gone: c.Gone,
 		})
 	}
+	for _, h := range w.Hosts {
+		r.Hosts = append(r.Hosts, forward.ListedHost{
+			Peer:     forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address},
+			Revision: forward.Revision(h.Revision),
+		})
+	}
 	return r, nil
 }
 
