forward: long answers stay in their zone, short ones even the zones out

Change: an engine of another zone costs a long answer twice as much, new or moved, and a short one almost nothing: it has mostly ended before anything happens to the link.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -55,10 +55,13 @@
 	// farCostToStart is what an engine of another zone costs a new run, as a
 	// share of an engine's memory: a stream across zones is cut when the zones
 	// are, so it goes there only when the own zone's engines are much fuller.
-	farCostToStart = 0.35
+	farCostToStart = 0.7
+	// farCostOfShort is the same for a short answer: it has mostly ended before
+	// anything happens to the link.
+	farCostOfShort = 0.1
 	// farCostToMove is the same for a run that moves; a move between zones also
 	// takes the links twice as long.
-	farCostToMove = 0.4
+	farCostToMove = 0.8
 	// stepUnknown is assumed of an engine until a run on it has shown its step.
 	stepUnknown = 10 * time.Millisecond
 	// stepMemory is the weight of the newest observation of a step.
@@ -178,13 +181,13 @@
 // place finds an engine for a generation; it waits until the request's
 // deadline at most.
 func (e *engines) place(ctx context.Context, now time.Time, service ServiceName, r policy.Request) (Upstream, *ownRun, policy.Decision) {
-	r.Zone, r.FarCost = e.zone, farCostToStart
 	e.mu.Lock()
 	p := e.pools[service]
 	if p == nil {
 		e.mu.Unlock()
 		return Upstream{}, nil, policy.Decision{Verdict: policy.Refused, Reason: policy.ReasonNoEngine, RetryAfter: retryMost}
 	}
+	r.Zone, r.FarCost = e.zone, p.farCost(&r)
 	d := p.pool.Submit(now, r)
 	if d.Verdict == policy.Queued {
 		decided := make(chan policy.Decision, 1)
@@ -206,6 +209,14 @@
 	return p.listed[d.Engine], run, d
 }
 
+// farCost is what an engine of another zone costs a new run.
+func (p *enginePool) farCost(r *policy.Request) float64 {
+	if p.pool.MeanLength(r) < shortAnswer {
+		return farCostOfShort
+	}
+	return farCostToStart
+}
+
 // withdraw takes back a request whose caller left while it waited.
 func (e *engines) withdraw(p *enginePool, run policy.RunID, decided chan policy.Decision) policy.Decision {
 	e.mu.Lock()
