forward: a host that was cut off believes the host that it follows

Cause: after a cut a host distrusts what is missing from the list for 2.5 s. Change: who can be followed has judged itself what is gone. Test: TestFollowAfterCut, red before.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -271,10 +271,16 @@
 }
 
 // ListTrusted tells that a peer whose list is up to date is followed: it has
-// judged itself what is gone.
+// judged itself what is gone. While this host has missing upstreams of its own, it
+// waits for these as before.
 func (f *Fleet) ListTrusted() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for _, k := range f.upstreams {
+		if k.missing {
+			return
+		}
+	}
 	f.trustGoneFrom = time.Time{}
 }
 
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -290,6 +290,7 @@
 	silent    atomic.Bool
 	originAge atomic.Int64
 	calls     atomic.Int32
+	changes   []Change
 }
 
 func (p *followedPeers) Share(context.Context, Peer, Share) (Share, error) { return Share{}, errGone }
@@ -302,7 +303,7 @@
 		return FollowReply{}, ctx.Err()
 	}
 	pauseFor(ctx, r.Wait)
-	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []ListedHost{{Peer: Peer{ID: "h7", Zone: "z1"}, Revision: 7}}, List: 7}, nil
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []ListedHost{{Peer: Peer{ID: "h7", Zone: "z1"}, Revision: 7}}, List: 7, Changes: p.changes}, nil
 }
 
 // TestFollowZone has one host watch the origin for several zones, and a zone turn
@@ -341,3 +342,20 @@
 		})
 	}
 }
+
+// TestFollowAfterCut has a host that was cut off, and so distrusts what is missing
+// from the list, believe the host that it follows when that says an upstream is gone.
+func TestFollowAfterCut(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	f.peerPort = &followedPeers{changes: []Change{{Upstream: Upstream{ID: "llm1", Revision: 5}, Gone: true}}}
+	f.fleet.ListRegained(time.Now(), 10*time.Second)
+	is.True(f.followPeer(t.Context(), Peer{ID: "h0"}, zoneBounds))
+	select {
+	case <-f.fleet.Leaving("llm1"):
+	default:
+		t.Error("llm1 is gone")
+	}
+	changes, _ := f.fleet.Since(4)
+	is.Equal(len(changes), 1) // and those that follow this host are told
+}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -146,9 +146,6 @@
 	case !found && (needed || !w.followZone(ctx, now)):
 		return false
 	}
-	if needed {
-		w.fleet.ListTrusted()
-	}
 	w.at = max(w.at, w.fleet.Revision())
 	return true
 }
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -331,6 +331,7 @@
 	raise(&f.originContact, now.Add(-reply.OriginAge))
 	f.followed.Store(now.UnixNano())
 	f.peers.list(now, reply.Hosts)
+	f.fleet.ListTrusted()
 	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
 	return true
 }
