forward: engines that lose requests get no new ones for a while

Change: an engine that loses a request, breaks a stream off or is silent beyond 1.5 times the objective gets no new work for 2 s, then 4, then 8; the hosts of the zone are told at once, those of other zones have other links. Runs on such an engine move off it when links are free. Tests: TestFailingEngine, TestHearFailing, TestFailedHold (new behaviour).

--- /dev/null
+++ b/forward/failing.go
@@ -0,0 +1,120 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// FailingMark is a host's finding that an upstream loses requests, for the peers
+// of its zone: they have the same links to it.
+type FailingMark struct {
+	Upstream member.UpstreamID
+	// For is how much longer it is to get no new work.
+	For time.Duration
+}
+
+const (
+	// failingFor is how long an upstream that lost a request gets no new work. It
+	// doubles with each that is lost in a row, up to failingMost: one that goes
+	// bad for some seconds costs a request a host and zone then, not each one.
+	failingFor  = 2 * time.Second
+	failingMost = 8 * time.Second
+	// failingFirstPart of its objective is how late a first event may be before
+	// the engine counts as failing: callers leave at four times the objective.
+	failingFirstPart = 1.5
+)
+
+// Failed notes that an upstream took a request and lost it, or is silent. It
+// returns for how long it gets no new work.
+func (f *Fleet) Failed(now time.Time, id member.UpstreamID) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.upstreams[id]
+	if k == nil || k.Leaving {
+		return 0
+	}
+	hold := min(failingFor<<min(k.failures, 8), failingMost)
+	k.failures++
+	k.failedUntil = later(k.failedUntil, now.Add(hold))
+	k.suspectUntil = later(k.suspectUntil, k.failedUntil)
+	f.notify(true)
+	return hold
+}
+
+// Worked notes that an upstream answered.
+func (f *Fleet) Worked(id member.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil {
+		k.failures = 0
+	}
+}
+
+// Failing reports whether an upstream is kept from new work, by this host's own
+// finding or a peer's.
+func (f *Fleet) Failing(now time.Time, id member.UpstreamID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.upstreams[id]
+	return k != nil && now.Before(k.suspectUntil)
+}
+
+// FailingMarks returns this host's own findings.
+func (f *Fleet) FailingMarks(now time.Time) []FailingMark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var marks []FailingMark
+	for id, k := range f.upstreams {
+		if left := k.failedUntil.Sub(now); left > 0 && !k.Leaving {
+			marks = append(marks, FailingMark{Upstream: id, For: left})
+		}
+	}
+	return marks
+}
+
+// HearFailing takes in what a peer of the zone found.
+func (f *Fleet) HearFailing(now time.Time, marks []FailingMark) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	for _, mark := range marks {
+		k := f.upstreams[mark.Upstream]
+		until := now.Add(min(mark.For, failingMost))
+		if k == nil || !until.After(k.suspectUntil) {
+			continue
+		}
+		k.suspectUntil, changed = until, true
+	}
+	f.notify(changed)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// failed notes that the engine of this stream lost it, and tells the zone.
+func (s *streamExchange) failed(now time.Time, id member.UpstreamID, why string) {
+	hold := s.fleet.Failed(now, id)
+	if hold == 0 {
+		return
+	}
+	s.journal.Belief("upstream fails", "upstream", id, "request", s.call.ID, "why", why, "no_new_work_for", hold)
+	s.peers.nudge()
+}
+
+// watchFirstEvent has the engine count as failing when the first event is late.
+// The returned function ends that.
+func (s *streamExchange) watchFirstEvent(id member.UpstreamID) (stop func() bool) {
+	if s.route.Objective <= 0 {
+		return func() bool { return true }
+	}
+	late := time.Duration(failingFirstPart * float64(s.route.Objective))
+	return time.AfterFunc(late, func() { s.failed(time.Now(), id, "its first event is late") }).Stop
+}
--- /dev/null
+++ b/forward/failing_test.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// TestFailingEngine has an engine that loses requests, or that is silent, get no
+// new streams for a while, longer each time, and then be tried again.
+func TestFailingEngine(t *testing.T) {
+	for name, lose := range map[string]func(ctx context.Context) (*Answer, error){
+		"resets": func(context.Context) (*Answer, error) { return nil, io.ErrUnexpectedEOF },
+		"breaks streams off": func(context.Context) (*Answer, error) {
+			a := answer(200, "")
+			a.Body = io.NopCloser(io.MultiReader(&chunked{from: &oneEvent{}, n: 64}, errReader{}))
+			return a, nil
+		},
+		"is silent": func(ctx context.Context) (*Answer, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				transport := &fakeTransport{send: func(ctx context.Context, u Upstream, _ *Outgoing) (*Answer, error) {
+					if u.ID == "llm1" {
+						return lose(ctx)
+					}
+					return answer(200, "id: 1\n\n"), nil
+				}}
+				f := newForwarder(t, transport)
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Run(ctx)
+				lost := func(streams int) int {
+					before := len(transport.sentTo())
+					for n := range streams {
+						c := call("/llm/")
+						c.ID = RequestID(fmt.Sprint("r", time.Now().UnixNano(), n))
+						left, leave := context.WithTimeout(ctx, 4*time.Second)
+						f.Serve(left, c, &fakeSink{})
+						leave()
+						synctest.Wait()
+					}
+					lost := 0
+					for _, id := range transport.sentTo()[before:] {
+						if id == "llm1" {
+							lost++
+						}
+					}
+					return lost
+				}
+				f.fleet.Suspect(time.Now(), "llm2")
+				f.fleet.Suspect(time.Now(), "llm3")
+				synctest.Wait()
+				is.Equal(lost(1), 1)
+				is.Equal(len(f.fleet.FailingMarks(time.Now())), 1) // its loss was noted
+				time.Sleep(suspectFor)                             // the others are back
+				f.fleet.Failed(time.Now(), "llm1")
+				synctest.Wait()
+				is.Equal(lost(6), 0)
+				time.Sleep(failingMost)
+				synctest.Wait()
+				is.True(!f.fleet.Failing(time.Now(), "llm1")) // it is tried again
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// oneEvent reads as one event, once.
+type oneEvent struct{ read bool }
+
+func (e *oneEvent) Read(p []byte) (int, error) {
+	if e.read {
+		return 0, io.EOF
+	}
+	e.read = true
+	return copy(p, "id: 1\n\n"), nil
+}
+
+// TestHearFailing has a host believe what a peer of its zone found about an
+// upstream, but no host of another zone: its links are others.
+func TestHearFailing(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	marks := []FailingMark{{Upstream: "llm1", For: time.Second}, {Upstream: "unknown", For: time.Second}}
+	f.hear(t.Context(), Share{From: Peer{ID: "h2", Zone: "z2"}, Failing: marks})
+	is.True(!f.fleet.Failing(time.Now(), "llm1"))
+	f.hear(t.Context(), Share{From: Peer{ID: "h3", Zone: "z1"}, Failing: marks})
+	is.True(f.fleet.Failing(time.Now(), "llm1"))
+	is.Equal(len(f.fleet.FailingMarks(time.Now())), 0) // it isn't told on: who found it does
+}
+
+// TestFailedHold has the time without new work double with each failure in a row,
+// up to a bound, and start anew once the upstream has worked.
+func TestFailedHold(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	now := time.Now()
+	hold := func(id member.UpstreamID) time.Duration { return f.fleet.Failed(now, id) }
+	is.Equal([]time.Duration{hold("llm1"), hold("llm1"), hold("llm1"), hold("llm1")}, []time.Duration{2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second})
+	f.fleet.Worked("llm1")
+	is.Equal(hold("llm1"), failingFor)
+	f.fleet.MarkLeaving(now, "llm2", 0, true)
+	is.Equal(hold("llm2"), time.Duration(0)) // it leaves anyway
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -71,6 +71,10 @@
 	leaving chan struct{}
 	// suspectUntil keeps new work away after a connection failed.
 	suspectUntil time.Time
+	// failures counts the requests that were lost there in a row.
+	failures int
+	// failedUntil is how long this host's own finding keeps new work away.
+	failedUntil time.Time
 }
 
 const (
--- a/forward/move.go
+++ b/forward/move.go
@@ -109,7 +109,7 @@
 		return nil
 	}
 	defer x.improving.Unlock()
-	to, from, found := x.engines.improve(time.Now(), x.service.Name, run, nil)
+	to, from, found := m.better(time.Now(), x, run)
 	if !found {
 		return nil
 	}
@@ -134,6 +134,16 @@
 	return nil
 }
 
+// better finds an engine that suits the run much better; any other does while its
+// own is failing.
+func (m *mover) better(now time.Time, x *exchange, run *ownRun) (to Upstream, from member.UpstreamID, found bool) {
+	if x.fleet.Failing(now, m.from.ID) {
+		to, found = x.engines.relocate(now, x.service.Name, run, nil)
+		return to, m.from.ID, found
+	}
+	return x.engines.improve(now, x.service.Name, run, nil)
+}
+
 // stopped reports whether the run was told to stop, so that the end of its
 // stream isn't the end of the answer.
 func (m *mover) stopped() bool {
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -30,6 +30,8 @@
 	Runs []RunState
 	// Leaving are the host's own observations of engines that leave.
 	Leaving []LeavingMark
+	// Failing are its findings of upstreams that lose requests.
+	Failing []FailingMark
 }
 
 // FollowRequest asks a peer for what is newer than what the asker has. Zero
@@ -203,6 +205,7 @@
 	s := Share{
 		From: f.peers.self, ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Runs: f.engines.states(), Leaving: f.fleet.Marks(now),
+		Failing: f.fleet.FailingMarks(now),
 	}
 	if t := f.table.Load(); t != nil {
 		s.Version = t.Version
@@ -227,6 +230,9 @@
 	for _, mark := range s.Leaving {
 		f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
 	}
+	if s.From.Zone == f.peers.self.Zone {
+		f.fleet.HearFailing(now, s.Failing)
+	}
 	if f.peers.hear(now, s) {
 		f.journal.Belief("peer found", "peer", s.From.ID, "zone", s.From.Zone)
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -68,7 +68,9 @@
 			s.refuse(refusal, "service", x.service.Name, "avoided", len(s.avoid))
 			return
 		}
+		stopWatch := s.watchFirstEvent(u.ID)
 		answer, err := s.send(ctx, u, nil)
+		stopWatch()
 		if err == nil && !answer.NotRun && !answer.OtherInstance {
 			s.answerFrom(ctx, u, answer)
 			return
@@ -210,6 +212,7 @@
 	case ctx.Err() != nil:
 		return Refusal{Code: CodeTimeout, MayHaveRun: !errors.Is(err, ErrNotSent)}
 	case err != nil:
+		s.failed(now, u.ID, "it lost a request")
 		return Refusal{Code: CodeLost, MayHaveRun: true}
 	case a.OtherInstance:
 		s.fleet.MarkLeaving(now, u.ID, 0, true)
@@ -242,6 +245,12 @@
 		return
 	}
 	last, err := s.follow(ctx, u, a)
+	switch {
+	case err == nil:
+		s.fleet.Worked(last.ID)
+	case s.callerGone == nil && ctx.Err() == nil:
+		s.failed(time.Now(), last.ID, "it broke a stream off")
+	}
 	s.free(err == nil)
 	s.end(ctx, last, err)
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -27,6 +27,13 @@
 	Stopping          bool
 	Runs              []wireRunState
 	Leaving           []wireLeaving
+	Failing           []wireFailing
+}
+
+// wireFailing is forward.FailingMark; For is in milliseconds.
+type wireFailing struct {
+	Upstream string
+	For      int64
 }
 
 // wireLeaving is forward.LeavingMark; In is in milliseconds.
@@ -54,6 +61,9 @@
 	for _, mark := range s.Leaving {
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), In: mark.In.Milliseconds()})
 	}
+	for _, mark := range s.Failing {
+		w.Failing = append(w.Failing, wireFailing{Upstream: string(mark.Upstream), For: mark.For.Milliseconds()})
+	}
 	return w
 }
 
@@ -75,6 +85,11 @@
 			Engine: member.UpstreamID(mark.Engine), In: time.Duration(mark.In) * time.Millisecond,
 		})
 	}
+	for _, mark := range w.Failing {
+		s.Failing = append(s.Failing, forward.FailingMark{
+			Upstream: member.UpstreamID(mark.Upstream), For: time.Duration(mark.For) * time.Millisecond,
+		})
+	}
 	return s
 }
 
