--- a/forward/failing.go
+++ b/forward/failing.go
@@ -45,6 +45,21 @@
 	return hold
 }
 
+// ZoneUnreachable notes that an upstream of another zone couldn't be connected to:
+// a link that is cut leads to all of that zone, and finding that out takes time each
+// time.
+func (f *Fleet) ZoneUnreachable(now time.Time, service ServiceName, zone member.Zone) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range f.upstreams {
+		if k.Service == service && k.Zone == zone && !k.Leaving {
+			k.failedUntil = later(k.failedUntil, now.Add(suspectFor))
+			k.suspectUntil = later(k.suspectUntil, k.failedUntil)
+		}
+	}
+	f.notify(true)
+}
+
 // Worked notes that an upstream answered.
 func (f *Fleet) Worked(id member.UpstreamID) {
 	f.mu.Lock()
--- a/forward/failing_test.go
+++ b/forward/failing_test.go
@@ -117,3 +117,36 @@
 	f.fleet.MarkLeaving(now, "llm2", 0, true)
 	is.Equal(hold("llm2"), time.Duration(0)) // it leaves anyway
 }
+
+// TestZoneUnreachable has a failed connection to another zone keep new work from all
+// of that zone, here and at the peers of the own zone.
+func TestZoneUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{send: func(_ context.Context, u Upstream, _ *Outgoing) (*Answer, error) {
+			if u.Zone != "z1" {
+				return nil, ErrNotSent
+			}
+			return answer(200, "id: 1\n\n"), nil
+		}}
+		f := newForwarder(t, transport)
+		var list []Upstream
+		for n, zone := range []member.Zone{"z2", "z2", "z2", "z1", "z3"} {
+			list = append(list, Upstream{ID: member.UpstreamID(fmt.Sprint("e", n)), Service: "llm", Zone: zone, Slots: 24, Revision: 2})
+		}
+		f.fleet.Replace(time.Now(), list, 2)
+		f.fleet.Suspect(time.Now(), "e3") // the own zone's engine is tried last
+		f.fleet.Suspect(time.Now(), "e4")
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		synctest.Wait()
+		f.Serve(ctx, call("/llm/"), &fakeSink{})
+		is.Equal(len(f.fleet.FailingMarks(time.Now())), 3)
+		peer := newForwarder(t, transport)
+		peer.fleet.Replace(time.Now(), list, 2)
+		peer.hear(t.Context(), f.share(time.Now()))
+		is.Equal(len(peer.fleet.Takers(time.Now(), "llm")), 2) // e3 and e4
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -111,6 +111,8 @@
 			s.avoid = append(s.avoid, other.ID)
 		}
 	}
+	s.fleet.ZoneUnreachable(now, s.service.Name, u.Zone)
+	s.peers.nudge()
 }
 
 // untried reports whether an engine is left that hasn't been tried. Those that
