forward: hosts ask a store that is down in turn, and never follow one that can't have it

Change: in a zone of many hosts each pauses longer, and ends the pause as soon as a peer has regained the store; a host that follows because it must tells no proof of its own, and tries the store again after 4 s instead of 1. Tests: TestOriginDown, TestFollowNeeded (new behaviour).

--- a/forward/directory.go
+++ b/forward/directory.go
@@ -40,8 +40,7 @@
 	dep := dependency{name: "directory", journal: f.journal}
 	for ctx.Err() == nil {
 		if err := d.Announce(ctx, f.peers.self, directoryTTL); err != nil {
-			dep.failed(ctx, err)
-			pauseFor(ctx, directoryRetry)
+			pauseFor(ctx, dep.failed(ctx, err)+directoryRetry)
 			continue
 		}
 		dep.ok(time.Now())
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -186,10 +187,12 @@
 
 // failingOrigin has a list that can be read until it is lost.
 type failingOrigin struct {
-	lost atomic.Bool
+	lost  atomic.Bool
+	reads atomic.Int32
 }
 
 func (o *failingOrigin) Read(context.Context) (News, error) {
+	o.reads.Add(1)
 	if o.lost.Load() {
 		return News{}, errGone
 	}
@@ -359,3 +362,57 @@
 	changes, _ := f.fleet.Since(4)
 	is.Equal(len(changes), 1) // and those that follow this host are told
 }
+
+// TestFollowNeeded has a host that can't have the origin be up to date by a peer,
+// but not be one that others follow: they would follow each other.
+func TestFollowNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &fakeTransport{})
+		f.peerPort = &followedPeers{}
+		ctx, cancel := context.WithCancel(t.Context())
+		origin := &failingOrigin{}
+		go f.Follow(ctx, origin)
+		synctest.Wait()
+		origin.lost.Store(true)
+		f.peers.hear(time.Now(), Share{From: Peer{ID: "h9", Zone: "z1"}})
+		time.Sleep(2 * time.Second)
+		is.True(f.listKnown(time.Now()))
+		is.True(f.OriginAge(time.Now()) > originFresh)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestOriginDown has many hosts that find the origin down ask it seldom, and one
+// that regains it be followed at once.
+func TestOriginDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &fakeTransport{})
+		peers := &followedPeers{}
+		peers.originAge.Store(int64(time.Minute))
+		f.peerPort = peers
+		ctx, cancel := context.WithCancel(t.Context())
+		origin := &failingOrigin{}
+		origin.lost.Store(true)
+		hear := func(originAge time.Duration) {
+			for n := range 20 {
+				f.peers.hear(time.Now(), Share{From: Peer{ID: member.HostID(fmt.Sprint("h", 10+n)), Zone: "z1"}, OriginAge: originAge})
+			}
+		}
+		hear(time.Minute)
+		go f.Follow(ctx, origin)
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			hear(time.Minute)
+		}
+		is.True(origin.reads.Load() <= 17) // in 30 s; a host that is alone asks at least 25 times
+		peers.originAge.Store(0)
+		hear(0)
+		time.Sleep(2*ledCheck + neededBounds.wait)
+		is.True(f.listKnown(time.Now()))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -65,17 +65,17 @@
 	failures int
 }
 
-// failed notes a failure, and waits before the next try.
-func (d *dependency) failed(ctx context.Context, err error) {
+// failed notes a failure and returns the pause before the next try.
+func (d *dependency) failed(ctx context.Context, err error) time.Duration {
 	if ctx.Err() != nil {
-		return
+		return 0
 	}
 	if d.lost.IsZero() {
 		d.lost = time.Now()
 		d.journal.Belief("dependency lost", "what", d.name, "err", err)
 	}
 	d.failures++
-	pauseFor(ctx, failPause(d.failures))
+	return failPause(d.failures)
 }
 
 // ok notes a success and returns how long the outage was that it ended; zero
@@ -117,7 +117,16 @@
 
 // originPause is how long a host whose origin failed follows a peer before it
 // tries the origin again.
-const originPause = time.Second
+const originPause = 4 * time.Second
+
+const (
+	// hostsAtOnce is how many hosts of a zone try an origin that is down at the
+	// usual pace; with more of them each pauses longer. The first that regains
+	// it is followed by the others.
+	hostsAtOnce = 4
+	// ledCheck is how often a host that pauses looks for such a peer.
+	ledCheck = 100 * time.Millisecond
+)
 
 // Follow keeps the configuration and the list of upstreams up to date until the
 // context ends.
@@ -140,8 +149,12 @@
 		return false
 	}
 	leader, found := w.peers.leader(now, needed)
+	bounds := leaderBounds
+	if needed {
+		bounds = neededBounds
+	}
 	switch {
-	case found && !w.followPeer(ctx, leader, leaderBounds):
+	case found && !w.followPeer(ctx, leader, bounds):
 		return false
 	case !found && (needed || !w.followZone(ctx, now)):
 		return false
@@ -231,7 +244,21 @@
 	// engines are asked themselves.
 	w.originContact.Store(0)
 	w.fleet.Wake()
-	w.dep.failed(ctx, err)
+	pause := w.dep.failed(ctx, err)
+	pauseFor(ctx, pause)
+	w.pauseUntilLed(ctx, pause*time.Duration(w.peers.liveInZone(w.tried)/hostsAtOnce))
+}
+
+// pauseUntilLed waits, but not on while a peer has regained the origin.
+func (w *follower) pauseUntilLed(ctx context.Context, pause time.Duration) {
+	until := time.Now().Add(pause)
+	for ctx.Err() == nil {
+		now := time.Now()
+		if _, found := w.peers.leader(now, true); found || !now.Before(until) {
+			return
+		}
+		pauseFor(ctx, min(until.Sub(now), ledCheck))
+	}
 }
 
 // following reports whether a peer gives this host what is new.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -106,16 +106,23 @@
 	wait, timeout time.Duration
 	// fresh is how recent the origin's proof must be that the peer has.
 	fresh time.Duration
+	// inherit says that the proof counts as this host's own, so that others may
+	// follow it in turn.
+	inherit bool
 }
 
 var (
 	// leaderBounds are for a host of the own zone.
-	leaderBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh}
+	leaderBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh, inherit: true}
+	// neededBounds are for any host while the origin can't be had: those that
+	// could watch it must not follow this host back.
+	neededBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh}
 	// zoneBounds are for a host of another zone. The whole zone hears of
 	// engines that leave through this call, and a link that is cut may just be
 	// silent: that is to be noticed in a fraction of an engine's notice.
 	zoneBounds = followBounds{
 		wait: 150 * time.Millisecond, timeout: 300 * time.Millisecond, fresh: watchWait + 250*time.Millisecond,
+		inherit: true,
 	}
 )
 
@@ -334,7 +341,9 @@
 		f.Configure(now, *reply.Config)
 	}
 	f.ContactProved(now.Add(-reply.ConfigAge))
-	raise(&f.originContact, now.Add(-reply.OriginAge))
+	if bounds.inherit {
+		raise(&f.originContact, now.Add(-reply.OriginAge))
+	}
 	f.followed.Store(now.UnixNano())
 	f.peers.list(now, reply.Hosts)
 	f.fleet.ListTrusted()
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -156,6 +156,19 @@
 	return n
 }
 
+// liveInZone counts this host and the peers of its zone that were heard lately.
+func (p *peerSet) liveInZone(now time.Time) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, s := range p.known {
+		if s.Zone == p.self.Zone && s.live(now, p.self.Zone) {
+			n++
+		}
+	}
+	return n
+}
+
 // isKnown reports whether a peer is still remembered; the runs of one that isn't are
 // no longer counted.
 func (p *peerSet) isKnown(id member.HostID) bool {
