--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -78,12 +78,6 @@
 }
 
 const (
-	// listSettles is how long after an outage of the platform the list may
-	// still lack upstreams that live: the platform says about two seconds.
-	listSettles = 2500 * time.Millisecond
-	// lapseAfter is the shortest outage in which entries run out: upstreams
-	// write to theirs about every 1.2 s, and three misses drop it.
-	lapseAfter = 1500 * time.Millisecond
 	// forgetGone is how long a dropped upstream is remembered. Its address may
 	// be another's by then; the id guards against that.
 	forgetGone = 30 * time.Second
@@ -230,19 +224,6 @@
 	return marks
 }
 
-// Missing lists the upstreams that the list lacks without being believed.
-func (f *Fleet) Missing() []member.UpstreamID {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var missing []member.UpstreamID
-	for id, k := range f.upstreams {
-		if k.missing {
-			missing = append(missing, id)
-		}
-	}
-	return missing
-}
-
 // Upstream returns what is known of an upstream.
 func (f *Fleet) Upstream(id member.UpstreamID) (Upstream, bool) {
 	f.mu.Lock()
@@ -263,58 +244,6 @@
 	}
 }
 
-// ListRegained tells that the list can be read again after an outage. In a long
-// one, living upstreams may have been dropped from it.
-func (f *Fleet) ListRegained(now time.Time, lostFor time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.trustGoneFrom = time.Time{}
-	if lostFor >= lapseAfter {
-		f.trustGoneFrom = now.Add(listSettles)
-	}
-}
-
-// ListTrusted tells that a peer whose list is up to date is followed: it has
-// judged itself what is gone. While this host has missing upstreams of its own, it
-// waits for these as before.
-func (f *Fleet) ListTrusted() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, k := range f.upstreams {
-		if k.missing {
-			return
-		}
-	}
-	f.trustGoneFrom = time.Time{}
-}
-
-// ListLost tells that the list can't be read.
-func (f *Fleet) ListLost(now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.trustGoneFrom = now.Add(forgetGone)
-}
-
-// Settle drops what was missing when the list settled after an outage, and
-// forgets what is long gone. It is to be called from time to time.
-func (f *Fleet) Settle(now time.Time) []Change {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var news []Change
-	for id, k := range f.upstreams {
-		if k.missing && !now.Before(f.trustGoneFrom) {
-			k.gone, k.missing = true, false
-			k.leave(now)
-			news = append(news, Change{Upstream: k.Upstream, Gone: true})
-		}
-		if k.gone && now.Sub(k.leftAt) > forgetGone {
-			delete(f.upstreams, id)
-		}
-	}
-	f.notify(len(news) > 0)
-	return news
-}
-
 func (f *Fleet) notify(changed bool) {
 	if changed && f.changed != nil {
 		close(f.changed)
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -150,21 +150,29 @@
 	if w.read && !needed {
 		return false
 	}
-	leader, found := w.peers.leader(now, needed)
-	bounds := leaderBounds
-	if needed {
-		bounds = neededBounds
-	}
-	switch {
-	case found && !w.followPeer(ctx, leader, bounds):
-		return false
-	case !found && (needed || !w.followZone(ctx, now)):
+	if !w.followOne(ctx, now, needed) {
 		return false
 	}
 	w.at = max(w.at, w.fleet.Revision())
 	return true
 }
 
+// followOne follows the leader of the zone, or any fresh host when that is needed;
+// the leader itself follows another zone's host.
+func (w *follower) followOne(ctx context.Context, now time.Time, needed bool) bool {
+	leader, found := w.peers.leader(now, needed)
+	switch {
+	case found && needed:
+		return w.followPeer(ctx, leader, neededBounds)
+	case found:
+		return w.followPeer(ctx, leader, leaderBounds)
+	case needed:
+		return false
+	default:
+		return w.followZone(ctx, now)
+	}
+}
+
 // followZone has the host that leads its zone follow a host of an earlier zone,
 // so that one host watches the origin for all of them. It reports whether that
 // host could be followed; if not, its zone is left alone for a while.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -181,6 +181,7 @@
 	f.mu.Lock()
 	running := f.inFlight
 	f.stopping = true
+	// Without a deadline stopBy is zero, and no stream surely ends before it.
 	f.stopBy, _ = ctx.Deadline()
 	f.idle = make(chan struct{})
 	if running == 0 {
--- /dev/null
+++ b/forward/runs.go
@@ -0,0 +1,88 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// RunState is what a host tells its peers of one of its runs.
+type RunState struct {
+	Run     policy.RunID
+	Service ServiceName
+	Engine  member.UpstreamID
+	Account resource.Account
+	Prompt  policy.Tokens
+	Made    policy.Tokens
+	Limit   policy.Tokens
+}
+
+// states lists this host's runs.
+func (e *engines) states() []RunState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var states []RunState
+	for service, p := range e.pools {
+		for id, run := range p.own {
+			states = append(states, RunState{
+				Run: id, Service: service, Engine: run.engine, Account: run.request.Account,
+				Prompt: run.request.Prompt, Made: policy.Tokens(run.made.Load()), Limit: run.request.Limit,
+			})
+		}
+	}
+	return states
+}
+
+// forget drops the runs of peers that aren't known any more.
+func (e *engines) forget(now time.Time, isKnown func(member.HostID) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		for id, host := range p.theirs {
+			if !isKnown(host) {
+				delete(p.theirs, id)
+				p.pool.Finish(now, policy.Finish{Run: id})
+			}
+		}
+	}
+}
+
+// adopt replaces what is known of a peer's runs.
+func (e *engines) adopt(now time.Time, host member.HostID, states []RunState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := make(map[policy.RunID]RunState, len(states))
+	for _, s := range states {
+		listed[s.Run] = s
+	}
+	for _, p := range e.pools {
+		for id, of := range p.theirs {
+			if of != host {
+				continue
+			}
+			s, still := listed[id]
+			if still && p.pool.EngineOf(id) == s.Engine {
+				continue
+			}
+			delete(p.theirs, id)
+			p.pool.Finish(now, policy.Finish{Run: id})
+		}
+	}
+	for id, s := range listed {
+		p := e.pools[s.Service]
+		if p == nil || p.own[id] != nil {
+			continue
+		}
+		if _, known := p.theirs[id]; known {
+			p.pool.Progress(now, id, s.Made)
+			continue
+		}
+		p.theirs[id] = host
+		p.pool.Adopt(now, policy.Request{Run: id, Account: s.Account, Prompt: s.Prompt, Limit: s.Limit}, s.Engine, s.Made)
+	}
+}
