policy: an engine that is kept from new work for a while comes back with its runs

Cause: an engine that was suspected for two seconds came back as an empty one, and a move off it that failed left the run counted at the target. Change: engines that aren't named are remembered with their runs; a failed move counts the run where it still is. Test: TestAwayEngineKeepsItsRuns, which doesn't build without the change; its claims (the run is still counted, the engine still full) were seen in the log as false.

--- a/forward/move.go
+++ b/forward/move.go
@@ -244,6 +244,7 @@
 	}
 	if err != nil {
 		m.discard(x)
+		x.engines.stay(time.Now(), x.service.Name, run, m.from.ID)
 	}
 	return next, err
 }
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -34,9 +34,12 @@
 	lengths  lengthModel
 	// engines is in the order of their ids.
 	engines []*engine
-	runs    map[RunID]*placed
-	queue   queue
-	steps   stepTime
+	// away are engines that are no longer named: one that is only kept from new
+	// work for a while comes back with its runs.
+	away  map[EngineID]*engine
+	runs  map[RunID]*placed
+	queue queue
+	steps stepTime
 	// share is how many entries decide about these engines at once, each
 	// within its part of the free memory. It is 1 for the coordinator.
 	share int
@@ -76,18 +79,42 @@
 // SetEngines says which engines take new work. An engine that is no longer
 // named takes none; what it runs stays known until it finishes.
 func (p *Pool) SetEngines(ids []EngineID) {
-	kept := make([]*engine, 0, len(ids))
+	named := make([]*engine, 0, len(ids))
 	for _, id := range ids {
-		e := p.engine(id)
+		e := p.anyEngine(id)
 		if e == nil {
 			e = newEngine(id)
 		}
-		kept = append(kept, e)
+		delete(p.away, id)
+		named = append(named, e)
 	}
-	p.engines = kept
+	p.sendAway(ids)
+	p.engines = named
 	p.blocked = false
 }
 
+// mostAway bounds the engines that are remembered without runs.
+const mostAway = 256
+
+// sendAway remembers the engines that aren't named any more.
+func (p *Pool) sendAway(named []EngineID) {
+	for _, e := range p.engines {
+		if slices.Contains(named, e.id) {
+			continue
+		}
+		if p.away == nil {
+			p.away = map[EngineID]*engine{}
+		}
+		p.away[e.id] = e
+	}
+	for id, e := range p.away {
+		if len(p.away) > mostAway && len(e.order) == 0 {
+			delete(p.away, id)
+		}
+	}
+}
+
+// engine returns an engine that takes new work; nil when none of that name does.
 func (p *Pool) engine(id EngineID) *engine {
 	for _, e := range p.engines {
 		if e.id == id {
@@ -97,6 +124,15 @@
 	return nil
 }
 
+// anyEngine returns an engine that takes new work or is away; nil when it isn't
+// known.
+func (p *Pool) anyEngine(id EngineID) *engine {
+	if e := p.engine(id); e != nil {
+		return e
+	}
+	return p.away[id]
+}
+
 // Engines returns the engines that take new work.
 func (p *Pool) Engines() []EngineID {
 	ids := make([]EngineID, len(p.engines))
@@ -173,7 +209,7 @@
 // Adopt takes in a run that was placed by another, so that a new coordinator
 // knows what its engines already carry.
 func (p *Pool) Adopt(now time.Time, r Request, id EngineID, made Tokens) {
-	e := p.engine(id)
+	e := p.anyEngine(id)
 	if e == nil || p.runs[r.Run] != nil {
 		return
 	}
--- a/policy/pool_test.go
+++ b/policy/pool_test.go
@@ -391,3 +391,38 @@
 		}
 	})
 }
+
+// An engine that is kept from new work for a while comes back with its runs, and a
+// run that wasn't moved off it after all is counted there again.
+func TestAwayEngineKeepsItsRuns(t *testing.T) {
+	is := is.New(t)
+	p := newTestPool(Settings{}, "g1", "g2")
+	first := p.Submit(start, ask("1", 6000)).Engine
+	other := EngineID("g1")
+	if first == other {
+		other = "g2"
+	}
+	p.SetEngines([]EngineID{other})
+	id, found := p.Relocate(start, "1", 0, nil)
+	is.True(found)
+	is.Equal(id, other)
+	is.True(!p.Return(start, "1", "unknown"))
+	p.SetEngines([]EngineID{other})
+	is.True(p.Return(start, "1", first)) // although it has been away
+	is.Equal(p.EngineOf("1"), first)
+	for n := range 2 * mostAway {
+		p.SetEngines([]EngineID{EngineID(fmt.Sprint("e", n))})
+	}
+	is.True(len(p.away) <= mostAway+1) // engines come and go
+	is.Equal(p.EngineOf("1"), first)
+
+	p = newTestPool(Settings{}, "g1", "g2")
+	first = p.Submit(start, ask("1", 6000)).Engine
+	p.SetEngines([]EngineID{other})
+	p.Adopt(start, ask("2", 3000), first, 0) // a peer's run there
+	p.SetEngines([]EngineID{first})
+	p.Report(start, Report{Engine: first, Memory: 10_000, Step: step})
+	is.Equal(p.EngineOf("1"), first)
+	is.Equal(p.EngineOf("2"), first)
+	is.Equal(p.Submit(start, ask("3", 5000)).Verdict, Queued) // its memory is still taken
+}
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -97,9 +97,9 @@
 const noRoomCost = 100
 
 // Return counts a run on an engine again that it wasn't moved from. It reports
-// false when that engine takes no work any more.
+// false when that engine isn't known.
 func (p *Pool) Return(now time.Time, id RunID, engine EngineID) bool {
-	run, e := p.runs[id], p.engine(engine)
+	run, e := p.runs[id], p.anyEngine(engine)
 	if run == nil || e == nil {
 		return false
 	}
