--- a/forward/follow.go
+++ b/forward/follow.go
@@ -289,5 +289,5 @@
 // OriginAge is how long ago the origin itself last proved that this host is up
 // to date.
 func (f *Forwarder) OriginAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.originContact.Load()))
+	return min(now.Sub(time.Unix(0, f.originContact.Load())), neverProved)
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -126,11 +126,16 @@
 // ContactProved takes in that the configuration was the newest at a time.
 func (f *Forwarder) ContactProved(at time.Time) { raise(&f.contact, at) }
 
-// ContactAge is how long ago the configuration was last proved to be the newest.
+// ContactAge is how long ago the configuration was last proved to be the newest;
+// neverProved when it wasn't.
 func (f *Forwarder) ContactAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, f.contact.Load()))
+	return min(now.Sub(time.Unix(0, f.contact.Load())), neverProved)
 }
 
+// neverProved is the age of a proof that there is none of, and the highest age that
+// is told; every bound is far below it.
+const neverProved = time.Hour
+
 // SetRetryLimit changes the bound on repeats.
 func (f *Forwarder) SetRetryLimit(l RetryLimit) { f.retries.setLimit(l) }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -156,7 +156,7 @@
 	}
 	s.run = run
 	s.tellPlaced(u)
-	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "prompt", p.Tokens, "limit", p.MostOut, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
+	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
 }
 
