forward: followers learn what is missing, and entries that come back count again

A host that leads its zone after a cut holds upstreams for missing and told its followers nothing of them, while the revision that they ask from moved on: a later word that one leaves never reached them. And a host that had seen an entry run out took its upstream for gone for good, though entries of a zone that was cut off come back with it. Change: missing upstreams are told as missing; an entry newer than its end counts again, unless the upstream had said that it leaves. Tests: TestFleetReturns; TestFleetOutage said that followers aren't told of a missing upstream, which was the fault: it now checks that they are, as missing, that they give it no work, and when they give it up.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -34,6 +34,9 @@
 type Change struct {
 	Upstream
 	Gone bool
+	// Missing says that the list lacks it, but that who tells so doesn't believe
+	// yet that it is gone.
+	Missing bool
 }
 
 // Fleet is what this host believes about the upstreams. The zero value knows
@@ -59,6 +62,8 @@
 	// gone says that the list no longer has it; missing, that the list lacks
 	// it but isn't believed yet.
 	gone, missing bool
+	// declared says that the list told that it leaves, and didn't just drop it.
+	declared bool
 	// leftAt is when it was first known to be leaving; zero while it isn't.
 	leftAt time.Time
 	// goneAt is when it ends; zero while that isn't known.
@@ -137,7 +142,7 @@
 	f.revision = max(f.revision, c.Revision)
 	k := f.upstreams[c.ID]
 	if k == nil {
-		if c.Gone {
+		if c.Gone || c.Missing {
 			return false
 		}
 		k = &known{leaving: make(chan struct{})}
@@ -145,16 +150,23 @@
 	} else if c.Revision < k.Revision {
 		return false
 	}
-	if c.Gone {
+	switch {
+	case c.Gone:
 		return f.drop(now, k, c.Revision)
+	case c.Missing:
+		return f.miss(now, k, c.Revision)
 	}
 	same := !k.gone && !k.missing && k.Upstream == c.Upstream
-	if k.hinted && !c.Leaving && !k.gone {
-		// The list knows better than other signs.
+	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision > k.Revision) {
+		// The list knows better than other signs; and an entry that ran out
+		// while its upstream was cut off comes back.
 		k.Leaving, k.hinted, k.leftAt, k.leaving = false, false, time.Time{}, make(chan struct{})
 	}
-	// An id is of one incarnation: once it leaves, it never comes back.
+	// An id is of one incarnation: once it has said that it leaves, it never
+	// comes back.
+	k.declared = k.declared || c.Leaving
 	c.Leaving = c.Leaving || k.Leaving
+	k.gone = k.gone && c.Revision == k.Revision
 	k.Upstream, k.missing = c.Upstream, false
 	if c.Leaving {
 		k.leave(now)
@@ -162,6 +174,17 @@
 	return !same
 }
 
+// miss takes in that whom this host follows doesn't find an upstream on the list,
+// and doesn't believe yet that it is gone.
+func (f *Fleet) miss(now time.Time, k *known, at Revision) bool {
+	if k.gone || k.Leaving || at == k.Revision && !k.missing {
+		return false
+	}
+	k.Revision, k.missing = at, true
+	f.trustGoneFrom = later(f.trustGoneFrom, now.Add(listSettles))
+	return false
+}
+
 func (f *Fleet) drop(now time.Time, k *known, at Revision) bool {
 	if k.gone {
 		return false
@@ -312,8 +335,8 @@
 	defer f.mu.Unlock()
 	var changes []Change
 	for _, k := range f.upstreams {
-		if k.Revision > after && !k.missing {
-			changes = append(changes, Change{Upstream: k.Upstream, Gone: k.gone})
+		if k.Revision > after {
+			changes = append(changes, Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing})
 		}
 	}
 	return changes, f.revision
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -112,7 +112,7 @@
 type wireChange struct {
 	ID, Service, Address, Zone string
 	Slots                      int
-	Leaving, Gone              bool
+	Leaving, Gone, Missing     bool
 	Revision                   uint64
 }
 
@@ -132,7 +132,7 @@
 	for _, c := range r.Changes {
 		w.Changes = append(w.Changes, wireChange{
 			ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
-			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Revision: uint64(c.Revision),
+			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing, Revision: uint64(c.Revision),
 		})
 	}
 	for _, h := range r.Hosts {
@@ -158,7 +158,7 @@
 				ID: member.UpstreamID(c.ID), Service: forward.ServiceName(c.Service), Address: c.Address,
 				Zone: member.Zone(c.Zone), Slots: c.Slots, Leaving: c.Leaving, Revision: forward.Revision(c.Revision),
 			},
-			Gone: c.Gone,
+			Gone: c.Gone, Missing: c.Missing,
 		})
 	}
 	for _, h := range w.Hosts {
