forward: a host that stops trusts a guess of a stream's length only at first

Change: after 2.5 s only a stream whose bound ends it in time is taken; short answers have one of some dozen tokens. Test: TestStopping, red before.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -82,6 +82,8 @@
 	// inFlight counts the requests under way.
 	inFlight int
 	stopping bool
+	// stopSince is when the host was first told to stop.
+	stopSince time.Time
 	// stopBy is when the host will have stopped; zero when it isn't known.
 	stopBy time.Time
 	// idle closes when the forwarder is stopping and nothing is in flight.
@@ -185,6 +187,9 @@
 func (f *Forwarder) Stop(ctx context.Context) {
 	f.mu.Lock()
 	running := f.inFlight
+	if !f.stopping {
+		f.stopSince = time.Now()
+	}
 	f.stopping = true
 	// Without a deadline stopBy is zero, and no stream surely ends before it.
 	f.stopBy, _ = ctx.Deadline()
@@ -305,27 +310,35 @@
 	return Refusal{}, true
 }
 
-// Margins of a stream that a stopping host still takes: its length is a guess
-// that is often far off.
+// Margins of a stream that a stopping host still takes.
 const (
+	// guessFor is how long after the stop began a stream is taken on the caller's
+	// guess of its length, which is often far off. A stream that is cut at the
+	// end of the grace is excused when it came in the first three seconds.
+	guessFor   = 2500 * time.Millisecond
 	stopTimes  = 2
 	stopMargin = time.Second
 )
 
 // endsBeforeStop reports whether a stream will have ended when this host stops,
-// by the guess of its length; without one, none will.
+// by the bound of its length, or at first by the caller's guess; without either,
+// none will.
 func (x *exchange) endsBeforeStop(now time.Time) bool {
 	x.mu.Lock()
-	stopping, by := x.stopping, x.stopBy
+	stopping, since, by := x.stopping, x.stopSince, x.stopBy
 	x.mu.Unlock()
 	if !stopping {
 		return true
 	}
 	p := x.call.Prompt
-	if p.LikelyOut <= 0 {
+	out := p.MostOut
+	if p.LikelyOut > 0 && now.Sub(since) <= guessFor && (out <= 0 || p.LikelyOut < out) {
+		out = p.LikelyOut
+	}
+	if out <= 0 {
 		return false
 	}
-	takes := time.Duration(float64(p.Tokens)/readRate*float64(time.Second)) + time.Duration(p.LikelyOut)*stepUnknown
+	takes := time.Duration(float64(p.Tokens)/readRate*float64(time.Second)) + time.Duration(out)*stepUnknown
 	return now.Add(stopTimes*takes + stopMargin).Before(by)
 }
 
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -365,15 +365,29 @@
 		served := &fakeSink{}
 		f.Serve(t.Context(), call("/order/"), served)
 		is.Equal(served.status, 200)
-		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
 		defer cancel()
 		f.Stop(ctx)
-		for likely, refuses := range map[policy.Tokens]bool{0: true, 20: false, 400: true} {
-			c, sink := call("/llm/"), &fakeSink{}
-			c.Prompt.LikelyOut = likely
-			f.Serve(t.Context(), c, sink)
-			is.Equal(sink.refused != nil && sink.refused.Code == CodeStopping, refuses) // a short stream still ends in time
+		is.True(!errors.Is(ctx.Err(), context.DeadlineExceeded)) // nothing was running
+		for _, c := range []struct {
+			since        time.Duration
+			likely, most policy.Tokens
+			refuses      bool
+		}{
+			{0, 0, 2000, true},
+			{0, 20, 2000, false}, // a short stream still ends in time
+			{0, 400, 2000, true},
+			{0, 0, 40, false}, // it can't be long
+			{0, 400, 40, false},
+			{2600 * time.Millisecond, 20, 2000, true}, // a guess is often far off
+			{2600 * time.Millisecond, 0, 40, false},
+			{6 * time.Second, 0, 40, true}, // no time is left
+		} {
+			time.Sleep(time.Until(began.Add(100*time.Millisecond + c.since)))
+			call, sink := call("/llm/"), &fakeSink{}
+			call.Prompt.LikelyOut, call.Prompt.MostOut, call.Prompt.Tokens = c.likely, c.most, 1000
+			f.Serve(t.Context(), call, sink)
+			is.Equal(sink.refused != nil && sink.refused.Code == CodeStopping, c.refuses)
 		}
-		is.True(!errors.Is(ctx.Err(), context.DeadlineExceeded))
 	})
 }
