--- /dev/null
+++ b/forward/follow_test.go
@@ -0,0 +1,257 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// TestLeader has a host follow the first of its zone with a fresh list, and any
+// host when it can't read the list itself.
+func TestLeader(t *testing.T) {
+	now := time.Now()
+	peer := func(id, zone string, originAge time.Duration, stopping bool) Share {
+		return Share{From: Peer{ID: member.HostID(id), Zone: member.Zone(zone)}, OriginAge: originAge, Stopping: stopping}
+	}
+	fresh, old := 500*time.Millisecond, 5*time.Second
+	for name, c := range map[string]struct {
+		peers  []Share
+		needed bool
+		want   member.HostID
+	}{
+		"alone":                    {nil, false, ""},
+		"first of the zone":        {[]Share{peer("h1", "z1", fresh, false), peer("h2", "z1", fresh, false)}, false, "h1"},
+		"this host is first":       {[]Share{peer("h7", "z1", fresh, false)}, false, ""},
+		"needed, later in zone":    {[]Share{peer("h7", "z1", fresh, false)}, true, "h7"},
+		"first has an old list":    {[]Share{peer("h1", "z1", old, false), peer("h2", "z1", fresh, false)}, false, "h2"},
+		"first is stopping":        {[]Share{peer("h1", "z1", fresh, true)}, false, ""},
+		"other zone":               {[]Share{peer("h1", "z2", fresh, false)}, false, ""},
+		"needed, other zone":       {[]Share{peer("h1", "z2", fresh, false)}, true, "h1"},
+		"needed, own zone is near": {[]Share{peer("h1", "z2", fresh, false), peer("h8", "z1", fresh, false)}, true, "h8"},
+		"needed, nobody is fresh":  {[]Share{peer("h1", "z2", old, false)}, true, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeerSet(Peer{ID: "h5", Zone: "z1"}, nil)
+			for _, s := range c.peers {
+				p.hear(now, s)
+			}
+			leader, found := p.leader(now.Add(time.Second), c.needed)
+			is.Equal(leader.ID, c.want)
+			is.Equal(found, c.want != "")
+			_, found = p.leader(now.Add(time.Minute), c.needed)
+			is.True(!found) // they went silent
+		})
+	}
+}
+
+// failingOrigin has a list that can be read until it is lost.
+type failingOrigin struct {
+	lost  atomic.Bool
+	reads atomic.Int32
+}
+
+func (o *failingOrigin) Read(context.Context) (News, error) {
+	o.reads.Add(1)
+	if o.lost.Load() {
+		return News{}, errGone
+	}
+	return News{Changes: []Change{{Upstream: up("llm1", 1, false)}}, At: 1}, nil
+}
+
+func (o *failingOrigin) Watch(ctx context.Context, after Revision, _ time.Duration) (News, error) {
+	pauseFor(ctx, 100*time.Millisecond)
+	if o.lost.Load() {
+		return News{}, errGone
+	}
+	return News{At: after}, nil
+}
+
+// TestOfEarlierZone has the host that leads its zone follow the first live host of
+// the first zone before its own.
+func TestOfEarlierZone(t *testing.T) {
+	now := time.Now()
+	peer := func(id, zone string, stopping bool) Share {
+		return Share{From: Peer{ID: member.HostID(id), Zone: member.Zone(zone)}, Stopping: stopping}
+	}
+	for name, c := range map[string]struct {
+		peers      []Share
+		distrusted member.HostID
+		shunned    member.Zone
+		want       member.HostID
+	}{
+		"alone":                  {nil, "", "", ""},
+		"first of the first":     {[]Share{peer("h2", "z1", false), peer("h1", "z2", false), peer("h3", "z1", false)}, "", "", "h2"},
+		"only later zones":       {[]Share{peer("h1", "z3", false), peer("h2", "z4", false)}, "", "", ""},
+		"own zone doesn't count": {[]Share{peer("h1", "z3", false)}, "", "", ""},
+		"the first is stopping":  {[]Share{peer("h1", "z1", true), peer("h2", "z1", false)}, "", "", "h2"},
+		"the first failed":       {[]Share{peer("h1", "z1", false), peer("h2", "z1", false)}, "h1", "", "h2"},
+		"the zone is shunned":    {[]Share{peer("h1", "z1", false), peer("h2", "z2", false)}, "", "z1", "h2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeerSet(Peer{ID: "h5", Zone: "z3"}, nil)
+			for _, s := range c.peers {
+				p.hear(now, s)
+			}
+			p.distrust(c.distrusted)
+			got, found := p.ofEarlierZone(func(z member.Zone) bool { return z == c.shunned }, now.Add(time.Second))
+			is.Equal(got.ID, c.want)
+			is.Equal(found, c.want != "")
+		})
+	}
+}
+
+// countingOrigin can always be read, and counts its watches.
+type countingOrigin struct{ watches atomic.Int32 }
+
+func (o *countingOrigin) Read(context.Context) (News, error) { return News{At: 1}, nil }
+
+func (o *countingOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+	o.watches.Add(1)
+	pauseFor(ctx, wait)
+	return News{At: after}, nil
+}
+
+// followedPeers plays the peer that is followed.
+type followedPeers struct {
+	silent    atomic.Bool
+	originAge atomic.Int64
+	calls     atomic.Int32
+	changes   []Change
+}
+
+func (p *followedPeers) Share(context.Context, Peer, Share) (Share, error) { return Share{}, errGone }
+func (p *followedPeers) Turn(context.Context, Peer, TurnRequest) error     { return nil }
+func (p *followedPeers) EndTurn(context.Context, Peer, TurnRequest) error  { return nil }
+func (p *followedPeers) Follow(ctx context.Context, _ Peer, r FollowRequest) (FollowReply, error) {
+	p.calls.Add(1)
+	if p.silent.Load() {
+		<-ctx.Done()
+		return FollowReply{}, ctx.Err()
+	}
+	pauseFor(ctx, r.Wait)
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []ListedHost{{Peer: Peer{ID: "h7", Zone: "z1"}, Revision: 7}}, List: 7, Changes: p.changes}, nil
+}
+
+// TestFollowZone has one host watch the origin for several zones, and a zone turn
+// to the origin itself within a fraction of a second when the host that it follows
+// is silent or has lost the origin.
+func TestFollowZone(t *testing.T) {
+	for name, fail := range map[string]func(p *followedPeers){
+		"silent":          func(p *followedPeers) { p.silent.Store(true) },
+		"lost the origin": func(p *followedPeers) { p.originAge.Store(int64(time.Minute)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwarder(t, &fakeTransport{})
+				peers, origin := &followedPeers{}, &countingOrigin{}
+				f.peerPort = peers
+				f.peers.hear(time.Now(), Share{From: Peer{ID: "h9", Zone: "z0"}})
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Follow(ctx, origin)
+				time.Sleep(2 * time.Second)
+				is.Equal(origin.watches.Load(), int32(0)) // another host watches
+				is.True(f.peers.isKnown("h7"))            // and tells of hosts that were listed since
+				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 6}).Hosts), 1)
+				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 7}).Hosts), 0)
+				is.True(f.OriginAge(time.Now()) < time.Second)
+				fail(peers)
+				calls := peers.calls.Load()
+				time.Sleep(zoneBounds.timeout + zoneBounds.wait)
+				is.True(origin.watches.Load() > 0)
+				time.Sleep(2 * time.Second)
+				is.True(peers.calls.Load() <= calls+1) // it is left alone for a while
+				is.True(f.OriginAge(time.Now()) < watchWait+time.Second)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestFollowAfterCut has a host that was cut off, and so distrusts what is missing
+// from the list, believe the host that it follows when that says an upstream is gone.
+func TestFollowAfterCut(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	f.peerPort = &followedPeers{changes: []Change{{Upstream: Upstream{ID: "llm1", Revision: 5}, Gone: true}}}
+	f.fleet.ListRegained(time.Now(), 10*time.Second)
+	is.True(f.followPeer(t.Context(), Peer{ID: "h0"}, zoneBounds))
+	select {
+	case <-f.fleet.Leaving("llm1"):
+	default:
+		t.Error("llm1 is gone")
+	}
+	changes, _ := f.fleet.Since(4)
+	is.Equal(len(changes), 1) // and those that follow this host are told
+}
+
+// TestFollowNeeded has a host that can't have the origin be up to date by a peer,
+// but not be one that others follow: they would follow each other.
+func TestFollowNeeded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &fakeTransport{})
+		f.peerPort = &followedPeers{}
+		ctx, cancel := context.WithCancel(t.Context())
+		origin := &failingOrigin{}
+		go f.Follow(ctx, origin)
+		synctest.Wait()
+		origin.lost.Store(true)
+		f.peers.hear(time.Now(), Share{From: Peer{ID: "h9", Zone: "z1"}})
+		time.Sleep(2 * time.Second)
+		is.True(f.listKnown(time.Now()))
+		is.True(f.OriginAge(time.Now()) > originFresh)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestOriginDown has many hosts that find the origin down ask it seldom, and one
+// that regains it be followed well before the next try.
+func TestOriginDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &fakeTransport{})
+		peers := &followedPeers{}
+		peers.originAge.Store(int64(time.Minute))
+		f.peerPort = peers
+		ctx, cancel := context.WithCancel(t.Context())
+		origin := &failingOrigin{}
+		origin.lost.Store(true)
+		hear := func(originAge time.Duration) {
+			for n := range 20 {
+				f.peers.hear(time.Now(), Share{From: Peer{ID: member.HostID(fmt.Sprint("h", 10+n)), Zone: "z1"}, OriginAge: originAge})
+			}
+		}
+		hear(time.Minute)
+		go f.Follow(ctx, origin)
+		for range 60 {
+			time.Sleep(500 * time.Millisecond)
+			hear(time.Minute)
+		}
+		is.True(origin.reads.Load() <= 17) // in 30 s; a host that is alone asks at least 25 times
+		peers.originAge.Store(0)
+		before := origin.reads.Load()
+		for range 5 {
+			hear(0)
+			time.Sleep(500 * time.Millisecond)
+		}
+		is.True(f.listKnown(time.Now()))
+		is.True(origin.reads.Load() <= before+1) // the one that was about to come
+		cancel()
+		synctest.Wait()
+	})
+}
