forward: resumable streams go on at another engine

Cause: the operator's routes say which streams may be resumed; the host treated all alike, so a short digest was lost with its engine. A stream of such a route is sent again when its engine loses it, breaks it off or is silent, from the last event that the caller has, within the route's attempts and the shared budget. The final answer says that the request may have run if any engine had it.

Red before: TestResume, TestResumeNoRoom and TestResumeSilent don't build without it; TestStream keeps what must not be sent twice.

--- a/forward/call.go
+++ b/forward/call.go
@@ -33,6 +33,9 @@
 	Arrived time.Time
 	// Patience is how long the caller waits; zero when it didn't say.
 	Patience time.Duration
+	// LastEvent is the id of the last event that the caller has of an earlier
+	// answer; empty when it begins anew.
+	LastEvent string
 	// Prompt is what a generation asks of an engine's memory; zero for other
 	// requests.
 	Prompt Prompt
@@ -114,7 +117,9 @@
 
 // Continuation says where a run's memory is and what the caller has of it.
 type Continuation struct {
-	// Source is the address of the engine that the memory came from.
+	// Source is the address of the engine that the memory came from, and Handle
+	// names it there. Without a handle the engine reads everything anew, which
+	// only a resumable route allows.
 	Source string
 	Handle string
 	// LastEvent is the id of the last event that the caller has.
--- a/forward/config.go
+++ b/forward/config.go
@@ -34,7 +34,8 @@
 	KindSafe Kind = "safe"
 	// KindUnsafe runs at most once.
 	KindUnsafe Kind = "unsafe"
-	// KindStream is answered with a series of events and runs at most once.
+	// KindStream is answered with a series of events. It runs at most once unless
+	// its route is resumable.
 	KindStream Kind = "stream"
 )
 
@@ -64,6 +65,9 @@
 	Urgency      Urgency
 	// Attempts is how many upstreams one request may be sent to.
 	Attempts int
+	// Resumable streams may run again, and go on from an event that the caller
+	// names. It says nothing of other kinds.
+	Resumable bool
 	// Public routes take requests without a key.
 	Public bool
 	// Services take the route's requests by weight.
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -124,12 +124,16 @@
 	s.peers.nudge()
 }
 
+// lateFirstEvent is after how long an engine without a first event is silent.
+func lateFirstEvent(objective time.Duration) time.Duration {
+	return time.Duration(failingFirstPart * float64(objective))
+}
+
 // watchFirstEvent has the engine count as failing when the first event is late.
 // The returned function ends that.
 func (s *streamExchange) watchFirstEvent(id member.UpstreamID) (stop func() bool) {
 	if s.route.Objective <= 0 {
 		return func() bool { return true }
 	}
-	late := time.Duration(failingFirstPart * float64(s.route.Objective))
-	return time.AfterFunc(late, func() { s.failed(time.Now(), id, "its first event is late") }).Stop
+	return time.AfterFunc(lateFirstEvent(s.route.Objective), func() { s.failed(time.Now(), id, "its first event is late") }).Stop
 }
--- /dev/null
+++ b/forward/resume_test.go
@@ -0,0 +1,149 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// resumableForwarder has a route "/llm/" of resumable streams.
+func resumableForwarder(t *testing.T, transport Transport, attempts int, slack float64) *Forwarder {
+	f := newForwarder(t, transport)
+	c := testConfig(2)
+	c.Routes[2].Resumable, c.Routes[2].Attempts = true, attempts
+	f.Configure(time.Now(), c)
+	f.SetRetryLimit(RetryLimit{Slack: slack, Window: 10 * time.Second})
+	return f
+}
+
+// broken is an answer that breaks off after some events.
+func broken(events string) *Answer {
+	a := answer(200, "")
+	a.Length, a.Body = -1, io.NopCloser(io.MultiReader(strings.NewReader(events), errReader{}))
+	return a
+}
+
+// TestResume has a resumable stream that an engine lost or broke off go on at
+// another engine after the last event that the caller has, and no other stream.
+func TestResume(t *testing.T) {
+	const first, rest = "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+	for name, c := range map[string]struct {
+		resumable bool
+		attempts  int
+		slack     float64
+		// firstAnswer is nil where the first engine loses the request.
+		firstAnswer *Answer
+		// callerHas is the event that the caller names.
+		callerHas string
+		sent      int
+		// after are the events that the engines are told to go on after.
+		after   []string
+		want    string
+		cut     bool
+		refused Code
+	}{
+		"lost":                      {true, 2, 100, nil, "", 2, []string{"", ""}, rest, false, ""},
+		"lost, not resumable":       {false, 2, 100, nil, "", 1, []string{""}, "", false, CodeLost},
+		"lost, one attempt":         {true, 1, 100, nil, "", 1, []string{""}, "", false, CodeLost},
+		"lost, no budget":           {true, 2, 0, nil, "", 1, []string{""}, "", false, CodeLost},
+		"broken":                    {true, 2, 100, broken(first), "", 2, []string{"", "1"}, first + rest, false, ""},
+		"broken within an event":    {true, 2, 100, broken(first + "id: 2\nda"), "", 2, []string{"", "1"}, first + rest, false, ""},
+		"broken, not resumable":     {false, 2, 100, broken(first), "", 1, []string{""}, first, true, ""},
+		"broken, no ids":            {true, 2, 100, broken("data: a\n\n"), "", 1, []string{""}, "data: a\n\n", true, ""},
+		"broken, one attempt":       {true, 1, 100, broken(first), "", 1, []string{""}, first, true, ""},
+		"lost, caller has an event": {true, 2, 100, nil, "1", 2, []string{"1", "1"}, rest, false, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var after []string
+			transport := &fakeTransport{send: func(_ context.Context, _ Upstream, r *Outgoing) (*Answer, error) {
+				last := ""
+				if r.Continue != nil {
+					is.Equal(r.Continue.Handle, "") // nothing is kept of the run
+					last = r.Continue.LastEvent
+				}
+				after = append(after, last)
+				switch {
+				case len(after) > 1:
+					return answer(200, rest), nil
+				case c.firstAnswer == nil:
+					return nil, io.ErrUnexpectedEOF
+				default:
+					return c.firstAnswer, nil
+				}
+			}}
+			f, sink := resumableForwarder(t, transport, c.attempts, c.slack), &fakeSink{}
+			if !c.resumable {
+				config := testConfig(3)
+				config.Routes[2].Attempts = c.attempts
+				f.Configure(time.Now(), config)
+			}
+			request := call("/llm/")
+			request.LastEvent = c.callerHas
+			f.Serve(t.Context(), request, sink)
+			sent := transport.sentTo()
+			is.Equal(len(sent), c.sent)
+			is.True(len(sent) < 2 || sent[0] != sent[1]) // another engine
+			is.Equal(after, c.after)
+			is.Equal(sink.body.String(), c.want)
+			is.Equal(sink.cut, c.cut)
+			if c.refused != "" {
+				is.Equal(*sink.refused, Refusal{Code: c.refused, MayHaveRun: true})
+			}
+			is.Equal(len(f.engines.states()), 0) // every place is free again
+		})
+	}
+}
+
+// TestResumeNoRoom has the final answer of a stream that an engine may have
+// worked on say so, though the next engine surely didn't run it.
+func TestResumeNoRoom(t *testing.T) {
+	is := is.New(t)
+	tries := 0
+	transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+		if tries++; tries == 1 {
+			return nil, io.ErrUnexpectedEOF
+		}
+		a := answer(503, "")
+		a.NotRun = true
+		return a, nil
+	}}
+	f, sink := resumableForwarder(t, transport, 2, 100), &fakeSink{}
+	f.Serve(t.Context(), call("/llm/"), sink)
+	is.Equal(tries, 2)
+	is.Equal(*sink.refused, Refusal{Code: CodeLost, MayHaveRun: true})
+}
+
+// TestResumeSilent has a resumable stream leave an engine that stays silent, and
+// the connection to that engine closed.
+func TestResumeSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tries, left := 0, error(nil)
+		transport := &fakeTransport{send: func(ctx context.Context, _ Upstream, _ *Outgoing) (*Answer, error) {
+			if tries++; tries == 1 {
+				<-ctx.Done()
+				left = context.Cause(ctx)
+				return nil, left
+			}
+			return answer(200, "id: 1\n\n"), nil
+		}}
+		f, sink := resumableForwarder(t, transport, 2, 100), &fakeSink{}
+		began := time.Now()
+		f.Serve(t.Context(), call("/llm/"), sink)
+		is.Equal(tries, 2)
+		is.True(errors.Is(left, errFirstEventLate))
+		is.Equal(time.Since(began), lateFirstEvent(1800*time.Millisecond))
+		is.Equal(sink.refused, nil)
+		is.Equal(sink.body.String(), "id: 1\n\n")
+	})
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,6 +40,10 @@
 	// dialed are the engines that couldn't be reached for this request, and
 	// avoid those and the ones that probably can't either.
 	dialed, avoid []member.UpstreamID
+	// sent counts the engines that may have got the request.
+	sent int
+	// mayHaveRun says that one of them may have worked on it.
+	mayHaveRun bool
 	// callerGone is the error of the caller's connection.
 	callerGone error
 }
@@ -58,18 +62,17 @@
 func (x *exchange) serveStream(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &streamExchange{exchange: x}
+	s := &streamExchange{exchange: x, lastEvent: x.call.LastEvent}
 	x.retries.first(time.Now(), x.service.Name)
-	sent := 0
 	var last Refusal
 	for dials := 0; dials < mostStreamDials && (dials < mostDials || s.mayDial(time.Now())); dials++ {
 		u, refusal, ok := s.place(ctx)
 		if !ok {
-			s.refuse(refusal, "service", x.service.Name, "avoided", len(s.avoid))
+			s.refuse(s.honest(refusal), "service", x.service.Name, "avoided", len(s.avoid))
 			return
 		}
 		stopWatch := s.watchFirstEvent(u.ID)
-		answer, err := s.send(ctx, u, nil)
+		answer, err := s.sendFirst(ctx, u)
 		stopWatch()
 		if err == nil && !answer.NotRun && !answer.OtherInstance {
 			s.answerFrom(ctx, u, answer)
@@ -77,19 +80,19 @@
 		}
 		s.free(false)
 		last = s.judge(ctx, u, answer, err)
-		if last.MayHaveRun || last.Code == CodeCallerLeft {
+		s.mayHaveRun = s.mayHaveRun || last.MayHaveRun
+		if last.Code == CodeCallerLeft || last.MayHaveRun && !s.mayRunAgain(ctx, last.Code) {
 			break
 		}
-		if err == nil && answer.NotRun {
+		if last.MayHaveRun || err == nil && answer.NotRun {
 			// The engine had the request: it counts against the route's bound.
-			sent++
-			if sent >= x.route.Attempts || !x.retries.take(time.Now(), x.service.Name) {
+			if !s.takeRepeat(string(last.Code)) {
 				break
 			}
-			x.observer.Repeated("not_run")
+			s.avoid = append(s.avoid, u.ID)
 		}
 	}
-	s.refuse(last, "service", x.service.Name, "sent", sent)
+	s.refuse(s.honest(last), "service", x.service.Name, "sent", s.sent)
 }
 
 // mayDial reports whether there is time to try another engine.
@@ -213,6 +216,9 @@
 		return Refusal{Code: CodeCallerLeft, MayHaveRun: true}
 	case ctx.Err() != nil:
 		return Refusal{Code: CodeTimeout, MayHaveRun: !errors.Is(err, ErrNotSent)}
+	case errors.Is(err, errFirstEventLate):
+		// The engine counts as failing already.
+		return Refusal{Code: CodeLost, MayHaveRun: true}
 	case err != nil:
 		s.failed(now, u.ID, "it lost a request")
 		return Refusal{Code: CodeLost, MayHaveRun: true}
@@ -246,6 +252,19 @@
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID)
 		return
 	}
+	last, err := s.followRun(ctx, u, a)
+	for err != nil && s.callerGone == nil {
+		var resumed bool
+		if u, a, resumed = s.resume(ctx, last); !resumed {
+			break
+		}
+		last, err = s.followRun(ctx, u, a)
+	}
+	s.end(ctx, last, err)
+}
+
+// followRun passes one run's events on to its end and frees its place.
+func (s *streamExchange) followRun(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
 	last, err := s.follow(ctx, u, a)
 	switch {
 	case err == nil:
@@ -254,7 +273,7 @@
 		s.failed(time.Now(), last.ID, "it broke a stream off")
 	}
 	s.free(err == nil)
-	s.end(ctx, last, err)
+	return last, err
 }
 
 // passFailure gives the caller an engine's own failure.
