policy: refuse at once what would begin late; learn how fast engines read

Hypothesis: in a burst, requests were placed on engines whose waiting prompts made them late for sure, and the fixed wait of a quarter of the objective kept others waiting that were then refused. Deciding at arrival on the foreseen first token, and again whenever the outlook of the queue changes, serves more in time.

Change: an engine takes a request only if its first token is foreseen within 0.7 of the objective; an engine that reads nothing takes any. If none does, the caller is told at once when one will, spread by request, short prompts first. What waits for memory is refused as soon as it is foreseen to wait too long. The rate at which engines read is learnt from how far foreseen first tokens were off, in place of one customer's 7,000 a second, which is now the prior.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -80,9 +80,6 @@
 	readRate = 7000.0
 	// refreshEvery is how often the pools are told where their runs stand.
 	refreshEvery = 100 * time.Millisecond
-	// longestQueue bounds the wait for a place; it is a part of the objective,
-	// so that a refusal still leaves the caller time to come back.
-	queuePart = 4
 	// retryMost bounds what a refused caller is told to wait: engines that
 	// leave are replaced within a few seconds.
 	retryMost  = 2 * time.Second
@@ -277,6 +274,15 @@
 	return -memory
 }
 
+// begun takes in that a run has made its first token.
+func (e *engines) begun(now time.Time, service ServiceName, run *ownRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.pools[service]; p != nil {
+		p.pool.Begun(now, run.request.Run)
+	}
+}
+
 // observeStep takes in how long an engine took for each of some tokens.
 func (e *engines) observeStep(service ServiceName, engine member.UpstreamID, step time.Duration) {
 	e.mu.Lock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -148,7 +148,7 @@
 		Priority: int(MostPatient - s.urgency),
 		Prompt:   max(p.Tokens, 1), Limit: p.MostOut, Prefix: p.Prefix, PrefixTokens: p.PrefixTokens,
 		Bytes: len(s.call.Body), Objective: s.route.Objective, AvoidAlso: s.avoid,
-		Deadline: s.call.Arrived.Add(s.route.Objective / queuePart),
+		Arrived: s.call.Arrived, Deadline: s.call.Arrived.Add(s.route.Objective),
 	}
 	if s.service.Engine == nil {
 		return s.placePlain(now)
@@ -159,7 +159,7 @@
 	}
 	s.run = run
 	s.tellPlaced(u)
-	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
+	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
 }
 
@@ -398,6 +398,9 @@
 	s.lastAt = now
 	if s.events == 0 {
 		s.firstAfter = now.Sub(s.call.Arrived)
+		if s.run != nil {
+			s.engines.begun(now, s.service.Name, s.run)
+		}
 	}
 	s.events++
 	if id != "" {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -80,7 +80,7 @@
 	if batch > 1 && (!fits || step > float64(p.settings.BetweenTokens)) {
 		return 0, false
 	}
-	if p.settings.MaxBatch > 0 && batch > p.settings.MaxBatch {
+	if p.settings.MaxBatch > 0 && batch > p.settings.MaxBatch || p.tooLate(now, e, r) {
 		return 0, false
 	}
 	memory := float64(e.report.Memory)
@@ -105,27 +105,23 @@
 // waitCost weighs the time to the first token: the square of its part of the
 // objective, for a wait well within the objective is worth next to nothing.
 func (p *Pool) waitCost(now time.Time, e *engine, r *Request, read float64) float64 {
-	if p.settings.ReadRate <= 0 || r.Objective <= 0 {
+	if !p.reads.known() || r.Objective <= 0 {
 		return 0
 	}
 	wait := e.readUntil.Sub(now).Seconds()
 	if wait < 0 {
 		wait = 0
 	}
-	part := (wait + read/p.settings.ReadRate) / r.Objective.Seconds()
+	part := (wait + read/p.reads.perSecond()) / r.Objective.Seconds()
 	return weightWait * part * part
 }
 
 // willRead counts a prompt among those that the engine has to read.
 func (p *Pool) willRead(now time.Time, e *engine, r *Request) {
-	if p.settings.ReadRate <= 0 {
-		return
-	}
-	read := float64(r.Prompt - e.cache.reusable(now, r))
 	if e.readUntil.Before(now) {
 		e.readUntil = now
 	}
-	e.readUntil = e.readUntil.Add(time.Duration(read / p.settings.ReadRate * float64(time.Second)))
+	e.readUntil = e.readUntil.Add(p.reads.takes(r.Prompt - e.cache.reusable(now, r)))
 }
 
 // room is the memory that admission may fill. One of several deciders keeps to
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -39,6 +39,11 @@
 	made Tokens
 	// priority is what the engine was told the run is worth.
 	priority int
+	// placedAt and firstAfter are when the run was placed here and after how
+	// long its first token was foreseen; placedAt is zero once that has come,
+	// and for the runs of others.
+	placedAt   time.Time
+	firstAfter time.Duration
 }
 
 // engine is what a Pool knows of one engine.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,6 +56,9 @@
 	FarCost float64
 	// Objective is the aimed time to the first token; zero sets none.
 	Objective time.Duration
+	// Arrived is when the objective counts from. With both, a request that no
+	// engine is expected to begin in time is refused at once.
+	Arrived time.Time
 }
 
 // Verdict says what became of a request.
@@ -76,6 +79,7 @@
 	ReasonNoEngine  Reason = "no_engine"
 	ReasonQueueFull Reason = "queue_full"
 	ReasonDeadline  Reason = "deadline"
+	ReasonLate      Reason = "late"
 	ReasonTooLong   Reason = "prompt_too_long"
 )
 
@@ -88,6 +92,9 @@
 	// it is worth there when memory runs out.
 	Engine   EngineID
 	Priority int
+	// FirstAfter is after how long the run's first token is expected; set with
+	// Granted, zero where that isn't known.
+	FirstAfter time.Duration
 	// Reason and RetryAfter are set with Refused.
 	Reason     Reason
 	RetryAfter time.Duration
@@ -127,9 +134,9 @@
 	FullMark float64
 	// MaxBatch bounds the runs of one engine; zero means no bound.
 	MaxBatch int
-	// ReadRate is how many prompt tokens an engine reads in a second beside
-	// its decoding. Zero leaves the prompts that wait to be read out of
-	// account.
+	// ReadRate is how many prompt tokens an engine is taken to read in a second
+	// beside its decoding until that has been learnt. Zero leaves the prompts
+	// that wait to be read out of account.
 	ReadRate float64
 	// Movable is how many tokens of memory can be moved off an engine between
 	// the notice that it leaves and its end. Zero leaves that out of account.
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -40,6 +40,7 @@
 	runs  map[RunID]*placed
 	queue queue
 	steps stepTime
+	reads readRate
 	// share is how many entries decide about these engines at once, each
 	// within its part of the free memory. It is 1 for the coordinator.
 	share int
@@ -60,7 +61,7 @@
 // NewPool returns a pool without engines.
 func NewPool(s Settings, opts ...Option) *Pool {
 	s.fill()
-	p := &Pool{settings: s, lengths: &Lengths{}, runs: map[RunID]*placed{}, share: 1}
+	p := &Pool{settings: s, lengths: &Lengths{}, runs: map[RunID]*placed{}, reads: readRate{prior: s.ReadRate}, share: 1}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -71,6 +72,7 @@
 func (p *Pool) SetSettings(s Settings) {
 	s.fill()
 	p.settings = s
+	p.reads.prior = s.ReadRate
 }
 
 // SetShare says how many entries decide about these engines at once.
@@ -245,85 +247,16 @@
 	return p.enqueue(now, w, at)
 }
 
-// hopeless refuses what no engine could ever take.
-func (p *Pool) hopeless(r Request) (Decision, bool) {
-	if len(p.engines) == 0 {
-		return Decision{Run: r.Run, Verdict: Refused, Reason: ReasonNoEngine, RetryAfter: retryNoEngine}, true
-	}
-	largest, known := Tokens(0), true
-	for _, e := range p.engines {
-		largest = max(largest, e.report.Memory)
-		known = known && e.known()
-	}
-	if known && r.Prompt >= largest {
-		return Decision{Run: r.Run, Verdict: Refused, Reason: ReasonTooLong}, true
-	}
-	return Decision{}, false
-}
-
-// Waits that callers are told when the pool can't foresee one.
-const (
-	retryNoEngine = 5 * time.Second
-	retryLeast    = 500 * time.Millisecond
-	retryMost     = 60 * time.Second
-)
-
-func (p *Pool) enqueue(now time.Time, w *waiting, at int) Decision {
-	wait := p.foreseenWait(at)
-	switch {
-	case len(p.queue.items) >= p.settings.QueueLimit || p.queue.bytes+w.Bytes > p.settings.QueueBytes:
-		return p.refuse(w, ReasonQueueFull, wait)
-	case now.Add(wait).After(w.Deadline):
-		return p.refuse(w, ReasonDeadline, wait)
-	}
-	p.queue.insert(w)
-	return Decision{Run: w.Run, Verdict: Queued}
-}
-
-// refuse gives the account its tag back: it was charged for nothing.
-func (p *Pool) refuse(w *waiting, why Reason, wait time.Duration) Decision {
-	p.queue.correct(w.Account, -(w.Prompt + p.lengths.Mean(&w.Request)))
-	return Decision{
-		Run: w.Run, Verdict: Refused, Reason: why,
-		RetryAfter: min(max(wait, retryLeast), retryMost),
-	}
-}
-
-// foreseenWait is how long a request behind that many others will wait, from
-// the rate at which the running answers are expected to end.
-func (p *Pool) foreseenWait(ahead int) time.Duration {
-	perSecond := 0.0
-	for _, e := range p.engines {
-		running := max(len(e.order), e.report.Running)
-		if running == 0 {
-			continue
-		}
-		life := 0.0
-		for _, run := range e.order {
-			life += float64(p.lengths.Mean(&run.Request))
-		}
-		if len(e.order) == 0 {
-			life = float64(p.lengths.Mean(&Request{}))
-		} else {
-			life /= float64(len(e.order))
-		}
-		perSecond += float64(running) / (life * e.step().Seconds())
-	}
-	if perSecond == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
-}
-
 func granted(run *placed, waited time.Duration) Decision {
 	return Decision{
-		Run: run.Run, Verdict: Granted, Engine: run.engine.id, Priority: run.priority, Waited: waited,
+		Run: run.Run, Verdict: Granted, Engine: run.engine.id, Priority: run.priority, Waited: waited, FirstAfter: run.firstAfter,
 	}
 }
 
 func (p *Pool) place(now time.Time, r *Request, e *engine, waited time.Duration) Decision {
 	run := &placed{Request: *r, curve: p.lengths.Of(r), priority: p.worth(r)}
 	p.runs[r.Run] = run
+	run.placedAt, run.firstAfter = now, p.firstToken(now, e, r)
 	e.add(now, run)
 	p.willRead(now, e, r)
 	e.cache.put(now, r.Prefix, r.PrefixTokens)
@@ -378,20 +311,6 @@
 	return p.serve(now, decided)
 }
 
-// refuseLate refuses what has waited past its deadline.
-func (p *Pool) refuseLate(now time.Time) []Decision {
-	var decided []Decision
-	for i := 0; i < len(p.queue.items); {
-		if !now.After(p.queue.items[i].Deadline) {
-			i++
-			continue
-		}
-		w := p.queue.removeAt(i)
-		decided = append(decided, p.refuse(w, ReasonDeadline, p.foreseenWait(len(p.queue.items))))
-	}
-	return decided
-}
-
 // Limits of how far a request that finds no room lets others pass.
 const (
 	// passedBy is how many requests behind it are tried.
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -42,7 +42,7 @@
 	if run.Limit > 0 {
 		grown.Limit = max(run.Limit-run.made, 1)
 	}
-	grown.Prefix, grown.Avoid, grown.AvoidAlso = 0, run.engine.id, avoid
+	grown.Prefix, grown.Arrived, grown.Avoid, grown.AvoidAlso = 0, time.Time{}, run.engine.id, avoid
 	grown.Zone, grown.FarCost = run.engine.zone, farCost
 	to := p.choose(now, &grown)
 	if to == nil {
@@ -110,6 +110,7 @@
 func (p *Pool) rehome(now time.Time, run *placed, to *engine) {
 	run.engine.remove(run)
 	run.engine.refresh(now)
+	run.placedAt = time.Time{}
 	began := run.began
 	to.add(now, run)
 	run.began = began
