--- a/forward/turns.go
+++ b/forward/turns.go
@@ -47,7 +47,9 @@
 
 type turnWaiter struct {
 	TurnRequest
-	granted chan struct{}
+	// granted closes when the turn is this waiter's, dropped when it isn't in the
+	// line any more.
+	granted, dropped chan struct{}
 }
 
 const (
@@ -62,9 +64,10 @@
 	turnCheck = 20 * time.Millisecond
 )
 
-// take waits for the turn. The error is the context's.
+// take waits for the turn. The error is the context's, or errNoTurn when the run's
+// host doesn't want the turn any more.
 func (t *turns) take(ctx context.Context, r TurnRequest) error {
-	w := &turnWaiter{TurnRequest: r, granted: make(chan struct{})}
+	w := &turnWaiter{TurnRequest: r, granted: make(chan struct{}), dropped: make(chan struct{})}
 	line := t.join(time.Now(), w)
 	pauseFor(ctx, turnGather)
 	tick := time.NewTicker(turnCheck)
@@ -74,6 +77,8 @@
 		select {
 		case <-w.granted:
 			return nil
+		case <-w.dropped:
+			return errNoTurn
 		case <-ctx.Done():
 			t.withdraw(line, w)
 			return ctx.Err()
@@ -165,7 +170,12 @@
 	if l.holder == run {
 		l.holder = ""
 	}
-	l.waiting = slices.DeleteFunc(l.waiting, func(w *turnWaiter) bool { return w.Run == run })
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *turnWaiter) bool {
+		if w.Run == run {
+			close(w.dropped)
+		}
+		return w.Run == run
+	})
 }
 
 // arbiter returns the live host of the engine's zone that gives out its turns;
--- a/forward/turns_test.go
+++ b/forward/turns_test.go
@@ -102,6 +102,7 @@
 		ended := time.Now()
 		endFirst()
 		time.Sleep(3 * time.Second)
+		synctest.Wait()
 		is.True(got.Sub(ended) <= 2*turnCheck) // not a whole turn later
 	})
 }
