internal/peer: a link that is silent is given up

Cause: connections may go silent for good without a reset while new ones work. A host kept such a link to a peer until the kernel gave up, minutes later: it placed runs without knowing its peers', two moves took one engine's link at once, turns weren't given back.

Ruled out: the streams themselves (none was cut), the store (asked anew within a second).

A call that gets no answer within 250 ms and longer, while nothing else comes over its link, gives the link up; the next call opens a new one.

TestSilentLink fails without it in two of six rows.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -32,6 +33,8 @@
 	pending map[uint64]chan *frame
 	// closed is the error that ended the connection; nil while it is up.
 	closed error
+	// heard is when the last frame came.
+	heard time.Time
 
 	// sent and received count the bytes of both directions.
 	sent, received *atomic.Int64
@@ -51,6 +54,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	sent := time.Now()
 	id, answered, err := c.send(k, body)
 	if err != nil {
 		return err
@@ -59,13 +63,30 @@
 	case f, up := <-answered:
 		return decodeReply(f, up, reply)
 	case <-ctx.Done():
-		c.mu.Lock()
-		delete(c.pending, id)
-		c.mu.Unlock()
+		c.abandon(time.Now(), id, sent, ctx.Err())
 		return ctx.Err()
 	}
 }
 
+// silentFor is how long a link may bring nothing, while an answer is due, before
+// it is given up. Links can go silent for good without a reset while new ones work;
+// the kernel would notice after minutes, and the hosts would place on each other's
+// engines unseen for as long. Hosts answer each other within some milliseconds.
+const silentFor = 250 * time.Millisecond
+
+var errSilent = errors.New("the link to the peer is silent")
+
+// abandon forgets a call that got no answer in time, and gives the link up if
+// nothing has come over it since the call was sent.
+func (c *conn) abandon(now time.Time, id uint64, sent time.Time, why error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
+	if errors.Is(why, context.DeadlineExceeded) && now.Sub(sent) >= silentFor && c.heard.Before(sent) {
+		c.fail(errSilent)
+	}
+}
+
 func decodeReply(f *frame, up bool, reply any) error {
 	switch {
 	case !up:
@@ -133,6 +154,7 @@
 			c.mu.Unlock()
 			return
 		}
+		c.heard = time.Now()
 		if answered := c.pending[f.ID]; answered != nil && f.Reply {
 			delete(c.pending, f.ID)
 			answered <- f
--- /dev/null
+++ b/internal/peer/silent_test.go
@@ -0,0 +1,86 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSilentLink has a link given up when an answer is due and nothing comes, and
+// kept where the peer is only slow with one answer.
+func TestSilentLink(t *testing.T) {
+	for name, c := range map[string]struct {
+		// answers reports whether the peer answers the n-th call.
+		answers func(n int) bool
+		timeout time.Duration
+		// cancelled has the caller leave in place of waiting.
+		cancelled bool
+		up        bool
+	}{
+		"silent":                       {func(int) bool { return false }, 300 * time.Millisecond, false, false},
+		"silent, for a moment only":    {func(int) bool { return false }, 30 * time.Millisecond, false, true},
+		"silent, but the caller left":  {func(int) bool { return false }, 300 * time.Millisecond, true, true},
+		"one answer is slow":           {func(n int) bool { return n != 2 }, 300 * time.Millisecond, false, true},
+		"silent after a first answer":  {func(n int) bool { return n == 1 }, 300 * time.Millisecond, false, false},
+		"every call is answered, fast": {func(int) bool { return true }, 300 * time.Millisecond, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ours, theirs := net.Pipe()
+				go answerSome(theirs, c.answers)
+				var sent, received atomic.Int64
+				link := newConn(ours, &sent, &received)
+				go link.readReplies()
+				for range 3 {
+					ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
+					if c.cancelled {
+						time.AfterFunc(c.timeout-time.Millisecond, cancel)
+					}
+					go func() {
+						defer cancel()
+						var reply bool
+						_ = link.call(ctx, kindTurn, true, &reply) // the link's state is judged
+					}()
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(time.Second)
+				synctest.Wait()
+				is.Equal(link.up(), c.up)
+				link.close()
+				is.NoErr(theirs.Close())
+			})
+		})
+	}
+}
+
+// answerSome reads calls and answers some of them, as a peer does.
+func answerSome(link net.Conn, answers func(n int) bool) {
+	reader := bufio.NewReader(link)
+	for n := 1; ; n++ {
+		f, err := readFrame(reader)
+		if err != nil {
+			return
+		}
+		if !answers(n) {
+			continue
+		}
+		body, err := encode(true)
+		if err != nil {
+			return
+		}
+		message, err := appendFrame(nil, &frame{ID: f.ID, Reply: true, Kind: f.Kind, Body: body})
+		if err != nil || writeWhole(link, message) != nil {
+			return
+		}
+	}
+}
