--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,98 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package explain
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const at = "ts=2026-12-01T10:00:0"
+
+// TestCause tells each way in which a request can end.
+func TestCause(t *testing.T) {
+	const placed = at + `0.1Z msg=placed request=r upstream=e1` + "\n"
+	for name, c := range map[string]struct {
+		log  string
+		want Cause
+	}{
+		"answered":                     {placed + at + `1Z msg=answered request=r outcome=ok took=1s`, CauseAnswered},
+		"an upstream's failure":        {at + `1Z msg=answered request=r outcome=ok status=500 took=1s`, CauseFailure},
+		"a route that is unknown":      {at + `1Z msg=answered request=r outcome=ok status=404 took=1s`, CauseAnswered},
+		"refused":                      {at + `1Z msg=refused request=r code=overloaded took=1s`, "refused: overloaded"},
+		"the caller left, unanswered":  {at + `1Z msg=refused request=r code=caller_left`, CauseCallerLeft},
+		"the caller left, midway":      {placed + at + `1Z msg=answered request=r outcome=caller_left`, CauseCallerLeft},
+		"the host stopped":             {placed + at + `0.5Z msg=stopping running=1` + "\n" + at + `8Z msg=answered request=r outcome=caller_left`, CauseStopped},
+		"the host had started again":   {at + `0Z msg=stopping` + "\n" + at + `0.05Z msg=started` + "\n" + placed + at + `8Z msg=answered request=r outcome=caller_left`, CauseCallerLeft},
+		"no end":                       {placed, CauseNoEnd},
+		"the engine left":              {placed + at + `1Z msg="engine leaves" request=r upstream=e1` + "\n" + at + `2Z msg=answered request=r outcome=cut upstream=e1 err="unexpected EOF"`, CauseLeft},
+		"an earlier engine left":       {placed + at + `1Z msg="engine leaves" request=r upstream=e0` + "\n" + at + `2Z msg=answered request=r outcome=cut upstream=e1 err="unexpected EOF"`, CauseGone},
+		"the engine went":              {placed + at + `2Z msg=answered request=r outcome=cut upstream=e1 err="unexpected EOF"`, CauseGone},
+		"the link broke":               {placed + at + `2Z msg=answered request=r outcome=cut upstream=e1 err="read tcp: connection timed out"`, CauseLink},
+		"cut, and nothing tells why":   {placed + at + `2Z msg=answered request=r outcome=cut upstream=e1 err=odd`, CauseUnknown},
+		"lines that came out of order": {at + `2Z msg=answered request=r outcome=ok` + "\n" + placed, CauseAnswered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lines, unread, err := Read("h1.log", strings.NewReader(c.log))
+			is.NoErr(err)
+			is.Equal(len(unread), 0)
+			stories := Stories(lines)
+			is.Equal(len(stories), 1)
+			is.Equal(stories[0].Cause, c.want)
+		})
+	}
+}
+
+// TestStopOfAnotherHost has a stream not count as cut by another host's stop.
+func TestStopOfAnotherHost(t *testing.T) {
+	is := is.New(t)
+	stop, _, err := Read("h1.log", strings.NewReader(at+"0Z msg=stopping\n"))
+	is.NoErr(err)
+	end, _, err := Read("h2.log", strings.NewReader(at+"1Z msg=answered request=r outcome=caller_left\n"))
+	is.NoErr(err)
+	is.Equal(Stories(append(stop, end...))[0].Cause, CauseCallerLeft)
+}
+
+// TestRead has each line read or named with its place.
+func TestRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		source string
+		why    string
+	}{
+		"a plain line":             {at + "0Z msg=placed request=r", "h1.log", ""},
+		"a collector's prefix":     {"  12.5 entry-3 " + at + "0Z msg=placed", "entry-3", ""},
+		"no time":                  {"msg=placed request=r", "", "no field ts"},
+		"a time in another field":  {"at x" + at + "0Z", "", "no field ts"},
+		"a time that is none":      {"ts=noon msg=placed", "", "the field ts is no time"},
+		"no event":                 {at + "0Z request=r", "", "no field msg"},
+		"a quote that doesn't end": {at + `0Z msg="placed`, "", "logfmt syntax error"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lines, unread, err := Read("h1.log", strings.NewReader("\n"+c.text+"\n"))
+			is.NoErr(err)
+			if c.why != "" {
+				is.Equal(len(lines), 0)
+				is.Equal(unread[0].File, "h1.log")
+				is.Equal(unread[0].Number, 2)
+				is.True(strings.HasPrefix(unread[0].Why, c.why))
+				return
+			}
+			is.Equal(len(unread), 0)
+			is.Equal(lines[0].Source, c.source)
+			is.Equal(lines[0].At, time.Date(2026, 12, 1, 10, 0, 0, 0, time.UTC))
+		})
+	}
+}
+
+// TestReadTooLong has a line that is longer than any real one told as an error.
+func TestReadTooLong(t *testing.T) {
+	_, _, err := Read("h1.log", strings.NewReader(strings.Repeat("x", maxLineBytes+1)))
+	is.New(t).True(err != nil)
+}
--- /dev/null
+++ b/internal/explain/story.go
@@ -0,0 +1,158 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package explain
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Cause says how a request ended, in words that lead to the operators' page.
+type Cause string
+
+// The causes of an end that isn't a refusal's; those are the refusals' codes after
+// "refused: ".
+const (
+	CauseAnswered   Cause = "answered"
+	CauseFailure    Cause = "an upstream's failure passed on"
+	CauseCallerLeft Cause = "the caller left"
+	CauseNoEnd      Cause = "no end: its host died, or its log ends"
+	CauseStopped    Cause = "cut: its host stopped"
+	CauseLeft       Cause = "cut: the engine left before the run was moved"
+	CauseGone       Cause = "cut: the engine went without notice"
+	CauseLink       Cause = "cut: the link to the engine broke"
+	CauseUnknown    Cause = "cut"
+)
+
+const refusedPrefix = "refused: "
+
+// Failed reports whether the caller didn't get what it asked for.
+func (c Cause) Failed() bool { return c != CauseAnswered && c != CauseCallerLeft }
+
+// Story is all that the logs say of one request.
+type Story struct {
+	Request string
+	// Route is empty for a request that no route took.
+	Route string
+	// Lines are in the order of their times.
+	Lines []Line
+	Cause Cause
+	// Took is from its arrival to its end; zero without an end.
+	Took time.Duration
+	// Began is when the first line was written.
+	Began time.Time
+}
+
+// graceMost is more than any grace: a stream cut later than this after its host
+// was told to stop wasn't cut by that.
+const graceMost = time.Minute
+
+// Events of the lines that tell how a request ended.
+const (
+	eventAnswered = "answered"
+	eventRefused  = "refused"
+	eventStopping = "stopping"
+	eventStarted  = "started"
+	eventLeaves   = "engine leaves"
+)
+
+// Stories groups lines by request and tells how each ended, in the order in which
+// the requests began.
+func Stories(lines []Line) []Story {
+	lines = slices.Clone(lines)
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
+	index := map[string]int{}
+	var stories []Story
+	stops := stopTimes{}
+	for _, line := range lines {
+		stops.take(line)
+		if line.Request == "" {
+			continue
+		}
+		at, known := index[line.Request]
+		if !known {
+			at = len(stories)
+			index[line.Request] = at
+			stories = append(stories, Story{Request: line.Request, Began: line.At, Cause: CauseNoEnd})
+		}
+		stories[at].take(line, stops)
+	}
+	return stories
+}
+
+// stopTimes holds when each host was told to stop.
+type stopTimes map[string]time.Time
+
+func (s stopTimes) take(line Line) {
+	switch line.Event {
+	case eventStarted:
+		delete(s, line.Source)
+	case eventStopping:
+		if _, known := s[line.Source]; !known {
+			s[line.Source] = line.At
+		}
+	}
+}
+
+// stopping reports whether a host was about to stop at a time.
+func (s stopTimes) stopping(source string, at time.Time) bool {
+	since, known := s[source]
+	return known && at.Sub(since) <= graceMost
+}
+
+func (s *Story) take(line Line, stops stopTimes) {
+	s.Lines = append(s.Lines, line)
+	switch line.Event {
+	case eventAnswered, eventRefused:
+		s.Route, s.Took = line.Field("route"), line.duration("took")
+		s.Cause = s.cause(line, stops)
+	}
+}
+
+// cause tells how a request ended from its last line and those before it.
+func (s *Story) cause(end Line, stops stopTimes) Cause {
+	if end.Event == eventRefused {
+		if end.Field("code") == "caller_left" {
+			return CauseCallerLeft
+		}
+		return Cause(refusedPrefix + end.Field("code"))
+	}
+	switch end.Field("outcome") {
+	case "ok":
+		if strings.HasPrefix(end.Field("status"), "5") {
+			return CauseFailure
+		}
+		return CauseAnswered
+	case "cut":
+		return s.cutBy(end)
+	}
+	// A host that has stopped ends its callers' connections itself.
+	if stops.stopping(end.Source, end.At) {
+		return CauseStopped
+	}
+	return CauseCallerLeft
+}
+
+// cutBy tells what cut a stream.
+func (s *Story) cutBy(end Line) Cause {
+	why := end.Field("err")
+	switch {
+	case s.leaving(end.Field("upstream")):
+		return CauseLeft
+	case strings.Contains(why, "timed out"), strings.Contains(why, "reset"), strings.Contains(why, "no route"):
+		return CauseLink
+	case strings.Contains(why, "EOF"):
+		return CauseGone
+	default:
+		return CauseUnknown
+	}
+}
+
+// leaving reports whether the request's host knew that an engine leaves.
+func (s *Story) leaving(upstream string) bool {
+	return slices.ContainsFunc(s.Lines, func(l Line) bool {
+		return l.Event == eventLeaves && l.Field("upstream") == upstream
+	})
+}
