forward: a stopping host refuses the calls that wouldn't end before it does

Streams were refused when they wouldn't end in time, plain calls never.

A plain call is now refused at once when it might still run when the host stops: a second, or as long as its caller waits, whichever is less.

TestStoppingCalls fails without it in three of six rows.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -250,7 +250,7 @@
 	if !found {
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
 	}
-	if x.route.Kind == KindStream && !x.endsBeforeStop(now) {
+	if !x.endsBeforeStop(now) {
 		return Refusal{Code: CodeStopping, RetryAfter: x.retryStopping(now)}, false
 	}
 	return Refusal{}, true
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -71,18 +71,38 @@
 	guessFor   = 2500 * time.Millisecond
 	stopTimes  = 2
 	stopMargin = time.Second
+	// callLasts is longer than plain calls last, but for one in some thousands; a
+	// caller that waits less shortens it.
+	callLasts = time.Second
 )
 
-// endsBeforeStop reports whether a stream will have ended when this host stops,
-// by the bound of its length, or at first by the caller's guess; without either,
-// none will.
+// endsBeforeStop reports whether a request will have ended when this host stops.
 func (x *exchange) endsBeforeStop(now time.Time) bool {
 	x.mu.Lock()
 	stopping, since, by := x.stopping, x.stopSince, x.stopBy
 	x.mu.Unlock()
-	if !stopping {
+	switch {
+	case !stopping:
 		return true
+	case x.route.Kind != KindStream:
+		return by.IsZero() || now.Add(x.callLasts(now)).Before(by)
+	default:
+		return x.streamEnds(now, since, by)
 	}
+}
+
+// callLasts is how long a plain call may last.
+func (x *exchange) callLasts(now time.Time) time.Duration {
+	if left := x.left(now); left > 0 {
+		return min(left, callLasts)
+	}
+	return callLasts
+}
+
+// streamEnds reports whether a stream will have ended by a time, by the bound of its
+// length, or soon after the stop began by the caller's guess; without either, none
+// will.
+func (x *exchange) streamEnds(now, since, by time.Time) bool {
 	p := x.call.Prompt
 	out := p.MostOut
 	if p.LikelyOut > 0 && now.Sub(since) <= guessFor && (out <= 0 || p.LikelyOut < out) {
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -108,3 +108,40 @@
 		})
 	}
 }
+
+// TestStoppingCalls has a stopping host take plain calls as long as these will have
+// ended, and refuse them at once after that.
+func TestStoppingCalls(t *testing.T) {
+	for name, c := range map[string]struct {
+		after    time.Duration
+		patience time.Duration
+		refused  bool
+	}{
+		"at once":                          {0, 39 * time.Second, false},
+		"two seconds before the end":       {5 * time.Second, 39 * time.Second, false},
+		"half a second before the end":     {6500 * time.Millisecond, 39 * time.Second, true},
+		"then, but the caller waits less":  {6500 * time.Millisecond, 400 * time.Millisecond, false},
+		"a tenth of a second, waits less":  {6900 * time.Millisecond, 400 * time.Millisecond, true},
+		"the stop has no time left at all": {7 * time.Second, 39 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwarder(t, &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+					return answer(200, "ok"), nil
+				}})
+				ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
+				defer cancel()
+				f.Stop(ctx)
+				time.Sleep(c.after)
+				for _, path := range []string{"/order/", "/status/"} {
+					request, sink := call(path), &fakeSink{}
+					request.Patience = c.patience
+					f.Serve(t.Context(), request, sink)
+					is.Equal(sink.refused != nil, c.refused)
+					is.True(!c.refused || *sink.refused == Refusal{Code: CodeStopping, RetryAfter: sink.refused.RetryAfter})
+				}
+			})
+		})
+	}
+}
