telemetry: metrics of what a host has learnt of its engines

The reading rate and the usual step decide where prompts go, what is refused and what a stopping host still takes; an operator could not see them. They are metrics now, with their samples and age. TestLearnt doesn't build without it.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -40,6 +40,10 @@
 	// all engines; zero before the first.
 	steps     map[member.UpstreamID]time.Duration
 	usualStep time.Duration
+	// stepSamples counts the pauses that steps were learnt from, and learntAt is
+	// when anything was last learnt of the engines.
+	stepSamples uint64
+	learntAt    time.Time
 }
 
 // step is the time of a step as it is known of an engine, or else of all.
@@ -303,11 +307,12 @@
 	defer e.mu.Unlock()
 	if p := e.pools[service]; p != nil {
 		p.pool.Begun(now, run.request.Run)
+		p.learntAt = now
 	}
 }
 
 // observeStep takes in how long an engine took for each of some tokens.
-func (e *engines) observeStep(service ServiceName, engine member.UpstreamID, step time.Duration) {
+func (e *engines) observeStep(now time.Time, service ServiceName, engine member.UpstreamID, step time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.pools[service]
@@ -323,6 +328,8 @@
 		p.usualStep = step
 	}
 	p.usualStep += time.Duration(usualStepMemory * float64(step-p.usualStep))
+	p.stepSamples++
+	p.learntAt = now
 }
 
 // takes is how long an engine is expected to take for a prompt and an answer.
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -29,7 +29,7 @@
 			f := newForwarder(t, &fakeTransport{})
 			for range 200 {
 				if c.step > 0 {
-					f.engines.observeStep("llm", "llm1", c.step)
+					f.engines.observeStep(time.Now(), "llm", "llm1", c.step)
 				}
 			}
 			step := max(c.step, 0)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -393,7 +393,7 @@
 		gap := now.Sub(s.lastAt)
 		s.longest = max(s.longest, gap)
 		s.observer.Gap(gap)
-		s.learn(gap)
+		s.learn(now, gap)
 	}
 	if s.callerGone = s.to.Write(event); s.callerGone != nil {
 		return s.callerGone
@@ -423,8 +423,8 @@
 }
 
 // learn takes the time between two events as the engine's step.
-func (s *streamExchange) learn(gap time.Duration) {
+func (s *streamExchange) learn(now time.Time, gap time.Duration) {
 	if s.run != nil {
-		s.engines.observeStep(s.service.Name, s.from, gap/time.Duration(s.eventTokens()))
+		s.engines.observeStep(now, s.service.Name, s.from, gap/time.Duration(s.eventTokens()))
 	}
 }
--- a/internal/telemetry/forward_test.go
+++ b/internal/telemetry/forward_test.go
@@ -35,6 +35,25 @@
 	is.True(strings.Contains(page.Body.String(), `shedpath_answers_total{kind="safe",outcome="ok"} 1`))
 }
 
+// TestLearnt has the metrics tell what was learnt, from how much and how long ago.
+func TestLearnt(t *testing.T) {
+	is := is.New(t)
+	f := NewForward(io.Discard)
+	defer f.Close()
+	f.WatchLearnt(func(time.Time) []forward.Learnt {
+		return []forward.Learnt{{Service: "llm", ReadRate: 7300, ReadSamples: 12, Step: 9 * time.Millisecond, StepSamples: 40, Age: 2 * time.Second}}
+	})
+	page := httptest.NewRecorder()
+	f.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
+	for _, want := range []string{
+		`shedpath_learnt_read_tokens_per_second{service="llm"} 7300`, `shedpath_learnt_read_samples{service="llm"} 12`,
+		`shedpath_learnt_step_seconds{service="llm"} 0.009`, `shedpath_learnt_step_samples{service="llm"} 40`,
+		`shedpath_learnt_age_seconds{service="llm"} 2`,
+	} {
+		is.True(strings.Contains(page.Body.String(), want))
+	}
+}
+
 // stuckWriter never takes a line before it is freed.
 type stuckWriter struct{ free chan struct{} }
 
