forward, policy: runs move only when their engine leaves or fails

Moves off an engine that is failing stay.

Tried and not kept: runs leave an engine in the order in which they ask, not the smallest first.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -88,12 +88,6 @@
 	// usualStepMemory that of the usual step of all engines of a service.
 	stepMemory      = 0.1
 	usualStepMemory = 0.01
-	// gainToReturn is by how much an engine must suit a run of another zone
-	// better for the run to move there, and gainToBalance the same for a run of
-	// this zone; as a share of an engine's memory. A move has a price, and the
-	// run stands still for some ten milliseconds.
-	gainToReturn  = 0.1
-	gainToBalance = 0.3
 	// shortTakes is how long short answers take: an engine that leaves mostly
 	// still ends them.
 	shortTakes = 500 * time.Millisecond
@@ -343,27 +337,6 @@
 	return p.pool.TakesToRead(prompt) + time.Duration(out)*p.step("")
 }
 
-// improve finds an engine that suits a run much better than its own.
-func (e *engines) improve(now time.Time, service ServiceName, run *ownRun, avoid []member.UpstreamID) (to Upstream, from member.UpstreamID, found bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	p := e.pools[service]
-	if p == nil || p.listed[run.engine].ID == "" {
-		return Upstream{}, "", false
-	}
-	gain := gainToBalance
-	if p.listed[run.engine].Zone != e.zone {
-		gain = gainToReturn
-	}
-	p.pool.Progress(now, run.request.Run, policy.Tokens(run.made.Load()))
-	id, found := p.pool.Improve(now, run.request.Run, e.zone, farCostToStart, gain, avoid)
-	if !found {
-		return Upstream{}, "", false
-	}
-	from, run.engine = run.engine, id
-	return p.listed[id], from, true
-}
-
 // stay counts a run on an engine again that it wasn't moved from.
 func (e *engines) stay(now time.Time, service ServiceName, run *ownRun, engine member.UpstreamID) {
 	e.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -77,8 +77,8 @@
 	// fetching says that a configuration is being fetched from a peer.
 	fetching atomic.Bool
 
-	// improving lets one run of this host at a time move to a better engine.
-	improving sync.Mutex
+	// leavingFailing lets one run of this host at a time leave a failing engine.
+	leavingFailing sync.Mutex
 
 	mu sync.Mutex
 	// inFlight counts the requests under way.
--- a/forward/move.go
+++ b/forward/move.go
@@ -30,10 +30,8 @@
 	// busyTargetWait is how long a run waits for a target in use: most of a
 	// copy's time.
 	busyTargetWait = 250 * time.Millisecond
-	// improveEvery is how often a run looks for a much better engine, and
-	// improveAfter after how many tokens: most short answers end before.
-	improveEvery = 600 * time.Millisecond
-	improveAfter = 40
+	// failingCheck is how often a run looks whether its engine is failing.
+	failingCheck = 600 * time.Millisecond
 	// movePause is waited before a move that couldn't be made is tried again.
 	movePause = 50 * time.Millisecond
 	// moveTimeout bounds one copy; several may wait on one link.
@@ -83,10 +81,9 @@
 	return m
 }
 
-// run waits until the engine leaves, or another suits the run much better, and
-// moves the run.
+// run waits until the engine leaves, or is failing, and moves the run.
 func (m *mover) run(ctx context.Context, x *exchange, run *ownRun, leaving <-chan struct{}) *handover {
-	tick := time.NewTicker(improveEvery)
+	tick := time.NewTicker(failingCheck)
 	defer tick.Stop()
 	for {
 		select {
@@ -95,31 +92,27 @@
 		case <-leaving:
 			return m.evacuate(ctx, x, run)
 		case <-tick.C:
-			if next := m.improve(ctx, x, run); next != nil || m.stopped() {
+			if next := m.leaveFailing(ctx, x, run); next != nil || m.stopped() {
 				return next
 			}
 		}
 	}
 }
 
-// improve moves the run to an engine that suits it much better, if there is one
-// and nothing else uses the links.
-func (m *mover) improve(ctx context.Context, x *exchange, run *ownRun) *handover {
-	if run.made.Load() < improveAfter || !x.improving.TryLock() {
+// leaveFailing moves the run off an engine that is failing, if another has room and
+// nothing else uses the links. Without it a stream on an engine that goes bad is
+// mostly lost with it.
+func (m *mover) leaveFailing(ctx context.Context, x *exchange, run *ownRun) *handover {
+	if !x.fleet.Failing(time.Now(), m.from.ID) || !x.leavingFailing.TryLock() {
 		return nil
 	}
-	defer x.improving.Unlock()
-	to, from, found := m.better(time.Now(), x, run)
+	defer x.leavingFailing.Unlock()
+	to, found := x.engines.relocate(time.Now(), x.service.Name, run, nil)
 	if !found {
 		return nil
 	}
-	endSource, err := x.takeTurn(ctx, m.from, TurnRequest{Engine: m.from.ID, Run: run.request.Run, AtOnce: true})
-	defer endSource()
-	if err == nil {
-		var endTarget func()
-		endTarget, err = x.takeTurn(ctx, to, TurnRequest{Engine: to.ID, Run: run.request.Run, AtOnce: true})
-		defer endTarget()
-	}
+	endTurns, err := m.turnsAtOnce(ctx, x, run, to)
+	defer endTurns()
 	var next *handover
 	if err == nil {
 		x.tellPlaced(to)
@@ -128,20 +121,23 @@
 	if next != nil {
 		return next
 	}
-	x.journal.Request(x.call.ID, "not moved to a better engine", "from", m.from.ID, "to", to.ID, "err", err)
-	x.engines.stay(time.Now(), x.service.Name, run, from)
+	x.journal.Request(x.call.ID, "not moved off a failing engine", "from", m.from.ID, "to", to.ID, "err", err)
+	x.engines.stay(time.Now(), x.service.Name, run, m.from.ID)
 	m.discard(x)
 	return nil
 }
 
-// better finds an engine that suits the run much better; any other does while its
-// own is failing.
-func (m *mover) better(now time.Time, x *exchange, run *ownRun) (to Upstream, from member.UpstreamID, found bool) {
-	if x.fleet.Failing(now, m.from.ID) {
-		to, found = x.engines.relocate(now, x.service.Name, run, nil)
-		return to, m.from.ID, found
+// turnsAtOnce takes the turns of both links if nobody uses them.
+func (m *mover) turnsAtOnce(ctx context.Context, x *exchange, run *ownRun, to Upstream) (end func(), err error) {
+	endSource, err := x.takeTurn(ctx, m.from, TurnRequest{Engine: m.from.ID, Run: run.request.Run, AtOnce: true})
+	if err != nil {
+		return endSource, err
 	}
-	return x.engines.improve(now, x.service.Name, run, nil)
+	endTarget, err := x.takeTurn(ctx, to, TurnRequest{Engine: to.ID, Run: run.request.Run, AtOnce: true})
+	return func() {
+		endTarget()
+		endSource()
+	}, err
 }
 
 // stopped reports whether the run was told to stop, so that the end of its
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -4,7 +4,6 @@
 package policy
 
 import (
-	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -52,50 +51,6 @@
 	return to.id, true
 }
 
-// Improve finds an engine that would suit a run better than its own by at least
-// gain, as a share of an engine's memory, and counts the run there from now on.
-// zone is where the run's caller came in.
-func (p *Pool) Improve(now time.Time, id RunID, zone member.Zone, farCost, gain float64, avoid []EngineID) (EngineID, bool) {
-	run := p.runs[id]
-	if run == nil || !run.engine.known() {
-		return "", false
-	}
-	grown := run.Request
-	grown.Prompt += run.made
-	if run.Limit > 0 {
-		grown.Limit = max(run.Limit-run.made, 1)
-	}
-	grown.Prefix, grown.Objective, grown.Avoid, grown.AvoidAlso = 0, 0, run.engine.id, avoid
-	grown.Zone, grown.FarCost = zone, farCost
-	to := p.choose(now, &grown)
-	if to == nil {
-		return "", false
-	}
-	added, line := p.foreseen(&grown), p.steps.line()
-	there, _ := p.cost(now, to, &grown, &added, line)
-	if there+gain > p.costToStay(now, run, &grown, &added, line) {
-		return "", false
-	}
-	p.rehome(now, run, to)
-	return to.id, true
-}
-
-// costToStay weighs a run's own engine as if the run were new there.
-func (p *Pool) costToStay(now time.Time, run *placed, grown *Request, added *foresight, line stepLine) float64 {
-	e := run.engine
-	without := *e
-	without.order = slices.DeleteFunc(slices.Clone(e.order), func(other *placed) bool { return other == run })
-	without.refresh(now)
-	cost, fits := p.cost(now, &without, grown, added, line)
-	if !fits {
-		return noRoomCost
-	}
-	return cost
-}
-
-// noRoomCost is more than any engine with room costs.
-const noRoomCost = 100
-
 // Return counts a run on an engine again that it wasn't moved from. It reports
 // false when that engine isn't known.
 func (p *Pool) Return(now time.Time, id RunID, engine EngineID) bool {
