--- a/forward/engines.go
+++ b/forward/engines.go
@@ -36,9 +36,8 @@
 	// own are this host's runs, theirs those of its peers.
 	own    map[policy.RunID]*ownRun
 	theirs map[policy.RunID]member.HostID
-	// steps are the observed times of a step, by engine, and usualStep is that of
-	// all engines; zero before the first.
-	steps     map[member.UpstreamID]time.Duration
+	// usualStep is the time of a step as it was observed of all engines; zero
+	// before the first.
 	usualStep time.Duration
 	// stepSamples counts the pauses that steps were learnt from, and learntAt is
 	// when anything was last learnt of the engines.
@@ -46,20 +45,16 @@
 	learntAt    time.Time
 }
 
-// step is the time of a step as it is known of an engine, or else of all.
-func (p *enginePool) step(id member.UpstreamID) time.Duration {
-	switch {
-	case p.steps[id] > 0:
-		return p.steps[id]
-	case p.usualStep > 0:
+// step is the usual time of a step as far as it is known.
+func (p *enginePool) step() time.Duration {
+	if p.usualStep > 0 {
 		return p.usualStep
-	default:
-		return stepPrior
 	}
+	return stepPrior
 }
 
 // short is the length below which answers count as short.
-func (p *enginePool) short() policy.Tokens { return policy.Tokens(shortTakes / p.step("")) }
+func (p *enginePool) short() policy.Tokens { return policy.Tokens(shortTakes / p.step()) }
 
 // ownRun is one generation of this host that holds a place.
 type ownRun struct {
@@ -84,10 +79,8 @@
 	farCostToMove = 0.8
 	// stepPrior is assumed of engines until any run has shown a step.
 	stepPrior = 10 * time.Millisecond
-	// stepMemory is the weight of the newest observation of an engine's step, and
-	// usualStepMemory that of the usual step of all engines of a service.
-	stepMemory      = 0.1
-	usualStepMemory = 0.01
+	// stepMemory is the weight of the newest observation of a step.
+	stepMemory = 0.01
 	// shortTakes is how long short answers take: an engine that leaves mostly
 	// still ends them.
 	shortTakes = 500 * time.Millisecond
@@ -121,7 +114,6 @@
 			p = &enginePool{
 				listed: map[member.UpstreamID]Upstream{}, waiting: map[policy.RunID]chan policy.Decision{},
 				own: map[policy.RunID]*ownRun{}, theirs: map[policy.RunID]member.HostID{},
-				steps: map[member.UpstreamID]time.Duration{},
 			}
 			p.pool = policy.NewPool(policy.Settings{})
 			e.pools[name] = p
@@ -181,7 +173,7 @@
 		p.pool.Progress(now, id, policy.Tokens(run.made.Load()))
 	}
 	for id := range p.listed {
-		p.pool.Report(now, policy.Report{Engine: id, Memory: p.spec.Memory, Step: p.step(id)})
+		p.pool.Report(now, policy.Report{Engine: id, Memory: p.spec.Memory, Step: p.step()})
 	}
 	p.advance(now)
 }
@@ -306,22 +298,17 @@
 }
 
 // observeStep takes in how long an engine took for each of some tokens.
-func (e *engines) observeStep(now time.Time, service ServiceName, engine member.UpstreamID, step time.Duration) {
+func (e *engines) observeStep(now time.Time, service ServiceName, step time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.pools[service]
 	if p == nil {
 		return
 	}
-	old := p.steps[engine]
-	if old == 0 {
-		old = step
-	}
-	p.steps[engine] = old + time.Duration(stepMemory*float64(step-old))
 	if p.usualStep == 0 {
 		p.usualStep = step
 	}
-	p.usualStep += time.Duration(usualStepMemory * float64(step-p.usualStep))
+	p.usualStep += time.Duration(stepMemory * float64(step-p.usualStep))
 	p.stepSamples++
 	p.learntAt = now
 }
@@ -334,7 +321,7 @@
 	if p == nil {
 		return time.Duration(out) * stepPrior
 	}
-	return p.pool.TakesToRead(prompt) + time.Duration(out)*p.step("")
+	return p.pool.TakesToRead(prompt) + time.Duration(out)*p.step()
 }
 
 // stay counts a run on an engine again that it wasn't moved from.
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -29,7 +29,7 @@
 			f := newForwarder(t, &fakeTransport{})
 			for range 200 {
 				if c.step > 0 {
-					f.engines.observeStep(time.Now(), "llm", "llm1", c.step)
+					f.engines.observeStep(time.Now(), "llm", c.step)
 				}
 			}
 			step := max(c.step, 0)
@@ -39,7 +39,6 @@
 			is.Equal(f.engines.takes("llm", 0, 100), 100*step)
 			p := f.engines.pools["llm"]
 			is.Equal(p.short(), c.short)
-			is.Equal(p.step("llm2"), step) // an engine without runs is like the others
 		})
 	}
 }
--- a/forward/learnt.go
+++ b/forward/learnt.go
@@ -33,7 +33,7 @@
 	defer e.mu.Unlock()
 	var all []Learnt
 	for name, p := range e.pools {
-		l := Learnt{Service: name, Step: p.step(""), StepSamples: p.stepSamples, Age: neverProved}
+		l := Learnt{Service: name, Step: p.step(), StepSamples: p.stepSamples, Age: neverProved}
 		l.ReadRate, l.ReadSamples = p.pool.ReadRate()
 		if !p.learntAt.IsZero() {
 			l.Age = min(now.Sub(p.learntAt), neverProved)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -20,9 +20,6 @@
 type streamExchange struct {
 	*exchange
 	run *ownRun
-	// from is the engine that the stream comes from now; the run is counted on
-	// another already while it moves.
-	from member.UpstreamID
 	// begun says that the caller has the answer's beginning.
 	begun bool
 	// lastEvent is the id of the last event that the caller has, and events
@@ -320,7 +317,6 @@
 func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
 	first := a
 	for {
-		s.from = u.ID
 		m := s.watch(ctx, u)
 		err := s.relay(first, a)
 		closeBody(a)
@@ -425,6 +421,6 @@
 // learn takes the time between two events as the engine's step.
 func (s *streamExchange) learn(now time.Time, gap time.Duration) {
 	if s.run != nil {
-		s.engines.observeStep(now, s.service.Name, s.from, gap/time.Duration(s.eventTokens()))
+		s.engines.observeStep(now, s.service.Name, gap/time.Duration(s.eventTokens()))
 	}
 }
