--- a/forward/stream.go
+++ b/forward/stream.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net/http"
 	"slices"
 	"time"
 
@@ -77,21 +75,28 @@
 		}
 		s.free(false)
 		last = s.judge(ctx, u, answer, err)
-		s.mayHaveRun = s.mayHaveRun || last.MayHaveRun
-		if last.Code == CodeCallerLeft || last.MayHaveRun && !s.mayRunAgain(ctx, last.Code) {
+		if !s.mayTryAnother(ctx, u, last, err == nil && answer.NotRun) {
 			break
 		}
-		if last.MayHaveRun || err == nil && answer.NotRun {
-			// The engine had the request: it counts against the route's bound.
-			if !s.takeRepeat(string(last.Code)) {
-				break
-			}
-			s.avoid = append(s.avoid, u.ID)
-		}
 	}
 	s.refuse(s.honest(last), "service", x.service.Name, "sent", s.sent)
 }
 
+// mayTryAnother reports whether the request may be sent to another engine after one
+// that brought no stream. notRun is that engine's word.
+func (s *streamExchange) mayTryAnother(ctx context.Context, u Upstream, last Refusal, notRun bool) bool {
+	s.mayHaveRun = s.mayHaveRun || last.MayHaveRun
+	switch {
+	case last.Code == CodeCallerLeft, last.MayHaveRun && !s.mayRunAgain(ctx, last.Code):
+		return false
+	case !last.MayHaveRun && !notRun:
+		// The engine never had it.
+		return true
+	}
+	s.avoid = append(s.avoid, u.ID)
+	return s.takeRepeat(string(last.Code))
+}
+
 // mayDial reports whether there is time to try another engine.
 func (s *streamExchange) mayDial(now time.Time) bool {
 	return s.route.Objective <= 0 || now.Sub(s.call.Arrived) < time.Duration(dialPart*float64(s.route.Objective))
@@ -228,199 +233,3 @@
 		return Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
 	}
 }
-
-// closeBody closes the body of an answer that isn't passed on. Nothing is lost
-// when that fails: the connection is given up either way.
-func closeBody(a *Answer) {
-	if a.Body != nil {
-		_ = a.Body.Close()
-	}
-}
-
-// answerFrom passes an engine's answer on.
-func (s *streamExchange) answerFrom(ctx context.Context, u Upstream, a *Answer) {
-	if a.Status != http.StatusOK {
-		s.passFailure(ctx, u, a)
-		return
-	}
-	if !a.Signed || a.Encoded {
-		closeBody(a)
-		s.free(false)
-		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID)
-		return
-	}
-	if a.Leaving {
-		s.hintedLeaving(ctx, u)
-	}
-	last, err := s.followRun(ctx, u, a)
-	for err != nil && s.callerGone == nil {
-		var resumed bool
-		if u, a, resumed = s.resume(ctx, last); !resumed {
-			break
-		}
-		last, err = s.followRun(ctx, u, a)
-	}
-	s.end(ctx, last, err)
-}
-
-// followRun passes one run's events on to its end and frees its place.
-func (s *streamExchange) followRun(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
-	last, err := s.follow(ctx, u, a)
-	switch {
-	case err == nil:
-		s.fleet.Worked(last.ID)
-	case s.callerGone == nil && ctx.Err() == nil:
-		s.brokeOff(time.Now(), last.ID)
-	}
-	s.free(err == nil)
-	return last, err
-}
-
-// passFailure gives the caller an engine's own failure.
-func (s *streamExchange) passFailure(ctx context.Context, u Upstream, a *Answer) {
-	t := plainTry{upstream: u, answer: a}
-	t.body, t.long, t.err = hold(a)
-	s.free(false)
-	p := &plainExchange{exchange: s.exchange}
-	if t.err != nil || !a.Signed || promising(a.Status) {
-		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID, "status", a.Status, "err", t.err)
-		return
-	}
-	p.deliver(&t)
-}
-
-// end closes the answer: whole, cut, or refused when nothing had come.
-func (s *streamExchange) end(ctx context.Context, u Upstream, err error) {
-	about := []any{"upstream", u.ID, "first_event", s.firstAfter, "events", s.events, "moves", s.moves, "longest_pause", s.longest, "err", err}
-	left := s.callerGone != nil || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
-	switch {
-	case err == nil:
-		s.answered("ok", about...)
-	case s.begun:
-		s.to.Cut()
-		if left {
-			s.answered("caller_left", about...)
-			return
-		}
-		s.answered("cut", about...)
-	case left:
-		s.refuse(Refusal{Code: CodeCallerLeft, MayHaveRun: true}, about...)
-	case ctx.Err() != nil:
-		s.refuse(Refusal{Code: CodeTimeout, MayHaveRun: true}, about...)
-	default:
-		s.refuse(Refusal{Code: CodeLost, MayHaveRun: true}, about...)
-	}
-}
-
-// follow passes a run's events on, from one engine after another, until the
-// stream has ended. It returns the last engine.
-func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
-	first := a
-	for {
-		m := s.watch(ctx, u)
-		err := s.relay(first, a)
-		closeBody(a)
-		if err == nil && (a.Framed || !m.stopped()) {
-			// A framed answer that has its end is whole, whatever became of a
-			// move: the run ended before it could be stopped.
-			m.cancel(s)
-			return u, s.finish(first)
-		}
-		next := m.handover(ctx)
-		if next == nil && err == nil && !m.stopped() {
-			// The run had ended by itself before it could be stopped.
-			m.cancel(s)
-			return u, s.finish(first)
-		}
-		if next == nil {
-			m.cancel(s)
-			return u, notEOF(err)
-		}
-		m.stop()
-		if u, a, err = s.takeUp(ctx, next); err != nil {
-			return next.to, err
-		}
-	}
-}
-
-// notEOF is the error of a stream that ended before its end.
-func notEOF(err error) error {
-	if err == nil {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-// finish begins the answer of a stream that had no event at all.
-func (s *streamExchange) finish(first *Answer) error {
-	if s.begun {
-		return nil
-	}
-	s.begun = true
-	return s.to.Begin(first)
-}
-
-// relay passes on what one engine sends. It returns nil at a clean end.
-func (s *streamExchange) relay(first, a *Answer) error {
-	events := newEventReader(a.Body)
-	for {
-		event, id, err := events.next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := s.pass(time.Now(), first, event, id); err != nil {
-			return err
-		}
-	}
-}
-
-// pass gives one event to the caller.
-func (s *streamExchange) pass(now time.Time, first *Answer, event []byte, id string) error {
-	if !s.begun {
-		s.begun = true
-		s.observer.FirstEvent(now.Sub(s.call.Arrived))
-		if s.callerGone = s.to.Begin(first); s.callerGone != nil {
-			return s.callerGone
-		}
-	} else if !s.lastAt.IsZero() {
-		gap := now.Sub(s.lastAt)
-		s.longest = max(s.longest, gap)
-		s.observer.Gap(gap)
-		s.learn(now, gap)
-	}
-	if s.callerGone = s.to.Write(event); s.callerGone != nil {
-		return s.callerGone
-	}
-	s.lastAt = now
-	if s.events == 0 {
-		s.firstAfter = now.Sub(s.call.Arrived)
-		if s.run != nil {
-			s.engines.begun(now, s.service.Name, s.run)
-		}
-	}
-	s.events++
-	if id != "" {
-		s.lastEvent = id
-	}
-	if s.run != nil {
-		s.run.made.Add(int64(s.eventTokens()))
-	}
-	return nil
-}
-
-func (s *streamExchange) eventTokens() policy.Tokens {
-	if s.service.Engine == nil {
-		return 1
-	}
-	return max(s.service.Engine.EventTokens, 1)
-}
-
-// learn takes the time between two events as the engine's step.
-func (s *streamExchange) learn(now time.Time, gap time.Duration) {
-	if s.run != nil {
-		s.engines.observeStep(now, s.service.Name, gap/time.Duration(s.eventTokens()))
-	}
-}
--- a/policy/refusal.go
+++ b/policy/refusal.go
@@ -63,9 +63,20 @@
 	}
 }
 
-// foreseenWait is how long a request behind that many others will wait, from
-// the rate at which the running answers are expected to end.
-func (p *Pool) foreseenWait(ahead int) time.Duration {
+// foreseenWait is how long a request behind that many others will wait.
+func (p *Pool) foreseenWait(ahead int) time.Duration { return waitBehind(ahead, p.endsPerSecond()) }
+
+// waitBehind is how long it takes until more answers than that have ended; zero when
+// none is expected to.
+func waitBehind(ahead int, endsPerSecond float64) time.Duration {
+	if endsPerSecond == 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead+1) / endsPerSecond * float64(time.Second))
+}
+
+// endsPerSecond is the rate at which the running answers are expected to end.
+func (p *Pool) endsPerSecond() float64 {
 	perSecond := 0.0
 	for _, e := range p.engines {
 		running := max(len(e.order), e.report.Running)
@@ -83,19 +94,20 @@
 		}
 		perSecond += float64(running) / (life * e.step().Seconds())
 	}
-	if perSecond == 0 {
-		return 0
-	}
-	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+	return perSecond
 }
 
 // refuseLate refuses what won't be served in time as things stand now: what has
 // waited past its deadline, and what is foreseen to.
 func (p *Pool) refuseLate(now time.Time) []Decision {
+	if len(p.queue.items) == 0 {
+		return nil
+	}
 	var decided []Decision
+	endsPerSecond := p.endsPerSecond()
 	for i := 0; i < len(p.queue.items); {
 		w := p.queue.items[i]
-		wait := p.foreseenWait(i)
+		wait := waitBehind(i, endsPerSecond)
 		if !now.After(w.Deadline) && (w.Objective <= 0 || !p.placedTooLate(now, &w.Request, wait)) {
 			i++
 			continue
