forward, telemetry: durations are measured by the steady clock

Cause: the proofs that a host's configuration and list are the newest, and the window of the retry budget, were kept as nanoseconds of Unix time. After the time of day went an hour ahead and back, a proof lay in the future for an hour, in which a host that is cut off believed it and told callers that a route or key doesn't exist; the budget's window stood still and then forgot what was spent.

Ruled out: ages that hosts tell each other (they are durations already).

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -23,13 +23,17 @@
 	limit    RetryLimit
 	hosts    int
 	services map[ServiceName]*retryWindow
+	// began is the first moment that was counted, from which buckets are numbered:
+	// by the time of day, a jump back would stop the window for as long as the jump
+	// was, and one ahead would forget what has been spent.
+	began time.Time
 }
 
 // retryWindow counts one service's requests and repeats in a window that
 // slides by buckets.
 type retryWindow struct {
 	buckets [windowBuckets]struct{ first, again float64 }
-	// at is the number of the newest bucket since the zero time.
+	// at is the number of the newest bucket since the budget began.
 	at int64
 }
 
@@ -88,7 +92,10 @@
 		w = &retryWindow{}
 		b.services[service] = w
 	}
-	at := now.UnixNano() / max(int64(b.limit.Window)/windowBuckets, 1)
+	if b.began.IsZero() {
+		b.began = now
+	}
+	at := int64(now.Sub(b.began) / max(b.limit.Window/windowBuckets, 1))
 	for steps := 0; w.at < at && steps < windowBuckets; steps++ {
 		w.at++
 		w.buckets[w.at%windowBuckets] = struct{ first, again float64 }{}
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -173,7 +173,7 @@
 	f.fleet.Replace(now, list, 1)
 	f.Configure(now, testConfig(1))
 	f.ContactProved(now)
-	raise(&f.originContact, now)
+	f.originContact.raise(now)
 	return f
 }
 
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -243,7 +243,7 @@
 		w.fleet.ListRegained(now, lostFor)
 	}
 	w.ContactProved(proved)
-	raise(&w.originContact, proved)
+	w.originContact.raise(proved)
 }
 
 // lost takes in that the origin can't be had.
@@ -253,7 +253,7 @@
 	w.fleet.ListLost(now)
 	// The proof is withdrawn, so that followers turn elsewhere at once and
 	// engines are asked themselves.
-	w.originContact.Store(0)
+	w.originContact.clear()
 	w.fleet.Wake()
 	pause := w.dep.failed(ctx, err)
 	more := pause * time.Duration(w.peers.liveInZone(now)/hostsAtOnce)
@@ -276,7 +276,7 @@
 
 // following reports whether a peer gives this host what is new.
 func (f *Forwarder) following(now time.Time) bool {
-	return now.Sub(time.Unix(0, f.followed.Load())) < followTimeout
+	return f.followed.age(now) < followTimeout
 }
 
 func (f *Forwarder) noteList(news []Change) {
@@ -288,6 +288,4 @@
 
 // OriginAge is how long ago the origin itself last proved that this host is up
 // to date.
-func (f *Forwarder) OriginAge(now time.Time) time.Duration {
-	return min(now.Sub(time.Unix(0, f.originContact.Load())), neverProved)
-}
+func (f *Forwarder) OriginAge(now time.Time) time.Duration { return f.originContact.age(now) }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -59,15 +59,15 @@
 	plain   *plainChooser
 	retries retryBudget
 	// contact is when this host last had proof that its configuration is the
-	// newest, in nanoseconds of Unix time.
-	contact atomic.Int64
+	// newest.
+	contact latest
 	// originContact is when the origin proved that the list is up to date, to
-	// this host or to the one that it follows; zero while neither has it.
-	originContact atomic.Int64
-	// followed is when a peer that is followed last answered, in the same unit.
-	followed atomic.Int64
-	// doubtUntil is how long the list isn't relied on for notices, in the same unit.
-	doubtUntil atomic.Int64
+	// this host or to the one that it follows; never while neither has it.
+	originContact latest
+	// followed is when a peer that is followed last answered.
+	followed latest
+	// doubted is when an engine last went without notice that the list had.
+	doubted latest
 	// newest is the configuration in force as it came, for peers.
 	newest atomic.Pointer[Config]
 	peers  *peerSet
@@ -128,17 +128,11 @@
 }
 
 // ContactProved takes in that the configuration was the newest at a time.
-func (f *Forwarder) ContactProved(at time.Time) { raise(&f.contact, at) }
+func (f *Forwarder) ContactProved(at time.Time) { f.contact.raise(at) }
 
 // ContactAge is how long ago the configuration was last proved to be the newest;
 // neverProved when it wasn't.
-func (f *Forwarder) ContactAge(now time.Time) time.Duration {
-	return min(now.Sub(time.Unix(0, f.contact.Load())), neverProved)
-}
-
-// neverProved is the age of a proof that there is none of, and the highest age that
-// is told; every bound is far below it.
-const neverProved = time.Hour
+func (f *Forwarder) ContactAge(now time.Time) time.Duration { return f.contact.age(now) }
 
 // SetRetryLimit changes the bound on repeats.
 func (f *Forwarder) SetRetryLimit(l RetryLimit) { f.retries.setLimit(l) }
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -111,6 +110,12 @@
 	inherit bool
 }
 
+// accept reports whether a reply's proofs are recent enough to rely on. No proof is
+// younger than its own telling.
+func (b followBounds) accept(r FollowReply) bool {
+	return 0 <= r.OriginAge && r.OriginAge <= b.fresh && 0 <= r.ConfigAge && r.ConfigAge <= b.fresh
+}
+
 var (
 	// leaderBounds are for a host of the own zone.
 	leaderBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh, inherit: true}
@@ -136,17 +141,6 @@
 	f.peers.nudgeAll()
 }
 
-// raise moves a time forward, never back.
-func raise(to *atomic.Int64, at time.Time) {
-	nanos := at.UnixNano()
-	for {
-		old := to.Load()
-		if old >= nanos || to.CompareAndSwap(old, nanos) {
-			return
-		}
-	}
-}
-
 // RunPeers tells the peers about this host until the context ends.
 func (f *Forwarder) RunPeers(ctx context.Context, peers Peers) {
 	f.peers.mu.Lock()
@@ -234,6 +228,10 @@
 // that is newer.
 func (f *Forwarder) hear(ctx context.Context, s Share) {
 	now := time.Now()
+	if s.ConfigAge < 0 || s.OriginAge < 0 {
+		f.journal.Belief("peer told an age below zero", "peer", s.From.ID, "config_age", s.ConfigAge, "origin_age", s.OriginAge)
+		s.ConfigAge, s.OriginAge = neverProved, neverProved
+	}
 	for _, mark := range s.Leaving {
 		f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
 	}
@@ -326,13 +324,13 @@
 	call, cancel := context.WithTimeout(ctx, bounds.timeout)
 	defer cancel()
 	reply, err := peers.Follow(call, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: bounds.wait})
-	if err != nil || reply.OriginAge > bounds.fresh || reply.ConfigAge > bounds.fresh {
+	if err != nil || !bounds.accept(reply) {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
 		if err == nil {
 			// What this host knows is no newer than what its leader has.
-			f.originContact.Store(0)
-			f.followed.Store(0)
+			f.originContact.clear()
+			f.followed.clear()
 		}
 		return false
 	}
@@ -342,9 +340,9 @@
 	}
 	f.ContactProved(now.Add(-reply.ConfigAge))
 	if bounds.inherit {
-		raise(&f.originContact, now.Add(-reply.OriginAge))
+		f.originContact.raise(now.Add(-reply.OriginAge))
 	}
-	f.followed.Store(now.UnixNano())
+	f.followed.raise(now)
 	f.peers.list(now, reply.Hosts)
 	f.fleet.ListTrusted()
 	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -72,10 +72,10 @@
 	if !f.listDoubted(now) {
 		f.journal.Belief("list doubted", "for", doubtFor, "list_revision", f.fleet.Revision())
 	}
-	raise(&f.doubtUntil, now.Add(doubtFor))
+	f.doubted.raise(now)
 }
 
-func (f *Forwarder) listDoubted(now time.Time) bool { return now.UnixNano() < f.doubtUntil.Load() }
+func (f *Forwarder) listDoubted(now time.Time) bool { return f.doubted.age(now) < doubtFor }
 
 // intersect returns the ids that are in both lists.
 func intersect(a, b []member.UpstreamID) []member.UpstreamID {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -112,9 +112,10 @@
 // sampler keeps the log within a rate: above it, only a part of the requests is
 // logged, chosen by id, so that what is logged of a request is whole.
 type sampler struct {
-	mu     sync.Mutex
-	second int64
-	lines  int
+	mu sync.Mutex
+	// since is when the present period began.
+	since time.Time
+	lines int
 	// part is the number of requests that one in the log stands for.
 	part uint64
 }
@@ -126,9 +127,9 @@
 func (s *sampler) keep(now time.Time, id string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if second := now.Unix(); second != s.second {
+	if now.Sub(s.since) >= time.Second {
 		s.part = uint64(s.lines/linesPerSecond) + 1
-		s.second, s.lines = second, 0
+		s.since, s.lines = now, 0
 	}
 	s.lines++
 	return s.part <= 1 || xxhash.Sum64String(id)%s.part == 0
