forward, platform: hosts that start join a peer; few hosts stand in the directory

Cause: a host that started read the whole store (2 to 6 pages at 195 hosts) and wrote a lease and an entry; after an outage each host read everything again.

Now a host that starts takes configuration, list and hosts over from a peer that the settings name (the role serves control, so that the platform names three), reads the store only when none answers in time, and goes on from the peer's revision when it has to watch itself. Only the first two hosts of a zone stand in the directory; the others come to know each other by the host that they follow. A peer that doesn't remember all that was dropped since the asker's revision tells the whole list.

Ruled out: reads that may be seconds old (a host would start on a configuration that is no longer in force); a gossip of digests (the host that is followed knows all).

--- a/forward/directory.go
+++ b/forward/directory.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// Directory lists the hosts of the site. The origin's news tell who is on it.
+// Directory lists hosts of the site, for those that start. The origin's news tell who
+// is on it.
 type Directory interface {
 	// Announce puts this host on the list for a time, or keeps it there.
 	Announce(ctx context.Context, self Peer, ttl time.Duration) error
@@ -16,16 +17,20 @@
 	Withdraw(ctx context.Context) error
 }
 
-// ListedHost is a host's entry in the directory.
-type ListedHost struct {
-	Peer
-	// Revision is the list's when the entry was written.
-	Revision Revision
-}
-
 // Timing of the directory. Hosts that know each other keep in touch by
 // themselves; an entry is for those that start, so it may be late.
 const (
+	// listedPerZone is how many hosts of a zone are on the directory: the first by
+	// name of those that each of them knows. Hosts that don't know of each other so
+	// come to know: each has the first of its own kind on the list. With every host on
+	// it, each start cost two writes and, at 195 hosts, four pages of every reading.
+	listedPerZone = 2
+	// directoryDelay is how long a host that starts gets to know its peers before it
+	// may count as one of the first.
+	directoryDelay = 1500 * time.Millisecond
+	// directoryCheck is how often a host that isn't on the list looks whether it
+	// should be.
+	directoryCheck = 500 * time.Millisecond
 	// directoryEvery is the period of renewing this host's entry, and
 	// directoryTTL how long an entry stays without that.
 	directoryEvery = 20 * time.Second
@@ -35,16 +40,24 @@
 	directoryRetry = 2 * time.Second
 )
 
-// RunDirectory keeps this host in the directory until the context ends.
+// RunDirectory keeps this host in the directory, while it is one of the first of its
+// zone, until the context ends.
 func (f *Forwarder) RunDirectory(ctx context.Context, d Directory) {
 	dep := dependency{name: "directory", journal: f.journal}
+	pauseFor(ctx, directoryDelay)
+	var renewAt time.Time
 	for ctx.Err() == nil {
+		now := time.Now()
+		if now.Before(renewAt) || f.Stopping() || !f.peers.firstOfZone(now, listedPerZone) {
+			pauseFor(ctx, directoryCheck)
+			continue
+		}
 		if err := d.Announce(ctx, f.peers.self, directoryTTL); err != nil {
 			pauseFor(ctx, dep.failed(ctx, err)+directoryRetry)
 			continue
 		}
 		dep.ok(time.Now())
-		pauseFor(ctx, directoryEvery)
+		renewAt = now.Add(directoryEvery)
 	}
 	leaving, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
 	defer cancel()
@@ -52,3 +65,17 @@
 		f.journal.Belief("directory entry not withdrawn", "err", err)
 	}
 }
+
+// firstOfZone reports whether this host is one of the first n of its zone by name, of
+// those that it knows to take requests.
+func (p *peerSet) firstOfZone(now time.Time, n int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before := 0
+	for _, s := range p.known {
+		if s.Zone == p.self.Zone && s.ID < p.self.ID && !s.stopping && s.live(now, p.self.Zone) {
+			before++
+		}
+	}
+	return before < n
+}
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -49,6 +49,12 @@
 	upstreams map[member.UpstreamID]*known
 	// revision is the newest that was taken in.
 	revision Revision
+	// forgotten is the newest revision at which something was dropped that isn't
+	// remembered any more.
+	forgotten Revision
+	// skippedFrom and skippedTo bound the revisions that were passed over by the last
+	// reading of the whole list: what came and went between them was never known here.
+	skippedFrom, skippedTo Revision
 	// trustGoneFrom is when a missing upstream is believed to be gone: during
 	// and shortly after an outage the list may lack upstreams that live.
 	trustGoneFrom time.Time
@@ -112,6 +118,7 @@
 func (f *Fleet) Replace(now time.Time, list []Upstream, at Revision) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.revision
 	var news []Change
 	listed := make(map[member.UpstreamID]bool, len(list))
 	for _, u := range list {
@@ -130,11 +137,20 @@
 			news = append(news, gone)
 		}
 	}
-	f.revision = max(f.revision, at)
+	f.skipped(before, at)
 	f.notify(len(news) > 0)
 	return news
 }
 
+// skipped takes in that the list is known as of a revision, but not each change since
+// the one that was known before.
+func (f *Fleet) skipped(before, at Revision) {
+	f.revision = max(f.revision, at)
+	if at > before {
+		f.skippedFrom, f.skippedTo = before, at
+	}
+}
+
 func (f *Fleet) apply(now time.Time, c Change) bool {
 	if f.upstreams == nil {
 		f.upstreams = map[member.UpstreamID]*known{}
@@ -327,19 +343,19 @@
 	return takers
 }
 
-// Since returns what changed after a revision, for a peer that follows this
-// host. What was dropped long before isn't told any more; such a peer had it as
-// missing by then.
-func (f *Fleet) Since(after Revision) ([]Change, Revision) {
+// Since returns what changed after a revision, for a peer that follows this host,
+// and this host's own revision. It is the whole list where this host doesn't remember
+// all that was dropped since.
+func (f *Fleet) Since(after Revision) (changes []Change, at Revision, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var changes []Change
+	whole = after < f.forgotten || f.skippedFrom < after && after < f.skippedTo
 	for _, k := range f.upstreams {
-		if k.Revision > after {
+		if whole || k.Revision > after {
 			changes = append(changes, Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing})
 		}
 	}
-	return changes, f.revision
+	return changes, f.revision, whole
 }
 
 // GoneAt is when an upstream that leaves will be gone: by its own word, or drain
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -45,7 +45,7 @@
 	}
 	f.Replace(now, []Upstream{up("c", 10, false)}, 11)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"c": true})
-	changes, at := f.Since(9)
+	changes, at, _ := f.Since(9)
 	is.Equal(at, Revision(11))
 	is.Equal(len(changes), 2) // c, and a, which this list lacks
 }
@@ -63,7 +63,7 @@
 	f.ListRegained(now, 5*time.Second)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true}) // no new work
 	is.Equal(f.Missing(), []member.UpstreamID{"b"})
-	changes, at := f.Since(1)
+	changes, at, _ := f.Since(1)
 	is.Equal(len(changes), 1)
 	is.True(changes[0].Missing && !changes[0].Gone)
 	follower := Fleet{}
@@ -109,14 +109,14 @@
 	follower.Replace(now, list, 1)
 	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: 2}, Gone: true}, {Upstream: Upstream{ID: "b", Revision: 3}, Gone: true}}, 3)
 	<-f.Leaving("a")
-	changes, at := f.Since(1)
+	changes, at, _ := f.Since(1)
 	follower.Apply(now, changes, at)
 	is.Equal(len(takers(&follower, now)), 0)
 	f.Apply(now, []Change{{Upstream: up("a", 2, false)}}, 3)
 	is.Equal(len(takers(&f, now)), 0) // no newer than its end
 	f.Apply(now, []Change{{Upstream: up("a", 5, false)}, {Upstream: up("b", 6, false)}}, 6)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true})
-	changes, at = f.Since(3)
+	changes, at, _ = f.Since(3)
 	follower.Apply(now, changes, at)
 	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"a": true})
 	select {
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -19,7 +20,7 @@
 	// Changes are those of the list of upstreams.
 	Changes []Change
 	// Hosts are hosts of the site that were put on its directory.
-	Hosts []ListedHost
+	Hosts []Peer
 	At    Revision
 	// Unread is what couldn't be read of it; nil when all could.
 	Unread error
@@ -130,18 +131,77 @@
 	ledCheck = 100 * time.Millisecond
 )
 
+// A host that starts takes everything over from a peer, if it finds one in time: a
+// reading of the origin takes a call for each page, and many hosts start together.
+const (
+	// joinWait is how long a host looks for such a peer. Its callers are sent to others
+	// meanwhile, and a peer answers within some milliseconds.
+	joinWait = 250 * time.Millisecond
+	// firstJoinWait is the same when the site starts for the first time: there are no
+	// callers, and the peers have only just begun to read.
+	firstJoinWait = time.Second
+	// joinCheck is how often it looks.
+	joinCheck = 10 * time.Millisecond
+	// settleCheck is how often a host that has just joined looks for whom to follow.
+	settleCheck = 50 * time.Millisecond
+)
+
 // Follow keeps the configuration and the list of upstreams up to date until the
 // context ends.
 func (f *Forwarder) Follow(ctx context.Context, from Origin) {
 	w := &follower{Forwarder: f, from: from, dep: dependency{name: "store", journal: f.journal}, read: true, began: time.Now()}
+	w.join(ctx)
 	for ctx.Err() == nil {
 		if w.followLeader(ctx) {
 			continue
 		}
+		if w.settling(time.Now()) {
+			pauseFor(ctx, settleCheck)
+			continue
+		}
 		w.followOrigin(ctx)
 	}
 }
 
+// join takes everything over from a peer, unless none is found in time.
+func (w *follower) join(ctx context.Context) {
+	until := w.began.Add(w.joinWait())
+	for ctx.Err() == nil && time.Now().Before(until) {
+		peer, found := w.peers.joinable(time.Now())
+		if found && w.followPeer(ctx, peer, neededBounds) {
+			w.upToDate()
+			w.journal.Belief("joined", "peer", peer.ID, "version", w.versionInForce(), "list_revision", w.at, "after", time.Since(w.began))
+			return
+		}
+		pauseFor(ctx, joinCheck)
+	}
+}
+
+// settling reports whether this host has just joined, and knows one that comes before
+// it in the order of leaders but that can't be followed yet.
+func (w *follower) settling(now time.Time) bool {
+	return !w.read && w.dep.failures == 0 && now.Sub(w.began) < startLasts && w.peers.hasEarlier(now)
+}
+
+// joinWait is how long this host looks for a peer to join: not at all if it knows no
+// address, or is one of those that others join when the site starts.
+func (w *follower) joinWait() time.Duration {
+	switch first := w.settings.FirstStart; {
+	case len(w.peers.seeds) == 0, first && slices.Contains(w.peers.seeds, w.peers.self.PeerAddress):
+		return 0
+	case first:
+		return firstJoinWait
+	default:
+		return joinWait
+	}
+}
+
+// upToDate takes in that a peer has told all that it knows: nothing has to be read
+// again, and a watch goes on from there.
+func (w *follower) upToDate() {
+	w.read, w.at = false, max(w.at, w.fleet.Revision())
+}
+
 // followLeader takes over what a peer has that is newer. It reports false when
 // this host has to ask the origin itself.
 func (w *follower) followLeader(ctx context.Context) bool {
@@ -153,7 +213,11 @@
 	if !w.followOne(ctx, now, needed) {
 		return false
 	}
-	w.at = max(w.at, w.fleet.Revision())
+	w.upToDate()
+	if !needed {
+		// Another host has the origin again; this one needn't ask.
+		w.dep.ok(now)
+	}
 	return true
 }
 
@@ -187,7 +251,8 @@
 	if w.shunned == nil {
 		w.shunned = map[member.Zone]time.Time{}
 	}
-	w.shunned[far.Zone] = now.Add(shunZoneFor)
+	// The hosts of a site that has just started are up to date a moment later.
+	w.shunned[far.Zone] = now.Add(min(shunZoneFor, now.Sub(w.began)))
 	return false
 }
 
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -141,7 +141,7 @@
 		return FollowReply{}, ctx.Err()
 	}
 	pauseFor(ctx, r.Wait)
-	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []ListedHost{{Peer: Peer{ID: "h7", Zone: "z1"}, Revision: 7}}, List: 7, Changes: p.changes}, nil
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []Peer{{ID: "h7", Zone: "z1"}}, List: 7, Changes: p.changes}, nil
 }
 
 // TestFollowZone has one host watch the origin for several zones, and a zone turn
@@ -163,9 +163,11 @@
 				go f.Follow(ctx, origin)
 				time.Sleep(2 * time.Second)
 				is.Equal(origin.watches.Load(), int32(0)) // another host watches
-				is.True(f.peers.isKnown("h7"))            // and tells of hosts that were listed since
-				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 6}).Hosts), 1)
-				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 7}).Hosts), 0)
+				is.True(f.peers.isKnown("h7"))            // and tells of hosts that it has found
+				// Those that this host has heard itself are passed on, once.
+				told := f.OnFollow(ctx, FollowRequest{List: 6})
+				is.Equal(told.Hosts, []Peer{{ID: "h9", Zone: "z0"}})
+				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 6, Hosts: told.HostsAt}).Hosts), 0)
 				is.True(f.OriginAge(time.Now()) < time.Second)
 				fail(peers)
 				calls := peers.calls.Load()
@@ -194,7 +196,7 @@
 	default:
 		t.Error("llm1 is gone")
 	}
-	changes, _ := f.fleet.Since(4)
+	changes, _, _ := f.fleet.Since(4)
 	is.Equal(len(changes), 1) // and those that follow this host are told
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,6 +19,8 @@
 	Self Peer
 	// Seeds are addresses of peers to try while none is known.
 	Seeds []string
+	// FirstStart says that the whole site starts for the first time.
+	FirstStart bool
 	// Retries bounds the requests that are sent once more, over all hosts.
 	Retries RetryLimit
 	// DrainFor is how long an upstream surely goes on serving after the first
--- /dev/null
+++ b/forward/join_test.go
@@ -0,0 +1,348 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// siteOrigin can be read and watched, while it isn't lost, and counts both.
+type siteOrigin struct {
+	config         Config
+	list           []Upstream
+	lost           atomic.Bool
+	reads, watches atomic.Int32
+}
+
+func (o *siteOrigin) Read(context.Context) (News, error) {
+	o.reads.Add(1)
+	if o.lost.Load() {
+		return News{}, errGone
+	}
+	news := News{Config: &o.config, At: 10}
+	for _, u := range o.list {
+		news.Changes = append(news.Changes, Change{Upstream: u})
+	}
+	return news, nil
+}
+
+func (o *siteOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+	o.watches.Add(1)
+	pauseFor(ctx, wait)
+	if o.lost.Load() {
+		return News{}, errGone
+	}
+	return News{At: after}, nil
+}
+
+// site is hosts that reach each other and one origin.
+type site struct {
+	origin *siteOrigin
+	hosts  map[string]*Forwarder
+	// gone are the addresses that can't be reached.
+	mu   sync.Mutex
+	gone map[string]bool
+	// entries counts what each host wrote to the directory.
+	entries map[member.HostID]*atomic.Int32
+}
+
+// lose makes hosts unreachable.
+func (s *site) lose(addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range addresses {
+		s.gone[address] = true
+	}
+}
+
+// reached is the host at an address; nil when it can't be reached.
+func (s *site) reached(to Peer) *Forwarder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.gone[to.PeerAddress] {
+		return nil
+	}
+	return s.hosts[to.PeerAddress]
+}
+
+// others are the addresses of all hosts but one.
+func (s *site) others(but string) []string {
+	return slices.DeleteFunc(slices.Collect(maps.Keys(s.hosts)), func(address string) bool { return address == but })
+}
+
+// Share, Follow, Turn and EndTurn are the hosts' interface to each other.
+func (s *site) Share(ctx context.Context, to Peer, share Share) (Share, error) {
+	if f := s.reached(to); f != nil {
+		return f.OnShare(ctx, share), nil
+	}
+	return Share{}, errGone
+}
+
+func (s *site) Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error) {
+	if f := s.reached(to); f != nil {
+		return f.OnFollow(ctx, r), nil
+	}
+	return FollowReply{}, errGone
+}
+func (s *site) Turn(context.Context, Peer, TurnRequest) error    { return nil }
+func (s *site) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
+
+// siteDirectory counts one host's calls.
+type siteDirectory struct{ entries *atomic.Int32 }
+
+func (d siteDirectory) Announce(context.Context, Peer, time.Duration) error {
+	d.entries.Add(1)
+	return nil
+}
+func (d siteDirectory) Withdraw(context.Context) error { return nil }
+
+// newSite returns zones of some hosts each, none of them started.
+func newSite(zones, hostsPerZone int, first bool) *site {
+	s := &site{
+		origin: &siteOrigin{config: testConfig(1), list: []Upstream{up("llm1", 3, false), up("llm2", 10, false)}},
+		hosts:  map[string]*Forwarder{}, gone: map[string]bool{}, entries: map[member.HostID]*atomic.Int32{},
+	}
+	address := func(zone, host int) string { return fmt.Sprintf("10.%d.0.%d:1", zone, host) }
+	seeds := []string{address(1, 1), address(2, 1), address(3, 1)}
+	for zone := 1; zone <= zones; zone++ {
+		for host := 1; host <= hostsPerZone; host++ {
+			self := Peer{
+				ID: member.HostID(fmt.Sprintf("z%d-h%02d", zone, host)), Zone: member.Zone(fmt.Sprint("z", zone)),
+				PeerAddress: address(zone, host),
+			}
+			s.entries[self.ID] = &atomic.Int32{}
+			s.hosts[self.PeerAddress] = New(
+				Settings{Self: self, Seeds: seeds, FirstStart: first, ContactBound: 3 * time.Second}, &fakeTransport{}, silentJournal{}, silentObserver{},
+			)
+		}
+	}
+	return s
+}
+
+// start runs a host's duties.
+func (s *site) start(ctx context.Context, f *Forwarder) {
+	go f.RunPeers(ctx, s)
+	go f.Follow(ctx, s.origin)
+	go f.RunDirectory(ctx, siteDirectory{s.entries[f.settings.Self.ID]})
+}
+
+// TestSiteStart has hosts that start together read the origin few times, know all of
+// their zone within two seconds, and few of them stand in the directory.
+func TestSiteStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const zones, perZone = 4, 10
+		s := newSite(zones, perZone, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, f := range s.hosts {
+			s.start(ctx, f)
+		}
+		time.Sleep(2 * time.Second)
+		for _, f := range s.hosts {
+			is.Equal(f.versionInForce(), Version(1))
+			is.Equal(f.peers.liveInZone(time.Now()), perZone)
+			is.True(f.ContactAge(time.Now()) <= originFresh)
+			is.Equal(len(f.fleet.Takers(time.Now(), "llm")), 2)
+		}
+		is.True(s.origin.reads.Load() <= 6) // the three that others join, and who found these too late
+		time.Sleep(10 * time.Second)
+		listed := 0
+		for _, entries := range s.entries {
+			if entries.Load() > 0 {
+				listed++
+			}
+		}
+		is.Equal(listed, zones*listedPerZone)
+		t.Log("watches", s.origin.watches.Load(), "reads", s.origin.reads.Load())
+		is.True(s.origin.watches.Load() < zones*perZone) // one host watches, a second at a time, once all know each other
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestJoin has a host that starts in a running site take everything over from a peer,
+// without a call to the origin, and watch from there when its peers are gone.
+func TestJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(2, 3, false)
+		late := s.hosts["10.2.0.3:1"]
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, f := range s.hosts {
+			if f != late {
+				s.start(ctx, f)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		reads := s.origin.reads.Load()
+		s.start(ctx, late)
+		time.Sleep(50 * time.Millisecond)
+		is.True(late.Ready())
+		is.Equal(len(late.fleet.Takers(time.Now(), "llm")), 2)
+		time.Sleep(time.Second)
+		is.Equal(late.peers.liveInZone(time.Now()), 3)
+		is.Equal(s.origin.reads.Load(), reads)
+		watches := s.origin.watches.Load()
+		s.lose(s.others("10.2.0.3:1")...)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.origin.reads.Load(), reads) // it had all up to a revision
+		is.True(s.origin.watches.Load() > watches)
+		is.True(late.OriginAge(time.Now()) <= originFresh)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestJoinNobody has a host that finds no peer read the origin after a short time.
+func TestJoinNobody(t *testing.T) {
+	for name, c := range map[string]struct {
+		first bool
+		host  string
+		after time.Duration
+	}{
+		"restarted":                   {false, "10.2.0.3:1", joinWait},
+		"first start":                 {true, "10.2.0.3:1", firstJoinWait},
+		"first start, others join it": {true, "10.2.0.1:1", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(2, 3, c.first)
+				f := s.hosts[c.host]
+				s.lose(s.others(c.host)...)
+				ctx, cancel := context.WithCancel(t.Context())
+				s.start(ctx, f)
+				if c.after > 0 {
+					time.Sleep(c.after - time.Millisecond)
+					is.True(!f.Ready())
+				}
+				time.Sleep(joinCheck + time.Millisecond)
+				is.True(f.Ready())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestOutageEnds has hosts that lost the origin with everybody else be told by one that
+// has it again what they missed: they don't all read it.
+func TestOutageEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const zones, perZone = 3, 8
+		s := newSite(zones, perZone, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, f := range s.hosts {
+			s.start(ctx, f)
+		}
+		time.Sleep(3 * time.Second)
+		s.origin.lost.Store(true)
+		time.Sleep(8 * time.Second)
+		s.origin.lost.Store(false)
+		reads := s.origin.reads.Load()
+		time.Sleep(6 * time.Second)
+		t.Log("reads", reads, s.origin.reads.Load())
+		is.True(s.origin.reads.Load() <= reads+zones*perZone/2)
+		for _, f := range s.hosts {
+			is.True(f.listKnown(time.Now()))
+			is.True(f.ContactAge(time.Now()) <= originFresh+time.Second)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestDirectoryMerges has hosts of a zone that don't know of each other each stand in
+// the directory, by which they come to know.
+func TestDirectoryMerges(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := New(Settings{Self: Peer{ID: "h5", Zone: "z1"}}, &fakeTransport{}, silentJournal{}, silentObserver{})
+	is.True(f.peers.firstOfZone(now, listedPerZone)) // as far as it knows
+	for _, id := range []member.HostID{"h1", "h2", "h3"} {
+		f.peers.hear(now, Share{From: Peer{ID: id, Zone: "z1"}})
+	}
+	f.peers.hear(now, Share{From: Peer{ID: "a", Zone: "z2"}})
+	is.True(!f.peers.firstOfZone(now, listedPerZone))
+	f.peers.hear(now, Share{From: Peer{ID: "h1", Zone: "z1"}, Stopping: true})
+	f.peers.hear(now, Share{From: Peer{ID: "h2", Zone: "z1"}, Stopping: true})
+	is.True(f.peers.firstOfZone(now, listedPerZone))
+	is.True(f.peers.firstOfZone(now.Add(peerSilent+time.Second), listedPerZone)) // they went silent
+}
+
+// TestGoneHostsAreForgotten has a host that died be forgotten by all: those who knew it
+// don't tell each other of it in a circle.
+func TestGoneHostsAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(2, 3, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		for address, f := range s.hosts {
+			if address != "10.1.0.2:1" {
+				s.start(ctx, f)
+			}
+		}
+		dying, kill := context.WithCancel(t.Context())
+		s.start(dying, s.hosts["10.1.0.2:1"])
+		time.Sleep(3 * time.Second)
+		for _, f := range s.hosts {
+			is.True(f.peers.self.ID == "z1-h02" || f.peers.isKnown("z1-h02"))
+		}
+		kill()
+		s.lose("10.1.0.2:1")
+		time.Sleep(2*peerForgotten + 2*time.Second)
+		for _, f := range s.hosts {
+			is.True(!f.peers.isKnown("z1-h02"))
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestListAfterForgetting has a host that was cut off for long be told the whole list
+// by one that doesn't remember all that was dropped meanwhile.
+func TestListAfterForgetting(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var leader, late Fleet
+	list := []Upstream{up("a", 1, false), up("b", 2, false), up("c", 3, false)}
+	leader.Replace(now, list, 3)
+	late.Replace(now, list, 3)
+	leader.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 4}, Gone: true}, {Upstream: up("c", 5, true)}}, 5)
+	_, _, whole := leader.Since(3)
+	is.True(!whole) // all is remembered
+	leader.Settle(now.Add(forgetGone + time.Second))
+	_, _, whole = leader.Since(4)
+	is.True(!whole)
+	changes, at, whole := leader.Since(3)
+	is.True(whole)
+	late.TakeOver(now, changes, at)
+	is.Equal(takers(&late, now), map[member.UpstreamID]bool{"a": true})
+	is.Equal(late.Missing(), []member.UpstreamID{"b"}) // its entry may just have run out
+	late.Settle(now.Add(listSettles + time.Second))
+	<-late.Leaving("b")
+	is.Equal(late.Revision(), Revision(5))
+
+	// A host that read the list anew never knew what came and went in between.
+	leader.Replace(now, list[:1], 9)
+	_, _, whole = leader.Since(7)
+	is.True(whole)
+	_, _, whole = leader.Since(5)
+	is.True(!whole)
+	_, _, whole = leader.Since(9)
+	is.True(!whole)
+}
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -66,6 +66,36 @@
 	f.trustGoneFrom = now.Add(forgetGone)
 }
 
+// TakeOver takes the whole list of a peer in as of a revision, with what that
+// remembers of upstreams that were dropped. One that it lacks may have run out of its
+// entry while the platform was away, before the peer had read anything: it counts as
+// missing first.
+func (f *Fleet) TakeOver(now time.Time, list []Change, at Revision) []Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.revision
+	var news []Change
+	listed := make(map[member.UpstreamID]bool, len(list))
+	for _, c := range list {
+		listed[c.ID] = true
+		if f.apply(now, c) {
+			news = append(news, c)
+		}
+	}
+	for id, k := range f.upstreams {
+		switch {
+		case listed[id] || k.gone || k.Revision > at:
+		case !k.Leaving:
+			f.miss(now, k, at)
+		case f.drop(now, k, at):
+			news = append(news, Change{Upstream: k.Upstream, Gone: true})
+		}
+	}
+	f.skipped(before, at)
+	f.notify(len(news) > 0)
+	return news
+}
+
 // Settle drops what was missing when the list settled after an outage, and
 // forgets what is long gone. It is to be called from time to time.
 func (f *Fleet) Settle(now time.Time) []Change {
@@ -79,6 +109,7 @@
 			news = append(news, Change{Upstream: k.Upstream, Gone: true})
 		}
 		if k.gone && now.Sub(k.leftAt) > forgetGone {
+			f.forgotten = max(f.forgotten, k.Revision)
 			delete(f.upstreams, id)
 		}
 	}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -38,18 +38,28 @@
 type FollowRequest struct {
 	Version Version
 	List    Revision
+	// Hosts is the cursor of the peer's last reply.
+	Hosts HostCursor
 	// Wait is how long the peer may wait for something newer.
 	Wait time.Duration
 }
 
+// HostCursor says which of a host's peers another has been told of. It means
+// something to the host that gave it only; the zero value stands for none.
+type HostCursor struct{ Epoch, Found uint64 }
+
 // FollowReply is what a peer has that is newer.
 type FollowReply struct {
 	// Config is nil when it isn't newer.
 	Config  *Config
 	Changes []Change
-	// Hosts are those that were put on the directory since.
-	Hosts []ListedHost
+	// Whole says that Changes are the whole list: the peer doesn't remember all
+	// that was dropped since the asker's revision.
+	Whole bool
 	List  Revision
+	// Hosts are those that the peer has found since, up to HostsAt.
+	Hosts   []Peer
+	HostsAt HostCursor
 	// ConfigAge and OriginAge are as in Share.
 	ConfigAge, OriginAge time.Duration
 }
@@ -299,16 +309,17 @@
 			}
 		}
 	}
-	var reply FollowReply
+	now := time.Now()
+	// Ages first, the configuration last: nothing in the reply is then older than its
+	// proof, whatever comes in meanwhile.
+	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
+	if r.List != noList {
+		reply.Changes, reply.List, reply.Whole = f.fleet.Since(r.List)
+		reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
+	}
 	if c := f.newest.Load(); c != nil && c.Version > r.Version {
 		reply.Config = c
 	}
-	if r.List != noList {
-		reply.Changes, reply.List = f.fleet.Since(r.List)
-		reply.Hosts = f.peers.listedSince(r.List)
-	}
-	now := time.Now()
-	reply.ConfigAge, reply.OriginAge = f.ContactAge(now), f.OriginAge(now)
 	return reply
 }
 
@@ -323,7 +334,9 @@
 	}
 	call, cancel := context.WithTimeout(ctx, bounds.timeout)
 	defer cancel()
-	reply, err := peers.Follow(call, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: bounds.wait})
+	reply, err := peers.Follow(call, leader, FollowRequest{
+		Version: f.versionInForce(), List: f.fleet.Revision(), Hosts: f.peers.cursorOf(leader.ID), Wait: bounds.wait,
+	})
 	if err != nil || !bounds.accept(reply) {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
@@ -344,8 +357,13 @@
 	}
 	f.followed.raise(now)
 	f.peers.list(now, reply.Hosts)
+	f.peers.followed(now, leader.ID, reply)
 	f.fleet.ListTrusted()
-	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
+	take := f.fleet.Apply
+	if reply.Whole {
+		take = f.fleet.TakeOver
+	}
+	f.noteList(take(now, reply.Changes, reply.List))
 	return true
 }
 
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,9 @@
 
 	mu    sync.Mutex
 	known map[member.HostID]*peerState
+	// epoch tells this process's counts from those of an earlier one, and found
+	// counts the peers that were heard for the first time, or again after a silence.
+	epoch, found uint64
 	// seeds are addresses of peers whose names aren't known yet.
 	seeds []string
 	// wake asks for a share to the own zone at once.
@@ -35,9 +39,11 @@
 	stopping  bool
 	// sending says that a share to it is under way.
 	sending bool
-	// listed is the revision of its entry in the directory; zero when that
-	// isn't known.
-	listed Revision
+	// foundAt is the count of found when it was heard first; zero for one that others
+	// only told of.
+	foundAt uint64
+	// cursor is up to where this host has its peers.
+	cursor HostCursor
 	// failed says that the last share didn't arrive.
 	failed bool
 	// distrusted says that it couldn't be followed; it may have spoken since
@@ -66,7 +72,10 @@
 }
 
 func newPeerSet(self Peer, seeds []string) *peerSet {
-	return &peerSet{self: self, known: map[member.HostID]*peerState{}, seeds: seeds, wake: make(chan struct{}, 1), wakeAll: make(chan struct{}, 1)}
+	return &peerSet{
+		self: self, known: map[member.HostID]*peerState{}, epoch: rand.Uint64(), seeds: seeds,
+		wake: make(chan struct{}, 1), wakeAll: make(chan struct{}, 1),
+	}
 }
 
 // hear takes in what a peer said.
@@ -82,39 +91,62 @@
 		p.known[s.From.ID] = state
 		isNew = true
 	}
+	if state.foundAt == 0 || now.Sub(state.heard) > farSilent {
+		p.found++
+		state.foundAt = p.found
+	}
 	state.Peer, state.heard, state.stopping, state.failed = s.From, now, s.Stopping, false
 	state.originAge, state.distrusted = s.OriginAge, false
 	return isNew
 }
 
-// list takes in the directory: peers that were not known are tried.
-func (p *peerSet) list(now time.Time, hosts []ListedHost) {
+// list takes in what the directory or a peer told of: hosts that were not known are
+// tried.
+func (p *peerSet) list(now time.Time, hosts []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, host := range hosts {
-		if host.ID == p.self.ID {
-			continue
+		if host.ID != p.self.ID && p.known[host.ID] == nil {
+			p.known[host.ID] = &peerState{Peer: host, tried: now, heard: now.Add(-peerSilent)}
 		}
-		s := p.known[host.ID]
-		if s == nil {
-			s = &peerState{Peer: host.Peer, tried: now, heard: now.Add(-peerSilent)}
-			p.known[host.ID] = s
-		}
-		s.listed = max(s.listed, host.Revision)
 	}
 }
 
-// listedSince returns the hosts whose entries were written after a revision.
-func (p *peerSet) listedSince(after Revision) []ListedHost {
+// foundSince returns the peers that this host has heard itself since an earlier
+// answer, and the cursor for the next one. Those that it only knows by others aren't
+// passed on: hosts that are gone would be told in a circle.
+func (p *peerSet) foundSince(now time.Time, c HostCursor) ([]Peer, HostCursor) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var hosts []ListedHost
+	if c.Epoch != p.epoch {
+		c.Found = 0
+	}
+	var hosts []Peer
 	for _, s := range p.known {
-		if s.listed > after {
-			hosts = append(hosts, ListedHost{Peer: s.Peer, Revision: s.listed})
+		if s.foundAt > c.Found && now.Sub(s.heard) <= peerForgotten {
+			hosts = append(hosts, s.Peer)
 		}
 	}
-	return hosts
+	return hosts, HostCursor{Epoch: p.epoch, Found: p.found}
+}
+
+// cursorOf is up to where this host has a peer's peers.
+func (p *peerSet) cursorOf(id member.HostID) HostCursor {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		return s.cursor
+	}
+	return HostCursor{}
+}
+
+// followed takes in what a peer that is followed replied.
+func (p *peerSet) followed(now time.Time, id member.HostID, r FollowReply) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.cursor, s.heard, s.originAge = r.HostsAt, now, r.OriginAge
+	}
 }
 
 // targets returns the peers to share with now, and marks them as being sent to:
@@ -132,7 +164,7 @@
 	for id, s := range p.known {
 		switch {
 		case now.Sub(s.heard) > peerForgotten:
-			delete(p.known, id)
+			p.forget(id)
 		case s.sending:
 		case every || s.Zone == p.self.Zone && (period || s.live(now, p.self.Zone)):
 			send(s)
@@ -147,6 +179,15 @@
 	return to
 }
 
+// forget drops a peer, and has the peers that are followed tell all of theirs again:
+// it may be there still, behind a link that was cut.
+func (p *peerSet) forget(id member.HostID) {
+	delete(p.known, id)
+	for _, s := range p.known {
+		s.cursor = HostCursor{}
+	}
+}
+
 func (p *peerSet) sent(id member.HostID, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -216,6 +257,43 @@
 	return best.Peer, true
 }
 
+// hasEarlier reports whether a live host comes before this one by zone and name.
+func (p *peerSet) hasEarlier(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.known {
+		earlier := s.Zone < p.self.Zone || s.Zone == p.self.Zone && s.ID < p.self.ID
+		if earlier && !s.stopping && s.live(now, p.self.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// joinable returns a peer that a host which starts can take everything over from, one
+// of its own zone if there is any. It is drawn, for many may start together.
+func (p *peerSet) joinable(now time.Time) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []Peer
+	for _, s := range p.known {
+		switch {
+		case s.foundAt == 0 || s.stopping || s.distrusted || s.originAge+now.Sub(s.heard) > originFresh:
+		case s.Zone == p.self.Zone:
+			near = append(near, s.Peer)
+		default:
+			far = append(far, s.Peer)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return Peer{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
 // ofEarlierZone returns the first live host, by zone and name, of a zone that
 // comes before this host's and isn't shunned.
 func (p *peerSet) ofEarlierZone(shunned func(member.Zone) bool, now time.Time) (Peer, bool) {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -96,6 +96,7 @@
 // wireFollow is forward.FollowRequest; the wait is in milliseconds.
 type wireFollow struct {
 	Version, List uint64
+	Epoch, Found  uint64
 	Wait          int64
 }
 
@@ -104,8 +105,10 @@
 type wireFollowed struct {
 	Config               []byte
 	Changes              []wireChange
-	Hosts                []wireListedHost
+	Whole                bool
 	List                 uint64
+	Hosts                []wireHost
+	Epoch, Found         uint64
 	ConfigAge, OriginAge int64
 }
 
@@ -116,13 +119,13 @@
 	Revision                   uint64
 }
 
-type wireListedHost struct {
-	ID, Zone, Address string
-	Revision          uint64
-}
+type wireHost struct{ ID, Zone, Address string }
 
 func toWireFollowed(r forward.FollowReply) (wireFollowed, error) {
-	w := wireFollowed{List: uint64(r.List), ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds()}
+	w := wireFollowed{
+		Whole: r.Whole, List: uint64(r.List), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
+		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
+	}
 	if r.Config != nil {
 		var err error
 		if w.Config, err = json.Marshal(r.Config); err != nil {
@@ -136,15 +139,15 @@
 		})
 	}
 	for _, h := range r.Hosts {
-		w.Hosts = append(w.Hosts, wireListedHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress, Revision: uint64(h.Revision)})
+		w.Hosts = append(w.Hosts, wireHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress})
 	}
 	return w, nil
 }
 
 func (w wireFollowed) reply() (forward.FollowReply, error) {
 	r := forward.FollowReply{
-		List: forward.Revision(w.List), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
-		OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
+		Whole: w.Whole, List: forward.Revision(w.List), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
+		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 	}
 	if len(w.Config) > 0 {
 		r.Config = &forward.Config{}
@@ -162,10 +165,7 @@
 		})
 	}
 	for _, h := range w.Hosts {
-		r.Hosts = append(r.Hosts, forward.ListedHost{
-			Peer:     forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address},
-			Revision: forward.Revision(h.Revision),
-		})
+		r.Hosts = append(r.Hosts, forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address})
 	}
 	return r, nil
 }
@@ -182,7 +182,9 @@
 // Follow asks a peer for what is newer there.
 func (m *Mesh) Follow(ctx context.Context, to forward.Peer, r forward.FollowRequest) (forward.FollowReply, error) {
 	var answer wireFollowed
-	request := wireFollow{Version: uint64(r.Version), List: uint64(r.List), Wait: r.Wait.Milliseconds()}
+	request := wireFollow{
+		Version: uint64(r.Version), List: uint64(r.List), Epoch: r.Hosts.Epoch, Found: r.Hosts.Found, Wait: r.Wait.Milliseconds(),
+	}
 	if err := m.call(ctx, to.PeerAddress, kindFollow, request, &answer); err != nil {
 		return forward.FollowReply{}, err
 	}
@@ -252,7 +254,8 @@
 			return nil, trace.Wrap(err)
 		}
 		r := forward.FollowRequest{
-			Version: forward.Version(w.Version), List: forward.Revision(w.List), Wait: time.Duration(w.Wait) * time.Millisecond,
+			Version: forward.Version(w.Version), List: forward.Revision(w.List),
+			Hosts: forward.HostCursor{Epoch: w.Epoch, Found: w.Found}, Wait: time.Duration(w.Wait) * time.Millisecond,
 		}
 		return toWireFollowed(f.OnFollow(ctx, r))
 	case kindTurn, kindEndTurn:
