--- /dev/null
+++ b/policy/load_test.go
@@ -0,0 +1,363 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// A load is played in virtual time against the decisions of many hosts, each with a
+// pool of its own that knows only what the others have told it. Engines read prompts
+// one after another and decode beside that.
+
+// loadKind is one kind of request of a load.
+type loadKind struct {
+	route resource.Name
+	// every is the mean time between two of them in one zone.
+	every     time.Duration
+	objective time.Duration
+	// prompt and out are the longest of each; shorter ones are as likely.
+	prompt, out Tokens
+}
+
+// loadPlan is a site and what its callers ask of it.
+type loadPlan struct {
+	zones, hosts, engines int // the latter two in each zone
+	kinds                 []loadKind
+	lasts                 time.Duration
+	// replaceEvery is how often an engine of each zone leaves, its runs move off it, and
+	// an empty one takes its place; zero for never.
+	replaceEvery time.Duration
+	// farCost is what an engine of another zone costs a new run.
+	farCost float64
+	seed    uint64
+}
+
+const (
+	loadReadRate = 7300 // tokens that an engine reads in a second beside decoding
+	loadStep     = 9 * time.Millisecond
+	loadMemory   = Tokens(34_000)
+	// toldNear is how late the hosts of a zone hear of a run on one of its engines,
+	// and everyone of one that a host of another zone placed.
+	toldNear = 5 * time.Millisecond
+	// tellEvery is the period in which a host tells its zone, and tellFar hosts of other
+	// zones in turn, of all its runs.
+	tellEvery = 500 * time.Millisecond
+	tellFar   = 3
+	// lookEvery is how often a host looks at all engines.
+	lookEvery = 100 * time.Millisecond
+)
+
+// loadResult is what the callers of one kind got.
+type loadResult struct {
+	asked, inTime, late, refused int
+	firsts                       []time.Duration
+}
+
+func (r *loadResult) first(share float64) time.Duration {
+	slices.Sort(r.firsts)
+	return r.firsts[int(share*float64(len(r.firsts)-1))]
+}
+
+// loadHost is one host with what it knows.
+type loadHost struct {
+	zone int
+	pool *Pool
+	// own are its runs; theirs those that each other host told of.
+	own    map[RunID]*loadRun
+	theirs map[*loadHost]map[RunID]bool
+	turn   int
+}
+
+type loadRun struct {
+	request Request
+	engine  EngineID
+	first   time.Time
+}
+
+// made is how many tokens the run has.
+func (r *loadRun) made(now time.Time) Tokens {
+	if now.Before(r.first) {
+		return 0
+	}
+	return min(Tokens(now.Sub(r.first)/loadStep)+1, r.request.Limit)
+}
+
+// loadSite plays a plan.
+type loadSite struct {
+	loadPlan
+	random  *rand.Rand
+	now     time.Time
+	events  loadEvents
+	hosts   []*loadHost
+	ids     []EngineID
+	zoneOf  map[EngineID]int
+	readers map[EngineID]time.Time // when each has read what it got
+	results map[resource.Name]*loadResult
+	runs    int
+}
+
+// loadEvent is something that happens at a time.
+type loadEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type loadEvents []loadEvent
+
+func (e loadEvents) Len() int { return len(e) }
+func (e loadEvents) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e loadEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *loadEvents) Push(x any)   { *e = append(*e, x.(loadEvent)) }
+func (e *loadEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func (s *loadSite) after(d time.Duration, do func()) {
+	s.runs++
+	heap.Push(&s.events, loadEvent{at: s.now.Add(d), seq: s.runs, do: do})
+}
+
+func loadZone(z int) member.Zone { return member.Zone(fmt.Sprint("z", z)) }
+
+// playLoad returns what the callers of each kind got.
+func playLoad(p loadPlan) map[resource.Name]*loadResult {
+	s := &loadSite{
+		loadPlan: p, random: rand.New(rand.NewPCG(p.seed, 0)), now: start,
+		zoneOf: map[EngineID]int{}, readers: map[EngineID]time.Time{}, results: map[resource.Name]*loadResult{},
+	}
+	for z := range p.zones {
+		for range p.engines {
+			s.addEngine(z)
+		}
+	}
+	for z := range p.zones {
+		for range p.hosts {
+			h := &loadHost{zone: z, pool: NewPool(Settings{ReadRate: loadReadRate, MaxBatch: 24}), own: map[RunID]*loadRun{}, theirs: map[*loadHost]map[RunID]bool{}}
+			s.list(h)
+			s.hosts = append(s.hosts, h)
+		}
+		if p.replaceEvery > 0 {
+			s.after(time.Duration(z+1)*p.replaceEvery/time.Duration(p.zones), func() { s.replace(z) })
+		}
+	}
+	for _, h := range s.hosts {
+		s.look(h)
+		s.after(time.Duration(s.random.Int64N(int64(tellEvery))), func() { s.tell(h) })
+	}
+	for _, k := range p.kinds {
+		s.results[k.route] = &loadResult{}
+		for z := range p.zones {
+			s.nextArrival(z, k)
+		}
+	}
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(loadEvent)
+		if e.at.Sub(start) > p.lasts {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	return s.results
+}
+
+func (s *loadSite) addEngine(zone int) {
+	s.runs++
+	id := EngineID(fmt.Sprintf("g%06d", s.runs))
+	s.ids = append(s.ids, id)
+	s.zoneOf[id] = zone
+}
+
+// list tells a host which engines take work.
+func (s *loadSite) list(h *loadHost) {
+	h.pool.SetEngines(s.ids)
+	for _, id := range s.ids {
+		h.pool.SetZone(id, loadZone(s.zoneOf[id]))
+		h.pool.Report(s.now, Report{Engine: id, Memory: loadMemory, Step: loadStep})
+	}
+}
+
+// replace has an engine of a zone leave for an empty one.
+func (s *loadSite) replace(zone int) {
+	leaves := slices.IndexFunc(s.ids, func(id EngineID) bool { return s.zoneOf[id] == zone })
+	left := s.ids[leaves]
+	s.ids = slices.Delete(s.ids, leaves, leaves+1)
+	s.addEngine(zone)
+	for _, h := range s.hosts {
+		s.list(h)
+	}
+	for _, h := range s.hosts {
+		for _, run := range h.runs() {
+			if run.engine != left {
+				continue
+			}
+			if to, found := h.pool.Relocate(s.now, run.request.Run, s.farCost, nil); found {
+				run.engine = to
+			}
+		}
+	}
+	s.after(s.replaceEvery, func() { s.replace(zone) })
+}
+
+// runs are the host's, in an order that doesn't depend on a map.
+func (h *loadHost) runs() []*loadRun {
+	return slices.SortedFunc(maps.Values(h.own), func(a, b *loadRun) int {
+		return cmp.Compare(a.request.Run, b.request.Run)
+	})
+}
+
+// look has a host take in how the engines stand, as it does all the time.
+func (s *loadSite) look(h *loadHost) {
+	for _, id := range s.ids {
+		h.pool.Report(s.now, Report{Engine: id, Memory: loadMemory, Step: loadStep})
+	}
+	for _, run := range h.runs() {
+		h.pool.Progress(s.now, run.request.Run, run.made(s.now))
+	}
+	h.pool.Advance(s.now)
+	s.after(lookEvery, func() { s.look(h) })
+}
+
+func (s *loadSite) nextArrival(zone int, k loadKind) {
+	wait := time.Duration(s.random.ExpFloat64() * float64(k.every))
+	s.after(wait, func() {
+		s.arrive(s.hosts[zone*s.loadPlan.hosts+s.random.IntN(s.loadPlan.hosts)], k)
+		s.nextArrival(zone, k)
+	})
+}
+
+// arrive has a host place a request, and its engine run it.
+func (s *loadSite) arrive(h *loadHost, k loadKind) {
+	out := 1 + s.random.IntN(int(k.out))
+	r := Request{
+		Run: RunID(fmt.Sprint("r", s.runs)), Route: k.route, Account: "a", Prompt: Tokens(1 + s.random.IntN(int(k.prompt))), Limit: k.out,
+		Zone: loadZone(h.zone), FarCost: s.farCost, Objective: k.objective, Arrived: s.now, Deadline: s.now.Add(k.objective),
+	}
+	result := s.results[k.route]
+	result.asked++
+	d := h.pool.Submit(s.now, r)
+	if d.Verdict != Granted {
+		h.pool.Finish(s.now, Finish{Run: r.Run})
+		result.refused++
+		return
+	}
+	read := s.now
+	if s.readers[d.Engine].After(read) {
+		read = s.readers[d.Engine]
+	}
+	read = read.Add(time.Duration(float64(r.Prompt) / loadReadRate * float64(time.Second)))
+	s.readers[d.Engine] = read
+	run := &loadRun{request: r, engine: d.Engine, first: read.Add(loadStep)}
+	h.own[r.Run] = run
+	took := run.first.Sub(s.now)
+	result.firsts = append(result.firsts, took)
+	if took <= k.objective {
+		result.inTime++
+	} else {
+		result.late++
+	}
+	far := s.zoneOf[d.Engine] != h.zone
+	for _, other := range s.hosts {
+		if other != h && (far || other.zone == h.zone) {
+			s.after(toldNear, func() { s.hear(other, h) })
+		}
+	}
+	s.after(took, func() { h.pool.Begun(s.now, r.Run) })
+	s.after(took+time.Duration(out)*loadStep, func() {
+		h.pool.Finish(s.now, Finish{Run: r.Run, Made: Tokens(out), Whole: true})
+		delete(h.own, r.Run)
+	})
+}
+
+// tell has a host tell its zone, and some hosts of others, of its runs.
+func (s *loadSite) tell(h *loadHost) {
+	var far []*loadHost
+	for _, other := range s.hosts {
+		switch {
+		case other.zone != h.zone:
+			far = append(far, other)
+		case other != h:
+			s.hear(other, h)
+		}
+	}
+	for range min(tellFar, len(far)) {
+		s.hear(far[h.turn%len(far)], h)
+		h.turn++
+	}
+	s.after(tellEvery, func() { s.tell(h) })
+}
+
+// hear replaces what a host knows of another's runs.
+func (s *loadSite) hear(to, from *loadHost) {
+	known := to.theirs[from]
+	if known == nil {
+		known = map[RunID]bool{}
+		to.theirs[from] = known
+	}
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		if run := from.own[id]; run == nil || to.pool.EngineOf(id) != run.engine {
+			delete(known, id)
+			to.pool.Finish(s.now, Finish{Run: id})
+		}
+	}
+	for _, run := range from.runs() {
+		r := run.request
+		if !known[r.Run] {
+			known[r.Run] = true
+			to.pool.Adopt(s.now, Request{Run: r.Run, Account: r.Account, Prompt: r.Prompt, Limit: r.Limit}, run.engine, run.made(s.now))
+		}
+	}
+}
+
+// TestLoadOfManyHosts plays a quiet load on many hosts of three zones: chats, and short
+// answers to long prompts. Hosts hear of other zones' runs late, so short answers that
+// are placed there meet one another on engines that looked idle.
+func TestLoadOfManyHosts(t *testing.T) {
+	plan := loadPlan{
+		zones: 3, hosts: 24, engines: 12, lasts: 15 * time.Second, replaceEvery: 1500 * time.Millisecond, seed: 1,
+		kinds: []loadKind{
+			{route: "chat", every: 160 * time.Millisecond, objective: 1800 * time.Millisecond, prompt: 6000, out: 2000},
+			{route: "digest", every: 130 * time.Millisecond, objective: 1500 * time.Millisecond, prompt: 5000, out: 40},
+		},
+	}
+	play := func(farCost float64) map[resource.Name]*loadResult {
+		plan.farCost = farCost
+		results := playLoad(plan)
+		for _, k := range plan.kinds {
+			r := results[k.route]
+			t.Logf("cost of another zone %.1f: %s asked %d, in time %d, late %d, refused %d, first token %v (median), %v (99 of 100)",
+				farCost, k.route, r.asked, r.inTime, r.late, r.refused, r.first(0.5), r.first(0.99))
+		}
+		return results
+	}
+	is := is.New(t)
+	cheap, dear := play(0.1), play(0.7)
+	for route, r := range dear {
+		is.True(r.first(0.5) < cheap[route].first(0.5))
+		is.True(r.first(0.99)*10 <= cheap[route].first(0.99)*9)
+		is.True(r.late <= r.asked/100)
+		is.Equal(r.refused, 0) // there is room
+	}
+}
