--- a/forward/engines.go
+++ b/forward/engines.go
@@ -61,6 +61,9 @@
 	request policy.Request
 	// engine changes under the lock of engines.
 	engine member.UpstreamID
+	// first is when its first token came; zero before. It changes under the lock of
+	// engines.
+	first time.Time
 	// made counts the tokens passed on so far.
 	made atomic.Int64
 }
@@ -175,6 +178,7 @@
 func (p *enginePool) refresh(now time.Time) {
 	for id, run := range p.own {
 		p.pool.Progress(now, id, policy.Tokens(run.made.Load()))
+		p.pool.Reading(now, id, run.first)
 	}
 	for id := range p.listed {
 		p.pool.Report(now, policy.Report{Engine: id, Memory: p.spec.Memory, Step: p.step()})
@@ -288,6 +292,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p := e.pools[service]; p != nil {
+		run.first = now
 		p.pool.Begun(now, run.request.Run)
 		p.learntAt = now
 	}
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -166,7 +166,6 @@
 			}
 		}
 		is.Equal(listed, zones*listedPerZone)
-		t.Log("watches", s.origin.watches.Load(), "reads", s.origin.reads.Load())
 		is.True(s.origin.watches.Load() < zones*perZone) // one host watches, a second at a time, once all know each other
 		cancel()
 		synctest.Wait()
@@ -253,11 +252,15 @@
 		s.origin.lost.Store(true)
 		time.Sleep(8 * time.Second)
 		s.origin.lost.Store(false)
+		// Who was about to ask asks; the others are told within half a second.
+		time.Sleep(3 * time.Second)
 		reads := s.origin.reads.Load()
 		time.Sleep(6 * time.Second)
-		t.Log("reads", reads, s.origin.reads.Load())
-		is.True(s.origin.reads.Load() <= reads+zones*perZone/2)
+		is.Equal(s.origin.reads.Load(), reads)
 		for _, f := range s.hosts {
+			if !f.listKnown(time.Now()) {
+				t.Log(f.peers.self, f.OriginAge(time.Now()), f.followed.age(time.Now()), f.ContactAge(time.Now()))
+			}
 			is.True(f.listKnown(time.Now()))
 			is.True(f.ContactAge(time.Now()) <= originFresh+time.Second)
 		}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -215,7 +215,7 @@
 func (f *Forwarder) share(now time.Time) Share {
 	s := Share{
 		From: f.peers.self, ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
-		Runs: f.engines.states(), Leaving: f.fleet.Marks(now),
+		Runs: f.engines.states(now), Leaving: f.fleet.Marks(now),
 		Failing: f.fleet.FailingMarks(now),
 	}
 	if t := f.table.Load(); t != nil {
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -99,7 +99,7 @@
 			if c.refused != "" {
 				is.Equal(*sink.refused, Refusal{Code: c.refused, MayHaveRun: true})
 			}
-			is.Equal(len(f.engines.states()), 0) // every place is free again
+			is.Equal(len(f.engines.states(time.Now())), 0) // every place is free again
 		})
 	}
 }
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -20,19 +20,33 @@
 	Prompt  policy.Tokens
 	Made    policy.Tokens
 	Limit   policy.Tokens
+	// Begun is how long ago its first token came; zero while it has none.
+	Begun time.Duration
+}
+
+// first is when the run's first token came; zero while it has none.
+func (s RunState) first(now time.Time) time.Time {
+	if s.Begun <= 0 {
+		return time.Time{}
+	}
+	return now.Add(-s.Begun)
 }
 
 // states lists this host's runs.
-func (e *engines) states() []RunState {
+func (e *engines) states(now time.Time) []RunState {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	var states []RunState
 	for service, p := range e.pools {
 		for id, run := range p.own {
-			states = append(states, RunState{
+			state := RunState{
 				Run: id, Service: service, Engine: run.engine, Account: run.request.Account,
 				Prompt: run.request.Prompt, Made: policy.Tokens(run.made.Load()), Limit: run.request.Limit,
-			})
+			}
+			if !run.first.IsZero() {
+				state.Begun = max(now.Sub(run.first), 1)
+			}
+			states = append(states, state)
 		}
 	}
 	return states
@@ -80,6 +94,7 @@
 		}
 		if _, known := p.theirs[id]; known {
 			p.pool.Progress(now, id, s.Made)
+			p.pool.Reading(now, id, s.first(now))
 			continue
 		}
 		p.theirs[id] = host
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -51,7 +51,7 @@
 			if c.code != "" {
 				is.Equal(*sink.refused, Refusal{Code: c.code, MayHaveRun: true})
 			}
-			is.Equal(len(f.engines.states()), 0) // its place is free again
+			is.Equal(len(f.engines.states(time.Now())), 0) // its place is free again
 		})
 	}
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -45,6 +45,8 @@
 type wireRunState struct {
 	Run, Service, Engine, Account string
 	Prompt, Made, Limit           int
+	// Begun is in microseconds.
+	Begun int64
 }
 
 func toWireShare(s forward.Share) wireShare {
@@ -55,7 +57,7 @@
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
 			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Account: string(r.Account),
-			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit),
+			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit), Begun: r.Begun.Microseconds(),
 		})
 	}
 	for _, mark := range s.Leaving {
@@ -78,6 +80,7 @@
 			Run: policy.RunID(r.Run), Service: forward.ServiceName(r.Service), Engine: member.UpstreamID(r.Engine),
 			Account: resource.Account(r.Account),
 			Prompt:  policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
+			Begun: time.Duration(r.Begun) * time.Microsecond,
 		})
 	}
 	for _, mark := range w.Leaving {
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -108,11 +108,8 @@
 	if !p.reads.known() || r.Objective <= 0 {
 		return 0
 	}
-	wait := e.readUntil.Sub(now).Seconds()
-	if wait < 0 {
-		wait = 0
-	}
-	part := (wait + read/p.reads.perSecond()) / r.Objective.Seconds()
+	wait := max(e.readUntil.Sub(now).Seconds(), 0)
+	part := (wait + read/p.reads.perSecond()*e.slowness()) / r.Objective.Seconds()
 	return weightWait * part * part
 }
 
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -48,6 +48,8 @@
 	// and readTakes how long reading it takes there; zero where it was read before.
 	unread    bool
 	readTakes time.Duration
+	// toldAt is when this pool heard of the run.
+	toldAt time.Time
 }
 
 // engine is what a Pool knows of one engine.
@@ -75,6 +77,11 @@
 	cache prefixCache
 	// readUntil is when the prompts placed so far are expected to be read.
 	readUntil time.Time
+	// lastRead is when the last prompt was read that is known of.
+	lastRead time.Time
+	// slow is how much longer the engine reads than the pool's engines do on average;
+	// zero until that has been learnt.
+	slow float64
 }
 
 func newEngine(id EngineID) *engine {
--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -38,6 +38,8 @@
 	zones, hosts, engines int // the latter two in each zone
 	kinds                 []loadKind
 	lasts                 time.Duration
+	// slow is how much slower every third engine is than the others; zero for not.
+	slow float64
 	// replaceEvery is how often an engine of each zone leaves, its runs move off it, and
 	// an empty one takes its place; zero for never.
 	replaceEvery time.Duration
@@ -96,6 +98,14 @@
 	return min(Tokens(now.Sub(r.first)/loadStep)+1, r.request.Limit)
 }
 
+// firstBy is when its first token came; zero while it has none.
+func (r *loadRun) firstBy(now time.Time) time.Time {
+	if now.Before(r.first) {
+		return time.Time{}
+	}
+	return r.first
+}
+
 // loadSite plays a plan.
 type loadSite struct {
 	loadPlan
@@ -105,6 +115,7 @@
 	hosts   []*loadHost
 	ids     []EngineID
 	zoneOf  map[EngineID]int
+	slow    map[EngineID]bool
 	readers map[EngineID]time.Time // when each has read what it got
 	results map[resource.Name]*loadResult
 	runs    int
@@ -145,7 +156,7 @@
 func playLoad(p loadPlan) map[resource.Name]*loadResult {
 	s := &loadSite{
 		loadPlan: p, random: rand.New(rand.NewPCG(p.seed, 0)), now: start,
-		zoneOf: map[EngineID]int{}, readers: map[EngineID]time.Time{}, results: map[resource.Name]*loadResult{},
+		zoneOf: map[EngineID]int{}, slow: map[EngineID]bool{}, readers: map[EngineID]time.Time{}, results: map[resource.Name]*loadResult{},
 	}
 	for z := range p.zones {
 		for range p.engines {
@@ -188,6 +199,7 @@
 	id := EngineID(fmt.Sprintf("g%06d", s.runs))
 	s.ids = append(s.ids, id)
 	s.zoneOf[id] = zone
+	s.slow[id] = s.loadPlan.slow > 0 && len(s.zoneOf)%3 == 0
 }
 
 // list tells a host which engines take work.
@@ -235,6 +247,7 @@
 	}
 	for _, run := range h.runs() {
 		h.pool.Progress(s.now, run.request.Run, run.made(s.now))
+		h.pool.Reading(s.now, run.request.Run, run.firstBy(s.now))
 	}
 	h.pool.Advance(s.now)
 	s.after(lookEvery, func() { s.look(h) })
@@ -267,7 +280,11 @@
 	if s.readers[d.Engine].After(read) {
 		read = s.readers[d.Engine]
 	}
-	read = read.Add(time.Duration(float64(r.Prompt) / loadReadRate * float64(time.Second)))
+	takes := time.Duration(float64(r.Prompt) / loadReadRate * float64(time.Second))
+	if s.slow[d.Engine] {
+		takes = time.Duration(float64(takes) * s.loadPlan.slow)
+	}
+	read = read.Add(takes)
 	s.readers[d.Engine] = read
 	run := &loadRun{request: r, engine: d.Engine, first: read.Add(loadStep)}
 	h.own[r.Run] = run
@@ -324,7 +341,10 @@
 	}
 	for _, run := range from.runs() {
 		r := run.request
-		if !known[r.Run] {
+		if known[r.Run] {
+			to.pool.Progress(s.now, r.Run, run.made(s.now))
+			to.pool.Reading(s.now, r.Run, run.firstBy(s.now))
+		} else {
 			known[r.Run] = true
 			to.pool.Adopt(s.now, Request{Run: r.Run, Account: r.Account, Prompt: r.Prompt, Limit: r.Limit}, run.engine, run.made(s.now))
 		}
@@ -356,8 +376,29 @@
 	cheap, dear := play(0.1), play(0.7)
 	for route, r := range dear {
 		is.True(r.first(0.5) < cheap[route].first(0.5))
-		is.True(r.first(0.99)*10 <= cheap[route].first(0.99)*9)
-		is.True(r.late <= r.asked/100)
+		is.Equal(r.late, 0)
 		is.Equal(r.refused, 0) // there is room
 	}
+	is.True(dear["digest"].first(0.99)*10 <= cheap["digest"].first(0.99)*8)
+}
+
+// TestLoadOfUnlikeEngines plays a load of many prompts on engines of which a third is
+// slower by a half. What is foreseen of these ends too early; without what is seen of
+// their reading they keep a backlog that nobody knows of: 25 of 297 chats and 59 of 621
+// short answers were late, 13 and 23 with what runs without a token tell, 1 and 2 with
+// each engine's own speed learnt as well.
+func TestLoadOfUnlikeEngines(t *testing.T) {
+	is := is.New(t)
+	results := playLoad(loadPlan{
+		zones: 1, hosts: 30, engines: 12, lasts: 60 * time.Second, farCost: 0.7, slow: 1.5, seed: 2,
+		kinds: []loadKind{
+			{route: "chat", every: 186 * time.Millisecond, objective: 1800 * time.Millisecond, prompt: 6000, out: 1800},
+			{route: "digest", every: 100 * time.Millisecond, objective: 1500 * time.Millisecond, prompt: 5000, out: 40},
+		},
+	})
+	for route, r := range results {
+		t.Logf("%s asked %d, in time %d, late %d, refused %d, first token %v (median), %v (99 of 100)",
+			route, r.asked, r.inTime, r.late, r.refused, r.first(0.5), r.first(0.99))
+		is.True((r.late+r.refused)*100 <= r.asked)
+	}
 }
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -219,7 +219,7 @@
 	p.runs[r.Run] = run
 	e.add(now, run)
 	if made == 0 {
-		e.willRead(now, run, p.reads.takes(r.Prompt-e.cache.reusable(now, &r)))
+		e.willRead(now, run, p.takesToRead(now, e, &r))
 	}
 	run.began = now.Add(-time.Duration(made) * e.step())
 }
@@ -258,7 +258,7 @@
 	p.runs[r.Run] = run
 	run.placedAt, run.firstAfter = now, p.firstToken(now, e, r)
 	e.add(now, run)
-	e.willRead(now, run, p.reads.takes(r.Prompt-e.cache.reusable(now, r)))
+	e.willRead(now, run, p.takesToRead(now, e, r))
 	e.cache.put(now, r.Prefix, r.PrefixTokens)
 	return granted(run, waited)
 }
--- a/policy/reading.go
+++ b/policy/reading.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,17 +12,37 @@
 // An engine reads prompts one after another. How long that takes is foreseen, but
 // engines of one pool differ in speed and hosts hear of each other's runs late, so what
 // is foreseen is held to what is seen: a run without a token has not been read, and one
-// with a token has, with all that were placed before it. With 195 hosts before 62
-// engines, a third of them 1.3 times slower, engines kept two seconds of prompts for
-// eight seconds that every host took for a few tenths.
+// with a token has, with all that were placed before it. From when first tokens came
+// each engine's own speed is learnt.
 
-// headPart is the part of a prompt that is taken to be left to read when nothing but
-// that its run has no token yet is known.
-const headPart = 0.5
+const (
+	// overduePart is the part of a prompt that is taken to be left to read when its run
+	// has no token though it should have.
+	overduePart = 0.25
+	// slownessWeight is the weight of the newest observation of an engine's own speed:
+	// most of a difference is learnt from five first tokens, for an engine of a spot
+	// pool may be gone after some twenty.
+	slownessWeight = 0.3
+	// slownessMost bounds an engine's slowness, and one observation of it.
+	slownessMost = 3.0
+)
+
+// takesToRead is how long the engine is expected to read a prompt.
+func (p *Pool) takesToRead(now time.Time, e *engine, r *Request) time.Duration {
+	return time.Duration(float64(p.reads.takes(r.Prompt-e.cache.reusable(now, r))) * e.slowness())
+}
+
+// slowness is how much longer the engine reads than the pool's engines do on average.
+func (e *engine) slowness() float64 {
+	if e.slow == 0 {
+		return 1
+	}
+	return e.slow
+}
 
 // willRead counts a run's prompt among those that the engine has to read.
 func (e *engine) willRead(now time.Time, run *placed, takes time.Duration) {
-	run.unread, run.readTakes = true, takes
+	run.unread, run.readTakes, run.toldAt = true, takes, now
 	if e.readUntil.Before(now) {
 		e.readUntil = now
 	}
@@ -32,48 +53,76 @@
 // after it, are still to be read.
 func (e *engine) unreadSeen(now time.Time, run *placed) {
 	run.unread = true
-	left := time.Duration(headPart*float64(run.readTakes)) + e.unreadAfter(run)
-	if until := now.Add(left); until.After(e.readUntil) {
+	left := max(run.readTakes-now.Sub(e.readFrom(run)), time.Duration(overduePart*float64(run.readTakes)))
+	_, after := e.unreadAround(run)
+	if until := now.Add(left + after); until.After(e.readUntil) {
 		e.readUntil = until
 	}
 }
 
-// readSeen takes in that a run has its first token: no more is left to read than what
-// came after it.
-func (e *engine) readSeen(now time.Time, run *placed) {
+// readSeen takes in that a run's first token came at a time: no more is left to read
+// than what came after it.
+func (e *engine) readSeen(at time.Time, run *placed) {
+	before, after := e.unreadAround(run)
+	e.observeReading(before+run.readTakes, at.Sub(e.readFrom(run)))
 	for _, p := range e.order {
 		p.unread = false
 		if p == run {
 			break
 		}
 	}
-	if until := now.Add(e.unreadAfter(run)); until.Before(e.readUntil) {
+	if at.After(e.lastRead) {
+		e.lastRead = at
+	}
+	if until := at.Add(after); until.Before(e.readUntil) {
 		e.readUntil = until
 	}
 }
 
-// unreadAfter is how long the unread prompts take that came after a run's.
-func (e *engine) unreadAfter(run *placed) time.Duration {
-	var takes time.Duration
-	for _, p := range slices.Backward(e.order) {
-		if p == run {
-			break
-		}
-		if p.unread {
-			takes += p.readTakes
+// readFrom is when the engine began to read a run's prompt, or those before it that
+// it hadn't read: when the run came, or when the last one that is known was read.
+func (e *engine) readFrom(run *placed) time.Time {
+	if run.toldAt.Before(e.lastRead) {
+		return e.lastRead
+	}
+	return run.toldAt
+}
+
+// unreadAround is how long the unread prompts take that came before a run's and after.
+func (e *engine) unreadAround(run *placed) (before, after time.Duration) {
+	at := slices.Index(e.order, run)
+	for i, p := range e.order {
+		switch {
+		case !p.unread || i == at:
+		case i < at:
+			before += p.readTakes
+		default:
+			after += p.readTakes
 		}
 	}
-	return takes
+	return before, after
+}
+
+// observeReading takes in how long the engine took to read what was foreseen to take
+// another time.
+func (e *engine) observeReading(foreseen, took time.Duration) {
+	if foreseen <= 0 || took <= 0 {
+		return
+	}
+	off := min(max(float64(took)/float64(foreseen), 1/slownessMost), slownessMost)
+	e.slow = min(max(e.slowness()*math.Pow(off, slownessWeight), 1/slownessMost), slownessMost)
 }
 
-// sawMade takes in how many tokens a run has: what it says of its engine's reading.
-func (run *placed) sawMade(now time.Time, made Tokens) {
+// Reading takes in what another host tells of its run's prompt: when its first token
+// came, or the zero time while it has none.
+func (p *Pool) Reading(now time.Time, id RunID, first time.Time) {
+	run := p.runs[id]
 	switch {
-	case run.readTakes == 0:
-		// It was read elsewhere.
-	case made == 0:
+	case run == nil || run.readTakes == 0:
+		// It isn't known, or was read elsewhere.
+	case first.IsZero():
 		run.engine.unreadSeen(now, run)
 	case run.unread:
-		run.engine.readSeen(now, run)
+		run.engine.readSeen(first, run)
 	}
 }
--- a/policy/readrate.go
+++ b/policy/readrate.go
@@ -69,7 +69,7 @@
 	}
 	p.reads.observe(run.firstAfter, now.Sub(run.placedAt))
 	run.placedAt = time.Time{}
-	run.sawMade(now, 1)
+	p.Reading(now, id, now)
 }
 
 // TakesToRead is how long an idle engine is expected to read a prompt.
--- a/policy/refusal.go
+++ b/policy/refusal.go
@@ -139,7 +139,7 @@
 // firstToken is after how long an engine is expected to make a request's first
 // token: when it has read the prompts that wait there, and this one.
 func (p *Pool) firstToken(now time.Time, e *engine, r *Request) time.Duration {
-	return e.backlog(now) + p.reads.takes(r.Prompt-e.cache.reusable(now, r))
+	return e.backlog(now) + p.takesToRead(now, e, r)
 }
 
 // backlog is how long an engine still reads the prompts that it has.
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -20,11 +20,7 @@
 // is foreseen from.
 func (p *Pool) Progress(now time.Time, id RunID, made Tokens) {
 	run := p.runs[id]
-	if run == nil {
-		return
-	}
-	run.sawMade(now, made)
-	if made <= run.made {
+	if run == nil || made <= run.made {
 		return
 	}
 	run.made = made
