--- a/forward/follow.go
+++ b/forward/follow.go
@@ -309,6 +309,7 @@
 	}
 	w.ContactProved(proved)
 	w.originContact.raise(proved)
+	w.proofInherited.Store(false)
 }
 
 // lost takes in that the origin can't be had.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -340,8 +340,9 @@
 	if err != nil || !bounds.accept(reply) {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
-		if err == nil {
-			// What this host knows is no newer than what its leader has.
+		if err == nil && f.proofInherited.Load() {
+			// What this host knows is no newer than what its leader has. A proof that
+			// the origin gave to it itself stays.
 			f.originContact.clear()
 			f.followed.clear()
 		}
@@ -354,6 +355,7 @@
 	f.ContactProved(now.Add(-reply.ConfigAge))
 	if bounds.inherit {
 		f.originContact.raise(now.Add(-reply.OriginAge))
+		f.proofInherited.Store(true)
 	}
 	f.followed.raise(now)
 	f.peers.list(now, reply.Hosts)
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -109,7 +109,7 @@
 		return 0
 	}
 	wait := max(e.readUntil.Sub(now).Seconds(), 0)
-	part := (wait + read/p.reads.perSecond()*e.slowness()) / r.Objective.Seconds()
+	part := (wait + read/p.reads.perSecond()*p.slowness(e)) / r.Objective.Seconds()
 	return weightWait * part * part
 }
 
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -79,9 +79,10 @@
 	readUntil time.Time
 	// lastRead is when the last prompt was read that is known of.
 	lastRead time.Time
-	// slow is how much longer the engine reads than the pool's engines do on average;
-	// zero until that has been learnt.
-	slow float64
+	// logSlow is the logarithm of how slowly the engine reads, on the same scale as the
+	// pool's meanLogSlow. slowLearnt says that it has been learnt.
+	logSlow    float64
+	slowLearnt bool
 }
 
 func newEngine(id EngineID) *engine {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -41,6 +41,8 @@
 	queue queue
 	steps stepTime
 	reads readRate
+	// meanLogSlow is the mean of the engines' logSlow.
+	meanLogSlow float64
 	// share is how many entries decide about these engines at once, each
 	// within its part of the free memory. It is 1 for the coordinator.
 	share int
--- a/policy/reading.go
+++ b/policy/reading.go
@@ -29,15 +29,16 @@
 
 // takesToRead is how long the engine is expected to read a prompt.
 func (p *Pool) takesToRead(now time.Time, e *engine, r *Request) time.Duration {
-	return time.Duration(float64(p.reads.takes(r.Prompt-e.cache.reusable(now, r))) * e.slowness())
+	return time.Duration(float64(p.reads.takes(r.Prompt-e.cache.reusable(now, r))) * p.slowness(e))
 }
 
-// slowness is how much longer the engine reads than the pool's engines do on average.
-func (e *engine) slowness() float64 {
-	if e.slow == 0 {
+// slowness is how much longer an engine reads than the pool's engines do on average.
+// What all of them have in common is in the pool's rate of reading.
+func (p *Pool) slowness(e *engine) float64 {
+	if !e.slowLearnt {
 		return 1
 	}
-	return e.slow
+	return min(max(math.Exp(e.logSlow-p.meanLogSlow), 1/slownessMost), slownessMost)
 }
 
 // willRead counts a run's prompt among those that the engine has to read.
@@ -62,12 +63,13 @@
 
 // readSeen takes in that a run's first token came at a time: no more is left to read
 // than what came after it.
-func (e *engine) readSeen(at time.Time, run *placed) {
+func (p *Pool) readSeen(at time.Time, run *placed) {
+	e := run.engine
 	before, after := e.unreadAround(run)
-	e.observeReading(before+run.readTakes, at.Sub(e.readFrom(run)))
-	for _, p := range e.order {
-		p.unread = false
-		if p == run {
+	p.observeReading(e, before+run.readTakes, at.Sub(e.readFrom(run)))
+	for _, other := range e.order {
+		other.unread = false
+		if other == run {
 			break
 		}
 	}
@@ -103,14 +105,31 @@
 	return before, after
 }
 
-// observeReading takes in how long the engine took to read what was foreseen to take
+// observeReading takes in how long an engine took to read what was foreseen to take
 // another time.
-func (e *engine) observeReading(foreseen, took time.Duration) {
+func (p *Pool) observeReading(e *engine, foreseen, took time.Duration) {
 	if foreseen <= 0 || took <= 0 {
 		return
 	}
 	off := min(max(float64(took)/float64(foreseen), 1/slownessMost), slownessMost)
-	e.slow = min(max(e.slowness()*math.Pow(off, slownessWeight), 1/slownessMost), slownessMost)
+	if !e.slowLearnt {
+		e.logSlow, e.slowLearnt = p.meanLogSlow, true
+	}
+	e.logSlow += slownessWeight * math.Log(off)
+	p.meanLogSlow = p.averageLogSlow()
+}
+
+// averageLogSlow is the mean over the engines that take work; those that nothing is
+// known of count as the mean.
+func (p *Pool) averageLogSlow() float64 {
+	sum, learnt := 0.0, 0
+	for _, e := range p.engines {
+		if e.slowLearnt {
+			sum += e.logSlow
+			learnt++
+		}
+	}
+	return sum / float64(max(learnt, 1))
 }
 
 // Reading takes in what another host tells of its run's prompt: when its first token
@@ -123,6 +142,6 @@
 	case first.IsZero():
 		run.engine.unreadSeen(now, run)
 	case run.unread:
-		run.engine.readSeen(first, run)
+		p.readSeen(first, run)
 	}
 }
