--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
 )
 
 // siteOrigin can be read and watched, while it isn't lost, and counts both.
@@ -349,3 +350,28 @@
 	_, _, whole = leader.Since(9)
 	is.True(!whole)
 }
+
+// TestPlacedIsToldAtOnce has the hosts of a zone hear of a new run before any time has
+// passed.
+func TestPlacedIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(1, 3, true)
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, f := range s.hosts {
+			s.start(ctx, f)
+		}
+		time.Sleep(3100 * time.Millisecond)
+		teller, hearer := s.hosts["10.1.0.1:1"], s.hosts["10.1.0.2:1"]
+		teller.listEngines(time.Now(), teller.Table())
+		hearer.listEngines(time.Now(), hearer.Table())
+		now := time.Now()
+		u, run, _ := teller.engines.place(ctx, now, "llm", policy.Request{Run: "r", Prompt: 100})
+		teller.tellPlaced(u)
+		synctest.Wait()
+		is.Equal(time.Now(), now)
+		is.Equal(hearer.engines.busy(), []member.UpstreamID{run.engine})
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -86,7 +86,9 @@
 	startLasts = time.Second
 	// shareTimeout bounds one share.
 	shareTimeout = 700 * time.Millisecond
-	// shareSoon gathers the changes of a moment into one share.
+	// shareSoon is the least time between two shares: the changes of a moment go into
+	// one, but the first is told at once, for until then other hosts may place runs on
+	// the same engine.
 	shareSoon = 3 * time.Millisecond
 	// farShares is how many peers of other zones are told in each period, one
 	// after another: bytes between zones have a price.
@@ -159,6 +161,7 @@
 	var sending sync.WaitGroup
 	defer sending.Wait()
 	began := time.Now()
+	var shared time.Time
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
@@ -171,11 +174,12 @@
 			tick.Reset(sharePause(now.Sub(began)))
 		case <-f.peers.wakeAll:
 			every = true
-			pauseFor(ctx, shareSoon)
+			pauseFor(ctx, shareSoon-time.Since(shared))
 		case <-f.peers.wake:
-			pauseFor(ctx, shareSoon)
+			pauseFor(ctx, shareSoon-time.Since(shared))
 		}
 		now := time.Now()
+		shared = now
 		f.retries.setHosts(f.peers.live(now))
 		f.engines.forget(now, f.peers.isKnown)
 		share := f.share(now)
