policy, forward: engines of zones that little is heard of aren't taken for idle

Trial before, left out: waiting weighs 4 in place of 1 and engines are drawn within 0.2 of the cost.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -23,6 +23,8 @@
 
 	mu    sync.Mutex
 	pools map[ServiceName]*enginePool
+	// told is when each peer last told its runs.
+	told map[member.HostID]time.Time
 }
 
 // enginePool is the placement of one service's engines.
@@ -105,7 +107,7 @@
 )
 
 func newEngines(zone member.Zone) *engines {
-	return &engines{zone: zone, pools: map[ServiceName]*enginePool{}}
+	return &engines{zone: zone, pools: map[ServiceName]*enginePool{}, told: map[member.HostID]time.Time{}}
 }
 
 // configure takes in the engine services of a new configuration.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -182,6 +182,7 @@
 		shared = now
 		f.retries.setHosts(f.peers.live(now))
 		f.engines.forget(now, f.peers.isKnown)
+		f.engines.noteKnown(now, f.peers.zones())
 		share := f.share(now)
 		for _, to := range f.peers.targets(now, period, every) {
 			sending.Go(func() { f.shareWith(ctx, peers, to, share) })
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -209,6 +209,17 @@
 	return n
 }
 
+// zones tells the zone of each known peer.
+func (p *peerSet) zones() map[member.HostID]member.Zone {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	zones := make(map[member.HostID]member.Zone, len(p.known))
+	for id, s := range p.known {
+		zones[id] = s.Zone
+	}
+	return zones
+}
+
 // liveInZone counts this host and the peers of its zone that were heard lately.
 func (p *peerSet) liveInZone(now time.Time) int {
 	p.mu.Lock()
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -64,12 +64,40 @@
 			}
 		}
 	}
+	for host := range e.told {
+		if !isKnown(host) {
+			delete(e.told, host)
+		}
+	}
+}
+
+// toldLately is how recent a peer's word of its runs must be for them to be known: new
+// runs come and prompts are read within about a second.
+const toldLately = time.Second
+
+// noteKnown takes in how much of each zone's runs this host knows.
+func (e *engines) noteKnown(now time.Time, zoneOf map[member.HostID]member.Zone) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	hosts, told := map[member.Zone]int{}, map[member.Zone]int{}
+	for host, zone := range zoneOf {
+		hosts[zone]++
+		if at, ever := e.told[host]; ever && now.Sub(at) <= toldLately {
+			told[zone]++
+		}
+	}
+	for _, p := range e.pools {
+		for zone, n := range hosts {
+			p.pool.SetKnownPart(zone, float64(told[zone])/float64(n))
+		}
+	}
 }
 
 // adopt replaces what is known of a peer's runs.
 func (e *engines) adopt(now time.Time, host member.HostID, states []RunState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.told[host] = now
 	listed := make(map[policy.RunID]RunState, len(states))
 	for _, s := range states {
 		listed[s.Run] = s
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -24,20 +25,98 @@
 // choose returns the engine with room at the lowest cost, or nil. It allocates
 // nothing.
 func (p *Pool) choose(now time.Time, r *Request) *engine {
-	grown, line := p.foreseen(r), p.steps.line()
-	oldest := now.Add(-staleAfter)
-	var best *engine
-	lowest := 0.0
+	look := look{now: now, oldest: now.Add(-staleAfter), request: r, grown: p.foreseen(r), line: p.steps.line()}
+	far := false
 	for _, e := range p.engines {
-		if e == p.kept || !e.takes(oldest) || e.id == r.Avoid || slices.Contains(r.AvoidAlso, e.id) {
+		if e.zone != r.Zone {
+			far = true
 			continue
 		}
-		cost, fits := p.cost(now, e, r, &grown, line)
-		if fits && (best == nil || cost < lowest) {
-			best, lowest = e, cost
+		if cost, fits := p.look(&look, e); fits {
+			look.near.add(cost)
+			look.take(e, cost.sum())
 		}
 	}
-	return best
+	if !far {
+		return look.best
+	}
+	for _, e := range p.engines {
+		if e.zone == r.Zone {
+			continue
+		}
+		if cost, fits := p.look(&look, e); fits {
+			cost.load = look.near.atLeast(cost.load, 1-p.knownPart(e.zone))
+			look.take(e, cost.sum()+r.FarCost)
+		}
+	}
+	return look.best
+}
+
+// look is one search for an engine.
+type look struct {
+	now, oldest time.Time
+	request     *Request
+	grown       foresight
+	line        stepLine
+	// near is what the engines of the request's zone cost that have room.
+	near   meanLoad
+	best   *engine
+	lowest float64
+}
+
+func (l *look) take(e *engine, cost float64) {
+	if l.best == nil || cost < l.lowest {
+		l.best, l.lowest = e, cost
+	}
+}
+
+// engineCost is what an engine costs a request: by itself, and by what the engine
+// already has to do.
+type engineCost struct{ own, load float64 }
+
+func (c engineCost) sum() float64 { return c.own + c.load }
+
+// meanLoad is the mean load of some engines.
+type meanLoad struct {
+	sum float64
+	n   int
+}
+
+func (m *meanLoad) add(c engineCost) { m.sum, m.n = m.sum+c.load, m.n+1 }
+
+// atLeast is what an engine's load is taken for of which only a part of its runs is
+// known: the unknown part makes up for the difference to the mean of those that are
+// known well. Where hosts hear little of another zone, its engines look idle to them
+// all the time, and the hosts of four zones meet on a fifth's newest engine.
+func (m *meanLoad) atLeast(load, unknown float64) float64 {
+	if m.n == 0 {
+		return load
+	}
+	return load + unknown*max(m.sum/float64(m.n)-load, 0)
+}
+
+// look weighs an engine for a request, and reports whether it will do.
+func (p *Pool) look(l *look, e *engine) (engineCost, bool) {
+	if e == p.kept || !e.takes(l.oldest) || e.id == l.request.Avoid || slices.Contains(l.request.AvoidAlso, e.id) {
+		return engineCost{}, false
+	}
+	return p.cost(l.now, e, l.request, &l.grown, l.line)
+}
+
+// SetKnownPart says which part of another zone's hosts has told lately what it runs.
+// Zones that nothing was said of are known.
+func (p *Pool) SetKnownPart(zone member.Zone, part float64) {
+	if p.knownParts == nil {
+		p.knownParts = map[member.Zone]float64{}
+	}
+	p.knownParts[zone] = part
+}
+
+func (p *Pool) knownPart(zone member.Zone) float64 {
+	if part, said := p.knownParts[zone]; said {
+		return part
+	}
+	return 1
 }
 
 // foreseen is the memory that a request will add to an engine's.
@@ -73,23 +152,22 @@
 
 // cost weighs an engine for a request, and reports whether it has room. An idle
 // engine has room for anything.
-func (p *Pool) cost(now time.Time, e *engine, r *Request, grown *foresight, line stepLine) (float64, bool) {
+func (p *Pool) cost(now time.Time, e *engine, r *Request, grown *foresight, line stepLine) (engineCost, bool) {
 	batch := e.batch() + 1
 	step := line.at(batch)
 	peak, fits := e.foresee(grown, p.settings.Deviations, p.room(e))
 	if batch > 1 && (!fits || step > float64(p.settings.BetweenTokens)) {
-		return 0, false
+		return engineCost{}, false
 	}
 	if p.settings.MaxBatch > 0 && batch > p.settings.MaxBatch || p.tooLate(now, e, r) {
-		return 0, false
+		return engineCost{}, false
 	}
 	memory := float64(e.report.Memory)
 	read := float64(r.Prompt - e.cache.reusable(now, r))
-	cost := (weightRead*read+weightPeak*peak)/memory + weightStep*step/float64(p.settings.BetweenTokens)
-	if e.zone != r.Zone {
-		cost += r.FarCost
-	}
-	return cost + p.moveCost(peak) + p.waitCost(now, e, r, read), true
+	return engineCost{
+		own:  weightRead * read / memory,
+		load: weightPeak*peak/memory + weightStep*step/float64(p.settings.BetweenTokens) + p.moveCost(peak) + p.waitCost(now, e, r, read),
+	}, true
 }
 
 // moveCost weighs that what an engine holds has to be moved off it when it
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -43,6 +44,9 @@
 	reads readRate
 	// meanLogSlow is the mean of the engines' logSlow.
 	meanLogSlow float64
+	// knownParts says of other zones which part of their hosts has told lately what it
+	// runs.
+	knownParts map[member.Zone]float64
 	// share is how many entries decide about these engines at once, each
 	// within its part of the free memory. It is 1 for the coordinator.
 	share int
--- a/policy/pool_test.go
+++ b/policy/pool_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -426,3 +427,37 @@
 	is.Equal(p.EngineOf("2"), first)
 	is.Equal(p.Submit(start, ask("3", 5000)).Verdict, Queued) // its memory is still taken
 }
+
+// TestLittleKnownZone has engines of a zone that little is heard of taken for no emptier
+// than those of the own zone, and used when these won't do.
+func TestLittleKnownZone(t *testing.T) {
+	for name, c := range map[string]struct {
+		known float64
+		// busy is how many prompts each engine of the own zone has to read.
+		busy int
+		want member.Zone
+	}{
+		"known well, own zone idle":          {1, 0, "near"},
+		"known well, own zone busy":          {1, 1, "far"},
+		"little known, own zone busy":        {0, 1, "near"},
+		"little known, own zone has no room": {0, 4, "far"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newTestPool(Settings{ReadRate: 1000}, "g1", "g2", "g3", "g4")
+			zones := map[EngineID]member.Zone{"g1": "near", "g2": "near", "g3": "far", "g4": "far"}
+			for id, zone := range zones {
+				p.SetZone(id, zone)
+			}
+			p.SetKnownPart("far", c.known)
+			for i := range 2 * c.busy {
+				r := ask(fmt.Sprint("busy", i), 900)
+				r.Zone, r.FarCost = "near", 100
+				is.Equal(zones[p.Submit(start, r).Engine], member.Zone("near"))
+			}
+			r := askInTime("r", start, 500)
+			r.Zone, r.FarCost = "near", 0.2
+			is.Equal(zones[p.Submit(start, r).Engine], c.want)
+		})
+	}
+}
