--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
 
@@ -60,3 +61,41 @@
 	// 120 ms for four tokens are 30 ms a step, and a tenth is kept back.
 	is.Equal(poolSettings(*c.Services[1].Engine, 120*time.Millisecond).BetweenTokens, 27*time.Millisecond)
 }
+
+// TestKnownZones has placement know how much of each zone it hears: a peer's runs are
+// known for a second after it told them.
+func TestKnownZones(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	now := time.Now()
+	f.fleet.Replace(now, []Upstream{
+		{ID: "near", Service: "llm", Zone: "z1", Revision: 2}, {ID: "far", Service: "llm", Zone: "z2", Revision: 2},
+	}, 2)
+	f.listEngines(now, f.Table())
+	for _, id := range []member.HostID{"a", "b"} {
+		f.peers.hear(now, Share{From: Peer{ID: id, Zone: "z2"}})
+	}
+	busy := policy.Request{Run: "busy", Route: "/llm/", Prompt: 6000, Objective: 1800 * time.Millisecond, Arrived: now}
+	_, first, _ := f.engines.place(t.Context(), now, "llm", busy)
+	is.Equal(first.engine, member.UpstreamID("near"))
+	pool := f.engines.pools["llm"].pool
+	for name, c := range map[string]struct {
+		tell []member.HostID
+		at   time.Time
+		want float64
+	}{
+		"nobody told": {nil, now, 0},
+		"half told":   {[]member.HostID{"a"}, now, 0.5},
+		"all told":    {[]member.HostID{"a", "b"}, now, 1},
+		"long ago":    {[]member.HostID{"a", "b"}, now.Add(toldLately + time.Millisecond), 0},
+	} {
+		clear(f.engines.told)
+		for _, id := range c.tell {
+			f.engines.adopt(now, id, nil)
+		}
+		f.engines.noteKnown(c.at, f.peers.zones())
+		if got := pool.KnownPart("z2"); got != c.want {
+			t.Errorf("%s: %v of the zone is known, not %v", name, got, c.want)
+		}
+	}
+}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -25,35 +25,35 @@
 // choose returns the engine with room at the lowest cost, or nil. It allocates
 // nothing.
 func (p *Pool) choose(now time.Time, r *Request) *engine {
-	look := look{now: now, oldest: now.Add(-staleAfter), request: r, grown: p.foreseen(r), line: p.steps.line()}
+	s := search{now: now, oldest: now.Add(-staleAfter), request: r, grown: p.foreseen(r), line: p.steps.line()}
 	far := false
 	for _, e := range p.engines {
 		if e.zone != r.Zone {
 			far = true
 			continue
 		}
-		if cost, fits := p.look(&look, e); fits {
-			look.near.add(cost)
-			look.take(e, cost.sum())
+		if cost, fits := p.weigh(&s, e); fits {
+			s.near.add(cost)
+			s.take(e, cost.sum())
 		}
 	}
 	if !far {
-		return look.best
+		return s.best
 	}
 	for _, e := range p.engines {
 		if e.zone == r.Zone {
 			continue
 		}
-		if cost, fits := p.look(&look, e); fits {
-			cost.load = look.near.atLeast(cost.load, 1-p.knownPart(e.zone))
-			look.take(e, cost.sum()+r.FarCost)
+		if cost, fits := p.weigh(&s, e); fits {
+			cost.load = s.near.atLeast(cost.load, 1-p.KnownPart(e.zone))
+			s.take(e, cost.sum()+r.FarCost)
 		}
 	}
-	return look.best
+	return s.best
 }
 
-// look is one search for an engine.
-type look struct {
+// search is one search for an engine.
+type search struct {
 	now, oldest time.Time
 	request     *Request
 	grown       foresight
@@ -64,9 +64,9 @@
 	lowest float64
 }
 
-func (l *look) take(e *engine, cost float64) {
-	if l.best == nil || cost < l.lowest {
-		l.best, l.lowest = e, cost
+func (s *search) take(e *engine, cost float64) {
+	if s.best == nil || cost < s.lowest {
+		s.best, s.lowest = e, cost
 	}
 }
 
@@ -95,12 +95,12 @@
 	return load + unknown*max(m.sum/float64(m.n)-load, 0)
 }
 
-// look weighs an engine for a request, and reports whether it will do.
-func (p *Pool) look(l *look, e *engine) (engineCost, bool) {
-	if e == p.kept || !e.takes(l.oldest) || e.id == l.request.Avoid || slices.Contains(l.request.AvoidAlso, e.id) {
+// weigh weighs an engine for a request, and reports whether it will do.
+func (p *Pool) weigh(s *search, e *engine) (engineCost, bool) {
+	if e == p.kept || !e.takes(s.oldest) || e.id == s.request.Avoid || slices.Contains(s.request.AvoidAlso, e.id) {
 		return engineCost{}, false
 	}
-	return p.cost(l.now, e, l.request, &l.grown, l.line)
+	return p.cost(s.now, e, s.request, &s.grown, s.line)
 }
 
 // SetKnownPart says which part of another zone's hosts has told lately what it runs.
@@ -112,7 +112,8 @@
 	p.knownParts[zone] = part
 }
 
-func (p *Pool) knownPart(zone member.Zone) float64 {
+// KnownPart is what SetKnownPart said.
+func (p *Pool) KnownPart(zone member.Zone) float64 {
 	if part, said := p.knownParts[zone]; said {
 		return part
 	}
