--- a/forward/engines.go
+++ b/forward/engines.go
@@ -25,6 +25,8 @@
 	pools map[ServiceName]*enginePool
 	// told is when each peer last told its runs.
 	told map[member.HostID]time.Time
+	// ended are this host's runs whose answers ended by themselves lately.
+	ended []EndedRun
 }
 
 // enginePool is the placement of one service's engines.
@@ -249,8 +251,12 @@
 	if p == nil {
 		return
 	}
+	made := policy.Tokens(run.made.Load())
 	delete(p.own, run.request.Run)
-	p.pool.Finish(now, policy.Finish{Run: run.request.Run, Made: policy.Tokens(run.made.Load()), Whole: whole})
+	p.pool.Finish(now, policy.Finish{Run: run.request.Run, Made: made, Whole: whole})
+	if whole {
+		e.ended = append(e.ended, EndedRun{Run: run.request.Run, Made: made, at: now})
+	}
 	p.advance(now)
 }
 
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,7 +92,7 @@
 	} {
 		clear(f.engines.told)
 		for _, id := range c.tell {
-			f.engines.adopt(now, id, nil)
+			f.engines.adopt(now, id, nil, nil)
 		}
 		f.engines.noteKnown(c.at, f.peers.zones())
 		if got := pool.KnownPart("z2"); got != c.want {
@@ -99,3 +100,36 @@
 		}
 	}
 }
+
+// TestLengthsLearntTogether has a host learn how long answers get from the runs of its
+// peers that end by themselves, each once, and not from those that are cut.
+func TestLengthsLearntTogether(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	teller, hearer := newForwarder(t, &fakeTransport{}), newForwarder(t, &fakeTransport{})
+	for _, f := range []*Forwarder{teller, hearer} {
+		f.listEngines(now, f.Table())
+	}
+	tell := func() {
+		s := teller.share(now)
+		hearer.engines.adopt(now, "h9", s.Runs, s.Ended)
+	}
+	request := policy.Request{Route: "/llm/", Account: "counter", Prompt: 100}
+	mean := func() policy.Tokens { return hearer.engines.pools["llm"].pool.MeanLength(&request) }
+	before := mean()
+	for i := range 200 {
+		r := request
+		r.Run = policy.RunID(fmt.Sprint("r", i))
+		teller.listEngines(now, teller.Table())
+		_, run, _ := teller.engines.place(t.Context(), now, "llm", r)
+		run.made.Store(1000)
+		tell()
+		now = now.Add(100 * time.Millisecond)
+		teller.engines.finish(now, "llm", run, i%2 == 0)
+		tell()
+		tell() // an answer that is told again isn't learnt again
+	}
+	is.True(before < 600)
+	is.True(mean() > 800 && mean() < 1000) // a hundred answers of 1,000 tokens, and the prior
+	is.Equal(len(hearer.engines.busy()), 0)
+}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -27,6 +27,8 @@
 	Stopping  bool
 	// Runs are all generations of the host.
 	Runs []RunState
+	// Ended are those of its runs that ended by themselves lately.
+	Ended []EndedRun
 	// Leaving are the host's own observations of engines that leave.
 	Leaving []LeavingMark
 	// Failing are its findings of upstreams that lose requests.
@@ -220,7 +222,7 @@
 func (f *Forwarder) share(now time.Time) Share {
 	s := Share{
 		From: f.peers.self, ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
-		Runs: f.engines.states(now), Leaving: f.fleet.Marks(now),
+		Runs: f.engines.states(now), Ended: f.engines.endedRuns(now), Leaving: f.fleet.Marks(now),
 		Failing: f.fleet.FailingMarks(now),
 	}
 	if t := f.table.Load(); t != nil {
@@ -293,10 +295,10 @@
 
 // OnShare serves a peer's share.
 func (f *Forwarder) OnShare(ctx context.Context, s Share) Share {
-	f.engines.adopt(time.Now(), s.From.ID, s.Runs)
+	f.engines.adopt(time.Now(), s.From.ID, s.Runs, s.Ended)
 	f.hear(ctx, s)
 	reply := f.share(time.Now())
-	reply.Runs = nil
+	reply.Runs, reply.Ended = nil, nil
 	return reply
 }
 
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -16,6 +17,8 @@
 	Run     policy.RunID
 	Service ServiceName
 	Engine  member.UpstreamID
+	// Route and Account are what the length of its answer is foreseen by.
+	Route   resource.Name
 	Account resource.Account
 	Prompt  policy.Tokens
 	Made    policy.Tokens
@@ -24,6 +27,28 @@
 	Begun time.Duration
 }
 
+// EndedRun is what a host tells its peers of a run whose answer ended by itself: each of
+// many hosts sees too few answers to know how long they get.
+type EndedRun struct {
+	Run policy.RunID
+	// Made is the answer's length.
+	Made policy.Tokens
+	// at is when it ended; it isn't told.
+	at time.Time
+}
+
+// endedTold is how long an ended run is told: each peer of the zone hears from this host
+// once meanwhile, and learns from a run when it is no longer listed.
+const endedTold = 2 * shareEvery
+
+// endedRuns lists the runs that ended by themselves lately.
+func (e *engines) endedRuns(now time.Time) []EndedRun {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ended = slices.DeleteFunc(e.ended, func(r EndedRun) bool { return now.Sub(r.at) > endedTold })
+	return slices.Clone(e.ended)
+}
+
 // first is when the run's first token came; zero while it has none.
 func (s RunState) first(now time.Time) time.Time {
 	if s.Begun <= 0 {
@@ -40,7 +65,7 @@
 	for service, p := range e.pools {
 		for id, run := range p.own {
 			state := RunState{
-				Run: id, Service: service, Engine: run.engine, Account: run.request.Account,
+				Run: id, Service: service, Engine: run.engine, Route: run.request.Route, Account: run.request.Account,
 				Prompt: run.request.Prompt, Made: policy.Tokens(run.made.Load()), Limit: run.request.Limit,
 			}
 			if !run.first.IsZero() {
@@ -93,8 +118,8 @@
 	}
 }
 
-// adopt replaces what is known of a peer's runs.
-func (e *engines) adopt(now time.Time, host member.HostID, states []RunState) {
+// adopt replaces what is known of a peer's runs, and learns from those that ended.
+func (e *engines) adopt(now time.Time, host member.HostID, states []RunState, ended []EndedRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.told[host] = now
@@ -102,6 +127,10 @@
 	for _, s := range states {
 		listed[s.Run] = s
 	}
+	lengths := make(map[policy.RunID]policy.Tokens, len(ended))
+	for _, r := range ended {
+		lengths[r.Run] = r.Made
+	}
 	for _, p := range e.pools {
 		for id, of := range p.theirs {
 			if of != host {
@@ -112,7 +141,8 @@
 				continue
 			}
 			delete(p.theirs, id)
-			p.pool.Finish(now, policy.Finish{Run: id})
+			made, whole := lengths[id]
+			p.pool.Finish(now, policy.Finish{Run: id, Made: made, Whole: whole})
 		}
 	}
 	for id, s := range listed {
@@ -126,6 +156,6 @@
 			continue
 		}
 		p.theirs[id] = host
-		p.pool.Adopt(now, policy.Request{Run: id, Account: s.Account, Prompt: s.Prompt, Limit: s.Limit}, s.Engine, s.Made)
+		p.pool.Adopt(now, policy.Request{Run: id, Route: s.Route, Account: s.Account, Prompt: s.Prompt, Limit: s.Limit}, s.Engine, s.Made)
 	}
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -26,6 +26,7 @@
 	OriginAge         int64
 	Stopping          bool
 	Runs              []wireRunState
+	Ended             []wireEndedRun
 	Leaving           []wireLeaving
 	Failing           []wireFailing
 }
@@ -42,9 +43,15 @@
 	In     int64
 }
 
+// wireEndedRun is forward.EndedRun.
+type wireEndedRun struct {
+	Run  string
+	Made int
+}
+
 type wireRunState struct {
-	Run, Service, Engine, Account string
-	Prompt, Made, Limit           int
+	Run, Service, Engine, Route, Account string
+	Prompt, Made, Limit                  int
 	// Begun is in microseconds.
 	Begun int64
 }
@@ -56,10 +63,13 @@
 	}
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
-			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Account: string(r.Account),
+			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Route: string(r.Route), Account: string(r.Account),
 			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit), Begun: r.Begun.Microseconds(),
 		})
 	}
+	for _, r := range s.Ended {
+		w.Ended = append(w.Ended, wireEndedRun{Run: string(r.Run), Made: int(r.Made)})
+	}
 	for _, mark := range s.Leaving {
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), In: mark.In.Milliseconds()})
 	}
@@ -78,11 +88,14 @@
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
 			Run: policy.RunID(r.Run), Service: forward.ServiceName(r.Service), Engine: member.UpstreamID(r.Engine),
-			Account: resource.Account(r.Account),
-			Prompt:  policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
+			Route: resource.Name(r.Route), Account: resource.Account(r.Account),
+			Prompt: policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
 			Begun: time.Duration(r.Begun) * time.Microsecond,
 		})
 	}
+	for _, r := range w.Ended {
+		s.Ended = append(s.Ended, forward.EndedRun{Run: policy.RunID(r.Run), Made: policy.Tokens(r.Made)})
+	}
 	for _, mark := range w.Leaving {
 		s.Leaving = append(s.Leaving, forward.LeavingMark{
 			Engine: member.UpstreamID(mark.Engine), In: time.Duration(mark.In) * time.Millisecond,
