--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -4,11 +4,13 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
 
@@ -60,3 +62,74 @@
 	// 120 ms for four tokens are 30 ms a step, and a tenth is kept back.
 	is.Equal(poolSettings(*c.Services[1].Engine, 120*time.Millisecond).BetweenTokens, 27*time.Millisecond)
 }
+
+// TestKnownZones has placement know how much of each zone it hears: a peer's runs are
+// known for a second after it told them.
+func TestKnownZones(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	now := time.Now()
+	f.fleet.Replace(now, []Upstream{
+		{ID: "near", Service: "llm", Zone: "z1", Revision: 2}, {ID: "far", Service: "llm", Zone: "z2", Revision: 2},
+	}, 2)
+	f.listEngines(now, f.Table())
+	for _, id := range []member.HostID{"a", "b"} {
+		f.peers.hear(now, Share{From: Peer{ID: id, Zone: "z2"}})
+	}
+	busy := policy.Request{Run: "busy", Route: "/llm/", Prompt: 6000, Objective: 1800 * time.Millisecond, Arrived: now}
+	_, first, _ := f.engines.place(t.Context(), now, "llm", busy)
+	is.Equal(first.engine, member.UpstreamID("near"))
+	pool := f.engines.pools["llm"].pool
+	for name, c := range map[string]struct {
+		tell []member.HostID
+		at   time.Time
+		want float64
+	}{
+		"nobody told": {nil, now, 0},
+		"half told":   {[]member.HostID{"a"}, now, 0.5},
+		"all told":    {[]member.HostID{"a", "b"}, now, 1},
+		"long ago":    {[]member.HostID{"a", "b"}, now.Add(toldLately + time.Millisecond), 0},
+	} {
+		clear(f.engines.told)
+		for _, id := range c.tell {
+			f.engines.adopt(now, id, nil, nil)
+		}
+		f.engines.noteKnown(c.at, f.peers.zones())
+		if got := pool.KnownPart("z2"); got != c.want {
+			t.Errorf("%s: %v of the zone is known, not %v", name, got, c.want)
+		}
+	}
+}
+
+// TestLengthsLearntTogether has a host learn how long answers get from the runs of its
+// peers that end by themselves, each once, and not from those that are cut.
+func TestLengthsLearntTogether(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	teller, hearer := newForwarder(t, &fakeTransport{}), newForwarder(t, &fakeTransport{})
+	for _, f := range []*Forwarder{teller, hearer} {
+		f.listEngines(now, f.Table())
+	}
+	tell := func() {
+		s := teller.share(now)
+		hearer.engines.adopt(now, "h9", s.Runs, s.Ended)
+	}
+	request := policy.Request{Route: "/llm/", Account: "counter", Prompt: 100}
+	mean := func() policy.Tokens { return hearer.engines.pools["llm"].pool.MeanLength(&request) }
+	before := mean()
+	for i := range 200 {
+		r := request
+		r.Run = policy.RunID(fmt.Sprint("r", i))
+		teller.listEngines(now, teller.Table())
+		_, run, _ := teller.engines.place(t.Context(), now, "llm", r)
+		run.made.Store(1000)
+		tell()
+		now = now.Add(100 * time.Millisecond)
+		teller.engines.finish(now, "llm", run, i%2 == 0)
+		tell()
+		tell() // an answer that is told again isn't learnt again
+	}
+	is.True(before < 600)
+	is.True(mean() > 800 && mean() < 1000) // a hundred answers of 1,000 tokens, and the prior
+	is.Equal(len(hearer.engines.busy()), 0)
+}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -28,6 +27,8 @@
 	Stopping  bool
 	// Runs are all generations of the host.
 	Runs []RunState
+	// Ended are those of its runs that ended by themselves lately.
+	Ended []EndedRun
 	// Leaving are the host's own observations of engines that leave.
 	Leaving []LeavingMark
 	// Failing are its findings of upstreams that lose requests.
@@ -39,18 +40,28 @@
 type FollowRequest struct {
 	Version Version
 	List    Revision
+	// Hosts is the cursor of the peer's last reply.
+	Hosts HostCursor
 	// Wait is how long the peer may wait for something newer.
 	Wait time.Duration
 }
 
+// HostCursor says which of a host's peers another has been told of. It means
+// something to the host that gave it only; the zero value stands for none.
+type HostCursor struct{ Epoch, Found uint64 }
+
 // FollowReply is what a peer has that is newer.
 type FollowReply struct {
 	// Config is nil when it isn't newer.
 	Config  *Config
 	Changes []Change
-	// Hosts are those that were put on the directory since.
-	Hosts []ListedHost
+	// Whole says that Changes are the whole list: the peer doesn't remember all
+	// that was dropped since the asker's revision.
+	Whole bool
 	List  Revision
+	// Hosts are those that the peer has found since, up to HostsAt.
+	Hosts   []Peer
+	HostsAt HostCursor
 	// ConfigAge and OriginAge are as in Share.
 	ConfigAge, OriginAge time.Duration
 }
@@ -77,7 +88,9 @@
 	startLasts = time.Second
 	// shareTimeout bounds one share.
 	shareTimeout = 700 * time.Millisecond
-	// shareSoon gathers the changes of a moment into one share.
+	// shareSoon is the least time between two shares: the changes of a moment go into
+	// one, but the first is told at once, for until then other hosts may place runs on
+	// the same engine.
 	shareSoon = 3 * time.Millisecond
 	// farShares is how many peers of other zones are told in each period, one
 	// after another: bytes between zones have a price.
@@ -111,6 +124,12 @@
 	inherit bool
 }
 
+// accept reports whether a reply's proofs are recent enough to rely on. No proof is
+// younger than its own telling.
+func (b followBounds) accept(r FollowReply) bool {
+	return 0 <= r.OriginAge && r.OriginAge <= b.fresh && 0 <= r.ConfigAge && r.ConfigAge <= b.fresh
+}
+
 var (
 	// leaderBounds are for a host of the own zone.
 	leaderBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh, inherit: true}
@@ -136,17 +155,6 @@
 	f.peers.nudgeAll()
 }
 
-// raise moves a time forward, never back.
-func raise(to *atomic.Int64, at time.Time) {
-	nanos := at.UnixNano()
-	for {
-		old := to.Load()
-		if old >= nanos || to.CompareAndSwap(old, nanos) {
-			return
-		}
-	}
-}
-
 // RunPeers tells the peers about this host until the context ends.
 func (f *Forwarder) RunPeers(ctx context.Context, peers Peers) {
 	f.peers.mu.Lock()
@@ -155,6 +163,7 @@
 	var sending sync.WaitGroup
 	defer sending.Wait()
 	began := time.Now()
+	var shared time.Time
 	tick := time.NewTimer(0)
 	defer tick.Stop()
 	for {
@@ -167,13 +176,15 @@
 			tick.Reset(sharePause(now.Sub(began)))
 		case <-f.peers.wakeAll:
 			every = true
-			pauseFor(ctx, shareSoon)
+			pauseFor(ctx, shareSoon-time.Since(shared))
 		case <-f.peers.wake:
-			pauseFor(ctx, shareSoon)
+			pauseFor(ctx, shareSoon-time.Since(shared))
 		}
 		now := time.Now()
+		shared = now
 		f.retries.setHosts(f.peers.live(now))
 		f.engines.forget(now, f.peers.isKnown)
+		f.engines.noteKnown(now, f.peers.zones())
 		share := f.share(now)
 		for _, to := range f.peers.targets(now, period, every) {
 			sending.Go(func() { f.shareWith(ctx, peers, to, share) })
@@ -211,7 +222,7 @@
 func (f *Forwarder) share(now time.Time) Share {
 	s := Share{
 		From: f.peers.self, ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
-		Runs: f.engines.states(), Leaving: f.fleet.Marks(now),
+		Runs: f.engines.states(now), Ended: f.engines.endedRuns(now), Leaving: f.fleet.Marks(now),
 		Failing: f.fleet.FailingMarks(now),
 	}
 	if t := f.table.Load(); t != nil {
@@ -234,6 +245,10 @@
 // that is newer.
 func (f *Forwarder) hear(ctx context.Context, s Share) {
 	now := time.Now()
+	if s.ConfigAge < 0 || s.OriginAge < 0 {
+		f.journal.Belief("peer told an age below zero", "peer", s.From.ID, "config_age", s.ConfigAge, "origin_age", s.OriginAge)
+		s.ConfigAge, s.OriginAge = neverProved, neverProved
+	}
 	for _, mark := range s.Leaving {
 		f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
 	}
@@ -280,10 +295,10 @@
 
 // OnShare serves a peer's share.
 func (f *Forwarder) OnShare(ctx context.Context, s Share) Share {
-	f.engines.adopt(time.Now(), s.From.ID, s.Runs)
+	f.engines.adopt(time.Now(), s.From.ID, s.Runs, s.Ended)
 	f.hear(ctx, s)
 	reply := f.share(time.Now())
-	reply.Runs = nil
+	reply.Runs, reply.Ended = nil, nil
 	return reply
 }
 
@@ -301,16 +316,17 @@
 			}
 		}
 	}
-	var reply FollowReply
+	now := time.Now()
+	// Ages first, the configuration last: nothing in the reply is then older than its
+	// proof, whatever comes in meanwhile.
+	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
+	if r.List != noList {
+		reply.Changes, reply.List, reply.Whole = f.fleet.Since(r.List)
+		reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
+	}
 	if c := f.newest.Load(); c != nil && c.Version > r.Version {
 		reply.Config = c
 	}
-	if r.List != noList {
-		reply.Changes, reply.List = f.fleet.Since(r.List)
-		reply.Hosts = f.peers.listedSince(r.List)
-	}
-	now := time.Now()
-	reply.ConfigAge, reply.OriginAge = f.ContactAge(now), f.OriginAge(now)
 	return reply
 }
 
@@ -325,14 +341,17 @@
 	}
 	call, cancel := context.WithTimeout(ctx, bounds.timeout)
 	defer cancel()
-	reply, err := peers.Follow(call, leader, FollowRequest{Version: f.versionInForce(), List: f.fleet.Revision(), Wait: bounds.wait})
-	if err != nil || reply.OriginAge > bounds.fresh || reply.ConfigAge > bounds.fresh {
+	reply, err := peers.Follow(call, leader, FollowRequest{
+		Version: f.versionInForce(), List: f.fleet.Revision(), Hosts: f.peers.cursorOf(leader.ID), Wait: bounds.wait,
+	})
+	if err != nil || !bounds.accept(reply) {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
 		f.peers.distrust(leader.ID)
-		if err == nil {
-			// What this host knows is no newer than what its leader has.
-			f.originContact.Store(0)
-			f.followed.Store(0)
+		if err == nil && f.proofInherited.Load() {
+			// What this host knows is no newer than what its leader has. A proof that
+			// the origin gave to it itself stays.
+			f.originContact.clear()
+			f.followed.clear()
 		}
 		return false
 	}
@@ -342,12 +361,18 @@
 	}
 	f.ContactProved(now.Add(-reply.ConfigAge))
 	if bounds.inherit {
-		raise(&f.originContact, now.Add(-reply.OriginAge))
+		f.originContact.raise(now.Add(-reply.OriginAge))
+		f.proofInherited.Store(true)
 	}
-	f.followed.Store(now.UnixNano())
+	f.followed.raise(now)
 	f.peers.list(now, reply.Hosts)
+	f.peers.followed(now, leader.ID, reply)
 	f.fleet.ListTrusted()
-	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
+	take := f.fleet.Apply
+	if reply.Whole {
+		take = f.fleet.TakeOver
+	}
+	f.noteList(take(now, reply.Changes, reply.List))
 	return true
 }
 
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -51,7 +51,7 @@
 			if c.code != "" {
 				is.Equal(*sink.refused, Refusal{Code: c.code, MayHaveRun: true})
 			}
-			is.Equal(len(f.engines.states()), 0) // its place is free again
+			is.Equal(len(f.engines.states(time.Now())), 0) // its place is free again
 		})
 	}
 }
@@ -328,7 +328,7 @@
 
 // leaving lists a forwarder's upstreams with some of them leaving.
 func leaving(f *Forwarder, ids ...member.UpstreamID) []Upstream {
-	changes, _ := f.fleet.Since(0)
+	changes, _, _ := f.fleet.Since(0)
 	var list []Upstream
 	for _, c := range changes {
 		for _, id := range ids {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -26,6 +26,7 @@
 	OriginAge         int64
 	Stopping          bool
 	Runs              []wireRunState
+	Ended             []wireEndedRun
 	Leaving           []wireLeaving
 	Failing           []wireFailing
 }
@@ -42,9 +43,17 @@
 	In     int64
 }
 
+// wireEndedRun is forward.EndedRun.
+type wireEndedRun struct {
+	Run  string
+	Made int
+}
+
 type wireRunState struct {
-	Run, Service, Engine, Account string
-	Prompt, Made, Limit           int
+	Run, Service, Engine, Route, Account string
+	Prompt, Made, Limit                  int
+	// Begun is in microseconds.
+	Begun int64
 }
 
 func toWireShare(s forward.Share) wireShare {
@@ -54,10 +63,13 @@
 	}
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
-			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Account: string(r.Account),
-			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit),
+			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Route: string(r.Route), Account: string(r.Account),
+			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit), Begun: r.Begun.Microseconds(),
 		})
 	}
+	for _, r := range s.Ended {
+		w.Ended = append(w.Ended, wireEndedRun{Run: string(r.Run), Made: int(r.Made)})
+	}
 	for _, mark := range s.Leaving {
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), In: mark.In.Milliseconds()})
 	}
@@ -76,10 +88,14 @@
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
 			Run: policy.RunID(r.Run), Service: forward.ServiceName(r.Service), Engine: member.UpstreamID(r.Engine),
-			Account: resource.Account(r.Account),
-			Prompt:  policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
+			Route: resource.Name(r.Route), Account: resource.Account(r.Account),
+			Prompt: policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
+			Begun: time.Duration(r.Begun) * time.Microsecond,
 		})
 	}
+	for _, r := range w.Ended {
+		s.Ended = append(s.Ended, forward.EndedRun{Run: policy.RunID(r.Run), Made: policy.Tokens(r.Made)})
+	}
 	for _, mark := range w.Leaving {
 		s.Leaving = append(s.Leaving, forward.LeavingMark{
 			Engine: member.UpstreamID(mark.Engine), In: time.Duration(mark.In) * time.Millisecond,
@@ -96,6 +112,7 @@
 // wireFollow is forward.FollowRequest; the wait is in milliseconds.
 type wireFollow struct {
 	Version, List uint64
+	Epoch, Found  uint64
 	Wait          int64
 }
 
@@ -104,8 +121,10 @@
 type wireFollowed struct {
 	Config               []byte
 	Changes              []wireChange
-	Hosts                []wireListedHost
+	Whole                bool
 	List                 uint64
+	Hosts                []wireHost
+	Epoch, Found         uint64
 	ConfigAge, OriginAge int64
 }
 
@@ -116,13 +135,13 @@
 	Revision                   uint64
 }
 
-type wireListedHost struct {
-	ID, Zone, Address string
-	Revision          uint64
-}
+type wireHost struct{ ID, Zone, Address string }
 
 func toWireFollowed(r forward.FollowReply) (wireFollowed, error) {
-	w := wireFollowed{List: uint64(r.List), ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds()}
+	w := wireFollowed{
+		Whole: r.Whole, List: uint64(r.List), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
+		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
+	}
 	if r.Config != nil {
 		var err error
 		if w.Config, err = json.Marshal(r.Config); err != nil {
@@ -136,15 +155,15 @@
 		})
 	}
 	for _, h := range r.Hosts {
-		w.Hosts = append(w.Hosts, wireListedHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress, Revision: uint64(h.Revision)})
+		w.Hosts = append(w.Hosts, wireHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress})
 	}
 	return w, nil
 }
 
 func (w wireFollowed) reply() (forward.FollowReply, error) {
 	r := forward.FollowReply{
-		List: forward.Revision(w.List), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
-		OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
+		Whole: w.Whole, List: forward.Revision(w.List), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
+		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 	}
 	if len(w.Config) > 0 {
 		r.Config = &forward.Config{}
@@ -162,10 +181,7 @@
 		})
 	}
 	for _, h := range w.Hosts {
-		r.Hosts = append(r.Hosts, forward.ListedHost{
-			Peer:     forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address},
-			Revision: forward.Revision(h.Revision),
-		})
+		r.Hosts = append(r.Hosts, forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address})
 	}
 	return r, nil
 }
@@ -182,7 +198,9 @@
 // Follow asks a peer for what is newer there.
 func (m *Mesh) Follow(ctx context.Context, to forward.Peer, r forward.FollowRequest) (forward.FollowReply, error) {
 	var answer wireFollowed
-	request := wireFollow{Version: uint64(r.Version), List: uint64(r.List), Wait: r.Wait.Milliseconds()}
+	request := wireFollow{
+		Version: uint64(r.Version), List: uint64(r.List), Epoch: r.Hosts.Epoch, Found: r.Hosts.Found, Wait: r.Wait.Milliseconds(),
+	}
 	if err := m.call(ctx, to.PeerAddress, kindFollow, request, &answer); err != nil {
 		return forward.FollowReply{}, err
 	}
@@ -252,7 +270,8 @@
 			return nil, trace.Wrap(err)
 		}
 		r := forward.FollowRequest{
-			Version: forward.Version(w.Version), List: forward.Revision(w.List), Wait: time.Duration(w.Wait) * time.Millisecond,
+			Version: forward.Version(w.Version), List: forward.Revision(w.List),
+			Hosts: forward.HostCursor{Epoch: w.Epoch, Found: w.Found}, Wait: time.Duration(w.Wait) * time.Millisecond,
 		}
 		return toWireFollowed(f.OnFollow(ctx, r))
 	case kindTurn, kindEndTurn:
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -44,6 +44,12 @@
 	// and for the runs of others.
 	placedAt   time.Time
 	firstAfter time.Duration
+	// unread says that the run's prompt is believed to be still unread on its engine,
+	// and readTakes how long reading it takes there; zero where it was read before.
+	unread    bool
+	readTakes time.Duration
+	// toldAt is when this pool heard of the run.
+	toldAt time.Time
 }
 
 // engine is what a Pool knows of one engine.
@@ -69,9 +75,14 @@
 	othersRunning int
 	// cache holds the prefixes that the engine is believed to have.
 	cache prefixCache
-	// readUntil is when the prompts placed so far are expected to be read: an
-	// engine reads one after another.
+	// readUntil is when the prompts placed so far are expected to be read.
 	readUntil time.Time
+	// lastRead is when the last prompt was read that is known of.
+	lastRead time.Time
+	// logSlow is the logarithm of how slowly the engine reads, on the same scale as the
+	// pool's meanLogSlow. slowLearnt says that it has been learnt.
+	logSlow    float64
+	slowLearnt bool
 }
 
 func newEngine(id EngineID) *engine {
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -41,6 +42,11 @@
 	queue queue
 	steps stepTime
 	reads readRate
+	// meanLogSlow is the mean of the engines' logSlow.
+	meanLogSlow float64
+	// knownParts says of other zones which part of their hosts has told lately what it
+	// runs.
+	knownParts map[member.Zone]float64
 	// share is how many entries decide about these engines at once, each
 	// within its part of the free memory. It is 1 for the coordinator.
 	share int
@@ -219,7 +225,7 @@
 	p.runs[r.Run] = run
 	e.add(now, run)
 	if made == 0 {
-		p.willRead(now, e, &r)
+		e.willRead(now, run, p.takesToRead(now, e, &r))
 	}
 	run.began = now.Add(-time.Duration(made) * e.step())
 }
@@ -258,7 +264,7 @@
 	p.runs[r.Run] = run
 	run.placedAt, run.firstAfter = now, p.firstToken(now, e, r)
 	e.add(now, run)
-	p.willRead(now, e, r)
+	e.willRead(now, run, p.takesToRead(now, e, r))
 	e.cache.put(now, r.Prefix, r.PrefixTokens)
 	return granted(run, waited)
 }
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -65,7 +65,7 @@
 func (p *Pool) rehome(now time.Time, run *placed, to *engine) {
 	run.engine.remove(run)
 	run.engine.refresh(now)
-	run.placedAt = time.Time{}
+	run.placedAt, run.unread, run.readTakes = time.Time{}, false, 0
 	began := run.began
 	to.add(now, run)
 	run.began = began
