--- /dev/null
+++ b/forward/peerchoice.go
@@ -0,0 +1,112 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// leader returns the peer whose list this host follows: the first live host of
+// the zone by name, if that isn't this one. A host that can't read the list
+// itself follows any peer whose list is fresh.
+func (p *peerSet) leader(now time.Time, needed bool) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best *peerState
+	for _, s := range p.known {
+		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.originAge+now.Sub(s.heard) > originFresh+shareEvery {
+			continue
+		}
+		if s.originAge > originFresh {
+			continue
+		}
+		if !needed && (s.Zone != p.self.Zone || s.ID > p.self.ID) {
+			continue
+		}
+		if best == nil || p.better(s, best) {
+			best = s
+		}
+	}
+	if best == nil {
+		return Peer{}, false
+	}
+	return best.Peer, true
+}
+
+// hasEarlier reports whether a live host comes before this one by zone and name.
+func (p *peerSet) hasEarlier(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.known {
+		earlier := s.Zone < p.self.Zone || s.Zone == p.self.Zone && s.ID < p.self.ID
+		if earlier && !s.stopping && s.live(now, p.self.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// joinable returns a peer that a host which starts can take everything over from, one
+// of its own zone if there is any. It is drawn, for many may start together.
+func (p *peerSet) joinable(now time.Time) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []Peer
+	for _, s := range p.known {
+		switch {
+		case s.foundAt == 0 || s.stopping || s.distrusted || s.originAge+now.Sub(s.heard) > originFresh:
+		case s.Zone == p.self.Zone:
+			near = append(near, s.Peer)
+		default:
+			far = append(far, s.Peer)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return Peer{}, false
+	}
+	return near[rand.IntN(len(near))], true
+}
+
+// ofEarlierZone returns the first live host, by zone and name, of a zone that
+// comes before this host's and isn't shunned.
+func (p *peerSet) ofEarlierZone(shunned func(member.Zone) bool, now time.Time) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var first *peerState
+	for _, s := range p.known {
+		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now, p.self.Zone) || shunned(s.Zone) {
+			continue
+		}
+		if first == nil || s.Zone < first.Zone || s.Zone == first.Zone && s.ID < first.ID {
+			first = s
+		}
+	}
+	if first == nil {
+		return Peer{}, false
+	}
+	return first.Peer, true
+}
+
+// better orders the peers to follow: the own zone's first, then by name.
+func (p *peerSet) better(a, b *peerState) bool {
+	if near := a.Zone == p.self.Zone; near != (b.Zone == p.self.Zone) {
+		return near
+	}
+	return a.ID < b.ID
+}
+
+// distrust keeps a peer from being followed until it has spoken again.
+func (p *peerSet) distrust(id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.originAge, s.distrusted = peerForgotten, true
+	}
+}
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -100,55 +100,6 @@
 	return isNew
 }
 
-// list takes in what the directory or a peer told of: hosts that were not known are
-// tried.
-func (p *peerSet) list(now time.Time, hosts []Peer) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, host := range hosts {
-		if host.ID != p.self.ID && p.known[host.ID] == nil {
-			p.known[host.ID] = &peerState{Peer: host, tried: now, heard: now.Add(-peerSilent)}
-		}
-	}
-}
-
-// foundSince returns the peers that this host has heard itself since an earlier
-// answer, and the cursor for the next one. Those that it only knows by others aren't
-// passed on: hosts that are gone would be told in a circle.
-func (p *peerSet) foundSince(now time.Time, c HostCursor) ([]Peer, HostCursor) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if c.Epoch != p.epoch {
-		c.Found = 0
-	}
-	var hosts []Peer
-	for _, s := range p.known {
-		if s.foundAt > c.Found && now.Sub(s.heard) <= peerForgotten {
-			hosts = append(hosts, s.Peer)
-		}
-	}
-	return hosts, HostCursor{Epoch: p.epoch, Found: p.found}
-}
-
-// cursorOf is up to where this host has a peer's peers.
-func (p *peerSet) cursorOf(id member.HostID) HostCursor {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.known[id]; s != nil {
-		return s.cursor
-	}
-	return HostCursor{}
-}
-
-// followed takes in what a peer that is followed replied.
-func (p *peerSet) followed(now time.Time, id member.HostID, r FollowReply) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.known[id]; s != nil {
-		s.cursor, s.heard, s.originAge = r.HostsAt, now, r.OriginAge
-	}
-}
-
 // targets returns the peers to share with now, and marks them as being sent to:
 // those of the own zone, and when the period is over some of the other zones, or
 // every peer when each must know.
@@ -241,98 +192,6 @@
 	return p.known[id] != nil
 }
 
-// leader returns the peer whose list this host follows: the first live host of
-// the zone by name, if that isn't this one. A host that can't read the list
-// itself follows any peer whose list is fresh.
-func (p *peerSet) leader(now time.Time, needed bool) (Peer, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var best *peerState
-	for _, s := range p.known {
-		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.originAge+now.Sub(s.heard) > originFresh+shareEvery {
-			continue
-		}
-		if s.originAge > originFresh {
-			continue
-		}
-		if !needed && (s.Zone != p.self.Zone || s.ID > p.self.ID) {
-			continue
-		}
-		if best == nil || p.better(s, best) {
-			best = s
-		}
-	}
-	if best == nil {
-		return Peer{}, false
-	}
-	return best.Peer, true
-}
-
-// hasEarlier reports whether a live host comes before this one by zone and name.
-func (p *peerSet) hasEarlier(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.known {
-		earlier := s.Zone < p.self.Zone || s.Zone == p.self.Zone && s.ID < p.self.ID
-		if earlier && !s.stopping && s.live(now, p.self.Zone) {
-			return true
-		}
-	}
-	return false
-}
-
-// joinable returns a peer that a host which starts can take everything over from, one
-// of its own zone if there is any. It is drawn, for many may start together.
-func (p *peerSet) joinable(now time.Time) (Peer, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var near, far []Peer
-	for _, s := range p.known {
-		switch {
-		case s.foundAt == 0 || s.stopping || s.distrusted || s.originAge+now.Sub(s.heard) > originFresh:
-		case s.Zone == p.self.Zone:
-			near = append(near, s.Peer)
-		default:
-			far = append(far, s.Peer)
-		}
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return Peer{}, false
-	}
-	return near[rand.IntN(len(near))], true
-}
-
-// ofEarlierZone returns the first live host, by zone and name, of a zone that
-// comes before this host's and isn't shunned.
-func (p *peerSet) ofEarlierZone(shunned func(member.Zone) bool, now time.Time) (Peer, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var first *peerState
-	for _, s := range p.known {
-		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now, p.self.Zone) || shunned(s.Zone) {
-			continue
-		}
-		if first == nil || s.Zone < first.Zone || s.Zone == first.Zone && s.ID < first.ID {
-			first = s
-		}
-	}
-	if first == nil {
-		return Peer{}, false
-	}
-	return first.Peer, true
-}
-
-// better orders the peers to follow: the own zone's first, then by name.
-func (p *peerSet) better(a, b *peerState) bool {
-	if near := a.Zone == p.self.Zone; near != (b.Zone == p.self.Zone) {
-		return near
-	}
-	return a.ID < b.ID
-}
-
 // nudge asks for a share to the own zone at once.
 func (p *peerSet) nudge() {
 	select {
@@ -348,12 +207,3 @@
 	default:
 	}
 }
-
-// distrust keeps a peer from being followed until it has spoken again.
-func (p *peerSet) distrust(id member.HostID) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.known[id]; s != nil {
-		s.originAge, s.distrusted = peerForgotten, true
-	}
-}
--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -43,6 +43,8 @@
 	// replaceEvery is how often an engine of each zone leaves, its runs move off it, and
 	// an empty one takes its place; zero for never.
 	replaceEvery time.Duration
+	// addAt is when an empty engine is added in each zone; zero for never.
+	addAt time.Duration
 	// farCost is what an engine of another zone costs a new run.
 	farCost float64
 	seed    uint64
@@ -67,6 +69,8 @@
 type loadResult struct {
 	asked, inTime, late, refused int
 	firsts                       []time.Duration
+	// placed are when each engine got its requests.
+	placed map[EngineID][]time.Duration
 }
 
 func (r *loadResult) first(share float64) time.Duration {
@@ -169,6 +173,12 @@
 			s.list(h)
 			s.hosts = append(s.hosts, h)
 		}
+		if p.addAt > 0 {
+			s.after(p.addAt, func() {
+				s.addEngine(z)
+				s.listAll()
+			})
+		}
 		if p.replaceEvery > 0 {
 			s.after(time.Duration(z+1)*p.replaceEvery/time.Duration(p.zones), func() { s.replace(z) })
 		}
@@ -178,7 +188,7 @@
 		s.after(time.Duration(s.random.Int64N(int64(tellEvery))), func() { s.tell(h) })
 	}
 	for _, k := range p.kinds {
-		s.results[k.route] = &loadResult{}
+		s.results[k.route] = &loadResult{placed: map[EngineID][]time.Duration{}}
 		for z := range p.zones {
 			s.nextArrival(z, k)
 		}
@@ -211,15 +221,19 @@
 	}
 }
 
+func (s *loadSite) listAll() {
+	for _, h := range s.hosts {
+		s.list(h)
+	}
+}
+
 // replace has an engine of a zone leave for an empty one.
 func (s *loadSite) replace(zone int) {
 	leaves := slices.IndexFunc(s.ids, func(id EngineID) bool { return s.zoneOf[id] == zone })
 	left := s.ids[leaves]
 	s.ids = slices.Delete(s.ids, leaves, leaves+1)
 	s.addEngine(zone)
-	for _, h := range s.hosts {
-		s.list(h)
-	}
+	s.listAll()
 	for _, h := range s.hosts {
 		for _, run := range h.runs() {
 			if run.engine != left {
@@ -290,6 +304,7 @@
 	h.own[r.Run] = run
 	took := run.first.Sub(s.now)
 	result.firsts = append(result.firsts, took)
+	result.placed[d.Engine] = append(result.placed[d.Engine], s.now.Sub(start))
 	if took <= k.objective {
 		result.inTime++
 	} else {
@@ -402,3 +417,30 @@
 		is.True((r.late+r.refused)*100 <= r.asked)
 	}
 }
+
+// TestLoadReachesNewEngines has an empty engine that is added to a busy zone get at
+// least its share of the requests from its first second on, and not all of them.
+func TestLoadReachesNewEngines(t *testing.T) {
+	is := is.New(t)
+	const engines, addAt, every = 8, 5 * time.Second, 90 * time.Millisecond
+	results := playLoad(loadPlan{
+		zones: 1, hosts: 30, engines: engines, lasts: 10 * time.Second, addAt: addAt, farCost: 0.7, seed: 3,
+		kinds: []loadKind{{route: "digest", every: every, objective: 1500 * time.Millisecond, prompt: 5000, out: 40}},
+	})
+	r := results["digest"]
+	newest := slices.Max(slices.Collect(maps.Keys(r.placed)))
+	within := func(d time.Duration) (n int) {
+		for _, at := range r.placed[newest] {
+			if at < addAt+d {
+				n++
+			}
+		}
+		return n
+	}
+	share := float64(time.Second/every) / (engines + 1)
+	t.Logf("share %.1f a second; got %d in one second, %d in five; late %d of %d", share, within(time.Second), within(5*time.Second), r.late, r.asked)
+	is.True(float64(within(time.Second)) >= 0.8*share)
+	is.True(float64(within(time.Second)) <= 4*share)
+	is.True(float64(within(5*time.Second)) <= 2*5*share)
+	is.Equal(r.late+r.refused, 0)
+}
