policy: engines are found by an index

BenchmarkLook at 10, 200 and 3,000 engines: 1.5 µs, 377 µs, 60 ms before; 0.4 µs, 12 µs, 0.27 ms after. Decisions are the same.

--- a/policy/cost_bench_test.go
+++ b/policy/cost_bench_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// BenchmarkLook is a host telling its pool which engines there are, where, and how each
+// stands, as it does ten times a second: at 10, 200 and 3,000 engines 1.5 µs, 377 µs and
+// 60 ms with a search for each, 0.4 µs, 12 µs and 0.27 ms with an index.
+func BenchmarkLook(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			p := NewPool(Settings{})
+			ids := make([]EngineID, engines)
+			for i := range ids {
+				ids[i] = EngineID(fmt.Sprintf("i-%06d", i))
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.SetEngines(ids)
+				for _, id := range ids {
+					p.SetZone(id, "z")
+					p.Report(start, Report{Engine: id, Memory: 100_000, Step: step})
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkReport is one engine's report.
 func BenchmarkReport(b *testing.B) {
 	p := busyPool(200)
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -33,8 +33,11 @@
 type Pool struct {
 	settings Settings
 	lengths  lengthModel
-	// engines is in the order of their ids.
+	// engines is in the order in which they were named, and named finds them by id: a
+	// host says several times a second which engines there are and how each stands, and
+	// by a search through all of them that grows with the square of their number.
 	engines []*engine
+	named   map[EngineID]*engine
 	// away are engines that are no longer named: one that is only kept from new
 	// work for a while comes back with its runs.
 	away  map[EngineID]*engine
@@ -87,27 +90,37 @@
 // SetEngines says which engines take new work. An engine that is no longer
 // named takes none; what it runs stays known until it finishes.
 func (p *Pool) SetEngines(ids []EngineID) {
-	named := make([]*engine, 0, len(ids))
+	p.blocked = false
+	if p.areNamed(ids) {
+		return
+	}
+	engines := make([]*engine, 0, len(ids))
+	named := make(map[EngineID]*engine, len(ids))
 	for _, id := range ids {
 		e := p.anyEngine(id)
 		if e == nil {
 			e = newEngine(id)
 		}
 		delete(p.away, id)
-		named = append(named, e)
+		engines = append(engines, e)
+		named[id] = e
 	}
-	p.sendAway(ids)
-	p.engines = named
-	p.blocked = false
+	p.sendAway(named)
+	p.engines, p.named = engines, named
+}
+
+// areNamed reports whether the engines are those already, in the same order.
+func (p *Pool) areNamed(ids []EngineID) bool {
+	return slices.EqualFunc(p.engines, ids, func(e *engine, id EngineID) bool { return e.id == id })
 }
 
 // mostAway bounds the engines that are remembered without runs.
 const mostAway = 256
 
 // sendAway remembers the engines that aren't named any more.
-func (p *Pool) sendAway(named []EngineID) {
+func (p *Pool) sendAway(named map[EngineID]*engine) {
 	for _, e := range p.engines {
-		if slices.Contains(named, e.id) {
+		if named[e.id] != nil {
 			continue
 		}
 		if p.away == nil {
@@ -123,14 +136,7 @@
 }
 
 // engine returns an engine that takes new work; nil when none of that name does.
-func (p *Pool) engine(id EngineID) *engine {
-	for _, e := range p.engines {
-		if e.id == id {
-			return e
-		}
-	}
-	return nil
-}
+func (p *Pool) engine(id EngineID) *engine { return p.named[id] }
 
 // anyEngine returns an engine that takes new work or is away; nil when it isn't
 // known.
