--- a/forward/directory.go
+++ b/forward/directory.go
@@ -44,16 +44,16 @@
 // zone, until the context ends.
 func (f *Forwarder) RunDirectory(ctx context.Context, d Directory) {
 	dep := dependency{name: "directory", journal: f.journal}
-	pauseFor(ctx, directoryDelay)
+	PauseFor(ctx, directoryDelay)
 	var renewAt time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
 		if now.Before(renewAt) || f.Stopping() || !f.peers.firstOfZone(now, listedPerZone) {
-			pauseFor(ctx, directoryCheck)
+			PauseFor(ctx, directoryCheck)
 			continue
 		}
 		if err := d.Announce(ctx, f.peers.self, directoryTTL); err != nil {
-			pauseFor(ctx, dep.failed(ctx, err)+directoryRetry)
+			PauseFor(ctx, dep.failed(ctx, err)+directoryRetry)
 			continue
 		}
 		dep.ok(time.Now())
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -156,7 +156,7 @@
 			continue
 		}
 		if w.settling(time.Now()) {
-			pauseFor(ctx, settleCheck)
+			PauseFor(ctx, settleCheck)
 			continue
 		}
 		w.followOrigin(ctx)
@@ -173,7 +173,7 @@
 			w.journal.Belief("joined", "peer", peer.ID, "version", w.versionInForce(), "list_revision", w.at, "after", time.Since(w.began))
 			return
 		}
-		pauseFor(ctx, joinCheck)
+		PauseFor(ctx, joinCheck)
 	}
 }
 
@@ -281,7 +281,7 @@
 	if proved.Sub(w.began) < aloneLasts && w.peers.live(proved) == 1 {
 		// Hosts that start together don't know each other yet, and each change
 		// would be told to every one of them.
-		pauseFor(ctx, alonePause)
+		PauseFor(ctx, alonePause)
 	}
 }
 
@@ -324,7 +324,7 @@
 	pause := w.dep.failed(ctx, err)
 	more := pause * time.Duration(w.peers.liveInZone(now)/hostsAtOnce)
 	w.nextTry = now.Add(pause + more + originPause)
-	pauseFor(ctx, pause)
+	PauseFor(ctx, pause)
 	w.pauseUntilLed(ctx, more)
 }
 
@@ -336,7 +336,7 @@
 		if _, found := w.peers.leader(now, true); found || !now.Before(until) {
 			return
 		}
-		pauseFor(ctx, min(until.Sub(now), ledCheck))
+		PauseFor(ctx, min(until.Sub(now), ledCheck))
 	}
 }
 
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -70,7 +70,7 @@
 }
 
 func (o *failingOrigin) Watch(ctx context.Context, after Revision, _ time.Duration) (News, error) {
-	pauseFor(ctx, 100*time.Millisecond)
+	PauseFor(ctx, 100*time.Millisecond)
 	if o.lost.Load() {
 		return News{}, errGone
 	}
@@ -119,7 +119,7 @@
 
 func (o *countingOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
 	o.watches.Add(1)
-	pauseFor(ctx, wait)
+	PauseFor(ctx, wait)
 	return News{At: after}, nil
 }
 
@@ -140,7 +140,7 @@
 		<-ctx.Done()
 		return FollowReply{}, ctx.Err()
 	}
-	pauseFor(ctx, r.Wait)
+	PauseFor(ctx, r.Wait)
 	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []Peer{{ID: "h7", Zone: "z1"}}, List: 7, Changes: p.changes}, nil
 }
 
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -42,7 +42,7 @@
 
 func (o *siteOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
 	o.watches.Add(1)
-	pauseFor(ctx, wait)
+	PauseFor(ctx, wait)
 	if o.lost.Load() {
 		return News{}, errGone
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -196,7 +196,7 @@
 	gone := x.fleet.GoneAt(m.from.ID, now, x.settings.DrainFor)
 	x.journal.Request(x.call.ID, "engine leaves", "upstream", m.from.ID, "foreseen_left", gone.Sub(now), "list_revision", x.fleet.Revision())
 	// Engines often leave together; the others' notices are a moment behind.
-	pauseFor(ctx, noticeGather)
+	PauseFor(ctx, noticeGather)
 	for ctx.Err() == nil {
 		next, err := m.tryMove(ctx, x, run, gone)
 		if next != nil {
@@ -206,7 +206,7 @@
 		if m.stopped() {
 			return nil
 		}
-		pauseFor(ctx, movePause)
+		PauseFor(ctx, movePause)
 	}
 	return nil
 }
@@ -375,8 +375,8 @@
 	return Upstream{}, nil, last
 }
 
-// pauseFor waits for a while or until the context ends.
-func pauseFor(ctx context.Context, d time.Duration) {
+// PauseFor waits for a while or until the context ends.
+func PauseFor(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -104,9 +104,9 @@
 			tick.Reset(sharePause(now.Sub(began)))
 		case <-f.peers.wakeAll:
 			every = true
-			pauseFor(ctx, shareSoon-time.Since(shared))
+			PauseFor(ctx, shareSoon-time.Since(shared))
 		case <-f.peers.wake:
-			pauseFor(ctx, shareSoon-time.Since(shared))
+			PauseFor(ctx, shareSoon-time.Since(shared))
 		}
 		now := time.Now()
 		shared = now
--- a/forward/turns.go
+++ b/forward/turns.go
@@ -69,7 +69,7 @@
 func (t *turns) take(ctx context.Context, r TurnRequest) error {
 	w := &turnWaiter{TurnRequest: r, granted: make(chan struct{}), dropped: make(chan struct{})}
 	line := t.join(time.Now(), w)
-	pauseFor(ctx, turnGather)
+	PauseFor(ctx, turnGather)
 	tick := time.NewTicker(turnCheck)
 	defer tick.Stop()
 	for {
