--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -26,6 +26,62 @@
 	list           []Upstream
 	lost           atomic.Bool
 	reads, watches atomic.Int32
+
+	mu sync.Mutex
+	// news are what was published since the start, and configAt when the
+	// configuration was.
+	news     []Change
+	configAt Revision
+	// published closes at the next news and is made anew.
+	published chan struct{}
+}
+
+// originAt is the revision of the origin before any news.
+const originAt Revision = 10
+
+// publish changes the list; the revisions of changes rise.
+func (o *siteOrigin) publish(c Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.news = append(o.news, c)
+	o.tell()
+}
+
+// configure changes the configuration.
+func (o *siteOrigin) configure(v Version, at Revision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.config, o.configAt = testConfig(v), at
+	o.tell()
+}
+
+// tell wakes the watches. The mutex is held.
+func (o *siteOrigin) tell() {
+	if o.published != nil {
+		close(o.published)
+		o.published = nil
+	}
+}
+
+// since returns what was published after a revision, and a channel that closes when
+// there is more.
+func (o *siteOrigin) since(after Revision) (News, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	news := News{At: max(originAt, o.configAt)}
+	if c := o.config; o.configAt > after {
+		news.Config = &c
+	}
+	for _, c := range o.news {
+		news.At = max(news.At, c.Revision)
+		if c.Revision > after {
+			news.Changes = append(news.Changes, c)
+		}
+	}
+	if o.published == nil {
+		o.published = make(chan struct{})
+	}
+	return news, o.published
 }
 
 func (o *siteOrigin) Read(context.Context) (News, error) {
@@ -33,31 +89,71 @@
 	if o.lost.Load() {
 		return News{}, errGone
 	}
-	news := News{Config: &o.config, At: 10}
+	news, _ := o.since(0)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	config := o.config
+	whole := News{Config: &config, At: news.At}
+	listed := map[member.UpstreamID]int{}
 	for _, u := range o.list {
-		news.Changes = append(news.Changes, Change{Upstream: u})
+		listed[u.ID] = len(whole.Changes)
+		whole.Changes = append(whole.Changes, Change{Upstream: u})
 	}
-	return news, nil
+	for _, c := range news.Changes {
+		whole.Changes[listed[c.ID]] = c
+	}
+	return whole, nil
 }
 
 func (o *siteOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
 	o.watches.Add(1)
-	PauseFor(ctx, wait)
+	news, more := o.since(after)
+	if len(news.Changes) == 0 && news.Config == nil {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-more:
+			news, _ = o.since(after)
+		}
+	}
 	if o.lost.Load() {
 		return News{}, errGone
 	}
-	return News{At: after}, nil
+	news.At = max(news.At, after)
+	return news, nil
 }
 
 // site is hosts that reach each other and one origin.
 type site struct {
 	origin *siteOrigin
 	hosts  map[string]*Forwarder
-	// gone are the addresses that can't be reached.
-	mu   sync.Mutex
-	gone map[string]bool
+	// gone are the addresses that can't be reached, frozen those that don't answer.
+	mu           sync.Mutex
+	gone, frozen map[string]bool
 	// entries counts what each host wrote to the directory.
 	entries map[member.HostID]*atomic.Int32
+	// configTakes is how long a configuration takes to a host; links holds what
+	// each host's link has to carry still, by when that will be done.
+	configTakes time.Duration
+	links       map[member.HostID]time.Time
+}
+
+// transfer carries a configuration to a host, behind what its link carries already.
+// What was begun is carried to its end, whether or not the host still waits for it.
+func (s *site) transfer(ctx context.Context, to member.HostID) error {
+	s.mu.Lock()
+	now := time.Now()
+	free := s.links[to]
+	if free.Before(now) {
+		free = now
+	}
+	done := free.Add(s.configTakes)
+	s.links[to] = done
+	s.mu.Unlock()
+	PauseFor(ctx, done.Sub(now))
+	return ctx.Err()
 }
 
 // lose makes hosts unreachable.
@@ -69,37 +165,76 @@
 	}
 }
 
-// reached is the host at an address; nil when it can't be reached.
-func (s *site) reached(to Peer) *Forwarder {
+// freeze has hosts answer nobody, until their callers give up.
+func (s *site) freeze(addresses ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.gone[to.PeerAddress] {
+	for _, address := range addresses {
+		s.frozen[address] = true
+	}
+}
+
+// reached is the host at an address; nil when it can't be reached. It waits for a
+// frozen one until the context ends.
+func (s *site) reached(ctx context.Context, to Peer) *Forwarder {
+	s.mu.Lock()
+	gone, frozen := s.gone[to.PeerAddress], s.frozen[to.PeerAddress]
+	s.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+	}
+	if gone || frozen {
 		return nil
 	}
 	return s.hosts[to.PeerAddress]
 }
 
+func (s *site) isFrozen(host Peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.frozen[host.PeerAddress]
+}
+
 // others are the addresses of all hosts but one.
 func (s *site) others(but string) []string {
 	return slices.DeleteFunc(slices.Collect(maps.Keys(s.hosts)), func(address string) bool { return address == but })
 }
 
-// Share, Follow, Turn and EndTurn are the hosts' interface to each other.
-func (s *site) Share(ctx context.Context, to Peer, share Share) (Share, error) {
-	if f := s.reached(to); f != nil {
+// sitePort is one host's interface to the others.
+type sitePort struct {
+	*site
+	self member.HostID
+}
+
+func (s sitePort) Share(ctx context.Context, to Peer, share Share) (Share, error) {
+	if s.isFrozen(share.From) {
+		<-ctx.Done()
+		return Share{}, errGone
+	}
+	if f := s.reached(ctx, to); f != nil {
 		return f.OnShare(ctx, share), nil
 	}
 	return Share{}, errGone
 }
 
-func (s *site) Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error) {
-	if f := s.reached(to); f != nil {
-		return f.OnFollow(ctx, r), nil
+func (s sitePort) Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error) {
+	if f := s.reached(ctx, to); f != nil {
+		reply := f.OnFollow(ctx, r)
+		if s.isFrozen(to) {
+			<-ctx.Done()
+			return FollowReply{}, errGone
+		}
+		if reply.Config != nil {
+			if err := s.transfer(ctx, s.self); err != nil {
+				return FollowReply{}, err
+			}
+		}
+		return reply, nil
 	}
 	return FollowReply{}, errGone
 }
-func (s *site) Turn(context.Context, Peer, TurnRequest) error    { return nil }
-func (s *site) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
+func (s sitePort) Turn(context.Context, Peer, TurnRequest) error    { return nil }
+func (s sitePort) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
 
 // siteDirectory counts one host's calls.
 type siteDirectory struct{ entries *atomic.Int32 }
@@ -114,7 +249,7 @@
 func newSite(zones, hostsPerZone int, first bool) *site {
 	s := &site{
 		origin: &siteOrigin{config: testConfig(1), list: []Upstream{up("llm1", 3, false), up("llm2", 10, false)}},
-		hosts:  map[string]*Forwarder{}, gone: map[string]bool{}, entries: map[member.HostID]*atomic.Int32{},
+		hosts:  map[string]*Forwarder{}, gone: map[string]bool{}, frozen: map[string]bool{}, links: map[member.HostID]time.Time{}, entries: map[member.HostID]*atomic.Int32{},
 	}
 	address := func(zone, host int) string { return fmt.Sprintf("10.%d.0.%d:1", zone, host) }
 	seeds := []string{address(1, 1), address(2, 1), address(3, 1)}
@@ -135,7 +270,7 @@
 
 // start runs a host's duties.
 func (s *site) start(ctx context.Context, f *Forwarder) {
-	go f.RunPeers(ctx, s)
+	go f.RunPeers(ctx, sitePort{s, f.settings.Self.ID})
 	go f.Follow(ctx, s.origin)
 	go f.RunDirectory(ctx, siteDirectory{s.entries[f.settings.Self.ID]})
 }
