forward: the revision up to which all is known is no single upstream's

Cause: a reading of the list in several pages is as of its first page, but the host took the newest revision of any upstream for its own, and its followers asked for what came after that. What changed between two pages never reached them. The same for an upstream that was dropped between two pages: told again by the watch, it kept the revision of the reading. Change: only the revision that comes with a whole set of changes counts; what is told of a dropped upstream raises its revision. TestFleet told changes as all up to revision 0, which contradicts what Apply says of them, and passed by this fault; it now gives their revisions.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -47,7 +47,8 @@
 type Fleet struct {
 	mu        sync.Mutex
 	upstreams map[member.UpstreamID]*known
-	// revision is the newest that was taken in.
+	// revision is the one up to which every change is known. A single upstream may be
+	// known as of a newer one: a list that is read in pages isn't of one moment.
 	revision Revision
 	// forgotten is the newest revision at which something was dropped that isn't
 	// remembered any more.
@@ -97,8 +98,8 @@
 	suspectFor = 2 * time.Second
 )
 
-// Apply takes changes of the list in, which are all that there were up to a
-// revision. Older ones than what is known of the same upstream change nothing. It
+// Apply takes changes of the list in, which are all that there were up to a revision
+// since the one that was known. Older ones than what is known of the same upstream change nothing. It
 // returns those that made a difference.
 func (f *Fleet) Apply(now time.Time, changes []Change, at Revision) []Change {
 	f.mu.Lock()
@@ -128,7 +129,7 @@
 		}
 	}
 	for id, k := range f.upstreams {
-		if listed[id] || k.Revision > at {
+		if listed[id] || k.gone || k.Revision > at {
 			continue
 		}
 		gone := Change{Upstream: k.Upstream, Gone: true}
@@ -155,7 +156,6 @@
 	if f.upstreams == nil {
 		f.upstreams = map[member.UpstreamID]*known{}
 	}
-	f.revision = max(f.revision, c.Revision)
 	k := f.upstreams[c.ID]
 	if k == nil {
 		if c.Gone || c.Missing {
@@ -202,10 +202,12 @@
 }
 
 func (f *Fleet) drop(now time.Time, k *known, at Revision) bool {
+	// Also of one that is gone already: those who follow this host may know it as it
+	// was before this revision, and are told what is newer than theirs.
+	k.Revision = max(k.Revision, at)
 	if k.gone {
 		return false
 	}
-	k.Revision = at
 	if now.Before(f.trustGoneFrom) && !k.Leaving {
 		k.missing = true
 		return false
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -31,12 +31,12 @@
 	var f Fleet
 	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, 5)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
-	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, 0)
+	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, 7)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true})
-	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}}, 0)), 0) // older
-	f.Apply(now, []Change{{Upstream: up("a", 8, false)}}, 0)
+	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}}, 7)), 0) // older
+	f.Apply(now, []Change{{Upstream: up("a", 8, false)}}, 8)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true}) // leaving is for good
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 9}, Gone: true}}, 0)
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 9}, Gone: true}}, 9)
 	is.Equal(len(takers(&f, now)), 0)
 	select {
 	case <-f.Leaving("b"): // dropped without a notice: it leaves now
