forward, explain: requests that outlast a stop get a final answer

Cause of LOST, the part that was left: a stopping host takes what should end in time by an estimate. When the estimate was wrong the process went and its connections with it: no answer, and the log said that the caller had left. Change: when a stop's time is over, each request in flight is ended and answered: as failed that may have run, not run if it still waited for a place, cut visibly if its answer had begun. Why a request's context ended is one type. Ruled out: an estimate from the engine that the request would get.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -228,13 +228,13 @@
 
 // MarkLeaving takes in another sign than the list's that an upstream leaves; in
 // is how long it will still serve, zero when that isn't known. Own observations
-// are told to the peers.
-func (f *Fleet) MarkLeaving(now time.Time, id member.UpstreamID, in time.Duration, own bool) {
+// are told to the peers. It reports whether that is new.
+func (f *Fleet) MarkLeaving(now time.Time, id member.UpstreamID, in time.Duration, own bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.upstreams[id]
 	if k == nil || k.Leaving {
-		return
+		return false
 	}
 	k.leave(now)
 	k.hinted = true
@@ -245,6 +245,7 @@
 		k.observed = now
 	}
 	f.notify(true)
+	return true
 }
 
 // Marks returns this host's own late observations of upstreams that leave.
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -314,6 +314,7 @@
 		for _, c := range news.Changes {
 			list = append(list, c.Upstream)
 		}
+		w.journal.Belief("list read", "revision", news.At, "upstreams", len(list), "took", now.Sub(proved))
 		w.noteList(w.fleet.Replace(now, list, news.At))
 	} else {
 		w.noteList(w.fleet.Apply(now, news.Changes, news.At))
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -85,8 +85,8 @@
 	leavingFailing sync.Mutex
 
 	mu sync.Mutex
-	// inFlight counts the requests under way.
-	inFlight int
+	// inFlight are the requests under way, with what ends each of them.
+	inFlight map[*exchange]context.CancelCauseFunc
 	stopping bool
 	// stopSince is when the host was first told to stop.
 	stopSince time.Time
@@ -100,7 +100,7 @@
 func New(s Settings, t Transport, j Journal, o Observer) *Forwarder {
 	f := &Forwarder{
 		settings: s, transport: t, journal: j, observer: o, fleet: &Fleet{},
-		engines: newEngines(s.Self.Zone), plain: newPlainChooser(s.Self.Zone), peers: newPeerSet(s.Self, s.Seeds), offers: newConfigOffers(), idle: make(chan struct{}),
+		engines: newEngines(s.Self.Zone), plain: newPlainChooser(s.Self.Zone), peers: newPeerSet(s.Self, s.Seeds), offers: newConfigOffers(), inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}),
 	}
 	f.retries.setLimit(s.Retries)
 	return f
@@ -196,9 +196,11 @@
 
 // Serve answers one request. The context ends when the caller leaves.
 func (f *Forwarder) Serve(ctx context.Context, c *Call, to Sink) {
-	f.enter()
-	defer f.leave()
 	x := &exchange{Forwarder: f, call: c, to: to}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	f.enter(x, end)
+	defer f.leave(x)
 	refusal, ok := x.admit(c.Arrived)
 	if !ok {
 		x.refuse(refusal, "version", x.version())
@@ -249,6 +251,7 @@
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
 	}
 	if !x.endsBeforeStop(now) {
+		x.journal.Request(x.call.ID, "would outlast the stop", "stopping_for", now.Sub(x.stopBegan()), "limit", x.call.Prompt.MostOut, "hint", x.call.Prompt.LikelyOut)
 		return Refusal{Code: CodeStopping, RetryAfter: x.retryStopping(now)}, false
 	}
 	return Refusal{}, true
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -176,7 +176,9 @@
 		s.ConfigAge, s.OriginAge = neverProved, neverProved
 	}
 	for _, mark := range s.Leaving {
-		f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
+		if f.fleet.MarkLeaving(now, mark.Engine, mark.In, false) {
+			f.journal.Belief("peer says that an engine leaves", "upstream", mark.Engine, "peer", s.From.ID, "in", mark.In)
+		}
 	}
 	if s.From.Zone == f.peers.self.Zone {
 		f.fleet.HearFailing(now, s.Failing)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -13,9 +13,6 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-// errDeadline is the cause of a context that ended with the request's time.
-var errDeadline = errors.New("the request's time is over")
-
 const (
 	// heldBytes is the longest answer that is read whole before it is passed
 	// on, so that a broken one can still be replaced.
@@ -282,16 +279,13 @@
 	}
 }
 
-// giveUp answers when the request's time is over, or notes that its caller has
-// left. Tries that are still open end with the context.
+// giveUp answers when the request's time is over, or the host's, or notes that its
+// caller has left. Tries that are still open end with the context.
 func (p *plainExchange) giveUp(ctx context.Context) {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
-		p.refuse(Refusal{Code: CodeCallerLeft, MayHaveRun: true}, "tries", len(p.tried))
-		return
-	}
-	if p.failure != nil {
+	why := endingOf(ctx)
+	if why != callerLeft && p.failure != nil {
 		p.deliver(p.failure)
 		return
 	}
-	p.refuse(Refusal{Code: CodeTimeout, MayHaveRun: true}, "tries", len(p.tried))
+	p.refuse(Refusal{Code: why.code(), MayHaveRun: true}, "tries", len(p.tried))
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -76,21 +76,18 @@
 // end closes the answer: whole, cut, or refused when nothing had come.
 func (s *streamExchange) end(ctx context.Context, u Upstream, err error) {
 	about := []any{"upstream", u.ID, "first_event", s.firstAfter, "events", s.events, "moves", s.moves, "longest_pause", s.longest, "err", err}
-	left := s.callerGone != nil || ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline)
+	why := endingOf(ctx)
+	if s.callerGone != nil {
+		why = callerLeft
+	}
 	switch {
 	case err == nil:
 		s.answered("ok", about...)
 	case s.begun:
 		s.to.Cut()
-		if left {
-			s.answered("caller_left", about...)
-			return
-		}
-		s.answered("cut", about...)
-	case left:
-		s.refuse(Refusal{Code: CodeCallerLeft, MayHaveRun: true}, about...)
-	case ctx.Err() != nil:
-		s.refuse(Refusal{Code: CodeTimeout, MayHaveRun: true}, about...)
+		s.answered(why.outcome(), about...)
+	case why != notEnded:
+		s.refuse(Refusal{Code: why.code(), MayHaveRun: true}, about...)
 	default:
 		s.refuse(Refusal{Code: CodeLost, MayHaveRun: true}, about...)
 	}
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -19,12 +19,16 @@
 	return f.stopping
 }
 
-// Stop refuses new streams from now on, but for those that will surely have ended
+// interruptLasts is how long requests that are ended get to write their final answer.
+const interruptLasts = 50 * time.Millisecond
+
+// Stop refuses new streams from now on, but for those that should have ended
 // when the context does, and waits until nothing is in flight or
-// the context ends. It may be called again to wait again.
+// the context ends; what is in flight then gets its final answer. It may be called
+// again to wait again.
 func (f *Forwarder) Stop(ctx context.Context) {
 	f.mu.Lock()
-	running := f.inFlight
+	running := len(f.inFlight)
 	if !f.stopping {
 		f.stopSince = time.Now()
 	}
@@ -41,20 +45,41 @@
 	select {
 	case <-idle:
 	case <-ctx.Done():
+		f.interrupt(idle)
+	}
+}
+
+// interrupt has every request in flight end now. What a stopping host takes is taken on
+// an estimate, and an estimate can be wrong: whoever it was wrong about is told, instead
+// of finding its connection closed.
+func (f *Forwarder) interrupt(idle <-chan struct{}) {
+	f.mu.Lock()
+	if len(f.inFlight) > 0 {
+		f.journal.Belief("interrupted", "running", len(f.inFlight))
+	}
+	for _, end := range f.inFlight {
+		end(errStopped)
+	}
+	f.mu.Unlock()
+	answered := time.NewTimer(interruptLasts)
+	defer answered.Stop()
+	select {
+	case <-idle:
+	case <-answered.C:
 	}
 }
 
-func (f *Forwarder) enter() {
+func (f *Forwarder) enter(x *exchange, end context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.inFlight++
+	f.inFlight[x] = end
 }
 
-func (f *Forwarder) leave() {
+func (f *Forwarder) leave(x *exchange) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.inFlight--
-	if f.stopping && f.inFlight == 0 {
+	delete(f.inFlight, x)
+	if f.stopping && len(f.inFlight) == 0 {
 		select {
 		case <-f.idle:
 		default:
@@ -115,6 +140,13 @@
 	return now.Add(stopTimes*takes + stopMargin).Before(by)
 }
 
+// stopBegan is when this host was first told to stop.
+func (f *Forwarder) stopBegan() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stopSince
+}
+
 const (
 	// retryElsewhere sends a caller on at once, for another host of the zone takes
 	// it.
@@ -132,11 +164,8 @@
 // on three days with restarts, six seeds each, the chats that were refused for good
 // fell from 6.3, 5.5 and 3.5 a day to 5.0, 4.0 and 1.7.
 func (x *exchange) retryStopping(now time.Time) time.Duration {
-	x.mu.Lock()
-	since := x.stopSince
-	x.mu.Unlock()
 	if x.peers.zoneHasOther(now) {
 		return retryElsewhere
 	}
-	return max(since.Add(stopNoticed).Sub(now), retryElsewhere) + rand.N(stopSpread)
+	return max(x.stopBegan().Add(stopNoticed).Sub(now), retryElsewhere) + rand.N(stopSpread)
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -176,8 +176,11 @@
 }
 
 func (s *streamExchange) noPlace(ctx context.Context, d policy.Decision) Refusal {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
+	switch why := endingOf(ctx); why {
+	case callerLeft:
 		return Refusal{Code: CodeCallerLeft}
+	case hostStopped:
+		return Refusal{Code: why.code(), RetryAfter: s.retryStopping(time.Now())}
 	}
 	wait := min(max(d.RetryAfter, retryLeast), retryMost)
 	if d.Reason == policy.ReasonNoEngine {
@@ -214,10 +217,10 @@
 		s.fleet.Suspect(now, u.ID)
 		s.unreachable(now, u)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline):
+	case endingOf(ctx) == callerLeft:
 		return Refusal{Code: CodeCallerLeft, MayHaveRun: true}
 	case ctx.Err() != nil:
-		return Refusal{Code: CodeTimeout, MayHaveRun: !errors.Is(err, ErrNotSent)}
+		return Refusal{Code: endingOf(ctx).code(), MayHaveRun: !errors.Is(err, ErrNotSent)}
 	case errors.Is(err, errFirstEventLate):
 		// The engine counts as failing already.
 		return Refusal{Code: CodeLost, MayHaveRun: true}
