forward, cli, platform: a host that stops outlives signals and closes when idle

Cause: rereading the settings ended with the first SIGTERM and gave SIGHUP back to its default, which ends the process: all streams were cut in the middle of the host's grace. And between the end of the wait and the closing of the connections a call could still come in, was passed on, and got no answer. Change: settings are reread until the process ends. The host closes in one step with finding that nothing is in flight; what comes later is refused, not passed on.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -94,6 +94,8 @@
 	stopBy time.Time
 	// idle closes when the forwarder is stopping and nothing is in flight.
 	idle chan struct{}
+	// closed says that nothing is taken any more, whatever it is.
+	closed bool
 }
 
 // New returns a forwarder without a configuration.
@@ -199,7 +201,10 @@
 	x := &exchange{Forwarder: f, call: c, to: to}
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	f.enter(x, end)
+	if !f.enter(x, end) {
+		x.refuse(Refusal{Code: CodeStopping, RetryAfter: x.retryStopping(c.Arrived)})
+		return
+	}
 	defer f.leave(x)
 	refusal, ok := x.admit(c.Arrived)
 	if !ok {
--- a/forward/interrupted_test.go
+++ b/forward/interrupted_test.go
@@ -97,3 +97,30 @@
 		})
 	}
 }
+
+// TestCloseTakesNothingMore has a request that comes when the host has closed refused,
+// not passed on: its connection is closed a moment later. One that comes before that is
+// waited for.
+func TestCloseTakesNothingMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+			time.Sleep(100 * time.Millisecond)
+			return answer(http.StatusOK, "late"), nil
+		}}
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		go f.Serve(t.Context(), call("/order/"), sink)
+		synctest.Wait()
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		f.Close(ctx)
+		is.Equal(time.Since(began), 100*time.Millisecond)
+		is.Equal(sink.body.String(), "late")
+		sent, late := len(transport.sentTo()), &fakeSink{}
+		f.Serve(t.Context(), call("/order/"), late)
+		is.Equal(late.refused.Code, CodeStopping)
+		is.True(!late.refused.MayHaveRun)
+		is.Equal(len(transport.sentTo()), sent)
+	})
+}
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -31,6 +31,7 @@
 	running := len(f.inFlight)
 	if !f.stopping {
 		f.stopSince = time.Now()
+		f.journal.Belief("stopping", "running", running)
 	}
 	f.stopping = true
 	// Without a deadline stopBy is zero, and no stream surely ends before it.
@@ -41,7 +42,6 @@
 	}
 	idle := f.idle
 	f.mu.Unlock()
-	f.journal.Belief("stopping", "running", running)
 	select {
 	case <-idle:
 	case <-ctx.Done():
@@ -49,6 +49,24 @@
 	}
 }
 
+// Close takes nothing any more once nothing is in flight, or when the context ends; then
+// what is in flight gets its final answer. A request that came between the end of a wait
+// and that of the process would be passed on and its answer lost.
+func (f *Forwarder) Close(ctx context.Context) {
+	for !f.closeIdle(ctx.Err() != nil) {
+		f.Stop(ctx)
+	}
+	f.Stop(ctx)
+}
+
+// closeIdle closes if nothing is in flight, or if it must.
+func (f *Forwarder) closeIdle(must bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = must || len(f.inFlight) == 0
+	return f.closed
+}
+
 // interrupt has every request in flight end now. What a stopping host takes is taken on
 // an estimate, and an estimate can be wrong: whoever it was wrong about is told, instead
 // of finding its connection closed.
@@ -69,10 +87,15 @@
 	}
 }
 
-func (f *Forwarder) enter(x *exchange, end context.CancelCauseFunc) {
+// enter counts a request as in flight; false says that it comes too late.
+func (f *Forwarder) enter(x *exchange, end context.CancelCauseFunc) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.closed {
+		return false
+	}
 	f.inFlight[x] = end
+	return true
 }
 
 func (f *Forwarder) leave(x *exchange) {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -46,7 +46,11 @@
 	}
 	stop, _, release := system.untilSignals(ctx)
 	defer release()
-	go reloadSettings(stop, path, d, t)
+	// Settings are reread until the very end: without a taker, a SIGHUP that comes while
+	// the host stops would end the process and every stream with it.
+	running, ended := context.WithCancel(ctx)
+	defer ended()
+	go reloadSettings(running, path, d, t)
 	return d.Run(stop)
 }
 
