forward: a place on an engine that has left meanwhile is given back

Cause: a request that waited was granted an engine, which was taken off the list before the request could go on; it went on to an upstream without an address, failed to connect, and had one try less. Change: it is placed anew. TestGrantedEngineLeft red before, green after.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -202,6 +202,20 @@
 // place finds an engine for a generation; it waits until the request's
 // deadline at most.
 func (e *engines) place(ctx context.Context, now time.Time, service ServiceName, r policy.Request) (Upstream, *ownRun, policy.Decision) {
+	for {
+		u, run, d := e.placeOnce(ctx, now, service, r)
+		if run == nil || u.ID != "" {
+			return u, run, d
+		}
+		// The engine left between the grant and now. The request isn't sent to it, nor
+		// refused for that.
+		now = time.Now()
+		e.finish(now, service, run, false)
+	}
+}
+
+// placeOnce is place; its upstream is zero when the engine that was granted has left.
+func (e *engines) placeOnce(ctx context.Context, now time.Time, service ServiceName, r policy.Request) (Upstream, *ownRun, policy.Decision) {
 	e.mu.Lock()
 	p := e.pools[service]
 	if p == nil {
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -133,3 +134,42 @@
 	is.True(mean() > 800 && mean() < 1000) // a hundred answers of 1,000 tokens, and the prior
 	is.Equal(len(hearer.engines.busy()), 0)
 }
+
+// TestGrantedEngineLeft has a request that waited be placed anew when the engine that
+// it was granted was taken off the list before it could take the place.
+func TestGrantedEngineLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEngines("z1")
+		e.configure(NewTable(testConfig(1)))
+		first := Upstream{ID: "llm1", Service: "llm", Zone: "z1"}
+		second := Upstream{ID: "llm2", Service: "llm", Zone: "z1"}
+		now := time.Now()
+		e.list(now, "llm", []Upstream{first})
+		_, filling, _ := e.place(t.Context(), now, "llm", policy.Request{Run: "filling", Prompt: 33000})
+		type placing struct {
+			at  Upstream
+			run *ownRun
+		}
+		placed := make(chan placing, 1)
+		go func() {
+			u, run, _ := e.place(t.Context(), now, "llm", policy.Request{Run: "waiting", Prompt: 3000, Deadline: now.Add(time.Minute)})
+			placed <- placing{u, run}
+		}()
+		synctest.Wait()
+		p := e.pools["llm"]
+		e.mu.Lock()
+		p.pool.Finish(now, policy.Finish{Run: filling.request.Run})
+		p.advance(now) // llm1 is granted; before the request can go on, it leaves
+		clear(p.listed)
+		p.listed[second.ID] = second
+		p.pool.SetEngines([]member.UpstreamID{second.ID})
+		p.pool.SetZone(second.ID, second.Zone)
+		p.refresh(now)
+		e.mu.Unlock()
+		got := <-placed
+		is.Equal(got.at, second)
+		is.Equal(got.run.engine, second.ID)
+		is.Equal(len(p.own), 2) // the one that fills llm1, whose end wasn't told, and this
+	})
+}
