forward: what followers are told of an upstream is the list's word

Cause: a host's own sign that an upstream leaves went to its followers as if the list had said so, which is for good: a host that joined then never used an upstream whose health had been told wrongly. TestFleetHintIsNotTold red before, green after.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -217,6 +217,14 @@
 	return true
 }
 
+// told is the upstream as a peer that follows this host is told of it. Signs other than
+// the list's travel by themselves, and are taken back; what came with the list stays.
+func (k *known) told() Change {
+	c := Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing}
+	c.Leaving = k.Leaving && (k.declared || !k.hinted)
+	return c
+}
+
 // leave marks the upstream as leaving, for good.
 func (k *known) leave(now time.Time) {
 	k.Leaving = true
@@ -355,7 +363,7 @@
 	whole = after < f.forgotten || f.skippedFrom < after && after < f.skippedTo
 	for _, k := range f.upstreams {
 		if whole || k.Revision > after {
-			changes = append(changes, Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing})
+			changes = append(changes, k.told())
 		}
 	}
 	return changes, f.revision, whole
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -143,3 +143,21 @@
 	f.Replace(now, []Upstream{up("a", 1, false)}, 4)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true})
 }
+
+// TestFleetHintIsNotTold has an upstream that leaves by another sign than the list's be
+// told to who follows as the list has it: a sign can be wrong and is taken back, and what
+// the list says is for good.
+func TestFleetHintIsNotTold(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var f, follower Fleet
+	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, 2)
+	f.MarkLeaving(now, "a", 0, true)
+	f.MarkLeaving(now, "b", 0, true)
+	f.Apply(now, []Change{{Upstream: up("b", 3, true)}}, 3)
+	changes, at, _ := f.Since(0)
+	follower.Apply(now, changes, at)
+	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"a": true})
+	follower.Apply(now, []Change{{Upstream: up("a", 4, true)}}, 4)
+	is.Equal(len(takers(&follower, now)), 0)
+}
