--- a/forward/configfetch.go
+++ b/forward/configfetch.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 	"time"
 )
 
@@ -36,11 +36,21 @@
 type configOffers struct {
 	// next has room for one: what is older than another offer needn't be fetched.
 	next chan configOffer
+
+	mu sync.Mutex
 	// newest is the newest version that was ever offered.
-	newest atomic.Uint64
+	newest Version
 }
 
-func newConfigOffers() configOffers { return configOffers{next: make(chan configOffer, 1)} }
+func newConfigOffers() *configOffers { return &configOffers{next: make(chan configOffer, 1)} }
+
+// raise takes in that a version was offered, and returns the newest that was.
+func (o *configOffers) raise(v Version) Version {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.newest = max(o.newest, v)
+	return o.newest
+}
 
 // offerConfig takes in that a peer has a configuration of a version, which is fetched if
 // it is newer than the one in force.
@@ -48,9 +58,7 @@
 	if v <= f.versionInForce() {
 		return
 	}
-	for old := f.offers.newest.Load(); old < uint64(v) && !f.offers.newest.CompareAndSwap(old, uint64(v)); {
-		old = f.offers.newest.Load()
-	}
+	f.offers.raise(v)
 	offer := configOffer{from: from, version: v}
 	for {
 		select {
@@ -75,7 +83,7 @@
 
 // knownVersion is the newest version that this host has or was offered.
 func (f *Forwarder) knownVersion() Version {
-	return max(f.versionInForce(), Version(f.offers.newest.Load()))
+	return f.offers.raise(f.versionInForce())
 }
 
 // fetchConfigs takes up what peers offer, one after another, until the context ends.
@@ -94,7 +102,7 @@
 // fetchConfig takes a newer configuration over from a peer.
 func (f *Forwarder) fetchConfig(ctx context.Context, peers Peers, from Peer) {
 	have := f.versionInForce()
-	if have >= f.knownVersion() && have > 0 {
+	if have >= f.knownVersion() {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, configTimeout)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -79,7 +79,7 @@
 	// peerPort is set by RunPeers, under the lock of peers.
 	peerPort Peers
 	// offers are peers' newer configurations.
-	offers configOffers
+	offers *configOffers
 
 	// leavingFailing lets one run of this host at a time leave a failing engine.
 	leavingFailing sync.Mutex
