--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -98,9 +98,9 @@
 	suspectFor = 2 * time.Second
 )
 
-// Apply takes changes of the list in, which are all that there were up to a revision
-// since the one that was known. Older ones than what is known of the same upstream change nothing. It
-// returns those that made a difference.
+// Apply takes changes of the list in, which are all that there were since the revision
+// that was known up to another. Older ones than what is known of the same upstream change
+// nothing. It returns those that made a difference.
 func (f *Fleet) Apply(now time.Time, changes []Change, at Revision) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -101,8 +101,10 @@
 // New returns a forwarder without a configuration.
 func New(s Settings, t Transport, j Journal, o Observer) *Forwarder {
 	f := &Forwarder{
-		settings: s, transport: t, journal: j, observer: o, fleet: &Fleet{},
-		engines: newEngines(s.Self.Zone), plain: newPlainChooser(s.Self.Zone), peers: newPeerSet(s.Self, s.Seeds), offers: newConfigOffers(), inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}),
+		settings: s, transport: t, journal: j, observer: o,
+		fleet: &Fleet{}, engines: newEngines(s.Self.Zone), plain: newPlainChooser(s.Self.Zone),
+		peers: newPeerSet(s.Self, s.Seeds), offers: newConfigOffers(),
+		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}),
 	}
 	f.retries.setLimit(s.Retries)
 	return f
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -130,17 +130,20 @@
 		"left after its page was read": {
 			[]Upstream{up("a", 1, false), up("b", 14, false), up("c", 3, false)},
 			[]Change{{Upstream: up("a", 12, true)}, {Upstream: up("b", 14, false)}},
-			3, map[member.UpstreamID]bool{"b": true, "c": true},
+			3,
+			map[member.UpstreamID]bool{"b": true, "c": true},
 		},
 		"dropped after its page was read": {
 			[]Upstream{up("a", 1, false), up("b", 14, false), up("c", 3, false)},
 			[]Change{gone("a", 12), {Upstream: up("b", 14, false)}},
-			3, map[member.UpstreamID]bool{"b": true, "c": true},
+			3,
+			map[member.UpstreamID]bool{"b": true, "c": true},
 		},
 		"dropped before its page was read": {
 			[]Upstream{up("a", 1, false), up("b", 2, false)},
 			[]Change{gone("c", 11)},
-			10, map[member.UpstreamID]bool{"a": true, "b": true},
+			10,
+			map[member.UpstreamID]bool{"a": true, "b": true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
