--- /dev/null
+++ b/forward/site_test.go
@@ -0,0 +1,281 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// A site of hosts in virtual time, which the tests of what hosts tell each other share.
+
+// siteOrigin can be read and watched, while it isn't lost, and counts both.
+type siteOrigin struct {
+	config         Config
+	list           []Upstream
+	lost           atomic.Bool
+	reads, watches atomic.Int32
+
+	mu sync.Mutex
+	// news are what was published since the start, and configAt when the
+	// configuration was.
+	news     []Change
+	configAt Revision
+	// published closes at the next news and is made anew.
+	published chan struct{}
+}
+
+// originAt is the revision of the origin before any news.
+const originAt Revision = 10
+
+// publish changes the list; the revisions of changes rise.
+func (o *siteOrigin) publish(c Change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.news = append(o.news, c)
+	o.tell()
+}
+
+// configure changes the configuration.
+func (o *siteOrigin) configure(v Version, at Revision) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.config, o.configAt = testConfig(v), at
+	o.tell()
+}
+
+// tell wakes the watches. The mutex is held.
+func (o *siteOrigin) tell() {
+	if o.published != nil {
+		close(o.published)
+		o.published = nil
+	}
+}
+
+// since returns what was published after a revision, and a channel that closes when
+// there is more.
+func (o *siteOrigin) since(after Revision) (News, <-chan struct{}) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	news := News{At: max(originAt, o.configAt)}
+	if c := o.config; o.configAt > after {
+		news.Config = &c
+	}
+	for _, c := range o.news {
+		news.At = max(news.At, c.Revision)
+		if c.Revision > after {
+			news.Changes = append(news.Changes, c)
+		}
+	}
+	if o.published == nil {
+		o.published = make(chan struct{})
+	}
+	return news, o.published
+}
+
+func (o *siteOrigin) Read(context.Context) (News, error) {
+	o.reads.Add(1)
+	if o.lost.Load() {
+		return News{}, errGone
+	}
+	news, _ := o.since(0)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	config := o.config
+	whole := News{Config: &config, At: news.At}
+	listed := map[member.UpstreamID]int{}
+	for _, u := range o.list {
+		listed[u.ID] = len(whole.Changes)
+		whole.Changes = append(whole.Changes, Change{Upstream: u})
+	}
+	for _, c := range news.Changes {
+		whole.Changes[listed[c.ID]] = c
+	}
+	return whole, nil
+}
+
+func (o *siteOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+	o.watches.Add(1)
+	news, more := o.since(after)
+	if len(news.Changes) == 0 && news.Config == nil {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-more:
+			news, _ = o.since(after)
+		}
+	}
+	if o.lost.Load() {
+		return News{}, errGone
+	}
+	news.At = max(news.At, after)
+	return news, nil
+}
+
+// site is hosts that reach each other and one origin.
+type site struct {
+	origin *siteOrigin
+	hosts  map[string]*Forwarder
+	// gone are the addresses that can't be reached, frozen those that don't answer.
+	mu           sync.Mutex
+	gone, frozen map[string]bool
+	// entries counts what each host wrote to the directory.
+	entries map[member.HostID]*atomic.Int32
+	// configTakes is how long a configuration takes to a host; links holds what
+	// each host's link has to carry still, by when that will be done.
+	configTakes time.Duration
+	links       map[member.HostID]time.Time
+}
+
+// transfer carries a configuration to a host, behind what its link carries already.
+// What was begun is carried to its end, whether or not the host still waits for it.
+func (s *site) transfer(ctx context.Context, to member.HostID) error {
+	s.mu.Lock()
+	now := time.Now()
+	free := s.links[to]
+	if free.Before(now) {
+		free = now
+	}
+	done := free.Add(s.configTakes)
+	s.links[to] = done
+	s.mu.Unlock()
+	PauseFor(ctx, done.Sub(now))
+	return ctx.Err()
+}
+
+// lose makes hosts unreachable.
+func (s *site) lose(addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range addresses {
+		s.gone[address] = true
+	}
+}
+
+// freeze has hosts answer nobody, until their callers give up.
+func (s *site) freeze(addresses ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, address := range addresses {
+		s.frozen[address] = true
+	}
+}
+
+// reached is the host at an address; nil when it can't be reached. It waits for a
+// frozen one until the context ends.
+func (s *site) reached(ctx context.Context, to Peer) *Forwarder {
+	s.mu.Lock()
+	gone, frozen := s.gone[to.PeerAddress], s.frozen[to.PeerAddress]
+	s.mu.Unlock()
+	if frozen {
+		<-ctx.Done()
+	}
+	if gone || frozen {
+		return nil
+	}
+	return s.hosts[to.PeerAddress]
+}
+
+func (s *site) isFrozen(host Peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.frozen[host.PeerAddress]
+}
+
+// others are the addresses of all hosts but one.
+func (s *site) others(but string) []string {
+	return slices.DeleteFunc(slices.Collect(maps.Keys(s.hosts)), func(address string) bool { return address == but })
+}
+
+// sitePort is one host's interface to the others.
+type sitePort struct {
+	*site
+	self member.HostID
+}
+
+func (s sitePort) Share(ctx context.Context, to Peer, share Share) (Share, error) {
+	if s.isFrozen(share.From) {
+		<-ctx.Done()
+		return Share{}, errGone
+	}
+	if f := s.reached(ctx, to); f != nil {
+		return f.OnShare(share), nil
+	}
+	return Share{}, errGone
+}
+
+func (s sitePort) Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error) {
+	if f := s.reached(ctx, to); f != nil {
+		reply := f.OnFollow(ctx, r)
+		if s.isFrozen(to) {
+			<-ctx.Done()
+			return FollowReply{}, errGone
+		}
+		return reply, nil
+	}
+	return FollowReply{}, errGone
+}
+
+func (s sitePort) Config(ctx context.Context, to Peer, have Version) (ConfigReply, error) {
+	f := s.reached(ctx, to)
+	if f == nil {
+		return ConfigReply{}, errGone
+	}
+	reply := f.OnConfig(have)
+	if reply.Config == nil {
+		return reply, nil
+	}
+	return reply, s.transfer(ctx, s.self)
+}
+
+func (s sitePort) Turn(context.Context, Peer, TurnRequest) error    { return nil }
+func (s sitePort) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
+
+// siteDirectory counts one host's calls.
+type siteDirectory struct{ entries *atomic.Int32 }
+
+func (d siteDirectory) Announce(context.Context, Peer, time.Duration) error {
+	d.entries.Add(1)
+	return nil
+}
+func (d siteDirectory) Withdraw(context.Context) error { return nil }
+
+// newSite returns zones of some hosts each, none of them started.
+func newSite(zones, hostsPerZone int, first bool) *site {
+	s := &site{
+		origin: &siteOrigin{config: testConfig(1), list: []Upstream{up("llm1", 3, false), up("llm2", 10, false)}},
+		hosts:  map[string]*Forwarder{}, gone: map[string]bool{}, frozen: map[string]bool{}, links: map[member.HostID]time.Time{}, entries: map[member.HostID]*atomic.Int32{},
+	}
+	address := func(zone, host int) string { return fmt.Sprintf("10.%d.0.%d:1", zone, host) }
+	seeds := []string{address(1, 1), address(2, 1), address(3, 1)}
+	for zone := 1; zone <= zones; zone++ {
+		for host := 1; host <= hostsPerZone; host++ {
+			self := Peer{
+				ID: member.HostID(fmt.Sprintf("z%d-h%02d", zone, host)), Zone: member.Zone(fmt.Sprint("z", zone)),
+				PeerAddress: address(zone, host),
+			}
+			s.entries[self.ID] = &atomic.Int32{}
+			s.hosts[self.PeerAddress] = New(
+				Settings{Self: self, Seeds: seeds, FirstStart: first, ContactBound: 3 * time.Second}, &fakeTransport{}, silentJournal{}, silentObserver{},
+			)
+		}
+	}
+	return s
+}
+
+// start runs a host's duties.
+func (s *site) start(ctx context.Context, f *Forwarder) {
+	go f.RunPeers(ctx, sitePort{s, f.settings.Self.ID})
+	go f.Follow(ctx, s.origin)
+	go f.RunDirectory(ctx, siteDirectory{s.entries[f.settings.Self.ID]})
+}
