--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -185,6 +185,12 @@
 	}
 }
 
+// sendLate is a send whose good answer comes after 100 ms of virtual time.
+func sendLate(context.Context, Upstream, *Outgoing) (*Answer, error) {
+	time.Sleep(100 * time.Millisecond)
+	return answer(http.StatusOK, "late"), nil
+}
+
 // answer is an upstream's good answer.
 func answer(status int, body string) *Answer {
 	return &Answer{
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -23,9 +23,7 @@
 		const zones, perZone = 4, 10
 		s := newSite(zones, perZone, true)
 		ctx, cancel := context.WithCancel(t.Context())
-		for _, f := range s.hosts {
-			s.start(ctx, f)
-		}
+		s.startAll(ctx)
 		time.Sleep(2 * time.Second)
 		for _, f := range s.hosts {
 			is.Equal(f.versionInForce(), Version(1))
@@ -121,9 +119,7 @@
 		const zones, perZone = 3, 8
 		s := newSite(zones, perZone, true)
 		ctx, cancel := context.WithCancel(t.Context())
-		for _, f := range s.hosts {
-			s.start(ctx, f)
-		}
+		s.startAll(ctx)
 		time.Sleep(3 * time.Second)
 		s.origin.lost.Store(true)
 		time.Sleep(8 * time.Second)
@@ -233,9 +229,7 @@
 		is := is.New(t)
 		s := newSite(1, 3, true)
 		ctx, cancel := context.WithCancel(t.Context())
-		for _, f := range s.hosts {
-			s.start(ctx, f)
-		}
+		s.startAll(ctx)
 		time.Sleep(3100 * time.Millisecond)
 		teller, hearer := s.hosts["10.1.0.1:1"], s.hosts["10.1.0.2:1"]
 		teller.listEngines(time.Now(), teller.Table())
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -40,9 +40,7 @@
 				is := is.New(t)
 				s := newSite(3, 4, true)
 				ctx, cancel := context.WithCancel(t.Context())
-				for _, f := range s.hosts {
-					s.start(ctx, f)
-				}
+				s.startAll(ctx)
 				time.Sleep(4 * time.Second)
 				s.configTakes = takes
 				for n := range 60 {
@@ -84,9 +82,7 @@
 				is := is.New(t)
 				s := newSite(3, 4, true)
 				ctx, cancel := context.WithCancel(t.Context())
-				for _, f := range s.hosts {
-					s.start(ctx, f)
-				}
+				s.startAll(ctx)
 				time.Sleep(4 * time.Second)
 				s.freeze(still...)
 				time.Sleep(time.Millisecond)
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -273,6 +273,13 @@
 	return s
 }
 
+// startAll starts every host.
+func (s *site) startAll(ctx context.Context) {
+	for _, f := range s.hosts {
+		s.start(ctx, f)
+	}
+}
+
 // start runs a host's duties.
 func (s *site) start(ctx context.Context, f *Forwarder) {
 	go f.RunPeers(ctx, sitePort{s, f.settings.Self.ID})
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,10 +20,7 @@
 func TestStopping(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
-			time.Sleep(100 * time.Millisecond)
-			return answer(http.StatusOK, "late"), nil
-		}}
+		transport := &fakeTransport{send: sendLate}
 		f, sink := newForwarder(t, transport), &fakeSink{}
 		go f.Serve(t.Context(), call("/order/"), sink)
 		synctest.Wait()
