--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -42,7 +42,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				s.startAll(ctx)
 				time.Sleep(4 * time.Second)
-				s.configTakes = takes
+				s.narrow(takes)
 				for n := range 60 {
 					s.origin.configure(Version(2+n), Revision(20+n))
 					if n == 30 {
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -137,6 +137,13 @@
 	links       map[member.HostID]time.Time
 }
 
+// narrow has each configuration take a while from now on.
+func (s *site) narrow(configTakes time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configTakes = configTakes
+}
+
 // transfer carries a configuration to a host, behind what its link carries already.
 // What was begun is carried to its end, whether or not the host still waits for it.
 func (s *site) transfer(ctx context.Context, to member.HostID) error {
