--- a/forward/interrupted_test.go
+++ b/forward/interrupted_test.go
@@ -25,11 +25,11 @@
 // for what it was wrong about there was no end: the process went, and its connections
 // with it.
 //
-// Evidence: on four plays of such a series, the code that went by the guess broke off
+// Evidence: on four runs of such a series, the code that went by the guess broke off
 // two streams that it had taken 3.1 s after its stop began; the code that goes by the
 // bound none on 12. With half of the engines twelve times slower, that one closed
 // the connections of seven requests, taken 2.9 to 5.1 s after the stop began, without
-// an answer (two plays).
+// an answer (two runs).
 
 // TestStopAnswersWhatItEnds has every request under way when a stop's time is over get
 // its final answer then, and truly: what may have run isn't said not to have.
