entry: an entry follows the catalog that was checked

Cause: the operators' revisions were checked against one catalog and the entry's revision taken from another, read a moment later; when a peer's entry came in between, two operators' changes of one resource were both accepted. Found by TestTwoOperatorsOneResource, which failed once in the whole script beside load.

--- a/entry/writer.go
+++ b/entry/writer.go
@@ -109,11 +109,14 @@
 // writeGroup tries to write the proposals as the next entry, answers those
 // whose fate is known and returns the rest.
 func (c *configuration) writeGroup(ctx context.Context, held []*proposal) []*proposal {
-	group, rest := c.choose(held)
+	// The entry follows the very catalog that the operators' revisions were checked
+	// against: one that came in between would be overwritten unseen.
+	seen := c.Catalog()
+	group, rest := choose(seen, held)
 	if len(group) == 0 {
 		return rest
 	}
-	e := resource.LogEntry{Revision: c.Catalog().Revision() + 1, Operation: uuid.NewString()}
+	e := resource.LogEntry{Revision: seen.Revision() + 1, Operation: uuid.NewString()}
 	for _, p := range group {
 		e.Changes = append(e.Changes, p.change)
 	}
@@ -138,7 +141,7 @@
 
 // choose takes the proposals that can go into one entry: each resource once,
 // and each seen by its operator as it is. Conflicts are answered.
-func (c *configuration) choose(held []*proposal) (group, rest []*proposal) {
+func choose(seen *resource.Catalog, held []*proposal) (group, rest []*proposal) {
 	type key struct {
 		kind resource.Kind
 		name resource.Name
@@ -146,7 +149,7 @@
 	taken := map[key]bool{}
 	for _, p := range held {
 		k := key{p.change.Kind, p.change.Name}
-		now, _ := c.Catalog().Get(k.kind, k.name)
+		now, _ := seen.Get(k.kind, k.name)
 		switch {
 		case p.ctx.Err() != nil:
 			p.done <- proposalResult{err: ErrNotAccepted}
