loopback, cli, platform: tests' processes listen on addresses of their own

Cause: TestSignalsWhileStopping and the soak looked for free ports on 127.0.0.1 and .2 among those that outgoing connections get too; with thousands of connections in TIME-WAIT no two in a row were free, and a port could be taken between the look and the process's listen.

Before: with 119,559 connections in TIME-WAIT the test failed on each of its three cases with "no two ports in a row are free".

Each test now takes a block of loopback addresses for itself, held by a listener, and uses fixed ports below the outgoing range.

--- a/internal/cli/serve_test.go
+++ b/internal/cli/serve_test.go
@@ -7,7 +7,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +18,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/internal/loopback"
 	"github.com/shedpath/shedpath/platform"
 )
 
@@ -84,22 +84,22 @@
 func startHost(t *testing.T) (*exec.Cmd, *bufio.Reader) {
 	t.Helper()
 	is := is.New(t)
-	first := freePorts(t)
+	ip := loopback.Own(t, 1)[0]
 	file := filepath.Join(t.TempDir(), "node.toml")
 	is.NoErr(os.WriteFile(file, fmt.Appendf(nil, `node = "h1"
 zone = "z1"
-ip = "127.0.0.1"
-port_range = [%d,%d]
+ip = "%[1]s"
+port_range = [%[2]d,%[3]d]
 [listen]
-front = "127.0.0.1:0"
-ready = "127.0.0.1:0"
+front = "%[1]s:0"
+ready = "%[1]s:0"
 [bounds]
 grace_s = 1
 [provider]
 address = "127.0.0.1:1"
 writes_per_s = 400
 reads_per_s = 2000
-`, first, first+1), 0o600))
+`, ip, loopback.FirstPort, loopback.FirstPort+1), 0o600))
 	host := exec.Command(os.Args[0], "-test.run=^TestSignalsWhileStopping$")
 	host.Env = append(os.Environ(), servedVariable+"=1", platform.SettingsVariable+"="+file)
 	host.Stderr = os.Stderr
@@ -110,24 +110,6 @@
 	return host, bufio.NewReader(out)
 }
 
-// freePorts returns the first of two ports that nobody listened on a moment ago.
-func freePorts(t *testing.T) int {
-	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp", "127.0.0.1:0")
-		is.New(t).NoErr(err)
-		port := first.Addr().(*net.TCPAddr).Port
-		second, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port+1))
-		is.New(t).NoErr(first.Close())
-		if err == nil {
-			is.New(t).NoErr(second.Close())
-			return port
-		}
-	}
-	t.Fatal("no two ports in a row are free")
-	return 0
-}
-
 // awaitLine reads a log up to a line with some text.
 func awaitLine(t *testing.T, log *bufio.Reader, text string) {
 	t.Helper()
