forward, platform, cli: zones are taken out of service by order

An order that is gone from a reading is taken back; one that can't be read changes nothing. A zone that is out has no takers, so calls, streams, repeats, moves and what waits in the queue go elsewhere, or are refused at once when every zone is out. A run that is already being moved there may be taken up for a second after the order was heard.

--- a/entry/members.go
+++ b/entry/members.go
@@ -284,7 +284,7 @@
 	listed := m.view.Upstreams(kind, string(name), z)
 	kept := listed[:0]
 	for _, u := range listed {
-		if !catalog.Drained(string(u.ID)) {
+		if !catalog.Drained(string(u.ID), string(u.Zone)) {
 			kept = append(kept, u)
 		}
 	}
--- a/entry/status.go
+++ b/entry/status.go
@@ -50,15 +50,17 @@
 
 // Status is a summary of one entry for its operators.
 type Status struct {
-	Self      member.Entry
-	Revision  resource.Revision
-	Ready     bool
-	Leaving   bool
-	InFlight  int
-	Zones     []ZoneState
-	Entries   []member.Entry
-	Upstreams []member.Upstream
-	Pools     []PoolStatus
+	Self     member.Entry
+	Revision resource.Revision
+	Ready    bool
+	Leaving  bool
+	InFlight int
+	Zones    []ZoneState
+	// OutOfService are the zones that a drain order names.
+	OutOfService []string
+	Entries      []member.Entry
+	Upstreams    []member.Upstream
+	Pools        []PoolStatus
 	// Coordinators names, by pool, the entry that coordinates it in this zone.
 	Coordinators map[resource.Name]member.HostID
 }
@@ -76,11 +78,12 @@
 	s.InFlight = e.inFlight
 	e.mu.Unlock()
 	catalog := e.config.Catalog()
+	s.OutOfService = catalog.DrainedZones()
 	e.members.mu.Lock()
 	defer e.members.mu.Unlock()
 	s.Entries = e.members.view.Live(now, "")
 	for _, u := range e.members.view.AllUpstreams() {
-		u.Leaving = u.Leaving || catalog.Drained(string(u.ID))
+		u.Leaving = u.Leaving || catalog.Drained(string(u.ID), string(u.Zone))
 		s.Upstreams = append(s.Upstreams, u)
 	}
 	return s
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -59,6 +59,8 @@
 	// trustGoneFrom is when a missing upstream is believed to be gone: during
 	// and shortly after an outage the list may lack upstreams that live.
 	trustGoneFrom time.Time
+	// zones holds the newest order about each zone that there ever was one about.
+	zones map[member.Zone]zoneState
 	// changed closes at the next change and is made anew.
 	changed chan struct{}
 }
@@ -336,9 +338,13 @@
 func (f *Fleet) takers(now time.Time, service ServiceName) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var takers []Upstream
+	var takers, doubtful []Upstream
 	for _, k := range f.upstreams {
-		if k.Service == service && !k.Leaving && !k.missing && !now.Before(k.suspectUntil) {
+		switch {
+		case k.Service != service || k.Leaving || f.zones[k.Zone].Out:
+		case k.missing || now.Before(k.suspectUntil):
+			doubtful = append(doubtful, k.Upstream)
+		default:
 			takers = append(takers, k.Upstream)
 		}
 	}
@@ -346,12 +352,7 @@
 		return takers
 	}
 	// With nobody else, those under suspicion are better than nothing.
-	for _, k := range f.upstreams {
-		if k.Service == service && !k.Leaving {
-			takers = append(takers, k.Upstream)
-		}
-	}
-	return takers
+	return doubtful
 }
 
 // Since returns what changed after a revision, for a peer that follows this host,
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -19,6 +19,8 @@
 	Config *Config
 	// Changes are those of the list of upstreams.
 	Changes []Change
+	// Zones are orders about zones: with Read, every one that holds.
+	Zones []ZoneOrder
 	// Hosts are hosts of the site that were put on its directory.
 	Hosts []Peer
 	At    Revision
@@ -315,8 +317,10 @@
 			list = append(list, c.Upstream)
 		}
 		w.journal.Belief("list read", "revision", news.At, "upstreams", len(list), "took", now.Sub(proved))
+		w.noteZones(w.fleet.ReplaceZones(now, news.Zones, news.At))
 		w.noteList(w.fleet.Replace(now, list, news.At))
 	} else {
+		w.noteZones(w.fleet.ApplyZones(now, news.Zones))
 		w.noteList(w.fleet.Apply(now, news.Changes, news.At))
 	}
 	if lostFor := w.dep.ok(now); lostFor > 0 {
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -29,8 +29,9 @@
 	// Version is of the peer's configuration, which is to be asked for by itself.
 	Version Version
 	Changes []Change
-	// Whole says that Changes are the whole list: the peer doesn't remember all
-	// that was dropped since the asker's revision.
+	Zones   []ZoneOrder
+	// Whole says that Changes and Zones are all that there are: the peer doesn't
+	// remember all that was dropped since the asker's revision.
 	Whole bool
 	List  Revision
 	// Hosts are those that the peer has found since, up to HostsAt.
@@ -106,6 +107,7 @@
 	// meanwhile.
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
 	reply.Changes, reply.List, reply.Whole = f.fleet.Since(r.List)
+	reply.Zones = f.fleet.ZonesSince(r.List, reply.Whole)
 	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
 	reply.Version = f.versionInForce()
 	return reply
@@ -147,11 +149,13 @@
 	f.peers.list(now, reply.Hosts)
 	f.peers.followed(now, leader.ID, reply)
 	f.fleet.ListTrusted()
-	take := f.fleet.Apply
 	if reply.Whole {
-		take = f.fleet.TakeOver
+		f.noteZones(f.fleet.ReplaceZones(now, reply.Zones, reply.List))
+		f.noteList(f.fleet.TakeOver(now, reply.Changes, reply.List))
+		return true
 	}
-	f.noteList(take(now, reply.Changes, reply.List))
+	f.noteZones(f.fleet.ApplyZones(now, reply.Zones))
+	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
 	return true
 }
 
--- a/forward/move.go
+++ b/forward/move.go
@@ -344,6 +344,9 @@
 	return moved, err
 }
 
+// errOutOfService says that a run may not go on at an engine, by the operator's order.
+var errOutOfService = errors.New("the engine's zone is out of service")
+
 // takeUp sends the request to the engine that holds the copy; when that refuses
 // it, to the engine where the run stopped.
 func (s *streamExchange) takeUp(ctx context.Context, h *handover) (Upstream, *Answer, error) {
@@ -351,8 +354,12 @@
 	if h.to.ID != h.source.ID {
 		targets = append(targets, h.source)
 	}
-	var last error
+	last := errOutOfService
 	for _, u := range targets {
+		if !s.fleet.MayTakeUp(time.Now(), u.Zone) {
+			s.journal.Request(s.call.ID, "not taken up", "upstream", u.ID, "err", errOutOfService)
+			continue
+		}
 		a, err := s.send(ctx, u, &Continuation{Source: h.source.Address, Handle: h.handle, LastEvent: s.lastEvent})
 		if err == nil && a.Status == 200 && a.Signed {
 			s.moves++
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -33,6 +33,8 @@
 	Leaving []LeavingMark
 	// Failing are its findings of upstreams that lose requests.
 	Failing []FailingMark
+	// Zones are the orders about zones that it knows.
+	Zones []ZoneOrder
 }
 
 // Peers is the interface to the other hosts.
@@ -154,7 +156,7 @@
 	return Share{
 		From: f.peers.self, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Runs: f.engines.states(now), Ended: f.engines.endedRuns(now), Leaving: f.fleet.Marks(now),
-		Failing: f.fleet.FailingMarks(now),
+		Failing: f.fleet.FailingMarks(now), Zones: f.fleet.ZonesSince(0, true),
 	}
 }
 
@@ -175,6 +177,7 @@
 		f.journal.Belief("peer told an age below zero", "peer", s.From.ID, "config_age", s.ConfigAge, "origin_age", s.OriginAge)
 		s.ConfigAge, s.OriginAge = neverProved, neverProved
 	}
+	f.noteZones(f.fleet.HearZones(now, s.Zones))
 	for _, mark := range s.Leaving {
 		if f.fleet.MarkLeaving(now, mark.Engine, mark.In, false) {
 			f.journal.Belief("peer says that an engine leaves", "upstream", mark.Engine, "peer", s.From.ID, "in", mark.In)
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -92,7 +92,7 @@
 	for _, id := range ids {
 		u, known := f.fleet.Upstream(id)
 		service, declared := t.Service(u.Service)
-		if !known || !declared || u.Leaving || f.peers.arbiter(now, u).ID != f.peers.self.ID {
+		if !known || !declared || u.Leaving || !f.fleet.InService(u.Zone) || f.peers.arbiter(now, u).ID != f.peers.self.ID {
 			continue
 		}
 		asking.Go(func() { f.ask(ctx, u, service.HealthPath) })
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -25,9 +25,10 @@
 	reads, watches atomic.Int32
 
 	mu sync.Mutex
-	// news are what was published since the start, and configAt when the
+	// news and orders are what was published since the start, and configAt when the
 	// configuration was.
 	news     []Change
+	orders   []ZoneOrder
 	configAt Revision
 	// published closes at the next news and is made anew.
 	published chan struct{}
@@ -44,6 +45,14 @@
 	o.tell()
 }
 
+// order gives orders about zones, or takes them back; their revisions rise.
+func (o *siteOrigin) order(orders ...ZoneOrder) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.orders = append(o.orders, orders...)
+	o.tell()
+}
+
 // configure changes the configuration.
 func (o *siteOrigin) configure(v Version, at Revision) {
 	o.mu.Lock()
@@ -75,6 +84,12 @@
 			news.Changes = append(news.Changes, c)
 		}
 	}
+	for _, order := range o.orders {
+		news.At = max(news.At, order.Revision)
+		if order.Revision > after {
+			news.Zones = append(news.Zones, order)
+		}
+	}
 	if o.published == nil {
 		o.published = make(chan struct{})
 	}
@@ -91,6 +106,17 @@
 	defer o.mu.Unlock()
 	config := o.config
 	whole := News{Config: &config, At: news.At}
+	for _, zone := range []member.Zone{"z1", "z2", "z3"} {
+		var newest ZoneOrder
+		for _, order := range o.orders {
+			if order.Zone == zone {
+				newest = order
+			}
+		}
+		if newest.Out {
+			whole.Zones = append(whole.Zones, newest)
+		}
+	}
 	listed := map[member.UpstreamID]int{}
 	for _, u := range o.list {
 		listed[u.ID] = len(whole.Changes)
@@ -105,7 +131,7 @@
 func (o *siteOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
 	o.watches.Add(1)
 	news, more := o.since(after)
-	if len(news.Changes) == 0 && news.Config == nil {
+	if len(news.Changes) == 0 && len(news.Zones) == 0 && news.Config == nil {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
--- /dev/null
+++ b/forward/zones.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// ZoneOrder is an operator's word on whether the upstreams of an availability zone
+// are in service.
+type ZoneOrder struct {
+	Zone member.Zone
+	// Out says that they get nothing new until the order is taken back.
+	Out bool
+	// Unread says that there is an order that can't be read: nothing changes by it.
+	Unread bool
+	// Revision is the list's when the order was given, or was found to be taken back.
+	Revision Revision
+}
+
+// zoneState is the newest order about a zone that this host knows.
+type zoneState struct {
+	ZoneOrder
+	// heard is when this host heard of it.
+	heard time.Time
+}
+
+// ApplyZones takes in orders that the list told, which are all that there were since
+// the revision that was known. It is to be called before Apply raises that. It returns
+// those that made a difference.
+func (f *Fleet) ApplyZones(now time.Time, orders []ZoneOrder) []ZoneOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []ZoneOrder
+	for _, o := range orders {
+		if f.order(now, o) {
+			news = append(news, o)
+		}
+	}
+	f.notify(len(news) > 0)
+	return news
+}
+
+// ReplaceZones takes in every order that the whole list has as of a revision: a zone
+// without one is back in service. It is to be called before Replace or TakeOver.
+func (f *Fleet) ReplaceZones(now time.Time, orders []ZoneOrder, at Revision) []ZoneOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []ZoneOrder
+	listed := make(map[member.Zone]bool, len(orders))
+	for _, o := range orders {
+		listed[o.Zone] = true
+		if f.order(now, o) {
+			news = append(news, o)
+		}
+	}
+	for zone, known := range f.zones {
+		back := ZoneOrder{Zone: zone, Revision: at}
+		if !listed[zone] && known.Out && f.order(now, back) {
+			news = append(news, back)
+		}
+	}
+	f.notify(len(news) > 0)
+	return news
+}
+
+// HearZones takes in what a peer says of its own accord, which may be older than what
+// this host has: orders up to the revision that is known here are known as they are.
+func (f *Fleet) HearZones(now time.Time, orders []ZoneOrder) []ZoneOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []ZoneOrder
+	for _, o := range orders {
+		if o.Revision > f.revision && f.order(now, o) {
+			news = append(news, o)
+		}
+	}
+	f.notify(len(news) > 0)
+	return news
+}
+
+// order takes in one order, unless it is no newer than what is known of its zone.
+func (f *Fleet) order(now time.Time, o ZoneOrder) bool {
+	known, any := f.zones[o.Zone]
+	if o.Unread || o.Zone == "" || any && o.Revision <= known.Revision {
+		return false
+	}
+	if f.zones == nil {
+		f.zones = map[member.Zone]zoneState{}
+	}
+	f.zones[o.Zone] = zoneState{ZoneOrder: o, heard: now}
+	return known.Out != o.Out
+}
+
+// ZonesSince returns the orders after a revision, or all of them, in the zones' order.
+func (f *Fleet) ZonesSince(after Revision, whole bool) []ZoneOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var orders []ZoneOrder
+	for _, z := range f.zones {
+		if whole || z.Revision > after {
+			orders = append(orders, z.ZoneOrder)
+		}
+	}
+	slices.SortFunc(orders, func(a, b ZoneOrder) int { return strings.Compare(string(a.Zone), string(b.Zone)) })
+	return orders
+}
+
+// handoverGrace is how long after this host has heard that a zone is out of service a
+// run that is already on its way there is still taken up: a copy takes up to a second,
+// and the caller would lose the stream. A host hears of an order within some 1.5 s, and
+// it has to hold within 5.
+const handoverGrace = time.Second
+
+// InService reports whether a zone's upstreams may get new work.
+func (f *Fleet) InService(zone member.Zone) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.zones[zone].Out
+}
+
+// MayTakeUp reports whether a run that is being moved may go on in a zone.
+func (f *Fleet) MayTakeUp(now time.Time, zone member.Zone) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	z := f.zones[zone]
+	return !z.Out || now.Sub(z.heard) <= handoverGrace
+}
+
+// noteZones logs orders that made a difference.
+func (f *Forwarder) noteZones(news []ZoneOrder) {
+	for _, o := range news {
+		event := "zone back in service"
+		if o.Out {
+			event = "zone out of service"
+		}
+		f.journal.Belief(event, "zone", o.Zone, "revision", o.Revision)
+	}
+}
--- /dev/null
+++ b/forward/zones_test.go
@@ -0,0 +1,286 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+)
+
+// upIn is an upstream of a zone.
+func upIn(id member.UpstreamID, zone member.Zone) Upstream {
+	u := up(id, 1, false)
+	u.Zone = zone
+	return u
+}
+
+func out(zone member.Zone, at Revision) ZoneOrder {
+	return ZoneOrder{Zone: zone, Out: true, Revision: at}
+}
+func back(zone member.Zone, at Revision) ZoneOrder { return ZoneOrder{Zone: zone, Revision: at} }
+
+// TestZoneOrders has orders taken in by their revision, from the list and from peers, in
+// whatever order they come.
+func TestZoneOrders(t *testing.T) {
+	unread := ZoneOrder{Zone: "a", Out: true, Unread: true, Revision: 30}
+	type step = func(f *Fleet, now time.Time)
+	apply := func(at Revision, orders ...ZoneOrder) step {
+		return func(f *Fleet, now time.Time) {
+			f.ApplyZones(now, orders)
+			f.Apply(now, nil, at)
+		}
+	}
+	read := func(at Revision, orders ...ZoneOrder) step {
+		return func(f *Fleet, now time.Time) {
+			f.ReplaceZones(now, orders, at)
+			f.Replace(now, []Upstream{upIn("ua", "a"), upIn("ub", "b")}, at)
+		}
+	}
+	hear := func(orders ...ZoneOrder) step {
+		return func(f *Fleet, now time.Time) { f.HearZones(now, orders) }
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		want  map[member.UpstreamID]bool
+	}{
+		"told":                                {[]step{apply(12, out("a", 12))}, map[member.UpstreamID]bool{"ub": true}},
+		"two zones":                           {[]step{apply(13, out("a", 12), out("b", 13))}, map[member.UpstreamID]bool{}},
+		"taken back":                          {[]step{apply(12, out("a", 12)), apply(13, back("a", 13))}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"given again":                         {[]step{apply(14, out("a", 12), back("a", 13), out("a", 14))}, map[member.UpstreamID]bool{"ub": true}},
+		"an older word after a newer":         {[]step{apply(14, back("a", 14)), apply(14, out("a", 12))}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"read":                                {[]step{read(20, out("a", 5))}, map[member.UpstreamID]bool{"ub": true}},
+		"gone from a reading":                 {[]step{apply(12, out("a", 12)), read(20)}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"given while a reading went on":       {[]step{apply(12, out("a", 25)), read(20)}, map[member.UpstreamID]bool{"ub": true}},
+		"unreadable in a reading, was out":    {[]step{apply(12, out("a", 12)), read(20, unread)}, map[member.UpstreamID]bool{"ub": true}},
+		"unreadable in a reading, was in":     {[]step{read(20, unread)}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"unreadable by a watch":               {[]step{apply(30, unread)}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"heard before the list tells":         {[]step{hear(out("a", 12))}, map[member.UpstreamID]bool{"ub": true}},
+		"heard, then the list's reading":      {[]step{hear(out("a", 12)), read(11)}, map[member.UpstreamID]bool{"ub": true}},
+		"heard from one who is behind":        {[]step{read(20), hear(out("a", 12))}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"heard back from one who is behind":   {[]step{apply(20, out("a", 20)), hear(back("a", 15))}, map[member.UpstreamID]bool{"ub": true}},
+		"heard back from one who knows newer": {[]step{apply(20, out("a", 20)), hear(back("a", 25))}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+		"a zone without a name":               {[]step{apply(12, out("", 12))}, map[member.UpstreamID]bool{"ua": true, "ub": true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Now()
+			var f Fleet
+			f.Replace(now, []Upstream{upIn("ua", "a"), upIn("ub", "b")}, 10)
+			for _, s := range c.steps {
+				s(&f, now)
+			}
+			is.Equal(takers(&f, now), c.want)
+		})
+	}
+}
+
+// TestZoneOrdersAreFollowed has a host that follows another know its orders, whole or by
+// what is new, also those that were taken back before it asked.
+func TestZoneOrdersAreFollowed(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var leader, follower Fleet
+	list := []Upstream{upIn("ua", "a"), upIn("ub", "b")}
+	catchUp := func() {
+		changes, at, whole := leader.Since(follower.Revision())
+		orders := leader.ZonesSince(follower.Revision(), whole)
+		if whole {
+			follower.ReplaceZones(now, orders, at)
+			follower.TakeOver(now, changes, at)
+			return
+		}
+		follower.ApplyZones(now, orders)
+		follower.Apply(now, changes, at)
+	}
+	leader.Replace(now, list, 10)
+	catchUp()
+	leader.ApplyZones(now, []ZoneOrder{out("a", 12)})
+	leader.Apply(now, nil, 12)
+	catchUp()
+	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"ub": true})
+	// A new leader has read the list after the order was taken back, and never knew it.
+	leader = Fleet{}
+	leader.Replace(now, list, 20)
+	catchUp()
+	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"ua": true, "ub": true})
+}
+
+// zoneForwarder is a forwarder whose upstreams llm1, app1 are in z1 and the others in z2.
+func zoneForwarder(t *testing.T, transport Transport) *Forwarder {
+	f := newForwarder(t, transport)
+	now := time.Now()
+	var changes []Change
+	for _, id := range []member.UpstreamID{"app2", "app3", "llm2", "llm3"} {
+		u, _ := f.fleet.Upstream(id)
+		u.Zone, u.Revision = "z2", 2
+		changes = append(changes, Change{Upstream: u})
+	}
+	f.fleet.Apply(now, changes, 2)
+	return f
+}
+
+// order takes an order in as a watch tells it.
+func (f *Forwarder) order(orders ...ZoneOrder) {
+	now := time.Now()
+	f.fleet.ApplyZones(now, orders)
+	f.fleet.Apply(now, nil, orders[len(orders)-1].Revision)
+	f.listEngines(now, f.Table())
+}
+
+// TestZoneOutOfServiceGetsNothing has calls, streams, repeats and second tries go to the
+// other zones' upstreams only, and requests be refused at once when every zone is out.
+func TestZoneOutOfServiceGetsNothing(t *testing.T) {
+	for _, path := range []string{"/status/", "/order/", "/llm/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				transport := &fakeTransport{send: func(_ context.Context, _ Upstream, r *Outgoing) (*Answer, error) {
+					if r.Call.Path == "/status/x" {
+						return &Answer{Status: http.StatusServiceUnavailable, NotRun: true, Header: http.Header{}, Body: http.NoBody}, nil
+					}
+					return answer(http.StatusOK, "id: 1\ndata: a\n\n"), nil
+				}}
+				f := zoneForwarder(t, transport)
+				f.order(out("z1", 5))
+				for range 20 {
+					f.Serve(t.Context(), call(path), &fakeSink{})
+				}
+				for _, id := range transport.sentTo() {
+					u, _ := f.fleet.Upstream(id)
+					is.Equal(u.Zone, member.Zone("z2"))
+				}
+				sent := len(transport.sentTo())
+				is.True(sent >= 20)
+				f.order(out("z2", 6))
+				began := time.Now()
+				sink := &fakeSink{}
+				f.Serve(t.Context(), call(path), sink)
+				is.Equal(sink.refused.Code, CodeNoUpstream)
+				is.True(!sink.refused.MayHaveRun)
+				is.Equal(time.Since(began), time.Duration(0)) // not held
+				is.Equal(len(transport.sentTo()), sent)
+				f.order(back("z1", 7))
+				f.Serve(t.Context(), call(path), sink)
+				is.True(len(transport.sentTo()) > sent)
+			})
+		})
+	}
+}
+
+// TestQueuedForZoneOutOfService has what waits for a place not get it on an engine of a
+// zone that has been taken out meanwhile.
+func TestQueuedForZoneOutOfService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := zoneForwarder(t, &fakeTransport{})
+		now := time.Now()
+		f.order(out("z2", 3))
+		// A run that leaves no room for another holds the engine of z1.
+		big := policy.Request{Run: "big", Prompt: 33000, Deadline: now.Add(time.Second), Arrived: now}
+		u, run, _ := f.engines.place(t.Context(), now, "llm", big)
+		is.Equal(u.ID, member.UpstreamID("llm1"))
+		granted := make(chan Upstream, 1)
+		go func() {
+			next := policy.Request{Run: "next", Prompt: 3000, Arrived: now, Deadline: now.Add(time.Minute), Objective: time.Minute}
+			u, _, _ := f.engines.place(t.Context(), now, "llm", next)
+			granted <- u
+		}()
+		synctest.Wait()
+		f.order(out("z1", 4), back("z2", 5))
+		f.engines.finish(time.Now(), "llm", run, true)
+		got := <-granted
+		is.Equal(got.Zone, member.Zone("z2"))
+	})
+}
+
+// TestTakeUpOutOfService has a run that is being moved taken up in a zone that has just
+// been taken out, but not later.
+func TestTakeUpOutOfService(t *testing.T) {
+	for name, c := range map[string]struct {
+		heard time.Duration
+		want  error
+	}{
+		"just now": {500 * time.Millisecond, nil},
+		"long ago": {2 * time.Second, errOutOfService},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+					return answer(http.StatusOK, ""), nil
+				}}
+				f := zoneForwarder(t, transport)
+				f.order(out("z2", 3))
+				time.Sleep(c.heard)
+				to, _ := f.fleet.Upstream("llm2")
+				source, _ := f.fleet.Upstream("llm3")
+				s := &streamExchange{exchange: &exchange{Forwarder: f, call: call("/llm/")}}
+				_, _, err := s.takeUp(t.Context(), &handover{to: to, source: source, handle: "h"})
+				is.True(errors.Is(err, c.want))
+			})
+		})
+	}
+}
+
+// TestZoneOrderReachesEveryHost has every host that isn't cut off keep new work from a
+// zone within 3 s of the order, and give it work again within 3 s, while the host that
+// watches the list, or a whole zone of hosts, can't be reached; without the origin all
+// stay with what they know.
+func TestZoneOrderReachesEveryHost(t *testing.T) {
+	const bound = 3 * time.Second
+	for name, gone := range map[string][]string{
+		"all there":          {},
+		"leader gone":        {"10.1.0.1:1"},
+		"leaders gone":       {"10.1.0.1:1", "10.2.0.1:1", "10.3.0.1:1"},
+		"first zone gone":    {"10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"},
+		"one alone, cut off": {"10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1", "10.2.0.1:1", "10.2.0.2:1", "10.2.0.3:1", "10.3.0.1:1", "10.3.0.2:1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(3, 3, true)
+				s.origin.list = []Upstream{upIn("llm1", "z1"), upIn("llm2", "z2")}
+				ctx, cancel := context.WithCancel(t.Context())
+				s.startAll(ctx)
+				time.Sleep(4 * time.Second)
+				s.lose(gone...)
+				want := func(ids ...member.UpstreamID) {
+					t.Helper()
+					expected := map[member.UpstreamID]bool{}
+					for _, id := range ids {
+						expected[id] = true
+					}
+					for address, f := range s.hosts {
+						if !s.gone[address] {
+							is.Equal(takers(f.fleet, time.Now()), expected)
+						}
+					}
+				}
+				s.origin.order(out("z1", 20))
+				time.Sleep(bound)
+				want("llm2")
+				s.origin.order(back("z1", 21))
+				time.Sleep(bound)
+				want("llm1", "llm2")
+				s.origin.order(out("z1", 22), out("z2", 23), back("z1", 24))
+				time.Sleep(bound)
+				want("llm1")
+				s.origin.lost.Store(true)
+				time.Sleep(bound)
+				want("llm1")
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -234,34 +234,6 @@
 	})
 }
 
-func newDrainCommand(system *System) *cobra.Command {
-	var undo bool
-	var wait time.Duration
-	cmd := &cobra.Command{
-		Use: "drain UPSTREAM", Short: "Keep new work from an upstream",
-		Long:    `drain declares a drain order: running work goes on, and no new work comes.`,
-		Example: "  shedpath drain g1 --wait 5s\n  shedpath drain g1 --undo", Args: cobra.ExactArgs(1),
-	}
-	return operatorCommand(system, cmd, func(s *settings) {
-		s.truth("undo", "remove the drain order", &undo)
-		s.duration("wait", 5*time.Second, "how long to wait until the order is in force in every zone", &wait)
-	}, func(ctx context.Context, c *apiClient, args []string) error {
-		name := resource.Name(strings.ToLower(args[0]))
-		if undo {
-			if err := c.delete(ctx, resource.DrainOrders, name); err != nil {
-				return err
-			}
-			fmt.Fprintf(system.Stdout, "%s takes work again\n", args[0])
-			return nil
-		}
-		spec, err := json.Marshal(resource.DrainOrder{Upstream: args[0]})
-		if err != nil {
-			return err
-		}
-		return apply(ctx, system.Stdout, c, []document{{Kind: resource.DrainOrders, Name: name, Spec: spec}}, wait)
-	})
-}
-
 // entryStatus is what an entry tells of itself.
 type entryStatus struct {
 	Host     string                `json:"host"`
@@ -271,7 +243,9 @@
 	Leaving  bool                  `json:"leaving"`
 	InFlight int                   `json:"inFlight"`
 	Zones    map[string]zoneStatus `json:"zones"`
-	Entries  []struct {
+	// OutOfService are the zones whose upstreams get no new work.
+	OutOfService []string `json:"outOfService"`
+	Entries      []struct {
 		Host    string `json:"host"`
 		Zone    string `json:"zone"`
 		Address string `json:"peerAddress"`
@@ -323,10 +297,11 @@
 	}
 	fmt.Fprintf(out, "%s in %s: %s, revision %d, %d calls in flight\n\n", s.Host, s.Zone, state, s.Revision, s.InFlight)
 	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(table, "ZONE\tENTRIES\tREVISION\tUP TO DATE")
+	fmt.Fprintln(table, "ZONE\tENTRIES\tREVISION\tUP TO DATE\tIN SERVICE")
 	for _, zone := range sortedKeys(s.Zones) {
 		z := s.Zones[zone]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%s\n", zone, z.Entries, z.Revision, z.InForce)
+		inService := !slices.Contains(s.OutOfService, zone)
+		fmt.Fprintf(table, "%s\t%d\t%d\t%s\t%t\n", zone, z.Entries, z.Revision, z.InForce, inService)
 	}
 	fmt.Fprintln(table, "\nUPSTREAM\tKIND\tPOOL\tZONE\tADDRESS\tTAKES WORK")
 	for _, u := range s.Upstreams {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -28,6 +28,30 @@
 	Ended             []wireEndedRun
 	Leaving           []wireLeaving
 	Failing           []wireFailing
+	Zones             []wireZoneOrder
+}
+
+// wireZoneOrder is forward.ZoneOrder.
+type wireZoneOrder struct {
+	Zone     string
+	Out      bool
+	Revision uint64
+}
+
+func toWireZones(orders []forward.ZoneOrder) []wireZoneOrder {
+	var w []wireZoneOrder
+	for _, o := range orders {
+		w = append(w, wireZoneOrder{Zone: string(o.Zone), Out: o.Out, Revision: uint64(o.Revision)})
+	}
+	return w
+}
+
+func zoneOrders(w []wireZoneOrder) []forward.ZoneOrder {
+	var orders []forward.ZoneOrder
+	for _, o := range w {
+		orders = append(orders, forward.ZoneOrder{Zone: member.Zone(o.Zone), Out: o.Out, Revision: forward.Revision(o.Revision)})
+	}
+	return orders
 }
 
 // wireFailing is forward.FailingMark; For is in milliseconds.
@@ -59,6 +83,7 @@
 	w := wireShare{
 		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Version: uint64(s.Version),
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
+		Zones: toWireZones(s.Zones),
 	}
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
@@ -83,6 +108,7 @@
 		From:    forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
+		Zones: zoneOrders(w.Zones),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
@@ -119,6 +145,7 @@
 type wireFollowed struct {
 	Version              uint64
 	Changes              []wireChange
+	Zones                []wireZoneOrder
 	Whole                bool
 	List                 uint64
 	Hosts                []wireHost
@@ -139,6 +166,7 @@
 	w := wireFollowed{
 		Version: uint64(r.Version), Whole: r.Whole, List: uint64(r.List), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
+		Zones: toWireZones(r.Zones),
 	}
 	for _, c := range r.Changes {
 		w.Changes = append(w.Changes, wireChange{
@@ -156,6 +184,7 @@
 	r := forward.FollowReply{
 		Version: forward.Version(w.Version), Whole: w.Whole, List: forward.Revision(w.List), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
+		Zones: zoneOrders(w.Zones),
 	}
 	for _, c := range w.Changes {
 		r.Changes = append(r.Changes, forward.Change{
--- a/internal/web/watch.go
+++ b/internal/web/watch.go
@@ -111,6 +111,7 @@
 	Leaving      bool                  `json:"leaving"`
 	InFlight     int                   `json:"inFlight"`
 	Zones        map[string]zoneAnswer `json:"zones"`
+	OutOfService []string              `json:"outOfService"`
 	Entries      []hostAnswer          `json:"entries"`
 	Upstreams    []upstreamAnswer      `json:"upstreams"`
 	Coordinators map[string]string     `json:"coordinators"`
@@ -148,7 +149,8 @@
 	answer := entryAnswer{
 		Host: string(s.Self.ID), Zone: string(s.Self.Zone), Revision: s.Revision, Ready: s.Ready,
 		Leaving: s.Leaving, InFlight: s.InFlight, Zones: statusAnswerOf(s.Zones, at, s.Revision).Zones,
-		Entries: []hostAnswer{}, Upstreams: []upstreamAnswer{}, Pools: []poolAnswer{}, Coordinators: map[string]string{},
+		OutOfService: s.OutOfService,
+		Entries:      []hostAnswer{}, Upstreams: []upstreamAnswer{}, Pools: []poolAnswer{}, Coordinators: map[string]string{},
 	}
 	for _, e := range s.Entries {
 		answer.Entries = append(answer.Entries, hostAnswer{Host: string(e.ID), Zone: string(e.Zone), Address: e.PeerAddress})
--- a/resource/catalog.go
+++ b/resource/catalog.go
@@ -164,16 +164,28 @@
 	return n, ok
 }
 
-// Drained reports whether a drain order names the upstream.
-func (c *Catalog) Drained(upstream string) bool {
+// Drained reports whether a drain order names the upstream or its zone.
+func (c *Catalog) Drained(upstream, zone string) bool {
 	for _, order := range c.drains {
-		if order.Upstream == upstream {
+		if order.Upstream != "" && order.Upstream == upstream || order.Zone != "" && order.Zone == zone {
 			return true
 		}
 	}
 	return false
 }
 
+// DrainedZones lists the zones that are out of service, in order.
+func (c *Catalog) DrainedZones() []string {
+	var zones []string
+	for _, order := range c.drains {
+		if order.Zone != "" {
+			zones = append(zones, order.Zone)
+		}
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
 // PoolNames lists the declared pools in order.
 func (c *Catalog) PoolNames() []Name { return slices.Sorted(maps.Keys(c.pools)) }
 
--- a/resource/check.go
+++ b/resource/check.go
@@ -198,7 +198,10 @@
 }
 
 func checkDrain(found *Findings, d DrainOrder) {
-	if d.Upstream == "" {
-		found.add("spec.upstream", "is missing; `shedpath status` lists the upstreams")
+	switch {
+	case d.Upstream == "" && d.Zone == "":
+		found.add("spec.upstream", "is missing, and so is spec.zone; `shedpath status` lists the upstreams and zones")
+	case d.Upstream != "" && d.Zone != "":
+		found.add("spec.zone", "can't stand beside spec.upstream: an order names one upstream or one zone")
 	}
 }
--- a/resource/resource_test.go
+++ b/resource/resource_test.go
@@ -32,6 +32,7 @@
 		"good adapter":              {Adapters, "a", `{"model":"m","version":"1"}`, nil},
 		"good account":              {ClientAccounts, "c", `{"keyHashes":["` + goodHash + `"],"priority":3}`, nil},
 		"good drain":                {DrainOrders, "d", `{"upstream":"g1"}`, nil},
+		"good drain of a zone":      {DrainOrders, "d", `{"zone":"az1"}`, nil},
 		"unknown kind":              {"routers", "x", `{}`, []string{"kind"}},
 		"no name":                   {EnginePools, "", `{}`, []string{"name"}},
 		"capital in the name":       {EnginePools, "Desk", `{}`, []string{"name"}},
@@ -57,6 +58,7 @@
 			[]string{"spec.priority", "spec.maxRunning", "spec.requestsPerSecond"},
 		},
 		"drain without upstream": {DrainOrders, "d", `{}`, []string{"spec.upstream"}},
+		"drain of two things":    {DrainOrders, "d", `{"upstream":"g1","zone":"az1"}`, []string{"spec.zone"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -127,7 +129,7 @@
 		if !reflect.DeepEqual(back.Snapshot(), c.Snapshot()) {
 			t.Fatal("the snapshot gives another catalog back")
 		}
-		if back.Drained("g1") != c.Drained("g1") {
+		if back.Drained("g1", "") != c.Drained("g1", "") {
 			t.Fatal("the snapshot forgets a drain order")
 		}
 	})
--- a/resource/spec.go
+++ b/resource/spec.go
@@ -98,9 +98,12 @@
 	RequestsPerSecond float64 `json:"requestsPerSecond,omitempty"`
 }
 
-// DrainOrder asks that an upstream gets no new work.
+// DrainOrder asks that an upstream, or every upstream of an availability zone, gets no
+// new work.
 type DrainOrder struct {
-	Upstream string `json:"upstream"`
+	// Upstream and Zone exclude each other.
+	Upstream string `json:"upstream,omitempty"`
+	Zone     string `json:"zone,omitempty"`
 }
 
 // Defaults that stand in for fields an operator left out.
