forward, platform, policy: entries that can't be used; lives of an upstream

Entries from another writer. Cause: any state but the leaving one was taken for one that works, an entry without an address too, and one that can't be read left the one before it in use. Now an entry is used only if it has service, address, zone, slots and a known state of the right types; else the change says that it is unusable: the upstream gets no new work, what runs there goes on, the others hold, followers are told the same. One bounded log line a second, one metric.

Same id, new life. Cause: nothing read born; an upstream that had said that it leaves stayed out for good, and runs, speed and failing marks of the earlier life counted for the next. Upstreams have a life now, told with entries, marks and runs; a newer one drops what was believed, ends the streams of the old one at once and looks for no copies in it; older news changes nothing.

--- a/forward/engines.go
+++ b/forward/engines.go
@@ -65,6 +65,8 @@
 	request policy.Request
 	// engine changes under the lock of engines.
 	engine member.UpstreamID
+	// life is the engine's; it changes with it.
+	life Life
 	// first is when its first token came; zero before. It changes under the lock of
 	// engines.
 	first time.Time
@@ -239,7 +241,7 @@
 	if d.Verdict != policy.Granted {
 		return Upstream{}, nil, d
 	}
-	run := &ownRun{request: r, engine: d.Engine}
+	run := &ownRun{request: r, engine: d.Engine, life: p.listed[d.Engine].Life}
 	p.own[r.Run] = run
 	return p.listed[d.Engine], run, d
 }
@@ -288,7 +290,7 @@
 	if !found {
 		return Upstream{}, false
 	}
-	run.engine = id
+	run.engine, run.life = id, p.listed[id].Life
 	return p.listed[id], true
 }
 
@@ -352,7 +354,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p := e.pools[service]; p != nil && p.pool.Return(now, run.request.Run, engine) {
-		run.engine = engine
+		run.engine, run.life = engine, p.listed[engine].Life
+	}
+}
+
+// renew forgets what is believed of an engine whose life is over.
+func (e *engines) renew(id member.UpstreamID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		for _, run := range p.pool.Renew(id) {
+			delete(p.theirs, run)
+		}
 	}
 }
 
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -13,6 +13,7 @@
 // of its zone: they have the same links to it.
 type FailingMark struct {
 	Upstream member.UpstreamID
+	Life     Life
 	// For is how much longer it is to get no new work.
 	For time.Duration
 }
@@ -85,7 +86,7 @@
 	var marks []FailingMark
 	for id, k := range f.upstreams {
 		if left := k.failedUntil.Sub(now); left > 0 && !k.Leaving {
-			marks = append(marks, FailingMark{Upstream: id, For: left})
+			marks = append(marks, FailingMark{Upstream: id, Life: k.Life, For: left})
 		}
 	}
 	return marks
@@ -99,7 +100,7 @@
 	for _, mark := range marks {
 		k := f.upstreams[mark.Upstream]
 		until := now.Add(min(mark.For, failingMost))
-		if k == nil || !until.After(k.suspectUntil) {
+		if k == nil || k.Life.newerThan(mark.Life) || !until.After(k.suspectUntil) {
 			continue
 		}
 		k.suspectUntil, changed = until, true
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -126,6 +126,7 @@
 func (silentObserver) FirstEvent(time.Duration)             {}
 func (silentObserver) Gap(time.Duration)                    {}
 func (silentObserver) Repeated(string)                      {}
+func (silentObserver) Unread(int)                           {}
 func (silentObserver) Moved(string, time.Duration)          {}
 
 // testConfig has a route of each kind; "/llm/" leads to engines.
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -25,6 +25,8 @@
 	// Slots is how many requests it works on at once.
 	Slots   int
 	Leaving bool
+	// Life tells this start of the upstream from others under the same id.
+	Life Life
 	// Revision is the list's when this was written.
 	Revision Revision
 }
@@ -37,6 +39,11 @@
 	// Missing says that the list lacks it, but that who tells so doesn't believe
 	// yet that it is gone.
 	Missing bool
+	// Unusable says that its entry names no upstream that could be used: nothing else
+	// than the id and the revision is known, and it gets no new work.
+	Unusable bool
+	// ColdUntil is when it will be warm; zero for one that isn't cold.
+	ColdUntil time.Time
 }
 
 // Fleet is what this host believes about the upstreams. The zero value knows
@@ -53,6 +60,8 @@
 	// forgotten is the newest revision at which something was dropped that isn't
 	// remembered any more.
 	forgotten Revision
+	// renewed are upstreams that have begun a new life since TakeRenewed.
+	renewed []member.UpstreamID
 	// skippedFrom and skippedTo bound the revisions that were passed over by the last
 	// reading of the whole list: what came and went between them was never known here.
 	skippedFrom, skippedTo Revision
@@ -75,6 +84,12 @@
 	declared bool
 	// leftAt is when it was first known to be leaving; zero while it isn't.
 	leftAt time.Time
+	// unusable says that its entry can't be used any more.
+	unusable bool
+	// coldUntil is when it will be warm; zero for one that isn't cold.
+	coldUntil time.Time
+	// over closes when its life is over and another has begun under its id.
+	over chan struct{}
 	// goneAt is when it ends; zero while that isn't known.
 	goneAt time.Time
 	// observed is when this host itself saw that it leaves, not by the list.
@@ -117,17 +132,26 @@
 	return news
 }
 
-// Replace takes the whole list in as of a revision: what it lacks is gone.
+// Replace takes in the whole list of upstreams as of a revision: what it lacks is gone.
 func (f *Fleet) Replace(now time.Time, list []Upstream, at Revision) []Change {
+	changes := make([]Change, len(list))
+	for i, u := range list {
+		changes[i].Upstream = u
+	}
+	return f.ReplaceAll(now, changes, at)
+}
+
+// ReplaceAll is Replace for a list of which not every entry can be used.
+func (f *Fleet) ReplaceAll(now time.Time, list []Change, at Revision) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.revision
 	var news []Change
 	listed := make(map[member.UpstreamID]bool, len(list))
-	for _, u := range list {
-		listed[u.ID] = true
-		if f.apply(now, Change{Upstream: u}) {
-			news = append(news, Change{Upstream: u})
+	for _, c := range list {
+		listed[c.ID] = true
+		if f.apply(now, c) {
+			news = append(news, c)
 		}
 	}
 	for id, k := range f.upstreams {
@@ -160,12 +184,12 @@
 	}
 	k := f.upstreams[c.ID]
 	if k == nil {
-		if c.Gone || c.Missing {
+		if c.Gone || c.Missing || c.Unusable {
 			return false
 		}
-		k = &known{leaving: make(chan struct{})}
+		k = newKnown(c.Upstream)
 		f.upstreams[c.ID] = k
-	} else if c.Revision < k.Revision {
+	} else if c.Revision < k.Revision || k.Life.newerThan(c.Life) {
 		return false
 	}
 	switch {
@@ -173,8 +197,14 @@
 		return f.drop(now, k, c.Revision)
 	case c.Missing:
 		return f.miss(now, k, c.Revision)
+	case c.Unusable:
+		return k.spoil(c.Revision)
+	case c.Life.newerThan(k.Life):
+		f.renew(k, c.Life)
+	case c.Life == 0:
+		c.Life = k.Life
 	}
-	same := !k.gone && !k.missing && k.Upstream == c.Upstream
+	same := !k.gone && !k.missing && !k.unusable && k.Upstream == c.Upstream
 	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision > k.Revision) {
 		// The list knows better than other signs; and an entry that ran out
 		// while its upstream was cut off comes back.
@@ -185,13 +215,28 @@
 	k.declared = k.declared || c.Leaving
 	c.Leaving = c.Leaving || k.Leaving
 	k.gone = k.gone && c.Revision == k.Revision
-	k.Upstream, k.missing = c.Upstream, false
+	k.Upstream, k.missing, k.unusable, k.coldUntil = c.Upstream, false, false, c.ColdUntil
 	if c.Leaving {
 		k.leave(now)
 	}
 	return !same
 }
 
+func newKnown(u Upstream) *known {
+	return &known{Upstream: u, leaving: make(chan struct{}), over: make(chan struct{})}
+}
+
+// spoil takes in that the upstream's entry can't be used as of a revision. What runs
+// there goes on, and an entry that can be used gives it work again.
+func (k *known) spoil(at Revision) bool {
+	k.Revision = at
+	if k.unusable || k.gone {
+		return false
+	}
+	k.unusable = true
+	return true
+}
+
 // miss takes in that whom this host follows doesn't find an upstream on the list,
 // and doesn't believe yet that it is gone.
 func (f *Fleet) miss(now time.Time, k *known, at Revision) bool {
@@ -222,7 +267,7 @@
 // told is the upstream as a peer that follows this host is told of it. Signs other than
 // the list's travel by themselves, and are taken back; what came with the list stays.
 func (k *known) told() Change {
-	c := Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing}
+	c := Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing, Unusable: k.unusable, ColdUntil: k.coldUntil}
 	c.Leaving = k.Leaving && (k.declared || !k.hinted)
 	return c
 }
@@ -267,7 +312,7 @@
 		if k.observed.IsZero() || now.Sub(k.observed) > markShared {
 			continue
 		}
-		mark := LeavingMark{Engine: id}
+		mark := LeavingMark{Engine: id, Life: k.Life}
 		if !k.goneAt.IsZero() {
 			mark.In = max(k.goneAt.Sub(now), time.Millisecond)
 		}
@@ -341,7 +386,7 @@
 	var takers, doubtful []Upstream
 	for _, k := range f.upstreams {
 		switch {
-		case k.Service != service || k.Leaving || f.zones[k.Zone].Out:
+		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out:
 		case k.missing || now.Before(k.suspectUntil):
 			doubtful = append(doubtful, k.Upstream)
 		default:
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -24,8 +24,10 @@
 	// Hosts are hosts of the site that were put on its directory.
 	Hosts []Peer
 	At    Revision
-	// Unread is what couldn't be read of it; nil when all could.
-	Unread error
+	// Unread says of some entries why they couldn't be read or used; nil when all
+	// could. UnreadCount is how many there were.
+	Unread      error
+	UnreadCount int
 }
 
 // Origin is where the configuration and the list of upstreams are kept.
@@ -112,6 +114,10 @@
 	// nextTry is when an origin that failed is asked again although a peer can be
 	// followed.
 	nextTry time.Time
+	// unread counts the entries that couldn't be read since that was last logged, at
+	// unreadNoted.
+	unread      int
+	unreadNoted time.Time
 	// shunned are the zones whose hosts couldn't be followed, until when.
 	shunned map[member.Zone]time.Time
 }
@@ -308,17 +314,17 @@
 func (w *follower) take(proved time.Time, news News) {
 	now := time.Now()
 	if news.Unread != nil {
-		w.journal.Belief("not all could be read", "revision", news.At, "err", news.Unread)
+		w.noteUnread(now, news)
 	}
 	w.peers.list(now, news.Hosts)
 	if w.read {
-		list := make([]Upstream, 0, len(news.Changes))
+		list := make([]Change, 0, len(news.Changes))
 		for _, c := range news.Changes {
-			list = append(list, c.Upstream)
+			list = append(list, c)
 		}
 		w.journal.Belief("list read", "revision", news.At, "upstreams", len(list), "took", now.Sub(proved))
 		w.noteZones(w.fleet.ReplaceZones(now, news.Zones, news.At))
-		w.noteList(w.fleet.Replace(now, list, news.At))
+		w.noteList(w.fleet.ReplaceAll(now, list, news.At))
 	} else {
 		w.noteZones(w.fleet.ApplyZones(now, news.Zones))
 		w.noteList(w.fleet.Apply(now, news.Changes, news.At))
@@ -334,6 +340,21 @@
 	w.proofInherited.Store(false)
 }
 
+// unreadPause is the least time between two lines about entries that can't be read: they
+// may be written anew several times a second.
+const unreadPause = time.Second
+
+// noteUnread counts entries that couldn't be read or used, and logs them now and then.
+func (w *follower) noteUnread(now time.Time, news News) {
+	w.observer.Unread(news.UnreadCount)
+	w.unread += news.UnreadCount
+	if now.Sub(w.unreadNoted) < unreadPause {
+		return
+	}
+	w.journal.Belief("not all could be read", "revision", news.At, "entries", w.unread, "err", news.Unread)
+	w.unread, w.unreadNoted = 0, now
+}
+
 // lost takes in that the origin can't be had.
 func (w *follower) lost(ctx context.Context, err error) {
 	now := time.Now()
@@ -367,10 +388,13 @@
 	return f.followed.age(now) < followTimeout
 }
 
+// noteList logs what is new on the list and drops what was believed of lives that are
+// over.
 func (f *Forwarder) noteList(news []Change) {
+	f.dropOldLives()
 	for _, n := range news {
 		f.journal.Belief("upstream listed", "upstream", n.ID, "service", n.Service, "zone", n.Zone,
-			"leaving", n.Leaving, "gone", n.Gone, "revision", n.Revision)
+			"leaving", n.Leaving, "gone", n.Gone, "unusable", n.Unusable, "cold", !n.ColdUntil.IsZero(), "revision", n.Revision)
 	}
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -46,6 +46,8 @@
 	Gap(d time.Duration)
 	Repeated(why string)
 	Moved(outcome string, pause time.Duration)
+	// Unread counts entries of the origin that couldn't be read or used.
+	Unread(entries int)
 }
 
 // Forwarder serves callers' requests. Use New.
--- /dev/null
+++ b/forward/lives.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import "github.com/shedpath/shedpath/member"
+
+// Life tells one start of an upstream from others under the same id: it is the time of
+// the start, in milliseconds since 1970 by the upstream's own clock, and rises with each.
+// Zero is told of an upstream whose start isn't known.
+type Life int64
+
+// newerThan reports whether both are known, and this is the later one.
+func (l Life) newerThan(other Life) bool { return other != 0 && l > other }
+
+// renew begins an upstream's new life: whatever was believed of the one before is
+// dropped, and what runs there is told that it is over.
+func (f *Fleet) renew(k *known, life Life) {
+	close(k.over)
+	fresh := newKnown(k.Upstream)
+	fresh.Leaving, fresh.Life = false, life
+	fresh.gone, fresh.missing = k.gone, k.missing
+	*k = *fresh
+	f.renewed = append(f.renewed, k.ID)
+}
+
+// HearLife takes in from another than the list which life an upstream is in. It reports
+// whether what was told with it is of the life that is known here.
+func (f *Fleet) HearLife(id member.UpstreamID, life Life) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.upstreams[id]
+	switch {
+	case k == nil || k.Life.newerThan(life):
+		return false
+	case life.newerThan(k.Life):
+		f.renew(k, life)
+		f.notify(true)
+	}
+	return true
+}
+
+// Over returns a channel that closes when the upstream's present life is over and
+// another has begun; nil for an upstream that isn't known.
+func (f *Fleet) Over(id member.UpstreamID) <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil {
+		return k.over
+	}
+	return nil
+}
+
+// TakeRenewed returns the upstreams that have begun a new life since the last call.
+func (f *Fleet) TakeRenewed() []member.UpstreamID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	renewed := f.renewed
+	f.renewed = nil
+	return renewed
+}
+
+// dropOldLives forgets what this host believes of the lives that are over.
+func (f *Forwarder) dropOldLives() {
+	for _, id := range f.fleet.TakeRenewed() {
+		u, _ := f.fleet.Upstream(id)
+		f.journal.Belief("upstream started again", "upstream", id, "life", u.Life)
+		f.engines.renew(id)
+		f.plain.renew(id)
+	}
+}
--- /dev/null
+++ b/forward/lives_test.go
@@ -0,0 +1,157 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+)
+
+// born is an entry of an upstream in one of its lives.
+func born(id member.UpstreamID, life Life, at Revision, leaving bool) Change {
+	c := Change{Upstream: up(id, at, leaving)}
+	c.Life = life
+	return c
+}
+
+// TestSameIDNewLife has what was believed of an upstream's earlier life not hold for the
+// one after, whoever tells of it first, and late news of the earlier one change nothing.
+func TestSameIDNewLife(t *testing.T) {
+	type step = func(f *Forwarder, now time.Time)
+	apply := func(changes ...Change) step {
+		return func(f *Forwarder, now time.Time) {
+			f.noteList(f.fleet.Apply(now, changes, changes[len(changes)-1].Revision))
+		}
+	}
+	hear := func(s Share) step {
+		return func(f *Forwarder, _ time.Time) {
+			s.From = Peer{ID: "h2", Zone: "z1"}
+			f.hear(s)
+		}
+	}
+	leaving := func(life Life) step {
+		return hear(Share{Leaving: []LeavingMark{{Engine: "llm1", Life: life}}})
+	}
+	failing := func(life Life) step {
+		return hear(Share{Failing: []FailingMark{{Upstream: "llm1", Life: life, For: 5 * time.Second}}})
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		// taken is whether it takes new work at the end.
+		taken bool
+		life  Life
+	}{
+		"it had said that it leaves":           {[]step{apply(born("llm1", 100, 5, true)), apply(born("llm1", 200, 6, false))}, true, 200},
+		"its entry had gone":                   {[]step{apply(Change{Upstream: Upstream{ID: "llm1", Revision: 5}, Gone: true}), apply(born("llm1", 200, 6, false))}, true, 200},
+		"it was seen to fail":                  {[]step{failing(100), apply(born("llm1", 200, 6, false))}, true, 200},
+		"late word that it fails":              {[]step{apply(born("llm1", 200, 6, false)), failing(100)}, true, 200},
+		"late word that it leaves":             {[]step{apply(born("llm1", 200, 6, false)), leaving(100)}, true, 200},
+		"late entry":                           {[]step{apply(born("llm1", 200, 6, false)), apply(born("llm1", 100, 7, true))}, true, 200},
+		"a peer knows first, and it leaves":    {[]step{leaving(200)}, false, 200},
+		"then the list tells the earlier life": {[]step{leaving(200), apply(born("llm1", 100, 6, false))}, false, 200},
+		"then the list tells the same life":    {[]step{leaving(200), apply(born("llm1", 200, 6, false))}, true, 200},
+		"an entry without a life":              {[]step{apply(born("llm1", 0, 6, false))}, true, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newForwarder(t, &fakeTransport{})
+			now := time.Now()
+			apply(born("llm1", 100, 2, false))(f, now)
+			for _, s := range c.steps {
+				s(f, now)
+			}
+			is.Equal(takers(f.fleet, now)["llm1"], c.taken)
+			u, _ := f.fleet.Upstream("llm1")
+			is.Equal(u.Life, c.life)
+		})
+	}
+}
+
+// TestNewLifeIsEmpty has an engine that started again hold none of the runs that were
+// counted on it, of this host or its peers, also when a peer still tells of them.
+func TestNewLifeIsEmpty(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	now := time.Now()
+	for _, id := range []member.UpstreamID{"llm2", "llm3"} {
+		f.fleet.MarkLeaving(now, id, 0, true)
+	}
+	f.noteList(f.fleet.Apply(now, []Change{born("llm1", 100, 2, false)}, 2))
+	f.listEngines(now, f.Table())
+	place := func(run policy.RunID) (Upstream, *ownRun, policy.Decision) {
+		r := policy.Request{Run: run, Prompt: 15000, Arrived: now, Deadline: now.Add(time.Minute), Objective: time.Minute}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		return f.engines.place(ctx, now, "llm", r)
+	}
+	_, run, d := place("own")
+	is.Equal(d.Verdict, policy.Granted)
+	theirs := []RunState{{Run: "theirs", Service: "llm", Engine: "llm1", Life: 100, Prompt: 15000, Limit: 16000}}
+	f.engines.adopt(now, "h2", theirs, nil)
+	_, _, d = place("full")
+	is.Equal(d.Verdict, policy.Refused) // no room beside the two
+	f.noteList(f.fleet.Apply(now, []Change{born("llm1", 200, 3, false)}, 3))
+	f.listEngines(now, f.Table())
+	f.engines.adopt(now, "h2", theirs, nil) // it doesn't know yet
+	for _, id := range []policy.RunID{"new1", "new2"} {
+		u, _, d := place(id)
+		is.Equal(d.Verdict, policy.Granted)
+		is.Equal(u.Life, Life(200))
+	}
+	f.engines.finish(now, "llm", run, false)
+	is.Equal(f.engines.pools["llm"].pool.Running(), 2)
+}
+
+// TestStreamEndsWithItsEnginesLife has a stream on an engine that started again end at
+// once, although its connection is silent, and no copy be looked for in the new life.
+func TestStreamEndsWithItsEnginesLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		moves := 0
+		transport := &fakeTransport{
+			send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+				a := answer(http.StatusOK, "")
+				read, write := io.Pipe()
+				a.Body = read
+				go func() { _, _ = write.Write([]byte("id: 1\ndata: x\n\n")) }()
+				return a, nil
+			},
+			move: func(context.Context, Upstream, MoveRequest) (Moved, error) {
+				moves++
+				return Moved{}, ErrNoRun
+			},
+		}
+		f := newForwarder(t, transport)
+		now := time.Now()
+		var old, reborn []Change
+		for _, id := range []member.UpstreamID{"llm1", "llm2", "llm3"} {
+			old = append(old, born(id, 100, 2, false))
+			reborn = append(reborn, born(id, 200, 3, false))
+		}
+		f.noteList(f.fleet.Apply(now, old, 2))
+		f.listEngines(now, f.Table())
+		sink := &fakeSink{}
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			f.Serve(t.Context(), call("/llm/"), sink)
+		}()
+		time.Sleep(time.Second)
+		f.noteList(f.fleet.Apply(time.Now(), reborn, 3))
+		began := time.Now()
+		<-served
+		is.Equal(time.Since(began), time.Duration(0))
+		is.True(sink.cut)
+		is.Equal(moves, 0)
+	})
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -62,15 +62,26 @@
 	next   *handover
 }
 
-// watch starts a mover for the engine that the stream comes from.
-func (s *streamExchange) watch(ctx context.Context, u Upstream) *mover {
+// watch starts a mover for the engine that the stream comes from, and ends the answer
+// with the engine's life.
+func (s *streamExchange) watch(ctx context.Context, u Upstream, a *Answer) *mover {
 	ctx, stop := context.WithCancel(ctx)
 	m := &mover{from: u, stop: stop, done: make(chan struct{})}
 	if s.service.Engine == nil || !s.service.Engine.Moves || s.run == nil {
 		close(m.done)
 		return m
 	}
-	run, leaving := s.run, s.fleet.Leaving(u.ID)
+	run, leaving, over := s.run, s.fleet.Leaving(u.ID), s.fleet.Over(u.ID)
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-over:
+			// The run ended with its engine's life, and no copy is to be looked for
+			// in the new one. The connection may just be silent.
+			stop()
+			closeBody(a)
+		}
+	}()
 	go func() {
 		defer close(m.done)
 		next := m.run(ctx, s.exchange, run, leaving)
--- a/forward/plainchoice.go
+++ b/forward/plainchoice.go
@@ -122,6 +122,16 @@
 	return s
 }
 
+// renew forgets what was seen of an upstream whose life is over. What is under way is
+// counted on until it ends.
+func (c *plainChooser) renew(id member.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.seen[id]; s != nil {
+		s.took, s.failures = 0, 0
+	}
+}
+
 func (c *plainChooser) forgetIdle(now time.Time) {
 	for id, s := range c.seen {
 		if s.inFlight == 0 && now.Sub(s.at) > seenFades {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -98,7 +98,7 @@
 func (s *streamExchange) follow(ctx context.Context, u Upstream, a *Answer) (Upstream, error) {
 	first := a
 	for {
-		m := s.watch(ctx, u)
+		m := s.watch(ctx, u, a)
 		err := s.relay(first, a)
 		closeBody(a)
 		if err == nil && (a.Framed || !m.stopped()) {
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -17,6 +17,8 @@
 	Run     policy.RunID
 	Service ServiceName
 	Engine  member.UpstreamID
+	// Life is the engine's that the run is in.
+	Life Life
 	// Route and Account are what the length of its answer is foreseen by.
 	Route   resource.Name
 	Account resource.Account
@@ -65,7 +67,7 @@
 	for service, p := range e.pools {
 		for id, run := range p.own {
 			state := RunState{
-				Run: id, Service: service, Engine: run.engine, Route: run.request.Route, Account: run.request.Account,
+				Run: id, Service: service, Engine: run.engine, Life: run.life, Route: run.request.Route, Account: run.request.Account,
 				Prompt: run.request.Prompt, Made: policy.Tokens(run.made.Load()), Limit: run.request.Limit,
 			}
 			if !run.first.IsZero() {
@@ -147,7 +149,8 @@
 	}
 	for id, s := range listed {
 		p := e.pools[s.Service]
-		if p == nil || p.own[id] != nil {
+		if p == nil || p.own[id] != nil || p.listed[s.Engine].Life.newerThan(s.Life) {
+			// It is this host's by now, or of a life of its engine that is over.
 			continue
 		}
 		if _, known := p.theirs[id]; known {
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -16,6 +16,7 @@
 // LeavingMark is a host's own observation that an engine leaves, for its peers.
 type LeavingMark struct {
 	Engine member.UpstreamID
+	Life   Life
 	// In is how long it will still serve; zero when that isn't known.
 	In time.Duration
 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -56,14 +56,14 @@
 
 // wireFailing is forward.FailingMark; For is in milliseconds.
 type wireFailing struct {
-	Upstream string
-	For      int64
+	Upstream  string
+	Life, For int64
 }
 
 // wireLeaving is forward.LeavingMark; In is in milliseconds.
 type wireLeaving struct {
-	Engine string
-	In     int64
+	Engine   string
+	Life, In int64
 }
 
 // wireEndedRun is forward.EndedRun.
@@ -75,6 +75,7 @@
 type wireRunState struct {
 	Run, Service, Engine, Route, Account string
 	Prompt, Made, Limit                  int
+	Life                                 int64
 	// Begun is in microseconds.
 	Begun int64
 }
@@ -87,7 +88,7 @@
 	}
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
-			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Route: string(r.Route), Account: string(r.Account),
+			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Life: int64(r.Life), Route: string(r.Route), Account: string(r.Account),
 			Prompt: int(r.Prompt), Made: int(r.Made), Limit: int(r.Limit), Begun: r.Begun.Microseconds(),
 		})
 	}
@@ -95,10 +96,10 @@
 		w.Ended = append(w.Ended, wireEndedRun{Run: string(r.Run), Made: int(r.Made)})
 	}
 	for _, mark := range s.Leaving {
-		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), In: mark.In.Milliseconds()})
+		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), Life: int64(mark.Life), In: mark.In.Milliseconds()})
 	}
 	for _, mark := range s.Failing {
-		w.Failing = append(w.Failing, wireFailing{Upstream: string(mark.Upstream), For: mark.For.Milliseconds()})
+		w.Failing = append(w.Failing, wireFailing{Upstream: string(mark.Upstream), Life: int64(mark.Life), For: mark.For.Milliseconds()})
 	}
 	return w
 }
@@ -112,7 +113,7 @@
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
-			Run: policy.RunID(r.Run), Service: forward.ServiceName(r.Service), Engine: member.UpstreamID(r.Engine),
+			Run: policy.RunID(r.Run), Service: forward.ServiceName(r.Service), Engine: member.UpstreamID(r.Engine), Life: forward.Life(r.Life),
 			Route: resource.Name(r.Route), Account: resource.Account(r.Account),
 			Prompt: policy.Tokens(r.Prompt), Made: policy.Tokens(r.Made), Limit: policy.Tokens(r.Limit),
 			Begun: time.Duration(r.Begun) * time.Microsecond,
@@ -123,12 +124,12 @@
 	}
 	for _, mark := range w.Leaving {
 		s.Leaving = append(s.Leaving, forward.LeavingMark{
-			Engine: member.UpstreamID(mark.Engine), In: time.Duration(mark.In) * time.Millisecond,
+			Engine: member.UpstreamID(mark.Engine), Life: forward.Life(mark.Life), In: time.Duration(mark.In) * time.Millisecond,
 		})
 	}
 	for _, mark := range w.Failing {
 		s.Failing = append(s.Failing, forward.FailingMark{
-			Upstream: member.UpstreamID(mark.Upstream), For: time.Duration(mark.For) * time.Millisecond,
+			Upstream: member.UpstreamID(mark.Upstream), Life: forward.Life(mark.Life), For: time.Duration(mark.For) * time.Millisecond,
 		})
 	}
 	return s
@@ -157,12 +158,16 @@
 	ID, Service, Address, Zone string
 	Slots                      int
 	Leaving, Gone, Missing     bool
-	Revision                   uint64
+	Unusable                   bool
+	Life                       int64
+	// Cold is how much longer it is cold, in milliseconds.
+	Cold     int64
+	Revision uint64
 }
 
 type wireHost struct{ ID, Zone, Address string }
 
-func toWireFollowed(r forward.FollowReply) wireFollowed {
+func toWireFollowed(now time.Time, r forward.FollowReply) wireFollowed {
 	w := wireFollowed{
 		Version: uint64(r.Version), Whole: r.Whole, List: uint64(r.List), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
@@ -172,6 +177,7 @@
 		w.Changes = append(w.Changes, wireChange{
 			ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
 			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing, Revision: uint64(c.Revision),
+			Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
 		})
 	}
 	for _, h := range r.Hosts {
@@ -180,20 +186,14 @@
 	return w
 }
 
-func (w wireFollowed) reply() forward.FollowReply {
+func (w wireFollowed) reply(now time.Time) forward.FollowReply {
 	r := forward.FollowReply{
 		Version: forward.Version(w.Version), Whole: w.Whole, List: forward.Revision(w.List), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 		Zones: zoneOrders(w.Zones),
 	}
 	for _, c := range w.Changes {
-		r.Changes = append(r.Changes, forward.Change{
-			Upstream: forward.Upstream{
-				ID: member.UpstreamID(c.ID), Service: forward.ServiceName(c.Service), Address: c.Address,
-				Zone: member.Zone(c.Zone), Slots: c.Slots, Leaving: c.Leaving, Revision: forward.Revision(c.Revision),
-			},
-			Gone: c.Gone, Missing: c.Missing,
-		})
+		r.Changes = append(r.Changes, c.change(now))
 	}
 	for _, h := range w.Hosts {
 		r.Hosts = append(r.Hosts, forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address})
@@ -201,6 +201,20 @@
 	return r
 }
 
+func (w wireChange) change(now time.Time) forward.Change {
+	c := forward.Change{
+		Upstream: forward.Upstream{
+			ID: member.UpstreamID(w.ID), Service: forward.ServiceName(w.Service), Address: w.Address,
+			Zone: member.Zone(w.Zone), Slots: w.Slots, Leaving: w.Leaving, Life: forward.Life(w.Life), Revision: forward.Revision(w.Revision),
+		},
+		Gone: w.Gone, Missing: w.Missing, Unusable: w.Unusable,
+	}
+	if w.Cold > 0 {
+		c.ColdUntil = now.Add(time.Duration(w.Cold) * time.Millisecond)
+	}
+	return c
+}
+
 // Share tells a peer about this host.
 func (m *Mesh) Share(ctx context.Context, to forward.Peer, s forward.Share) (forward.Share, error) {
 	var answer wireShare
@@ -219,7 +233,7 @@
 	if err := m.call(ctx, to.PeerAddress, kindFollow, request, &answer); err != nil {
 		return forward.FollowReply{}, err
 	}
-	return answer.reply(), nil
+	return answer.reply(time.Now()), nil
 }
 
 // wireTurn is forward.TurnRequest. Wait is how long the arbiter may hold it, in
@@ -289,7 +303,8 @@
 			Version: forward.Version(w.Version), List: forward.Revision(w.List),
 			Hosts: forward.HostCursor{Epoch: w.Epoch, Found: w.Found}, Wait: time.Duration(w.Wait) * time.Millisecond,
 		}
-		return toWireFollowed(f.OnFollow(ctx, r)), nil
+		reply := f.OnFollow(ctx, r)
+		return toWireFollowed(time.Now(), reply), nil
 	case kindConfig:
 		var have uint64
 		if err := msgpack.Unmarshal(body, &have); err != nil {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -31,6 +31,7 @@
 	moved      *prometheus.CounterVec
 	movePause  prometheus.Observer
 	store      *prometheus.CounterVec
+	unread     prometheus.Counter
 	unlogged   prometheus.Counter
 }
 
@@ -51,6 +52,7 @@
 	f.moved = f.counter("moves_total", "Runs that were moved to another engine.", "outcome")
 	f.movePause = f.histogram("move_pause_seconds", "How long a moved run stood still.", pauseBuckets).WithLabelValues()
 	f.store = f.counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
+	f.unread = f.counter("unread_entries_total", "Entries of the platform's store that couldn't be read or used.").WithLabelValues()
 	f.unlogged = f.counter("unlogged_requests_total", "Decisions that were left out of the log by sampling.").WithLabelValues()
 	f.all.MustRegister(
 		collectors.NewGoCollector(),
@@ -106,6 +108,9 @@
 	f.movePause.Observe(pause.Seconds())
 }
 
+// Unread counts entries that couldn't be read or used.
+func (f *Forward) Unread(entries int) { f.unread.Add(float64(entries)) }
+
 // StoreCall counts a call to the platform's store.
 func (f *Forward) StoreCall(call, outcome string) { f.store.WithLabelValues(call, outcome).Inc() }
 
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -114,6 +114,29 @@
 	return slices.EqualFunc(p.engines, ids, func(e *engine, id EngineID) bool { return e.id == id })
 }
 
+// Renew forgets everything about an engine that has started again: its runs, which are
+// returned, what it keeps, how fast it reads and what it reported.
+func (p *Pool) Renew(id EngineID) []RunID {
+	old := p.anyEngine(id)
+	if old == nil {
+		return nil
+	}
+	ended := make([]RunID, 0, len(old.order))
+	for _, run := range old.order {
+		ended = append(ended, run.Run)
+		delete(p.runs, run.Run)
+	}
+	fresh := newEngine(id)
+	fresh.zone = old.zone
+	if at := slices.Index(p.engines, old); at >= 0 {
+		p.engines[at], p.named[id] = fresh, fresh
+	} else {
+		delete(p.away, id)
+	}
+	p.blocked = false
+	return ended
+}
+
 // mostAway bounds the engines that are remembered without runs.
 const mostAway = 256
 
