forward, platform: cold upstreams get what all hosts may send them together

How much longer an upstream is cold comes from its entry, its health answer and peers. Each host sends a cold one a request in each turn of its own; turns come as often as the known hosts, those cut off lately included, can share the rate that the service declares. Weighed against one decider an upstream: with 66 hosts that has 1/66 of the traffic, and an upstream that is cold for long would stand idle. Requests that only cold upstreams could take are refused at once with the time of the next turn; moves don't go there without a turn.

--- a/forward/call.go
+++ b/forward/call.go
@@ -166,12 +166,22 @@
 	Send(ctx context.Context, u Upstream, r *Outgoing) (*Answer, error)
 	// Move copies a run's memory to another engine.
 	Move(ctx context.Context, from Upstream, r MoveRequest) (Moved, error)
-	// Healthy asks an upstream whether it is well and isn't leaving.
-	Healthy(ctx context.Context, u Upstream, path string) (bool, error)
+	// Health asks an upstream how it is.
+	Health(ctx context.Context, u Upstream, path string) (Health, error)
 	// Discard frees a copy that won't be used.
 	Discard(ctx context.Context, at Upstream, handle string) error
 }
 
+// Health is what an upstream says of itself.
+type Health struct {
+	// Well says that it works and isn't leaving.
+	Well bool
+	// ColdFor is how much longer it is cold; zero when it isn't.
+	ColdFor time.Duration
+	// Life is its present one; zero when it doesn't say.
+	Life Life
+}
+
 // MoveRequest asks the engine that runs a request to copy its memory.
 type MoveRequest struct {
 	ID RequestID
--- a/forward/config.go
+++ b/forward/config.go
@@ -97,6 +97,9 @@
 	HealthPath string
 	// MaxConns is how many connections one upstream takes from all hosts.
 	MaxConns int
+	// ColdRate is how many requests a second a cold upstream bears from all hosts
+	// together; zero sets no bound.
+	ColdRate float64
 	Engine   *Engine
 }
 
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -55,11 +55,12 @@
 	return nil
 }
 
-func (f *fakeTransport) Healthy(_ context.Context, u Upstream, _ string) (bool, error) {
+func (f *fakeTransport) Health(_ context.Context, u Upstream, _ string) (Health, error) {
 	if f.healthy == nil {
-		return true, nil
+		return Health{Well: true}, nil
 	}
-	return f.healthy(u)
+	well, err := f.healthy(u)
+	return Health{Well: well}, err
 }
 
 func (f *fakeTransport) sentTo() []member.UpstreamID {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -60,6 +60,8 @@
 	// forgotten is the newest revision at which something was dropped that isn't
 	// remembered any more.
 	forgotten Revision
+	// coldUntil is when the last upstream will be warm that was ever cold.
+	coldUntil time.Time
 	// renewed are upstreams that have begun a new life since TakeRenewed.
 	renewed []member.UpstreamID
 	// skippedFrom and skippedTo bound the revisions that were passed over by the last
@@ -216,6 +218,7 @@
 	c.Leaving = c.Leaving || k.Leaving
 	k.gone = k.gone && c.Revision == k.Revision
 	k.Upstream, k.missing, k.unusable, k.coldUntil = c.Upstream, false, false, c.ColdUntil
+	f.coldUntil = later(f.coldUntil, c.ColdUntil)
 	if c.Leaving {
 		k.leave(now)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -61,6 +61,7 @@
 	table   atomic.Pointer[Table]
 	engines *engines
 	plain   *plainChooser
+	cold    coldTurns
 	retries retryBudget
 	// contact is when this host last had proof that its configuration is the
 	// newest.
@@ -161,6 +162,7 @@
 			return
 		case <-changed:
 		case <-tick.C:
+			f.cold.forget(f.fleet.AllCold(time.Now()))
 			for _, c := range f.fleet.Settle(time.Now()) {
 				f.journal.Belief("upstream dropped", "upstream", c.ID, "why", "still missing after the list settled")
 			}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -33,6 +33,8 @@
 	Leaving []LeavingMark
 	// Failing are its findings of upstreams that lose requests.
 	Failing []FailingMark
+	// Cold are the upstreams that it knows to be cold.
+	Cold []ColdMark
 	// Zones are the orders about zones that it knows.
 	Zones []ZoneOrder
 }
@@ -156,7 +158,7 @@
 	return Share{
 		From: f.peers.self, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Runs: f.engines.states(now), Ended: f.engines.endedRuns(now), Leaving: f.fleet.Marks(now),
-		Failing: f.fleet.FailingMarks(now), Zones: f.fleet.ZonesSince(0, true),
+		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), Zones: f.fleet.ZonesSince(0, true),
 	}
 }
 
@@ -186,6 +188,11 @@
 	if s.From.Zone == f.peers.self.Zone {
 		f.fleet.HearFailing(now, s.Failing)
 	}
+	for _, mark := range s.Cold {
+		if f.fleet.HearLife(mark.Upstream, mark.Life) {
+			f.fleet.MarkCold(mark.Upstream, now.Add(mark.For))
+		}
+	}
 	f.dropOldLives()
 	if f.peers.hear(now, s) {
 		f.journal.Belief("peer found", "peer", s.From.ID, "zone", s.From.Zone)
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -21,6 +21,9 @@
 	// epoch tells this process's counts from those of an earlier one, and found
 	// counts the peers that were heard for the first time, or again after a silence.
 	epoch, found uint64
+	// most is how many hosts were known at once, lately, and mostAt when.
+	most   int
+	mostAt time.Time
 	// seeds are addresses of peers whose names aren't known yet.
 	seeds []string
 	// wake asks for a share to the own zone at once.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -55,6 +55,8 @@
 	// failure is an upstream's own failure, which the caller gets when nothing
 	// better comes.
 	failure *plainTry
+	// none says why no upstream was found for the first try.
+	none Refusal
 	// lastCode says what the last try failed of.
 	lastCode Code
 }
@@ -66,7 +68,7 @@
 	p := &plainExchange{exchange: x, tries: make(chan plainTry, mostDials+max(x.route.Attempts, 1)+1)}
 	x.retries.first(time.Now(), x.service.Name)
 	if !p.launch(ctx) {
-		x.refuse(Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, "service", x.service.Name)
+		x.refuse(p.none, "service", x.service.Name)
 		return
 	}
 	second := p.secondTryTimer()
@@ -102,8 +104,9 @@
 // launch sends the request to the best upstream that wasn't tried yet.
 func (p *plainExchange) launch(ctx context.Context) bool {
 	now := time.Now()
-	u, found := p.plain.choose(now, p.fleet.Takers(now, p.service.Name), p.tried)
+	u, none, found := p.choosePlain(now, p.tried)
 	if !found {
+		p.none = none
 		return false
 	}
 	p.tried = append(p.tried, u.ID)
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -113,14 +113,21 @@
 	go s.ask(context.WithoutCancel(ctx), u, path)
 }
 
-// ask takes an engine's word that it isn't well as a sign that it leaves. No
-// answer says nothing.
+// ask takes an engine's word that it isn't well as a sign that it leaves, and believes
+// that it is cold or in a new life. No answer says nothing.
 func (f *Forwarder) ask(ctx context.Context, u Upstream, path string) {
 	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
-	well, err := f.transport.Healthy(ctx, u, path)
+	health, err := f.transport.Health(ctx, u, path)
 	now := time.Now()
-	if err != nil || well {
+	if err != nil || !f.fleet.HearLife(u.ID, health.Life) {
+		return
+	}
+	f.dropOldLives()
+	if health.ColdFor > 0 {
+		f.fleet.MarkCold(u.ID, now.Add(health.ColdFor))
+	}
+	if health.Well {
 		return
 	}
 	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "origin_age", f.OriginAge(now))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -155,11 +155,12 @@
 	if s.service.Engine == nil {
 		return s.placePlain(now)
 	}
-	u, run, d := s.engines.place(ctx, now, s.service.Name, r)
-	if d.Verdict != policy.Granted {
-		return u, s.noPlace(ctx, d), false
+	u, run, refusal, ok := s.placeWarm(ctx, now, r)
+	if !ok {
+		return u, refusal, false
 	}
-	s.run = run
+	s.run = run.ownRun
+	d := run.decision
 	s.tellPlaced(u)
 	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
@@ -167,9 +168,9 @@
 
 // placePlain picks an upstream for a stream that isn't an engine's.
 func (s *streamExchange) placePlain(now time.Time) (Upstream, Refusal, bool) {
-	u, found := s.plain.choose(now, s.fleet.Takers(now, s.service.Name), s.avoid)
+	u, none, found := s.choosePlain(now, s.avoid)
 	if !found {
-		return u, Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
+		return u, none, false
 	}
 	s.plain.done(now, u.ID, 0, false)
 	return u, Refusal{}, true
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -28,9 +28,16 @@
 	Ended             []wireEndedRun
 	Leaving           []wireLeaving
 	Failing           []wireFailing
+	Cold              []wireCold
 	Zones             []wireZoneOrder
 }
 
+// wireCold is forward.ColdMark; For is in milliseconds.
+type wireCold struct {
+	Upstream  string
+	Life, For int64
+}
+
 // wireZoneOrder is forward.ZoneOrder.
 type wireZoneOrder struct {
 	Zone     string
@@ -98,6 +105,9 @@
 	for _, mark := range s.Leaving {
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), Life: int64(mark.Life), In: mark.In.Milliseconds()})
 	}
+	for _, mark := range s.Cold {
+		w.Cold = append(w.Cold, wireCold{Upstream: string(mark.Upstream), Life: int64(mark.Life), For: mark.For.Milliseconds()})
+	}
 	for _, mark := range s.Failing {
 		w.Failing = append(w.Failing, wireFailing{Upstream: string(mark.Upstream), Life: int64(mark.Life), For: mark.For.Milliseconds()})
 	}
@@ -127,6 +137,11 @@
 			Engine: member.UpstreamID(mark.Engine), Life: forward.Life(mark.Life), In: time.Duration(mark.In) * time.Millisecond,
 		})
 	}
+	for _, mark := range w.Cold {
+		s.Cold = append(s.Cold, forward.ColdMark{
+			Upstream: member.UpstreamID(mark.Upstream), Life: forward.Life(mark.Life), For: time.Duration(mark.For) * time.Millisecond,
+		})
+	}
 	for _, mark := range w.Failing {
 		s.Failing = append(s.Failing, forward.FailingMark{
 			Upstream: member.UpstreamID(mark.Upstream), Life: forward.Life(mark.Life), For: time.Duration(mark.For) * time.Millisecond,
