--- a/policy/engine.go
+++ b/policy/engine.go
@@ -174,6 +174,12 @@
 	return peak + float64(e.others), fits
 }
 
+// foreseenPeak is the highest mean of the engine's memory that is foreseen.
+func (e *engine) foreseenPeak() Tokens {
+	peak, _ := e.foresee(&foresight{}, 0, float64(e.report.Memory))
+	return Tokens(peak)
+}
+
 // take takes a report in. What it shows beyond the runs we know of is others'.
 func (e *engine) take(now time.Time, r Report) {
 	e.report, e.reported = r, now
--- a/policy/fullmemory_test.go
+++ b/policy/fullmemory_test.go
@@ -28,6 +28,8 @@
 	reclaimed    int
 	// urgency is what an engine is told of a run; lower goes first. Nil has all alike.
 	urgency func(r *Request) int
+	// change changes each host's pool; nil leaves it as it is.
+	change func(p *Pool)
 }
 
 const (
@@ -106,6 +108,13 @@
 	s.memory = p.memory
 	s.serve = s.take
 	s.after(p.reclaimEvery/2, s.reclaim)
+	s.after(0, func() {
+		for _, h := range s.hosts {
+			if p.change != nil {
+				p.change(h.pool)
+			}
+		}
+	})
 	s.play()
 	return s, s.full
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,6 +95,10 @@
 	// FirstAfter is after how long the run's first token is expected; set with
 	// Granted, zero where that isn't known.
 	FirstAfter time.Duration
+	// Memory is the most that the engine's memory is foreseen to hold with the run on it,
+	// and Batch how many runs it has then; set with Granted.
+	Memory Tokens
+	Batch  int
 	// Reason and RetryAfter are set with Refused.
 	Reason     Reason
 	RetryAfter time.Duration
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -285,6 +285,7 @@
 func granted(run *placed, waited time.Duration) Decision {
 	return Decision{
 		Run: run.Run, Verdict: Granted, Engine: run.engine.id, Priority: run.priority, Waited: waited, FirstAfter: run.firstAfter,
+		Memory: run.engine.foreseenPeak(), Batch: run.engine.batch(),
 	}
 }
 
