forward, policy: hosts of other zones are asked for places

Cause: a host knows its own zone's runs within milliseconds and of other zones' engines a seventh; when its own were full it placed blindly.

A host places in its own zone, and else asks a host of another, which answers with a place and counts it at once; moves do the same. A zone whose hosts can't be asked is placed in as before.

--- /dev/null
+++ b/forward/asking.go
@@ -0,0 +1,195 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/resource"
+)
+
+// A host knows the runs on its own zone's engines a few milliseconds after they are
+// placed, and those of other zones only in part: bytes between zones have a price. So it
+// places in its own zone by itself, and where that has no room it asks a host of another
+// zone, which answers for a place there. A zone whose hosts can't be asked is placed in
+// blindly, as far as its runs are known.
+
+// PlaceAsk asks a host for a place on one of its zone's engines.
+type PlaceAsk struct {
+	From    member.HostID
+	Service ServiceName
+	Run     policy.RunID
+	// Route and Account are what the length of its answer is foreseen by.
+	Route   resource.Name
+	Account resource.Account
+	Urgency int
+	Prompt  policy.Tokens
+	Limit   policy.Tokens
+	// Objective is the aimed time to the first token, and Waited how much of it is over;
+	// zero for a run that is under way.
+	Objective, Waited time.Duration
+	// Avoid are engines that won't do.
+	Avoid []member.UpstreamID
+}
+
+// PlaceGrant is the answer to a PlaceAsk.
+type PlaceGrant struct {
+	// Engine holds a place for the run; empty when none has room.
+	Engine member.UpstreamID
+	// FirstAfter is after how long its first token is expected.
+	FirstAfter time.Duration
+}
+
+const (
+	// askTimeout bounds the answer of a host that is asked for a place: zones are a
+	// millisecond or two apart, and a slow host is as good as none.
+	askTimeout = 40 * time.Millisecond
+	// lentFor is how long a place that was given to another host's run is kept before
+	// that host must have told of the run.
+	lentFor = time.Second
+)
+
+func askOf(self member.HostID, service ServiceName, now time.Time, r policy.Request) PlaceAsk {
+	a := PlaceAsk{
+		From: self, Service: service, Run: r.Run, Route: r.Route, Account: r.Account, Urgency: r.Priority,
+		Prompt: r.Prompt, Limit: r.Limit, Avoid: r.AvoidAlso,
+	}
+	if !r.Arrived.IsZero() {
+		a.Objective, a.Waited = r.Objective, now.Sub(r.Arrived)
+	}
+	return a
+}
+
+func (a PlaceAsk) request(now time.Time) policy.Request {
+	r := policy.Request{
+		Run: a.Run, Route: a.Route, Account: a.Account, Priority: a.Urgency, Prompt: a.Prompt, Limit: a.Limit,
+		Objective: a.Objective, AvoidAlso: a.Avoid,
+	}
+	if a.Objective > 0 {
+		r.Arrived = now.Add(-a.Waited)
+		r.Deadline = r.Arrived.Add(a.Objective)
+	}
+	return r
+}
+
+// OnAsk serves a host of another zone that asks for a place.
+func (f *Forwarder) OnAsk(a PlaceAsk) PlaceGrant {
+	now := time.Now()
+	d, ok := f.engines.lend(now, a)
+	if !ok {
+		return PlaceGrant{}
+	}
+	f.journal.Request(RequestID(a.Run), "place given", "peer", a.From, "upstream", d.Engine, "first_foreseen", d.FirstAfter, "memory_foreseen", d.Memory, "runs", d.Batch)
+	return PlaceGrant{Engine: d.Engine, FirstAfter: d.FirstAfter}
+}
+
+// askZones asks a host of each of some zones in turn, until one gives a place. blind says
+// that some zone couldn't be asked.
+func (f *Forwarder) askZones(ctx context.Context, zones []member.Zone, service ServiceName, r policy.Request) (grant PlaceGrant, found, blind bool) {
+	peers := f.port()
+	for _, zone := range zones {
+		now := time.Now()
+		to, live := f.peers.anyOf(now, zone)
+		if !live || peers == nil {
+			blind = true
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, askTimeout)
+		grant, err := peers.Ask(call, to, askOf(f.peers.self.ID, service, now, r))
+		cancel()
+		if err != nil {
+			f.journal.Request(RequestID(r.Run), "not answered for a place", "peer", to.ID, "err", err)
+			f.peers.unanswered(to.ID)
+			blind = true
+			continue
+		}
+		if grant.Engine != "" {
+			return grant, true, blind
+		}
+	}
+	return PlaceGrant{}, false, blind
+}
+
+// findPlace finds an engine for a new run: in the own zone, or else by another zone's word.
+func (s *streamExchange) findPlace(ctx context.Context, now time.Time, r policy.Request) (Upstream, *ownRun, policy.Decision) {
+	service := s.service.Name
+	near, far := s.engines.zonesOf(service)
+	if !near || len(far) == 0 {
+		return s.engines.place(ctx, now, service, r)
+	}
+	if u, run, d, ok := s.engines.tryNear(now, service, r); ok {
+		return u, run, d
+	}
+	grant, found, blind := s.askZones(ctx, far, service, r)
+	if found {
+		if u, run, d, ok := s.engines.placeAt(time.Now(), service, r, grant); ok {
+			return u, run, d
+		}
+		// It isn't on this host's list, or not any more.
+		blind = true
+	}
+	r.OnlyZone = !blind
+	return s.engines.place(ctx, time.Now(), service, r)
+}
+
+// findTarget finds another engine for a run that has to move: in its engine's zone first,
+// for a move between zones takes twice as long.
+func (x *exchange) findTarget(ctx context.Context, now time.Time, run *ownRun, avoid []member.UpstreamID) (Upstream, bool) {
+	service, own := x.service.Name, x.peers.self.Zone
+	at, _ := x.fleet.Upstream(run.engine)
+	_, far := x.engines.zonesOf(service)
+	if at.Zone == own {
+		if u, ok := x.engines.relocate(now, service, run, avoid, true); ok {
+			return u, true
+		}
+	} else if slices.Contains(far, at.Zone) {
+		far = append([]member.Zone{at.Zone}, slices.DeleteFunc(far, func(z member.Zone) bool { return z == at.Zone })...)
+	}
+	r, ok := x.engines.grown(service, run, avoid)
+	if !ok {
+		return Upstream{}, false
+	}
+	grant, found, blind := x.askZones(ctx, far, service, r)
+	if found {
+		if u, ok := x.engines.moveTo(time.Now(), service, run, grant.Engine); ok {
+			return u, true
+		}
+	}
+	if !blind && at.Zone == own {
+		return Upstream{}, false
+	}
+	return x.engines.relocate(time.Now(), service, run, avoid, false)
+}
+
+// unanswered notes that a peer didn't answer: until it is heard again it isn't asked.
+func (p *peerSet) unanswered(id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.failed = true
+	}
+}
+
+// anyOf draws a live host of a zone.
+func (p *peerSet) anyOf(now time.Time, zone member.Zone) (Peer, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var chosen Peer
+	n := uint64(0)
+	for _, s := range p.known {
+		if s.Zone != zone || s.stopping || !s.live(now, p.self.Zone) {
+			continue
+		}
+		n++
+		if rand.Uint64N(n) == 0 {
+			chosen = s.Peer
+		}
+	}
+	return chosen, n > 0
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -107,7 +107,7 @@
 	Call    *Call
 	Account resource.Account
 	// Left is how long the upstream may work.
-	Left    time.Duration
+	Left time.Duration
 	// Urgency is what the upstream is told of the request's.
 	Urgency Urgency
 	// Continue takes a run up from where another engine stopped it.
--- a/forward/coldchoice.go
+++ b/forward/coldchoice.go
@@ -59,7 +59,7 @@
 		if len(cold) > 0 && !slices.ContainsFunc(takers, func(u Upstream) bool { return !slices.Contains(r.AvoidAlso, u.ID) }) {
 			return Upstream{}, placedRun{}, noUpstream(wait), false
 		}
-		u, run, d := s.engines.place(ctx, now, s.service.Name, r)
+		u, run, d := s.findPlace(ctx, now, r)
 		if d.Verdict != policy.Granted {
 			return u, placedRun{}, s.noPlace(ctx, d), false
 		}
@@ -75,10 +75,10 @@
 
 // relocate finds another engine for a run, one that isn't cold or at which this host has
 // a turn.
-func (x *exchange) relocate(now time.Time, run *ownRun, avoid []member.UpstreamID) (Upstream, bool) {
+func (x *exchange) relocate(ctx context.Context, now time.Time, run *ownRun, avoid []member.UpstreamID) (Upstream, bool) {
 	cold, _ := x.withoutTurn(now, x.coldTakers(now))
 	from := run.engine
-	u, found := x.engines.relocate(now, x.service.Name, run, slices.Concat(avoid, cold))
+	u, found := x.findTarget(ctx, now, run, slices.Concat(avoid, cold))
 	if found && !x.takeColdTurn(now, &x.service, u.ID) {
 		x.engines.stay(now, x.service.Name, run, from)
 		return Upstream{}, false
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -40,6 +40,8 @@
 	// own are this host's runs, theirs those of its peers.
 	own    map[policy.RunID]*ownRun
 	theirs map[policy.RunID]member.HostID
+	// lent are when places were given to runs of peers that haven't told of them yet.
+	lent map[policy.RunID]time.Time
 	// usualStep is the time of a step as it was observed of all engines; zero
 	// before the first.
 	usualStep time.Duration
@@ -126,7 +128,7 @@
 		if p == nil {
 			p = &enginePool{
 				listed: map[member.UpstreamID]Upstream{}, waiting: map[policy.RunID]chan policy.Decision{},
-				own: map[policy.RunID]*ownRun{}, theirs: map[policy.RunID]member.HostID{},
+				own: map[policy.RunID]*ownRun{}, theirs: map[policy.RunID]member.HostID{}, lent: map[policy.RunID]time.Time{},
 			}
 			p.pool = policy.NewPool(policy.Settings{})
 			e.pools[name] = p
@@ -241,9 +243,7 @@
 	if d.Verdict != policy.Granted {
 		return Upstream{}, nil, d
 	}
-	run := &ownRun{request: r, engine: d.Engine, life: p.listed[d.Engine].Life}
-	p.own[r.Run] = run
-	return p.listed[d.Engine], run, d
+	return p.listed[d.Engine], p.carry(r, d.Engine), d
 }
 
 // withdraw takes back a request whose caller left while it waited.
@@ -277,8 +277,8 @@
 }
 
 // relocate finds another engine for a run whose engine leaves, not one of those
-// to be avoided.
-func (e *engines) relocate(now time.Time, service ServiceName, run *ownRun, avoid []member.UpstreamID) (Upstream, bool) {
+// to be avoided; with onlyZone, one of the same zone.
+func (e *engines) relocate(now time.Time, service ServiceName, run *ownRun, avoid []member.UpstreamID, onlyZone bool) (Upstream, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.pools[service]
@@ -286,7 +286,7 @@
 		return Upstream{}, false
 	}
 	p.pool.Progress(now, run.request.Run, policy.Tokens(run.made.Load()))
-	id, found := p.pool.Relocate(now, run.request.Run, farCostToMove, avoid)
+	id, found := p.pool.Relocate(now, run.request.Run, policy.Target{FarCost: farCostToMove, Avoid: avoid, OnlyZone: onlyZone})
 	if !found {
 		return Upstream{}, false
 	}
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -134,6 +134,10 @@
 func (p *followedPeers) Share(context.Context, Peer, Share) (Share, error) { return Share{}, errGone }
 func (p *followedPeers) Turn(context.Context, Peer, TurnRequest) error     { return nil }
 func (p *followedPeers) EndTurn(context.Context, Peer, TurnRequest) error  { return nil }
+func (p *followedPeers) Ask(context.Context, Peer, PlaceAsk) (PlaceGrant, error) {
+	return PlaceGrant{}, errGone
+}
+
 func (p *followedPeers) Config(context.Context, Peer, Version) (ConfigReply, error) {
 	return ConfigReply{}, errGone
 }
--- /dev/null
+++ b/forward/lending.go
@@ -0,0 +1,133 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
+)
+
+// Places on engines that one host gives to another's runs.
+
+// zonesOf tells whether the own zone has engines of a service that take work, and which
+// others do, in an order that differs from call to call.
+func (e *engines) zonesOf(service ServiceName) (near bool, far []member.Zone) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return false, nil
+	}
+	// The order of a map will do for that.
+	for _, u := range p.listed {
+		switch {
+		case u.Zone == e.zone:
+			near = true
+		case !slices.Contains(far, u.Zone):
+			far = append(far, u.Zone)
+		}
+	}
+	return near, far
+}
+
+// tryNear places a request on an engine of the own zone if that can be done at once.
+func (e *engines) tryNear(now time.Time, service ServiceName, r policy.Request) (Upstream, *ownRun, policy.Decision, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return Upstream{}, nil, policy.Decision{}, false
+	}
+	r.Zone, r.OnlyZone = e.zone, true
+	d, ok := p.pool.TryPlace(now, r)
+	if !ok {
+		return Upstream{}, nil, d, false
+	}
+	return p.listed[d.Engine], p.carry(r, d.Engine), d, true
+}
+
+// placeAt counts a run on an engine that another host gave a place on.
+func (e *engines) placeAt(now time.Time, service ServiceName, r policy.Request, g PlaceGrant) (Upstream, *ownRun, policy.Decision, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil || p.listed[g.Engine].ID == "" {
+		return Upstream{}, nil, policy.Decision{}, false
+	}
+	r.Zone = e.zone
+	d, ok := p.pool.PlaceAt(now, r, g.Engine, g.FirstAfter)
+	if !ok {
+		return Upstream{}, nil, d, false
+	}
+	return p.listed[g.Engine], p.carry(r, g.Engine), d, true
+}
+
+// carry notes that this host has a run on an engine.
+func (p *enginePool) carry(r policy.Request, engine member.UpstreamID) *ownRun {
+	run := &ownRun{request: r, engine: engine, life: p.listed[engine].Life}
+	p.own[r.Run] = run
+	return run
+}
+
+// lend gives a peer's run a place on an engine of the own zone, if one has room.
+func (e *engines) lend(now time.Time, a PlaceAsk) (policy.Decision, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[a.Service]
+	if p == nil || p.own[a.Run] != nil {
+		return policy.Decision{}, false
+	}
+	if _, known := p.theirs[a.Run]; known {
+		// It is there already, and is to move: it is counted where it will be.
+		p.pool.Finish(now, policy.Finish{Run: a.Run})
+	}
+	r := a.request(now)
+	r.Zone, r.OnlyZone = e.zone, true
+	d, ok := p.pool.TryPlace(now, r)
+	if !ok {
+		delete(p.theirs, a.Run)
+		return d, false
+	}
+	p.theirs[a.Run], p.lent[a.Run] = a.From, now
+	return d, true
+}
+
+// stillLent reports whether a place was given to a peer's run so lately that the peer
+// need not have told of it.
+func (p *enginePool) stillLent(now time.Time, run policy.RunID) bool {
+	at, lent := p.lent[run]
+	if !lent || now.Sub(at) <= lentFor {
+		return lent
+	}
+	delete(p.lent, run)
+	return false
+}
+
+// grown is a run as it would be placed anew with what it has made so far.
+func (e *engines) grown(service ServiceName, run *ownRun, avoid []member.UpstreamID) (policy.Request, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil {
+		return policy.Request{}, false
+	}
+	r, ok := p.pool.Grown(run.request.Run)
+	r.AvoidAlso = append(slices.Clone(avoid), run.engine)
+	return r, ok
+}
+
+// moveTo counts a run on an engine that another host gave a place on.
+func (e *engines) moveTo(now time.Time, service ServiceName, run *ownRun, engine member.UpstreamID) (Upstream, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil || p.listed[engine].ID == "" || !p.pool.Return(now, run.request.Run, engine) {
+		return Upstream{}, false
+	}
+	run.engine, run.life = engine, p.listed[engine].Life
+	return p.listed[engine], true
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -118,7 +118,7 @@
 		return nil
 	}
 	defer x.leavingFailing.Unlock()
-	to, found := x.relocate(time.Now(), run, nil)
+	to, found := x.relocate(ctx, time.Now(), run, nil)
 	if !found {
 		return nil
 	}
@@ -262,7 +262,7 @@
 	var busy []member.UpstreamID
 	end = func() {}
 	for range mostTargets {
-		next, ok := x.relocate(time.Now(), run, busy)
+		next, ok := x.relocate(ctx, time.Now(), run, busy)
 		if !ok {
 			break
 		}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -47,6 +47,8 @@
 	Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error)
 	// Config asks a peer for its configuration, if that is newer than a version.
 	Config(ctx context.Context, to Peer, have Version) (ConfigReply, error)
+	// Ask asks a peer for a place on one of its zone's engines.
+	Ask(ctx context.Context, to Peer, a PlaceAsk) (PlaceGrant, error)
 	// Turn waits at an arbiter for the turn to move a run; EndTurn gives it
 	// back.
 	Turn(ctx context.Context, to Peer, r TurnRequest) error
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -140,6 +140,10 @@
 			}
 			s, still := listed[id]
 			if still && p.pool.EngineOf(id) == s.Engine {
+				delete(p.lent, id)
+				continue
+			}
+			if p.stillLent(now, id) {
 				continue
 			}
 			delete(p.theirs, id)
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -271,6 +271,13 @@
 	return reply, s.transfer(ctx, s.self)
 }
 
+func (s sitePort) Ask(ctx context.Context, to Peer, a PlaceAsk) (PlaceGrant, error) {
+	if f := s.reached(ctx, to); f != nil {
+		return f.OnAsk(a), nil
+	}
+	return PlaceGrant{}, errGone
+}
+
 func (s sitePort) Turn(context.Context, Peer, TurnRequest) error    { return nil }
 func (s sitePort) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
 
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -284,11 +284,60 @@
 	return m.call(ctx, to.PeerAddress, kindEndTurn, toWireTurn(r), &answer)
 }
 
+// wireAsk is forward.PlaceAsk; times are in milliseconds.
+type wireAsk struct {
+	From, Service, Run, Route, Account string
+	Urgency, Prompt, Limit             int
+	Objective, Waited                  int64
+	Avoid                              []string
+}
+
+// wireGrant is forward.PlaceGrant; First is in milliseconds.
+type wireGrant struct {
+	Engine string
+	First  int64
+}
+
+func toWireAsk(a forward.PlaceAsk) wireAsk {
+	w := wireAsk{
+		From: string(a.From), Service: string(a.Service), Run: string(a.Run), Route: string(a.Route), Account: string(a.Account),
+		Urgency: a.Urgency, Prompt: int(a.Prompt), Limit: int(a.Limit),
+		Objective: a.Objective.Milliseconds(), Waited: a.Waited.Milliseconds(),
+	}
+	for _, id := range a.Avoid {
+		w.Avoid = append(w.Avoid, string(id))
+	}
+	return w
+}
+
+func (w wireAsk) ask() forward.PlaceAsk {
+	a := forward.PlaceAsk{
+		From: member.HostID(w.From), Service: forward.ServiceName(w.Service), Run: policy.RunID(w.Run),
+		Route: resource.Name(w.Route), Account: resource.Account(w.Account),
+		Urgency: w.Urgency, Prompt: policy.Tokens(w.Prompt), Limit: policy.Tokens(w.Limit),
+		Objective: time.Duration(w.Objective) * time.Millisecond, Waited: time.Duration(w.Waited) * time.Millisecond,
+	}
+	for _, id := range w.Avoid {
+		a.Avoid = append(a.Avoid, member.UpstreamID(id))
+	}
+	return a
+}
+
+// Ask asks a peer for a place on one of its zone's engines.
+func (m *Mesh) Ask(ctx context.Context, to forward.Peer, a forward.PlaceAsk) (forward.PlaceGrant, error) {
+	var answer wireGrant
+	if err := m.call(ctx, to.PeerAddress, kindAsk, toWireAsk(a), &answer); err != nil {
+		return forward.PlaceGrant{}, err
+	}
+	return forward.PlaceGrant{Engine: member.UpstreamID(answer.Engine), FirstAfter: time.Duration(answer.First) * time.Millisecond}, nil
+}
+
 // forwardPeer is what peers ask of a forwarder.
 type forwardPeer interface {
 	OnShare(s forward.Share) forward.Share
 	OnFollow(ctx context.Context, r forward.FollowRequest) forward.FollowReply
 	OnConfig(have forward.Version) forward.ConfigReply
+	OnAsk(a forward.PlaceAsk) forward.PlaceGrant
 	OnTurn(ctx context.Context, r forward.TurnRequest) error
 	OnEndTurn(r forward.TurnRequest)
 }
@@ -326,6 +375,13 @@
 			return nil, trace.Wrap(err)
 		}
 		return m.packed.wire(f.OnConfig(forward.Version(have)))
+	case kindAsk:
+		var w wireAsk
+		if err := msgpack.Unmarshal(body, &w); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		grant := f.OnAsk(w.ask())
+		return wireGrant{Engine: string(grant.Engine), First: grant.FirstAfter.Milliseconds()}, nil
 	case kindTurn, kindEndTurn:
 		var w wireTurn
 		if err := msgpack.Unmarshal(body, &w); err != nil {
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -25,6 +25,7 @@
 	kindTurn
 	kindEndTurn
 	kindConfig
+	kindAsk
 )
 
 // The wire types are arrays, to keep heartbeats small. Times travel as what is
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -37,7 +37,7 @@
 			s.take(e, cost.sum())
 		}
 	}
-	if !far {
+	if !far || r.OnlyZone {
 		return s.best
 	}
 	for _, e := range p.engines {
--- a/policy/fullmemory_test.go
+++ b/policy/fullmemory_test.go
@@ -297,12 +297,12 @@
 // reclaim has some engines leave, and empty ones come for them.
 func (s *fullSite) reclaim() {
 	for range s.plan.reclaimed {
-		at := s.random.IntN(len(s.ids))
+		at := s.drawn.IntN(len(s.ids))
 		id := s.ids[at]
 		zone := s.zoneOf[id]
 		s.ids = slices.Delete(s.ids, at, at+1)
 		e := s.engine(id)
-		notice := playedNotice + time.Duration(s.random.Int64N(int64(500*time.Millisecond)))
+		notice := playedNotice + time.Duration(s.drawn.Int64N(int64(500*time.Millisecond)))
 		s.after(toldNear, func() { s.moveNext(e) })
 		s.after(notice, func() { s.leave(e) })
 		s.after(notice+playedEmpty, func() {
@@ -341,7 +341,7 @@
 		retry()
 		return
 	}
-	id, found := p.host.pool.Relocate(s.now, p.run.request.Run, s.farCost, nil)
+	id, found := p.host.pool.Relocate(s.now, p.run.request.Run, Target{FarCost: s.farCost})
 	to := s.engine(id)
 	if !found || to.gone || to.used()+p.memory()+50 > s.memory {
 		if found {
--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -53,6 +53,8 @@
 	addAt time.Duration
 	// farCost is what an engine of another zone costs a new run.
 	farCost float64
+	// asks has hosts ask those of other zones for a place where their own has no room.
+	asks bool
 	// wave is how far the traffic swings about its mean; zero for not.
 	wave float64
 	seed uint64
@@ -146,6 +148,8 @@
 	// serve has an engine whose memory is played take a run of some length; nil where
 	// engines have room for whatever they get.
 	serve func(h *loadHost, run *loadRun, out Tokens)
+	// drawn is for what differs between ways of deciding; the callers' requests don't.
+	drawn *rand.Rand
 	// memory is an engine's.
 	memory Tokens
 }
@@ -190,7 +194,7 @@
 
 func newLoadSite(p loadPlan) *loadSite {
 	return &loadSite{
-		loadPlan: p, memory: loadMemory, random: rand.New(rand.NewPCG(p.seed, 0)), now: start,
+		loadPlan: p, memory: loadMemory, random: rand.New(rand.NewPCG(p.seed, 0)), drawn: rand.New(rand.NewPCG(p.seed, 1)), now: start,
 		zoneOf: map[EngineID]int{}, slow: map[EngineID]bool{}, readers: map[EngineID]time.Time{}, results: map[resource.Name]*loadResult{},
 	}
 }
@@ -274,7 +278,7 @@
 			if run.engine != left {
 				continue
 			}
-			if to, found := h.pool.Relocate(s.now, run.request.Run, s.farCost, nil); found {
+			if to, found := h.pool.Relocate(s.now, run.request.Run, Target{FarCost: s.farCost}); found {
 				run.engine = to
 			}
 		}
@@ -326,7 +330,7 @@
 	}
 	result := s.results[k.route]
 	result.asked++
-	d := h.pool.Submit(s.now, r)
+	d := s.submit(h, r)
 	if d.Verdict != Granted {
 		h.pool.Finish(s.now, Finish{Run: r.Run})
 		result.refused++
@@ -367,6 +371,34 @@
 	})
 }
 
+// submit has a host place a request: in its own zone, and then by asking a host of
+// another one, if the plan has them ask.
+func (s *loadSite) submit(h *loadHost, r Request) Decision {
+	if !s.asks {
+		return h.pool.Submit(s.now, r)
+	}
+	r.OnlyZone = true
+	if d, ok := h.pool.TryPlace(s.now, r); ok {
+		return d
+	}
+	for _, other := range s.drawn.Perm(s.zones - 1) {
+		zone := (h.zone + 1 + other) % s.zones
+		asked := s.hosts[zone*s.loadPlan.hosts+s.drawn.IntN(s.loadPlan.hosts)]
+		there := r
+		there.Zone = loadZone(zone)
+		d, ok := asked.pool.TryPlace(s.now, there)
+		if !ok {
+			continue
+		}
+		// It tells the host that asked, whose word counts from then on.
+		asked.pool.Finish(s.now, Finish{Run: r.Run})
+		if d, ok = h.pool.PlaceAt(s.now, r, d.Engine, d.FirstAfter); ok {
+			return d
+		}
+	}
+	return h.pool.Submit(s.now, r)
+}
+
 // spread has a host tell others at once of a run that it has placed.
 func (s *loadSite) spread(h *loadHost, on EngineID) {
 	far := s.zoneOf[on] != h.zone
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -54,6 +54,8 @@
 	// zone costs more, as a share of an engine's memory. Zero minds no zones.
 	Zone    member.Zone
 	FarCost float64
+	// OnlyZone has no engine of another zone than Zone considered.
+	OnlyZone bool
 	// Objective is the aimed time to the first token; zero sets none.
 	Objective time.Duration
 	// Arrived is when the objective counts from. With both, a request that no
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -299,6 +299,36 @@
 	return granted(run, waited)
 }
 
+// TryPlace places a request if that can be done at once, ahead of nothing that waits. It
+// doesn't queue it.
+func (p *Pool) TryPlace(now time.Time, r Request) (Decision, bool) {
+	if p.runs[r.Run] != nil || p.queue.find(r.Run) >= 0 {
+		return Decision{}, false
+	}
+	cost := r.Prompt + p.lengths.Mean(&r)
+	w := p.queue.tag(now, r, cost)
+	if p.queue.position(w) == 0 {
+		if e := p.choose(now, &r); e != nil {
+			p.queue.served(w)
+			return p.place(now, &r, e, 0), true
+		}
+	}
+	p.queue.correct(r.Account, -cost)
+	return Decision{}, false
+}
+
+// PlaceAt places a request on an engine that another decider has chosen, which expects
+// its first token after some time. It reports false when that engine isn't known.
+func (p *Pool) PlaceAt(now time.Time, r Request, id EngineID, firstAfter time.Duration) (Decision, bool) {
+	e := p.engine(id)
+	if e == nil || p.runs[r.Run] != nil {
+		return Decision{}, false
+	}
+	d := p.place(now, &r, e, 0)
+	d.FirstAfter, p.runs[r.Run].firstAfter = firstAfter, firstAfter
+	return d, true
+}
+
 // Finish takes a run off its engine, or out of the queue, and learns from it.
 func (p *Pool) Finish(now time.Time, f Finish) {
 	if i := p.queue.find(f.Run); i >= 0 {
--- a/policy/pool_test.go
+++ b/policy/pool_test.go
@@ -404,7 +404,7 @@
 		other = "g2"
 	}
 	p.SetEngines([]EngineID{other})
-	id, found := p.Relocate(start, "1", 0, nil)
+	id, found := p.Relocate(start, "1", Target{FarCost: 0})
 	is.True(found)
 	is.Equal(id, other)
 	is.True(!p.Return(start, "1", "unknown"))
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -27,22 +27,41 @@
 	run.began = now.Add(-time.Duration(made) * run.engine.step())
 }
 
-// Relocate finds another engine for a run whose engine is about to leave, and
-// counts the run there from now on. Engines to be avoided aren't considered. The move has to fit the run as it has grown
-// so far. It returns false when no engine has room; the run then stays counted
-// where it is.
-func (p *Pool) Relocate(now time.Time, id RunID, farCost float64, avoid []EngineID) (EngineID, bool) {
+// Target says what another engine for a run has to be. Its zero value takes any.
+type Target struct {
+	// FarCost is what an engine of another zone than the present one's costs more, as a
+	// share of an engine's memory; with OnlyZone, none of another zone is considered.
+	FarCost  float64
+	OnlyZone bool
+	// Avoid are engines that won't do.
+	Avoid []EngineID
+}
+
+// Grown is a run as a request for another engine: with the memory that it has by now.
+func (p *Pool) Grown(id RunID) (Request, bool) {
 	run := p.runs[id]
 	if run == nil {
-		return "", false
+		return Request{}, false
 	}
 	grown := run.Request
 	grown.Prompt += run.made
 	if run.Limit > 0 {
 		grown.Limit = max(run.Limit-run.made, 1)
 	}
-	grown.Prefix, grown.Arrived, grown.Avoid, grown.AvoidAlso = 0, time.Time{}, run.engine.id, avoid
-	grown.Zone, grown.FarCost = run.engine.zone, farCost
+	grown.Prefix, grown.PrefixTokens, grown.Arrived, grown.Avoid = 0, 0, time.Time{}, run.engine.id
+	return grown, true
+}
+
+// Relocate finds another engine for a run whose engine is about to leave, and counts the
+// run there from now on. It has to fit as it has grown so far. It returns false when no
+// engine has room; the run then stays counted where it is.
+func (p *Pool) Relocate(now time.Time, id RunID, t Target) (EngineID, bool) {
+	grown, known := p.Grown(id)
+	if !known {
+		return "", false
+	}
+	run := p.runs[id]
+	grown.Zone, grown.FarCost, grown.OnlyZone, grown.AvoidAlso = run.engine.zone, t.FarCost, t.OnlyZone, t.Avoid
 	to := p.choose(now, &grown)
 	if to == nil {
 		return "", false
