forward: ended and taken-back runs are told at once to their engine's zone

Hosts refused for want of room that was there.

Runs are told to the engine's zone when they are placed, end or are taken back; the other zones needn't know, for they ask. A place given that nothing is heard of is free after 0.3 s in place of the next word of that host.

--- a/forward/asking.go
+++ b/forward/asking.go
@@ -53,8 +53,8 @@
 	// millisecond or two apart, and a slow host is as good as none.
 	askTimeout = 40 * time.Millisecond
 	// lentFor is how long a place that was given to another host's run is kept before
-	// that host must have told of the run.
-	lentFor = time.Second
+	// that host must have told of the run, which it does within some 5 ms.
+	lentFor = 300 * time.Millisecond
 )
 
 func askOf(self member.HostID, service ServiceName, now time.Time, r policy.Request) PlaceAsk {
--- a/forward/asking_test.go
+++ b/forward/asking_test.go
@@ -146,12 +146,11 @@
 				counted := func() bool { return far.engines.pools["llm"].pool.EngineOf("r") == "far2" }
 				far.engines.adopt(time.Now(), "h1", nil, nil) // a share that was on its way
 				is.True(counted())
-				time.Sleep(lentFor + time.Millisecond)
-				var runs []RunState
 				if c.told {
-					runs = near.engines.states(time.Now())
+					far.engines.adopt(time.Now(), "h1", near.engines.states(time.Now()), nil)
 				}
-				far.engines.adopt(time.Now(), "h1", runs, nil)
+				time.Sleep(lentFor + time.Millisecond)
+				far.listEngines(time.Now(), far.Table())
 				is.Equal(counted(), c.want)
 			})
 		})
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -191,6 +191,7 @@
 
 // refresh tells the pool how its engines stand and decides what waits.
 func (p *enginePool) refresh(now time.Time) {
+	p.takeBack(now)
 	for id, run := range p.own {
 		p.pool.Progress(now, id, policy.Tokens(run.made.Load()))
 		p.pool.Reading(now, id, run.first)
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -236,7 +236,7 @@
 		hearer.listEngines(time.Now(), hearer.Table())
 		now := time.Now()
 		u, run, _ := teller.engines.place(ctx, now, "llm", policy.Request{Run: "r", Prompt: 100})
-		teller.tellPlaced(u)
+		teller.tellRuns(u)
 		synctest.Wait()
 		is.Equal(time.Now(), now)
 		is.Equal(hearer.engines.busy(), []member.UpstreamID{run.engine})
@@ -244,3 +244,33 @@
 		synctest.Wait()
 	})
 }
+
+// TestRunsAreToldToTheirZone has the hosts of an engine's zone hear at once of a run that
+// a host of another zone placed there, and that it has ended.
+func TestRunsAreToldToTheirZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(2, 2, true)
+		s.origin.list = []Upstream{upIn("llm1", "z1"), upIn("llm2", "z2")}
+		ctx, cancel := context.WithCancel(t.Context())
+		s.startAll(ctx)
+		time.Sleep(3100 * time.Millisecond)
+		teller := s.hosts["10.1.0.1:1"]
+		for _, f := range s.hosts {
+			f.listEngines(time.Now(), f.Table())
+		}
+		far, _ := teller.fleet.Upstream("llm2")
+		_, run, _, ok := teller.engines.placeAt(time.Now(), "llm", policy.Request{Run: "r", Prompt: 100}, PlaceGrant{Engine: far.ID})
+		is.True(ok)
+		busy := func() bool { return len(s.hosts["10.2.0.1:1"].engines.busy())+len(s.hosts["10.2.0.2:1"].engines.busy()) == 2 }
+		teller.tellRuns(far)
+		synctest.Wait()
+		is.True(busy())
+		teller.engines.finish(time.Now(), "llm", run, true)
+		teller.tellRuns(far)
+		time.Sleep(2 * shareSoon)
+		is.True(!busy())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forward/lending.go
+++ b/forward/lending.go
@@ -96,15 +96,15 @@
 	return d, true
 }
 
-// stillLent reports whether a place was given to a peer's run so lately that the peer
-// need not have told of it.
-func (p *enginePool) stillLent(now time.Time, run policy.RunID) bool {
-	at, lent := p.lent[run]
-	if !lent || now.Sub(at) <= lentFor {
-		return lent
+// takeBack frees the places that were given to peers' runs that nothing was heard of.
+func (p *enginePool) takeBack(now time.Time) {
+	for id, at := range p.lent {
+		if now.Sub(at) > lentFor {
+			delete(p.lent, id)
+			delete(p.theirs, id)
+			p.pool.Finish(now, policy.Finish{Run: id})
+		}
 	}
-	delete(p.lent, run)
-	return false
 }
 
 // grown is a run as it would be placed anew with what it has made so far.
--- a/forward/move.go
+++ b/forward/move.go
@@ -126,7 +126,7 @@
 	defer endTurns()
 	var next *handover
 	if err == nil {
-		x.tellPlaced(to)
+		x.tellRuns(to)
 		next, err = m.moveTo(ctx, x, to, m.expected(x, run, to), time.Now().Add(moveTimeout))
 	}
 	if next != nil {
@@ -134,6 +134,7 @@
 	}
 	x.journal.Request(x.call.ID, "not moved off a failing engine", "from", m.from.ID, "to", to.ID, "err", err)
 	x.engines.stay(time.Now(), x.service.Name, run, m.from.ID)
+	x.tellRuns(to)
 	m.discard(x)
 	return nil
 }
@@ -244,7 +245,8 @@
 		return nil, errNoTarget
 	}
 	defer endTarget()
-	x.tellPlaced(to)
+	x.tellRuns(to)
+	x.tellRuns(m.from)
 	next, err := m.moveTo(ctx, x, to, m.expected(x, run, to), gone)
 	if errors.Is(err, ErrNoRoom) {
 		x.fleet.Suspect(time.Now(), to.ID)
@@ -252,6 +254,7 @@
 	if err != nil {
 		m.discard(x)
 		x.engines.stay(time.Now(), x.service.Name, run, m.from.ID)
+		x.tellRuns(to)
 	}
 	return next, err
 }
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -81,15 +81,12 @@
 	peerForgotten = 20 * time.Second
 )
 
-// tellPlaced tells the peers at once of a run on an engine: those of the own
-// zone, or all when the engine is another zone's, whose hosts place there first.
-func (f *Forwarder) tellPlaced(u Upstream) {
-	if u.Zone == f.peers.self.Zone {
-		f.peers.nudge()
-		return
-	}
-	f.peers.nudgeAll()
-}
+// tellRuns tells the peers of the own zone and of the engine's at once that a run was
+// placed there, has ended or was taken off: the hosts of an engine's zone decide about it,
+// for all, and a run that has ended and still counts keeps another away. While such runs
+// were told of within 7 s, hosts took each engine to have 1.4 runs more than its 5.5, and
+// on a quiet day 129 requests of 2,479 were refused for want of room.
+func (f *Forwarder) tellRuns(u Upstream) { f.peers.nudgeZone(u.Zone) }
 
 // RunPeers tells the peers about this host until the context ends.
 func (f *Forwarder) RunPeers(ctx context.Context, peers Peers) {
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -30,6 +30,8 @@
 	wake chan struct{}
 	// wakeAll asks for a share to all peers at once.
 	wakeAll chan struct{}
+	// woken are other zones whose peers are to be told at once.
+	woken map[member.Zone]bool
 }
 
 // peerState is what a host knows of one peer.
@@ -105,10 +107,12 @@
 
 // targets returns the peers to share with now, and marks them as being sent to:
 // those of the own zone, and when the period is over some of the other zones, or
-// every peer when each must know.
+// every peer when each must know; and those of the zones that were woken.
 func (p *peerSet) targets(now time.Time, period, every bool) []Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	woken := p.woken
+	p.woken = nil
 	var to []Peer
 	var far []*peerState
 	send := func(s *peerState) {
@@ -120,7 +124,7 @@
 		case now.Sub(s.heard) > peerForgotten:
 			p.forget(id)
 		case s.sending:
-		case every || s.Zone == p.self.Zone && (period || s.live(now, p.self.Zone)):
+		case every || woken[s.Zone] || s.Zone == p.self.Zone && (period || s.live(now, p.self.Zone)):
 			send(s)
 		case period && s.Zone != p.self.Zone:
 			far = append(far, s)
@@ -203,6 +207,19 @@
 	}
 }
 
+// nudgeZone asks for a share to the own zone and another at once.
+func (p *peerSet) nudgeZone(zone member.Zone) {
+	if zone != p.self.Zone {
+		p.mu.Lock()
+		if p.woken == nil {
+			p.woken = map[member.Zone]bool{}
+		}
+		p.woken[zone] = true
+		p.mu.Unlock()
+	}
+	p.nudge()
+}
+
 // nudgeAll asks for a share to all peers at once.
 func (p *peerSet) nudgeAll() {
 	select {
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -143,7 +143,8 @@
 				delete(p.lent, id)
 				continue
 			}
-			if p.stillLent(now, id) {
+			if _, lent := p.lent[id]; lent {
+				// The share was on its way when the place was given.
 				continue
 			}
 			delete(p.theirs, id)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -161,7 +161,7 @@
 	}
 	s.run = run.ownRun
 	d := run.decision
-	s.tellPlaced(u)
+	s.tellRuns(u)
 	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "memory_foreseen", d.Memory, "runs", d.Batch, "zone", u.Zone, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
 }
@@ -194,10 +194,14 @@
 
 // free gives the run's place back; whole says that its length is known.
 func (s *streamExchange) free(whole bool) {
-	if s.run != nil {
-		s.engines.finish(time.Now(), s.service.Name, s.run, whole)
-		s.run = nil
+	if s.run == nil {
+		return
+	}
+	s.engines.finish(time.Now(), s.service.Name, s.run, whole)
+	if u, known := s.fleet.Upstream(s.run.engine); known {
+		s.tellRuns(u)
 	}
+	s.run = nil
 }
 
 // runUrgency is what every engine is told of every run, whatever its route or account:
