--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -262,7 +262,9 @@
 		far, _ := teller.fleet.Upstream("llm2")
 		_, run, _, ok := teller.engines.placeAt(time.Now(), "llm", policy.Request{Run: "r", Prompt: 100}, PlaceGrant{Engine: far.ID})
 		is.True(ok)
-		busy := func() bool { return len(s.hosts["10.2.0.1:1"].engines.busy())+len(s.hosts["10.2.0.2:1"].engines.busy()) == 2 }
+		busy := func() bool {
+			return len(s.hosts["10.2.0.1:1"].engines.busy())+len(s.hosts["10.2.0.2:1"].engines.busy()) == 2
+		}
 		teller.tellRuns(far)
 		synctest.Wait()
 		is.True(busy())
