forward: a host that starts while the store is away takes what a peer has

Cause: a host that found no peer with a fresh list asked the store, which is silent for seconds, and knew no upstream until it answered; it said that it was ready all the same. Now it takes what a live peer knows, marks and orders included, claims no proof by that and goes on asking; without upstreams it isn't ready.

--- a/forward/follow.go
+++ b/forward/follow.go
@@ -174,7 +174,8 @@
 	}
 }
 
-// join takes everything over from a peer, unless none is found in time.
+// join takes everything over from a peer that is up to date, unless none is found in time;
+// then what one has that isn't: the origin may be silent for seconds.
 func (w *follower) join(ctx context.Context) {
 	until := w.began.Add(w.joinWait())
 	for ctx.Err() == nil && time.Now().Before(until) {
@@ -186,6 +187,7 @@
 		}
 		PauseFor(ctx, joinCheck)
 	}
+	w.takeStale(ctx)
 }
 
 // joinConfig takes over the configuration that a peer has offered. It reports whether
@@ -364,6 +366,7 @@
 	// engines are asked themselves.
 	w.originContact.clear()
 	w.fleet.Wake()
+	w.takeStale(ctx)
 	pause := w.dep.failed(ctx, err)
 	more := pause * time.Duration(w.peers.liveInZone(now)/hostsAtOnce)
 	w.nextTry = now.Add(pause + more + originPause)
@@ -371,6 +374,24 @@
 	w.pauseUntilLed(ctx, more)
 }
 
+// takeStale has a host that has started while the origin is away, and knows no upstream,
+// take what a peer has, however old that is: without it the host refuses all until the
+// origin is back. It claims no proof by that, and goes on asking the origin.
+func (w *follower) takeStale(ctx context.Context) {
+	now := time.Now()
+	if w.fleet.Revision() > 0 {
+		return
+	}
+	for _, peer := range w.peers.anyLive(now) {
+		if !w.followPeer(ctx, peer, staleBounds) || w.fleet.Revision() == 0 {
+			continue
+		}
+		w.joinConfig(ctx, peer)
+		w.journal.Belief("joined", "peer", peer.ID, "version", w.versionInForce(), "list_revision", w.fleet.Revision(), "stale", true, "origin_age", w.OriginAge(now), "after", now.Sub(w.began))
+		return
+	}
+}
+
 // pauseUntilLed waits, but not on while a peer has regained the origin.
 func (w *follower) pauseUntilLed(ctx context.Context, pause time.Duration) {
 	until := time.Now().Add(pause)
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -65,11 +65,16 @@
 	// inherit says that the proof counts as this host's own, so that others may
 	// follow it in turn.
 	inherit bool
+	// stale says that the peer's list is better than none, and proves nothing.
+	stale bool
 }
 
 // accept reports whether a reply's proofs are recent enough to rely on. No proof is
 // younger than its own telling.
 func (b followBounds) accept(r FollowReply) bool {
+	if b.stale {
+		return r.List > 0
+	}
 	return 0 <= r.OriginAge && r.OriginAge <= b.fresh && 0 <= r.ConfigAge && r.ConfigAge <= b.fresh+configLate
 }
 
@@ -79,6 +84,8 @@
 	// neededBounds are for any host while the origin can't be had: those that
 	// could watch it must not follow this host back.
 	neededBounds = followBounds{wait: 700 * time.Millisecond, timeout: followTimeout, fresh: originFresh}
+	// staleBounds are for any host while none has the origin, and this one knows nothing.
+	staleBounds = followBounds{timeout: 300 * time.Millisecond, stale: true}
 	// zoneBounds are for a host of another zone. The whole zone hears of
 	// engines that leave through this call, and a link that is cut may just be
 	// silent: that is to be noticed in a fraction of an engine's notice.
@@ -145,10 +152,12 @@
 		f.originContact.raise(now.Add(-reply.OriginAge))
 		f.proofInherited.Store(true)
 	}
-	f.followed.raise(now)
 	f.peers.list(now, reply.Hosts)
 	f.peers.followed(now, leader.ID, reply)
-	f.fleet.ListTrusted()
+	if !bounds.stale {
+		f.followed.raise(now)
+		f.fleet.ListTrusted()
+	}
 	if reply.Whole {
 		f.noteZones(f.fleet.ReplaceZones(now, reply.Zones, reply.List))
 		f.noteList(f.fleet.TakeOver(now, reply.Changes, reply.List))
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -276,3 +276,54 @@
 		synctest.Wait()
 	})
 }
+
+// TestStartsWithOriginAway has a host that starts while the origin is away serve by what its
+// peers know, bound by what they have acknowledged, and claim no proof by that.
+func TestStartsWithOriginAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newSite(2, 3, false)
+		s.origin.list = []Upstream{upIn("llm1", "z1"), upIn("llm2", "z2"), upIn("llm3", "z2")}
+		late := s.hosts["10.2.0.3:1"]
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, f := range s.hosts {
+			if f != late {
+				s.start(ctx, f)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		leaving := Change{Upstream: upIn("llm3", "z2")}
+		leaving.Leaving, leaving.Revision = true, 20
+		s.origin.publish(leaving)
+		s.origin.order(out("z1", 21))
+		time.Sleep(time.Second)
+		s.origin.lost.Store(true)
+		time.Sleep(10 * time.Second)
+		is.True(!late.Ready()) // it knows nothing
+		s.start(ctx, late)
+		time.Sleep(joinWait + 100*time.Millisecond)
+		is.True(late.Ready())
+		is.Equal(late.versionInForce(), Version(1))
+		is.Equal(takers(late.fleet, time.Now()), map[member.UpstreamID]bool{"llm2": true})
+		is.True(late.OriginAge(time.Now()) > originFresh)
+		is.True(!late.listKnown(time.Now()))
+		s.origin.lost.Store(false)
+		s.origin.order(back("z1", 22))
+		time.Sleep(6 * time.Second)
+		is.Equal(takers(late.fleet, time.Now()), map[member.UpstreamID]bool{"llm1": true, "llm2": true})
+		is.True(late.OriginAge(time.Now()) <= originFresh)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestNotReadyWithoutUpstreams has a host that knows no upstream say that it isn't ready,
+// and that it is as soon as it knows one.
+func TestNotReadyWithoutUpstreams(t *testing.T) {
+	is := is.New(t)
+	f := New(Settings{}, &fakeTransport{}, silentJournal{}, silentObserver{})
+	f.Configure(time.Now(), testConfig(1))
+	is.True(!f.Ready())
+	f.fleet.Replace(time.Now(), []Upstream{up("llm1", 1, false)}, 1)
+	is.True(f.Ready())
+}
--- a/forward/peerchoice.go
+++ b/forward/peerchoice.go
@@ -50,6 +50,28 @@
 	return false
 }
 
+// staleTries is how many peers a host that knows nothing asks at once for what they have.
+const staleTries = 3
+
+// anyLive draws some live peers, those of the own zone first.
+func (p *peerSet) anyLive(now time.Time) []Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var near, far []Peer
+	for _, s := range p.known {
+		switch {
+		case s.stopping || s.foundAt == 0 || !s.live(now, p.self.Zone):
+		case s.Zone == p.self.Zone:
+			near = append(near, s.Peer)
+		default:
+			far = append(far, s.Peer)
+		}
+	}
+	// The order of a map will do for drawing.
+	peers := append(near, far...)
+	return peers[:min(len(peers), staleTries)]
+}
+
 // joinable returns a peer that a host which starts can take everything over from, one
 // of its own zone if there is any. It is drawn, for many may start together.
 func (p *peerSet) joinable(now time.Time) (Peer, bool) {
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -9,8 +9,11 @@
 	"time"
 )
 
-// Ready reports whether this host should get new connections.
-func (f *Forwarder) Ready() bool { return f.table.Load() != nil && !f.Stopping() }
+// Ready reports whether this host should get new connections: not before it knows a
+// configuration and upstreams to send to.
+func (f *Forwarder) Ready() bool {
+	return f.table.Load() != nil && f.fleet.Revision() > 0 && !f.Stopping()
+}
 
 // Stopping reports whether the host is about to stop.
 func (f *Forwarder) Stopping() bool {
