forward: a peer's run that finds no room to move stays counted where it is

Cause (by reading): a host that was asked to place a run that it knew forgot it first, and kept nothing of it when there was no room. Test: TestAskedRunStaysCounted, red before.

--- a/forward/asking_test.go
+++ b/forward/asking_test.go
@@ -184,3 +184,23 @@
 		is.Equal(run.engine, member.UpstreamID("near"))
 	})
 }
+
+// TestAskedRunStaysCounted has a peer's run that finds no room to move to stay counted on
+// the engine where it is.
+func TestAskedRunStaysCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far, _ := twoZones(t)
+		fill(t, near, "near")
+		_, run, d := find(t.Context(), near, "r")
+		is.True(d.Engine == "far1" || d.Engine == "far2")
+		other := map[member.UpstreamID]member.UpstreamID{"far1": "far2", "far2": "far1"}[d.Engine]
+		fill(t, far, other)
+		x := &exchange{Forwarder: near, call: call("/llm/")}
+		x.service, _ = near.Table().Service("llm")
+		_, found := x.relocate(t.Context(), time.Now(), run, nil)
+		is.True(!found)
+		is.Equal(far.engines.pools["llm"].pool.EngineOf("r"), d.Engine)
+		is.Equal(run.engine, d.Engine)
+	})
+}
--- a/forward/coldturns.go
+++ b/forward/coldturns.go
@@ -45,7 +45,7 @@
 	next map[member.UpstreamID]time.Time
 }
 
-// period is the time between two turns of one host.
+// coldPeriod is the time between two turns of one host.
 func coldPeriod(perSecond float64, hosts int) time.Duration {
 	return time.Duration(float64(hosts) / (coldPart * max(perSecond, leastColdRate)) * float64(time.Second))
 }
--- a/forward/lending.go
+++ b/forward/lending.go
@@ -81,19 +81,23 @@
 	if p == nil || p.own[a.Run] != nil {
 		return policy.Decision{}, false
 	}
+	d, ok := p.placeTheirs(now, a, e.zone)
+	if ok {
+		p.theirs[a.Run], p.lent[a.Run] = a.From, now
+	}
+	return d, ok
+}
+
+// placeTheirs places a peer's run on an engine of a zone. One that is known here already
+// is to move, and stays counted where it is if there is no room.
+func (p *enginePool) placeTheirs(now time.Time, a PlaceAsk, zone member.Zone) (policy.Decision, bool) {
 	if _, known := p.theirs[a.Run]; known {
-		// It is there already, and is to move: it is counted where it will be.
-		p.pool.Finish(now, policy.Finish{Run: a.Run})
+		id, ok := p.pool.Relocate(now, a.Run, policy.Target{Avoid: a.Avoid, OnlyZone: true, Zone: zone})
+		return policy.Decision{Run: a.Run, Verdict: policy.Granted, Engine: id}, ok
 	}
 	r := a.request(now)
-	r.Zone, r.OnlyZone = e.zone, true
-	d, ok := p.pool.TryPlace(now, r)
-	if !ok {
-		delete(p.theirs, a.Run)
-		return d, false
-	}
-	p.theirs[a.Run], p.lent[a.Run] = a.From, now
-	return d, true
+	r.Zone, r.OnlyZone = zone, true
+	return p.pool.TryPlace(now, r)
 }
 
 // takeBack frees the places that were given to peers' runs that nothing was heard of.
