--- a/forward/follow.go
+++ b/forward/follow.go
@@ -320,13 +320,9 @@
 	}
 	w.peers.list(now, news.Hosts)
 	if w.read {
-		list := make([]Change, 0, len(news.Changes))
-		for _, c := range news.Changes {
-			list = append(list, c)
-		}
-		w.journal.Belief("list read", "revision", news.At, "upstreams", len(list), "took", now.Sub(proved))
+		w.journal.Belief("list read", "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
 		w.noteZones(w.fleet.ReplaceZones(now, news.Zones, news.At))
-		w.noteList(w.fleet.ReplaceAll(now, list, news.At))
+		w.noteList(w.fleet.ReplaceAll(now, news.Changes, news.At))
 	} else {
 		w.noteZones(w.fleet.ApplyZones(now, news.Zones))
 		w.noteList(w.fleet.Apply(now, news.Changes, news.At))
