forward: a test waits for the goroutine whose answer ended the stop

TestStopAnswersWhatItEnds failed once, with the race detector beside load: "the request under way has no end". Trace: the request leaves (which ends the host's stop) in a deferred call, before Serve returns and the test's channel closes; the test looked in between. It now lets goroutines that can run do so; virtual time doesn't move, so the answer is still due at that moment.

--- a/forward/interrupted_test.go
+++ b/forward/interrupted_test.go
@@ -80,6 +80,9 @@
 				ctx, cancel := context.WithTimeout(t.Context(), grace)
 				defer cancel()
 				f.Stop(ctx)
+				// The host has stopped when the last request has its answer; its goroutine
+				// returns at the same moment, in whatever order.
+				synctest.Wait()
 				select {
 				case <-served:
 				default:
