forward: why two results are left out

Comments only: an undeclared service has no engines, and an engine that isn't known is of no zone; no behaviour changes. go vet and gofmt are clean; tests were not run again for it.

--- a/forward/asking.go
+++ b/forward/asking.go
@@ -87,6 +87,7 @@
 	if t == nil {
 		return PlaceGrant{}
 	}
+	// One that isn't declared here has no engines, so no place is given.
 	service, _ := t.Service(a.Service)
 	x := &exchange{Forwarder: f, service: service}
 	a.Avoid = slices.Concat(a.Avoid, x.coldEngines(now).near)
@@ -170,6 +171,7 @@
 	if near {
 		zones = append([]member.Zone{own}, zones...)
 	}
+	// An engine that isn't known any more is of no zone, and none goes first.
 	at, _ := x.fleet.Upstream(run.engine)
 	if i := slices.Index(zones, at.Zone); i > 0 {
 		zones = slices.Insert(slices.Delete(zones, i, i+1), 0, at.Zone)
