forward, platform: what upstreams tell about themselves is decoded, logged and counted

Neither logs nor metrics could tell which answers said that an upstream leaves or wants no requests for a while, so none of the hypotheses could be told apart. The adapter decodes it into one typed value (Signals) for answers to requests, moves, health checks and discarded copies; what can't be used is named with its reason. One line an upstream and second ("upstream says that it leaves", "upstream asks for backoff", "signal not usable"), and shedpath_upstream_signals_total.

No decision changes: limits are taken in as before, and nothing acts on the new signals yet.

--- a/forward/call.go
+++ b/forward/call.go
@@ -147,15 +147,11 @@
 	NotRun bool
 	// OtherInstance says that the address is another upstream's by now.
 	OtherInstance bool
-	// Leaving is a hint that the upstream is about to leave; others give it, too,
-	// now and then.
-	Leaving bool
 	// Signed says that the answer carries the upstream's signature.
 	Signed bool
 	// Encoded says that the body isn't in the form that the caller asked for.
 	Encoded bool
-	// Limit is what it says of how many requests its upstream takes.
-	Limit NamedLimit
+	Signals Signals
 }
 
 // Errors of a Transport, besides those of the context.
@@ -182,7 +178,7 @@
 	// ErrPortClosed where its machine answers and it doesn't listen.
 	Reach(ctx context.Context, u Upstream) error
 	// Discard frees a copy that won't be used.
-	Discard(ctx context.Context, at Upstream, handle string) error
+	Discard(ctx context.Context, at Upstream, handle string) (Signals, error)
 }
 
 // Health is what an upstream says of itself.
@@ -192,9 +188,8 @@
 	// ColdFor is how much longer it is cold; zero when it isn't.
 	ColdFor time.Duration
 	// Life is its present one; zero when it doesn't say.
-	Life Life
-	// Limit is what it says of how many requests it takes.
-	Limit NamedLimit
+	Life    Life
+	Signals Signals
 }
 
 // MoveRequest asks the engine that runs a request to copy its memory.
@@ -210,10 +205,8 @@
 	// Handle names the copy; it may be set beside an error.
 	Handle string
 	// Events is how many events the run had made.
-	Events int
-	// Limit is what the engine said of how many requests it takes. Nothing says that an
-	// answer without one is the engine's.
-	Limit NamedLimit
+	Events  int
+	Signals Signals
 }
 
 // Errors of Transport.Move.
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -51,11 +51,11 @@
 	return f.move(ctx, from, r)
 }
 
-func (f *fakeTransport) Discard(_ context.Context, _ Upstream, handle string) error {
+func (f *fakeTransport) Discard(_ context.Context, _ Upstream, handle string) (Signals, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.discarded = append(f.discarded, handle)
-	return nil
+	return Signals{}, nil
 }
 
 func (f *fakeTransport) Health(_ context.Context, u Upstream, _ string) (Health, error) {
@@ -141,6 +141,7 @@
 func (silentObserver) Broken(bool)                          {}
 func (silentObserver) Suspended(time.Duration)              {}
 func (silentObserver) Permit(permit.Outcome)                {}
+func (silentObserver) Signal(SignalKind)                    {}
 func (silentObserver) Moved(string, time.Duration)          {}
 
 // testConfig has a route of each kind; "/llm/" leads to engines.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -58,6 +58,8 @@
 	Broken(ended bool)
 	// Permit counts the answers to whether something may be sent to a bounded upstream.
 	Permit(permit.Outcome)
+	// Signal counts what upstreams tell about themselves in their answers.
+	Signal(SignalKind)
 	// Suspended counts the time for which this machine was suspended.
 	Suspended(d time.Duration)
 }
@@ -77,7 +79,9 @@
 	// lines about the limits that they name.
 	limiter    *permit.Limiter
 	limitLines upstreamLines
-	retries    retryBudget
+	// signalLines bounds the lines about what upstreams tell about themselves.
+	signalLines upstreamLines
+	retries     retryBudget
 	// contact is when this host last had proof that its configuration is the
 	// newest.
 	contact latest
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -4,7 +4,6 @@
 package forward
 
 import (
-	"context"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -69,6 +68,7 @@
 		f.journal.Belief(ratelimit.Ended.String(), "upstream", id, "why", "no answer confirmed it")
 	}
 	f.limitLines.forget(now)
+	f.signalLines.forget(now)
 	f.limiter.Forget(now, func(id member.UpstreamID) bool {
 		_, named := f.limiter.Words.Bound(now, id)
 		return named || f.fleet.Cold(now, id)
@@ -77,15 +77,3 @@
 
 // LimitedUpstreams lists the upstreams that name a limit, or return after they did.
 func (f *Forwarder) LimitedUpstreams() []ratelimit.Entry { return f.limiter.Words.Entries(f.now()) }
-
-// sendTo sends a request to an upstream, and takes in what the answer says of its limit.
-func (f *Forwarder) sendTo(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
-	sent := f.now()
-	answer, err := f.transport.Send(ctx, u, out)
-	// An answer that nothing shows to be the upstream's own says at most that there is a
-	// limit, not that there is none.
-	if err == nil && !answer.OtherInstance && (answer.Limit.Named || answer.Signed || answer.NotRun) {
-		f.hearLimit(sent, u, answer.Limit)
-	}
-	return answer, err
-}
--- a/forward/move.go
+++ b/forward/move.go
@@ -185,7 +185,10 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		x.counted(ctx, m.from)
-		if err := x.transport.Discard(ctx, m.from, handle); err != nil {
+		sent := x.now()
+		told, err := x.transport.Discard(ctx, m.from, handle)
+		x.takeSignals(sent, m.from, answerToDiscard, told)
+		if err != nil {
 			// The engines free it by themselves within seconds.
 			x.journal.Request(x.call.ID, "copy not freed", "upstream", m.from.ID, "err", err)
 		}
@@ -357,9 +360,7 @@
 	began := x.now()
 	x.counted(ctx, m.from)
 	moved, err := x.transport.Move(ctx, m.from, MoveRequest{ID: x.call.ID, To: to.Address, Stop: stop})
-	if moved.Limit.Named {
-		x.hearLimit(began, m.from, moved.Limit)
-	}
+	x.takeSignals(began, m.from, answerToMove, moved.Signals)
 	if moved.Handle != "" {
 		m.mu.Lock()
 		m.handle = moved.Handle
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -33,7 +33,7 @@
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID)
 		return
 	}
-	if a.Leaving {
+	if a.Signals.Closing {
 		s.hintedLeaving(ctx, u)
 	}
 	last, err := s.followRun(ctx, u, a)
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -129,10 +129,7 @@
 		return
 	}
 	f.dropOldLives()
-	if health.Limit.Named {
-		// Nothing says that an answer of this kind names a limit where there is one.
-		f.hearLimit(sent, u, health.Limit)
-	}
+	f.takeSignals(sent, u, answerToHealth, health.Signals)
 	if health.ColdFor > 0 {
 		f.fleet.MarkCold(u.ID, now.Add(health.ColdFor))
 	}
--- a/forward/scout_test.go
+++ b/forward/scout_test.go
@@ -115,7 +115,7 @@
 				}}
 				transport.send = func(context.Context, Upstream, *Outgoing) (*Answer, error) {
 					a := answer(200, "id: 1\n\n")
-					a.Leaving = c.hint
+					a.Signals.Closing = c.hint
 					return a, nil
 				}
 				f := newForwarder(t, transport)
--- /dev/null
+++ b/forward/signals.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"time"
+)
+
+// Signals are what an answer tells about its upstream, besides answering the request.
+type Signals struct {
+	// Leaving says that the upstream leaves, for the rest of its life.
+	Leaving bool
+	// Closing says that the connection is closed. Upstreams that leave do so, and others
+	// now and then.
+	Closing bool
+	// RetryAfter is for how long the upstream wants nothing from this host; zero doesn't ask.
+	RetryAfter time.Duration
+	// Limit is how many requests it takes from all hosts.
+	Limit NamedLimit
+	// Own says that the answer shows to be the upstream's own.
+	Own bool
+	// Unusable says why parts of what it told can't be used.
+	Unusable []error
+}
+
+// SignalKind names a signal for the metrics.
+type SignalKind string
+
+// The kinds of signals.
+const (
+	SignalLeaving  SignalKind = "leaving"
+	SignalBackoff  SignalKind = "backoff"
+	SignalLimit    SignalKind = "limit"
+	SignalUnusable SignalKind = "unusable"
+)
+
+// answerKind says what kind of answer a signal came with.
+type answerKind string
+
+const (
+	answerToRequest answerKind = "request"
+	answerToMove    answerKind = "move"
+	answerToHealth  answerKind = "health"
+	answerToDiscard answerKind = "discard"
+)
+
+// takeSignals takes in what an answer tells about its upstream, whoever waits for the
+// answer. sent is when its request was.
+func (f *Forwarder) takeSignals(sent time.Time, u Upstream, to answerKind, s Signals) {
+	now := f.now()
+	for _, err := range s.Unusable {
+		f.observer.Signal(SignalUnusable)
+		f.noteSignal(now, u, "signal not usable", "answer_to", to, "err", err)
+	}
+	if s.Leaving {
+		f.observer.Signal(SignalLeaving)
+		f.noteSignal(now, u, "upstream says that it leaves", "answer_to", to, "asked_ago", now.Sub(sent))
+	}
+	if s.RetryAfter > 0 {
+		f.observer.Signal(SignalBackoff)
+		f.noteSignal(now, u, "upstream asks for backoff", "answer_to", to, "for", s.RetryAfter, "asked_ago", now.Sub(sent))
+	}
+	if s.Limit.Named {
+		f.observer.Signal(SignalLimit)
+	}
+	// Only its own answer to a request that names no limit ends one.
+	if s.Limit.Named || s.Limit.Err != nil || s.Own && to == answerToRequest {
+		f.hearLimit(sent, u, s.Limit)
+	}
+}
+
+// noteSignal writes a line about an upstream's signal, unless there was one just now.
+func (f *Forwarder) noteSignal(now time.Time, u Upstream, event string, keyvals ...any) {
+	if f.signalLines.allow(now, u.ID) {
+		f.journal.Belief(event, append([]any{"upstream", u.ID, "life", u.Life}, keyvals...)...)
+	}
+}
+
+// sendTo sends a request to an upstream, and takes in what the answer tells about it.
+func (f *Forwarder) sendTo(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
+	sent := f.now()
+	answer, err := f.transport.Send(ctx, u, out)
+	if err != nil || answer.OtherInstance {
+		return answer, err
+	}
+	answer.Signals.Own = answer.Signed || answer.NotRun
+	f.takeSignals(sent, u, answerToRequest, answer.Signals)
+	return answer, nil
+}
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -80,4 +80,5 @@
 func (nothingCounted) Unread(int)                                   {}
 func (nothingCounted) Broken(bool)                                  {}
 func (nothingCounted) Permit(permit.Outcome)                        {}
+func (nothingCounted) Signal(forward.SignalKind)                    {}
 func (nothingCounted) Suspended(time.Duration)                      {}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -36,6 +36,7 @@
 	broken     *prometheus.CounterVec
 	suspended  prometheus.Counter
 	permits    *prometheus.CounterVec
+	signals    *prometheus.CounterVec
 	unlogged   prometheus.Counter
 }
 
@@ -60,6 +61,7 @@
 	f.broken = f.counter("broken_connections_total", "Connections that an upstream ended before its answer, by whether it had ended itself.", "upstream")
 	f.suspended = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
 	f.permits = f.counter("permits_total", "Answers to whether something may be sent to an upstream that is bounded.", "outcome")
+	f.signals = f.counter("upstream_signals_total", "What upstreams told about themselves in their answers.", "signal")
 	f.unlogged = f.counter("unlogged_requests_total", "Decisions that were left out of the log by sampling.").WithLabelValues()
 	f.all.MustRegister(
 		collectors.NewGoCollector(),
@@ -133,6 +135,9 @@
 // Permit counts an answer to whether something may be sent to a bounded upstream.
 func (f *Forward) Permit(o permit.Outcome) { f.permits.WithLabelValues(string(o)).Inc() }
 
+// Signal counts what an upstream told about itself in an answer.
+func (f *Forward) Signal(k forward.SignalKind) { f.signals.WithLabelValues(string(k)).Inc() }
+
 // WatchPeers has the metrics tell how many other hosts are heard.
 func (f *Forward) WatchPeers(read func() int) {
 	f.Gauge("peers", "Other hosts that were heard lately.", func() float64 { return float64(read()) })
