forward: red tests of upstreams that say that they leave, or ask for backoff

Stand-in upstreams in virtual time tell in their answers that they leave, or turn requests away and ask for 3 s of backoff, while the store is away, while the list says "ready" at newer revisions, to one host only, in failures only, one or all of a service, plain calls and engines.

--- /dev/null
+++ b/forward/signalday_test.go
@@ -0,0 +1,248 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+var signalSeedFlag = flag.Uint64("signal.seed", 1, "seed of the callers of upstreams that tell about themselves")
+
+// signalDay is a load on upstreams that tell about themselves.
+type signalDay struct {
+	zones, hostsPerZone, upstreams int
+	path                           string
+	perSecond                      float64
+	spells                         []spell
+	lasts                          time.Duration
+	// failEvery is the fleet's.
+	failEvery int
+	// storeLost is when the list can't be had; zero for never.
+	storeLost, storeBack time.Duration
+	// happens is what befalls the site meanwhile.
+	happens func(ctx context.Context, s *site, fleet *signalFleet)
+}
+
+// signalTally is what callers got.
+type signalTally struct {
+	mu                          sync.Mutex
+	asked, good, cut, mayHave   int
+	refused                     map[Code]int
+	slowest                     time.Duration
+	longestAfter, shortestAfter time.Duration
+}
+
+func (t *signalTally) note(s *fakeSink, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked++
+	switch {
+	case s.cut:
+		t.cut++
+	case s.refused != nil:
+		t.refused[s.refused.Code]++
+		if s.refused.MayHaveRun {
+			t.mayHave++
+			return
+		}
+		t.slowest = max(t.slowest, took)
+		t.longestAfter = max(t.longestAfter, s.refused.RetryAfter)
+		if t.shortestAfter == 0 || s.refused.RetryAfter < t.shortestAfter {
+			t.shortestAfter = s.refused.RetryAfter
+		}
+	case s.status < 500:
+		t.good++
+	}
+}
+
+func (t *signalTally) String() string {
+	return fmt.Sprintf("asked %d, good %d, cut %d, refused %v (may have run %d), slowest refusal %v, come back %v to %v",
+		t.asked, t.good, t.cut, t.refused, t.mayHave, t.slowest, t.shortestAfter, t.longestAfter)
+}
+
+// bearable is how many requests a second one of three upstreams serves.
+func (d signalDay) bearable() float64 {
+	if d.path == "/order/" || d.path == "/status/" {
+		return 30
+	}
+	return 7
+}
+
+// refusedWithin is how long it may take to refuse a request.
+func (d signalDay) refusedWithin() time.Duration { return limitDay{path: d.path}.refusedWithin() }
+
+// play plays the day.
+func (d signalDay) play(t *testing.T, seed uint64, judge func(*testing.T, *signalFleet, *signalTally)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		fleet := newSignalFleet(d.spells...)
+		fleet.failEvery = d.failEvery
+		tally := &signalTally{refused: map[Code]int{}}
+		s := newCrashSiteOf(fleet.fakeFleet, d.zones, d.hostsPerZone, d.upstreams)
+		for _, f := range s.hosts {
+			f.transport = signalTransport{fleet, f.settings.Self.ID}
+			f.SetRetryLimit(RetryLimit{Ratio: 0.2, Slack: 60, Window: 10 * time.Second})
+		}
+		s.serveAll(ctx)
+		var under sync.WaitGroup
+		if d.storeLost > 0 {
+			under.Go(func() {
+				time.Sleep(d.storeLost)
+				s.origin.lost.Store(true)
+				time.Sleep(d.storeBack - d.storeLost)
+				s.origin.lost.Store(false)
+			})
+		}
+		if d.happens != nil {
+			under.Go(func() { d.happens(ctx, s, fleet) })
+		}
+		time.Sleep(settled / 2)
+		random := rand.New(rand.NewPCG(seed, 0))
+		pause := float64(time.Second) / d.perSecond
+		for n := 0; fleet.now() < d.lasts; n++ {
+			host := s.nth(random.IntN(d.zones * d.hostsPerZone))
+			under.Go(func() {
+				c, sink := call(d.path), &fakeSink{}
+				c.ID, c.Prompt = RequestID(fmt.Sprint("r", n)), Prompt{Tokens: 500, MostOut: 300}
+				host.Serve(ctx, c, sink)
+				tally.note(sink, time.Since(c.Arrived))
+			})
+			time.Sleep(time.Duration(-math.Log(1-random.Float64()) * pause))
+		}
+		under.Wait()
+		judge(t, fleet, tally)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// publishReady has the list say again and again, at newer revisions, that an upstream is
+// ready.
+func publishReady(id member.UpstreamID) func(context.Context, *site, *signalFleet) {
+	return func(_ context.Context, s *site, fleet *signalFleet) {
+		for n := 0; fleet.now() < 12*time.Second; n++ {
+			time.Sleep(700 * time.Millisecond)
+			u, known := s.first().fleet.Upstream(id)
+			if !known {
+				continue
+			}
+			u.Leaving, u.Revision = false, Revision(50+n)
+			s.origin.publish(Change{Upstream: u})
+		}
+	}
+}
+
+// report fails a test for each of the first breaches.
+func report(t *testing.T, what string, breaches []breach) {
+	t.Helper()
+	for i, b := range breaches {
+		if i == 3 {
+			break
+		}
+		t.Errorf("%s: %v", what, b)
+	}
+	if len(breaches) > 3 {
+		t.Errorf("%s: %d in all", what, len(breaches))
+	}
+}
+
+// TestUpstreamSaysItLeavesAndGetsRequests has a host send nothing to an upstream whose answer told it that it leaves.
+func TestUpstreamSaysItLeavesAndGetsRequests(t *testing.T) {
+	const from, until = 5 * time.Second, 14 * time.Second
+	for name, c := range map[string]struct {
+		day signalDay
+		// all says that no upstream is left, or that some fail of themselves.
+		all bool
+	}{
+		"the store is away":               {day: signalDay{path: "/order/", spells: []spell{{upstream: "app00"}}, storeLost: 4 * time.Second, storeBack: 18 * time.Second}},
+		"the list says that it is ready":  {day: signalDay{path: "/order/", spells: []spell{{upstream: "app00"}}, happens: publishReady("app00")}},
+		"only its failures tell":          {day: signalDay{path: "/order/", spells: []spell{{upstream: "app00", failuresOnly: true}}}, all: true},
+		"it tells one host":               {day: signalDay{path: "/order/", spells: []spell{{upstream: "app00", only: []member.HostID{"z1-h01"}}}}},
+		"calls that may be repeated":      {day: signalDay{path: "/status/", spells: []spell{{upstream: "app00"}, {upstream: "app01"}}}},
+		"all of a service":                {day: signalDay{path: "/order/", spells: []spell{{upstream: "app00"}, {upstream: "app01"}, {upstream: "app02"}}}, all: true},
+		"engines, the store is away":      {day: signalDay{path: "/llm/", spells: []spell{{upstream: "llm00"}}, storeLost: 4 * time.Second, storeBack: 18 * time.Second}},
+		"engines, the list says ready":    {day: signalDay{path: "/llm/", spells: []spell{{upstream: "llm00"}}, happens: publishReady("llm00")}},
+		"engines whose streams can go on": {day: signalDay{path: "/resumable/", spells: []spell{{upstream: "llm00"}}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := c.day
+			d.zones, d.hostsPerZone, d.upstreams, d.perSecond, d.lasts = 3, 2, 3, d.bearable(), until
+			for i := range d.spells {
+				d.spells[i].leaving, d.spells[i].from, d.spells[i].until = true, from, until
+			}
+			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+				t.Log(tally)
+				report(t, "rule", fleet.drainRule())
+				report(t, "aim", fleet.drainAim())
+				if tally.slowest > d.refusedWithin() || tally.cut > 0 || tally.mayHave > 0 {
+					t.Errorf("callers: %v", tally)
+				}
+				if !c.all && tally.good < tally.asked {
+					t.Errorf("not all were served: %v", tally)
+				}
+			})
+		})
+	}
+}
+
+// TestUpstreamAsksForBackoffAndGetsRequests has a host send nothing to an upstream for as long as that asked it to.
+func TestUpstreamAsksForBackoffAndGetsRequests(t *testing.T) {
+	const from, until = 5 * time.Second, 11 * time.Second
+	rest := func(ids ...member.UpstreamID) []spell {
+		var spells []spell
+		for _, id := range ids {
+			spells = append(spells, spell{upstream: id, backoff: 3 * time.Second})
+		}
+		return spells
+	}
+	oneHost := rest("app00")
+	oneHost[0].only = []member.HostID{"z1-h01"}
+	for name, c := range map[string]struct {
+		day signalDay
+		// all says that no upstream is left at times.
+		all bool
+	}{
+		"calls":                          {day: signalDay{path: "/order/", spells: rest("app00")}},
+		"calls, a tenth fail":            {day: signalDay{path: "/order/", spells: rest("app00"), failEvery: 10}, all: true},
+		"calls that may be repeated":     {day: signalDay{path: "/status/", spells: rest("app00", "app01")}},
+		"one host is asked":              {day: signalDay{path: "/order/", spells: oneHost}},
+		"calls, all upstreams":           {day: signalDay{path: "/order/", spells: rest("app00", "app01", "app02")}, all: true},
+		"streams":                        {day: signalDay{path: "/llm/", spells: rest("llm00")}},
+		"streams, two of three":          {day: signalDay{path: "/llm/", spells: rest("llm00", "llm01")}},
+		"streams that can go on":         {day: signalDay{path: "/resumable/", spells: rest("llm00")}},
+		"streams, all upstreams":         {day: signalDay{path: "/llm/", spells: rest("llm00", "llm01", "llm02")}, all: true},
+		"calls, while the store is away": {day: signalDay{path: "/order/", spells: rest("app00"), storeLost: 4 * time.Second, storeBack: 16 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := c.day
+			d.zones, d.hostsPerZone, d.upstreams, d.perSecond, d.lasts = 3, 2, 3, d.bearable(), 18*time.Second
+			for i := range d.spells {
+				d.spells[i].from, d.spells[i].until = from, until
+			}
+			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+				t.Log(tally, "turned away", fleet.turnedAway)
+				report(t, "rule", fleet.restRule())
+				report(t, "aim", fleet.restAim())
+				if tally.slowest > d.refusedWithin() || tally.cut > 0 || tally.mayHave > 0 {
+					t.Errorf("callers: %v", tally)
+				}
+				if !c.all && tally.good < tally.asked {
+					t.Errorf("not all were served: %v", tally)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/forward/signalfleet_test.go
@@ -0,0 +1,329 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// Upstreams in virtual time that say that they leave, or turn requests away and ask for
+// backoff, and what is checked of them.
+
+// spell is a time for which an upstream tells something about itself.
+type spell struct {
+	upstream    member.UpstreamID
+	from, until time.Duration
+	// leaving has its answers say that it leaves.
+	leaving bool
+	// backoff has it turn requests away and ask for so long; zero turns none away.
+	backoff time.Duration
+	// failuresOnly has only its own failures tell; half of its answers are such then.
+	failuresOnly bool
+	// only are the hosts that it tells; none for all.
+	only []member.HostID
+}
+
+func (s *spell) covers(id member.UpstreamID, host member.HostID, at time.Duration) bool {
+	return s.upstream == id && s.from <= at && at < s.until && (len(s.only) == 0 || slices.Contains(s.only, host))
+}
+
+// toldSignal is an answer that a host had.
+type toldSignal struct {
+	at      time.Duration
+	leaving bool
+	backoff time.Duration
+}
+
+// signalArrival is a request or another call that reached an upstream.
+type signalArrival struct {
+	host member.HostID
+	// at is when it came, and asked when its caller had sent the request.
+	at, asked time.Duration
+	// own says that it is one of the host's own calls: a move, a health check, a copy
+	// that is freed. continued is a run that is taken up from a copy.
+	own, continued bool
+	request        RequestID
+}
+
+// signalFleet plays upstreams that have spells.
+type signalFleet struct {
+	*fakeFleet
+	spells []spell
+
+	mu       sync.Mutex
+	start    time.Time
+	arrivals map[member.UpstreamID][]signalArrival
+	told     map[member.UpstreamID]map[member.HostID][]toldSignal
+	answers  int
+	// failEvery has every so many of all answers be an upstream's own failure; zero none.
+	failEvery int
+	// copied are the runs that were stopped to go on elsewhere.
+	copied map[RequestID]chan struct{}
+	// turnedAway counts the refusals of each upstream.
+	turnedAway map[member.UpstreamID]int
+}
+
+func newSignalFleet(spells ...spell) *signalFleet {
+	return &signalFleet{
+		fakeFleet: newFakeFleet(), spells: spells, start: time.Now(),
+		arrivals: map[member.UpstreamID][]signalArrival{}, told: map[member.UpstreamID]map[member.HostID][]toldSignal{},
+		copied: map[RequestID]chan struct{}{}, turnedAway: map[member.UpstreamID]int{},
+	}
+}
+
+// now is how long the day has gone on.
+func (f *signalFleet) now() time.Duration { return time.Since(f.start) }
+
+func (f *signalFleet) arrive(id member.UpstreamID, a signalArrival) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a.at = f.now()
+	f.arrivals[id] = append(f.arrivals[id], a)
+}
+
+// tells is what an upstream tells a host now; fails says that it is in a failure of its own.
+func (f *signalFleet) tells(id member.UpstreamID, host member.HostID) (s Signals, fails bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answers++
+	fails = f.failEvery > 0 && f.answers%f.failEvery == 0
+	for _, spell := range f.spells {
+		if !spell.covers(id, host, f.now()) {
+			continue
+		}
+		if spell.failuresOnly && f.answers%2 == 0 {
+			continue
+		}
+		fails = fails || spell.failuresOnly
+		s.Leaving = s.Leaving || spell.leaving
+		s.RetryAfter = max(s.RetryAfter, spell.backoff)
+	}
+	return s, fails
+}
+
+// hear notes what a host's answer tells, as it comes.
+func (f *signalFleet) hear(id member.UpstreamID, host member.HostID, s Signals) {
+	if !s.Leaving && s.RetryAfter == 0 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.told[id] == nil {
+		f.told[id] = map[member.HostID][]toldSignal{}
+	}
+	f.told[id][host] = append(f.told[id][host], toldSignal{at: f.now(), leaving: s.Leaving, backoff: s.RetryAfter})
+}
+
+// signalTransport is one host's way to the upstreams.
+type signalTransport struct {
+	*signalFleet
+	host member.HostID
+}
+
+func (t signalTransport) Send(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
+	t.arrive(u.ID, signalArrival{host: t.host, asked: out.Call.Arrived.Sub(t.start), continued: out.Continue != nil, request: out.Call.ID})
+	s, fails := t.tells(u.ID, t.host)
+	if s.RetryAfter > 0 {
+		// A refusal comes back in two milliseconds.
+		time.Sleep(2 * time.Millisecond)
+		t.hear(u.ID, t.host, s)
+		t.mu.Lock()
+		t.turnedAway[u.ID]++
+		t.mu.Unlock()
+		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Framed: true, NotRun: true, Body: http.NoBody, Signals: s}, nil
+	}
+	if fails {
+		time.Sleep(fakeCallTakes)
+		t.hear(u.ID, t.host, s)
+		a := answer(http.StatusInternalServerError, "sorry")
+		a.Signals = s
+		return a, nil
+	}
+	a, err := t.answer(ctx, u, out)
+	if err != nil {
+		return nil, err
+	}
+	a.Signals = s
+	t.hear(u.ID, t.host, s)
+	return a, nil
+}
+
+// answer is a good answer: a short body, or a stream that goes on from a copy.
+func (t signalTransport) answer(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
+	if u.Service != "llm" {
+		return t.fakeFleet.Send(ctx, u, out)
+	}
+	run, ok := t.begin(u.ID, string(out.Call.Body))
+	if !ok {
+		return nil, ErrNotSent
+	}
+	from := 0
+	if out.Continue != nil {
+		from, _ = strconv.Atoi(out.Continue.LastEvent)
+	}
+	stopped := make(chan struct{})
+	t.mu.Lock()
+	t.copied[out.Call.ID] = stopped
+	t.mu.Unlock()
+	read, write := io.Pipe()
+	go func() {
+		defer t.finish(u.ID, run)
+		_ = write.CloseWithError(t.writeEvents(ctx, run, from, stopped, write))
+	}()
+	a := answer(http.StatusOK, "")
+	a.Length, a.Body = -1, read
+	return a, nil
+}
+
+// writeEvents writes a run's events after one, until it ends or is stopped to go on elsewhere.
+func (t signalTransport) writeEvents(ctx context.Context, run *fakeRun, after int, stopped <-chan struct{}, to io.Writer) error {
+	if after == 0 {
+		if err := run.work(ctx, fakeReads); err != nil {
+			return err
+		}
+	}
+	for n := after; n < t.events; n++ {
+		if _, err := fmt.Fprintf(to, "id: %d\ndata: x\n\n", n+1); err != nil {
+			return err
+		}
+		if err := run.work(ctx, fakeGap); err != nil {
+			return err
+		}
+		select {
+		case <-stopped:
+			return io.ErrUnexpectedEOF
+		default:
+		}
+	}
+	return io.EOF
+}
+
+func (t signalTransport) Move(ctx context.Context, from Upstream, r MoveRequest) (Moved, error) {
+	t.arrive(from.ID, signalArrival{host: t.host, own: true})
+	time.Sleep(20 * time.Millisecond)
+	s, _ := t.tells(from.ID, t.host)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if stopped := t.copied[r.ID]; r.Stop && stopped != nil {
+		close(stopped)
+		delete(t.copied, r.ID)
+	}
+	return Moved{Handle: "h" + string(r.ID), Signals: Signals{Leaving: s.Leaving}}, ctx.Err()
+}
+
+func (t signalTransport) Health(_ context.Context, u Upstream, _ string) (Health, error) {
+	t.arrive(u.ID, signalArrival{host: t.host, own: true})
+	return Health{Well: true}, nil
+}
+
+func (t signalTransport) Reach(_ context.Context, u Upstream) error { return t.fakeFleet.Reach(u) }
+
+func (t signalTransport) Discard(_ context.Context, u Upstream, _ string) (Signals, error) {
+	t.arrive(u.ID, signalArrival{host: t.host, own: true})
+	return Signals{}, nil
+}
+
+// breach is a request that came although its host had been told.
+type breach struct {
+	upstream member.UpstreamID
+	host     member.HostID
+	at, told time.Duration
+	request  RequestID
+}
+
+func (b breach) String() string {
+	return fmt.Sprintf("%s reached %s from %s at %v, told at %v", b.request, b.upstream, b.host, b.at, b.told)
+}
+
+// drainBound is how long an upstream that leaves may still get requests, and restGrace the
+// same for one that asked for backoff; restAllowed is how many it bears in the rest of that
+// time.
+const (
+	drainBound  = 2 * time.Second
+	restGrace   = 500 * time.Millisecond
+	restAllowed = 2
+)
+
+// drainRule lists the requests that callers sent later than the drain time after a host had
+// been told that an upstream leaves, and that reached it from there.
+func (f *signalFleet) drainRule(excused ...member.HostID) []breach {
+	return f.afterLeaving(func(a signalArrival, told time.Duration) bool {
+		return a.asked > told+drainBound && !slices.Contains(excused, a.host)
+	})
+}
+
+// drainAim lists the requests that were sent to an upstream after the host had been told
+// that it leaves. A run goes on at its engine when no other takes its copy.
+func (f *signalFleet) drainAim() []breach {
+	return f.afterLeaving(func(a signalArrival, told time.Duration) bool { return a.at > told && !a.continued })
+}
+
+func (f *signalFleet) afterLeaving(counts func(a signalArrival, told time.Duration) bool) []breach {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var breaches []breach
+	for id, arrivals := range f.arrivals {
+		for _, a := range arrivals {
+			i := slices.IndexFunc(f.told[id][a.host], func(s toldSignal) bool { return s.leaving })
+			if i < 0 || a.own {
+				continue
+			}
+			if told := f.told[id][a.host][i].at; counts(a, told) {
+				breaches = append(breaches, breach{id, a.host, a.at, told, a.request})
+			}
+		}
+	}
+	return breaches
+}
+
+// restRule lists, for each answer that asked a host for backoff, what came from there
+// beyond what is borne from the grace on.
+func (f *signalFleet) restRule() []breach { return f.duringRest(restGrace, restAllowed) }
+
+// restAim is restRule without a grace and with nothing borne.
+func (f *signalFleet) restAim() []breach { return f.duringRest(0, 0) }
+
+func (f *signalFleet) duringRest(grace time.Duration, allowed int) []breach {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var breaches []breach
+	for id, hosts := range f.told {
+		for host, signals := range hosts {
+			for _, s := range signals {
+				n := 0
+				for _, a := range f.arrivals[id] {
+					if a.host != host || s.backoff == 0 || a.at <= s.at+grace || a.at > s.at+s.backoff {
+						continue
+					}
+					if n++; n > allowed {
+						breaches = append(breaches, breach{id, host, a.at, s.at, a.request})
+					}
+				}
+			}
+		}
+	}
+	return breaches
+}
+
+// got counts the requests that reached an upstream in a time.
+func (f *signalFleet) got(id member.UpstreamID, from, until time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, a := range f.arrivals[id] {
+		if !a.own && a.at >= from && a.at < until {
+			n++
+		}
+	}
+	return n
+}
