forward: an upstream's own word that it leaves is believed, by every way of sending

What callers saw: nothing yet; their requests went to an upstream that had told their host that it leaves, up to 2.9 s after that, and would have been lost as it ends.

Cause: nothing read the word.

Why this works: the word holds for the upstream's life. A list that says ready at a newer revision, a list read anew or a lapsed entry that comes back don't undo it; a new life does. All sends go through one place (send.go), where eligibility judges them at the moment of sending: first tries, repeats, second tries, copies that are taken up, resumed streams, health checks. What is chosen before the word and sent after it goes elsewhere. Checks of quarantine and zones that stood at single ways of sending are gone from there. A health check that was turned away for want of room is no sign of leaving any more.

TestTakeUpOutOfService checks the reason in place of an error value that is gone.

--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -28,7 +28,10 @@
 // Without one it says what the request is refused with.
 func (x *exchange) choosePlain(ctx context.Context, tried []member.UpstreamID, repeat bool) (Upstream, Refusal, bool) {
 	now := x.now()
-	takers := x.fleet.Takers(now, x.service.Name)
+	takers := x.candidates(now, x.service.Name)
+	if len(takers) == 0 {
+		return Upstream{}, noUpstream(x.soonest(now, x.fleet.Takers(now, x.service.Name), nil)), false
+	}
 	not := slices.Concat(tried, x.keptFrom(now, takers))
 	refused := time.Duration(0)
 	for {
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 )
@@ -141,6 +142,7 @@
 func (silentObserver) Broken(bool)                          {}
 func (silentObserver) Suspended(time.Duration)              {}
 func (silentObserver) Permit(permit.Outcome)                {}
+func (silentObserver) Send(eligibility.Verdict)             {}
 func (silentObserver) Signal(SignalKind)                    {}
 func (silentObserver) Moved(string, time.Duration)          {}
 
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -60,11 +60,11 @@
 	forgotten Revision
 	// coldUntil is when the last upstream will be warm that was ever cold.
 	coldUntil time.Time
-	// failedUntil and observed are the latest of all upstreams', so that hosts which have
+	// failedUntil and tellUntil are the latest of all upstreams', so that hosts which have
 	// found nothing lately needn't look through them for each share: with 300 hosts before
 	// 120 upstreams, 29% of what hosts do for each other went into that (BenchmarkShare: 0.9
 	// in place of 14 us).
-	failedUntil, observed time.Time
+	failedUntil, tellUntil time.Time
 	// renewed are upstreams that have begun a new life since TakeRenewed.
 	renewed []member.UpstreamID
 	// skippedFrom and skippedTo bound the revisions that were passed over by the last
@@ -85,6 +85,8 @@
 	// gone says that the list no longer has it; missing, that the list lacks
 	// it but isn't believed yet.
 	gone, missing bool
+	// droppedAt is when it was dropped last.
+	droppedAt time.Time
 	// declared says that the list told that it leaves, and didn't just drop it.
 	declared bool
 	// leftAt is when it was first known to be leaving; zero while it isn't.
@@ -99,8 +101,14 @@
 	past []Life
 	// goneAt is when it ends; zero while that isn't known.
 	goneAt time.Time
-	// observed is when this host itself saw that it leaves, not by the list.
-	observed time.Time
+	// tellUntil is until when peers are told of this host's own word that it leaves, which
+	// isn't the list's; zero where it has none.
+	tellUntil time.Time
+	// said says that the upstream itself told that it leaves; nothing but a new life takes
+	// that back.
+	said bool
+	// word is whose word it was first that it leaves; empty while it doesn't.
+	word LeavingWord
 	// hinted says that only another sign than the list's tells that it leaves.
 	hinted bool
 	// leaving closes when it starts leaving.
@@ -217,7 +225,7 @@
 	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision > k.Revision) {
 		// The list knows better than other signs; and an entry that ran out
 		// while its upstream was cut off comes back.
-		k.Leaving, k.hinted, k.leftAt, k.leaving = false, false, time.Time{}, make(chan struct{})
+		k.Leaving, k.hinted, k.leftAt, k.leaving, k.word = false, false, time.Time{}, make(chan struct{}), ""
 	}
 	// An id is of one incarnation: once it has said that it leaves, it never
 	// comes back.
@@ -227,7 +235,7 @@
 	k.Upstream, k.missing, k.unusable, k.coldUntil = c.Upstream, false, false, c.ColdUntil
 	f.coldUntil = later(f.coldUntil, c.ColdUntil)
 	if c.Leaving {
-		k.leave(now)
+		k.leave(now, WordOfList)
 	}
 	return !same
 }
@@ -270,7 +278,8 @@
 		return false
 	}
 	k.gone, k.missing, k.hinted = true, false, false
-	k.leave(now)
+	k.droppedAt = now
+	k.leave(now, WordOfList)
 	return true
 }
 
@@ -283,10 +292,10 @@
 }
 
 // leave marks the upstream as leaving, for good.
-func (k *known) leave(now time.Time) {
+func (k *known) leave(now time.Time, word LeavingWord) {
 	k.Leaving = true
 	if k.leftAt.IsZero() {
-		k.leftAt = now
+		k.leftAt, k.word = now, word
 		close(k.leaving)
 	}
 }
@@ -301,40 +310,20 @@
 	if k == nil || k.Leaving {
 		return false
 	}
-	k.leave(now)
+	word := WordOfPeer
+	if own {
+		word = WordOfHost
+		f.tellPeers(k, now.Add(markShared))
+	}
+	k.leave(now, word)
 	k.hinted = true
 	if in > 0 {
 		k.goneAt = now.Add(in)
 	}
-	if own {
-		k.observed = now
-		f.observed = later(f.observed, now)
-	}
 	f.notify(true)
 	return true
 }
 
-// Marks returns this host's own late observations of upstreams that leave.
-func (f *Fleet) Marks(now time.Time) []LeavingMark {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.observed.IsZero() || now.Sub(f.observed) > markShared {
-		return nil
-	}
-	var marks []LeavingMark
-	for id, k := range f.upstreams {
-		if k.observed.IsZero() || now.Sub(k.observed) > markShared {
-			continue
-		}
-		mark := LeavingMark{Engine: id, Life: k.Life}
-		if !k.goneAt.IsZero() {
-			mark.In = max(k.goneAt.Sub(now), time.Millisecond)
-		}
-		marks = append(marks, mark)
-	}
-	return marks
-}
-
 // Suspect keeps new work from an upstream for a while.
 func (f *Fleet) Suspect(now time.Time, id member.UpstreamID) {
 	f.mu.Lock()
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -33,18 +33,23 @@
 // Takers returns a service's upstreams that take new work, in the order of their
 // ids, so that decisions don't depend on the order of a map.
 func (f *Fleet) Takers(now time.Time, service ServiceName) []Upstream {
-	takers := f.takers(now, service)
+	return f.TakersBut(now, service, func(member.UpstreamID) bool { return false })
+}
+
+// TakersBut is Takers without some upstreams.
+func (f *Fleet) TakersBut(now time.Time, service ServiceName, but func(member.UpstreamID) bool) []Upstream {
+	takers := f.takers(now, service, but)
 	slices.SortFunc(takers, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return takers
 }
 
-func (f *Fleet) takers(now time.Time, service ServiceName) []Upstream {
+func (f *Fleet) takers(now time.Time, service ServiceName, but func(member.UpstreamID) bool) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var takers, doubtful []Upstream
 	for _, k := range f.upstreams {
 		switch {
-		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out:
+		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out || but(k.ID):
 		case k.missing || now.Before(k.suspectUntil):
 			doubtful = append(doubtful, k.Upstream)
 		default:
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -10,7 +10,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/clock"
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -60,6 +62,8 @@
 	Permit(permit.Outcome)
 	// Signal counts what upstreams tell about themselves in their answers.
 	Signal(SignalKind)
+	// Send counts what was not sent, or sent all the same.
+	Send(eligibility.Verdict)
 	// Suspended counts the time for which this machine was suspended.
 	Suspended(d time.Duration)
 }
@@ -75,6 +79,8 @@
 	table   atomic.Pointer[Table]
 	engines *engines
 	plain   *plainChooser
+	// backoffs are the upstreams that asked this host for backoff.
+	backoffs backoff.Table
 	// limiter gets leave to send to bounded upstreams, and limitLines bounds the log's
 	// lines about the limits that they name.
 	limiter    *permit.Limiter
@@ -202,6 +208,7 @@
 		case <-tick.C:
 			f.crashes.Forget(f.now(), f.peers.isKnown)
 			f.forgetLimits(f.now())
+			f.backoffs.Forget(f.now())
 			for _, c := range f.fleet.Settle(f.now()) {
 				f.journal.Belief("upstream dropped", "upstream", c.ID, "why", "still missing after the list settled")
 			}
@@ -226,7 +233,7 @@
 func (f *Forwarder) listEngines(now time.Time, t *Table) {
 	for name, s := range t.Services() {
 		if s.Engine != nil {
-			f.engines.list(now, name, f.fleet.Takers(now, name))
+			f.engines.list(now, name, f.candidates(now, name))
 		}
 	}
 }
--- /dev/null
+++ b/forward/leavingword.go
@@ -0,0 +1,117 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// LeavingWord says whose word it is that an upstream leaves.
+type LeavingWord string
+
+// The words.
+const (
+	WordOfList LeavingWord = "list"
+	// WordOfUpstream is its own, in an answer.
+	WordOfUpstream LeavingWord = "upstream"
+	// WordOfHost is this host's finding, such as a failed health check.
+	WordOfHost LeavingWord = "host"
+	WordOfPeer LeavingWord = "peer"
+)
+
+// LeavingMark is a host's word that an upstream leaves, for its peers.
+type LeavingMark struct {
+	Engine member.UpstreamID
+	Life   Life
+	// In is how long it will still serve; zero when that isn't known.
+	In time.Duration
+	// Said says that the upstream told so itself.
+	Said bool
+}
+
+const (
+	// markShared is how long a finding is told to peers.
+	markShared = 3 * time.Second
+	// saidShared is how long an upstream's own word is, while the list doesn't have it.
+	saidShared = 30 * time.Second
+	// forgetSaid is how long an upstream that said that it leaves is remembered after the
+	// list dropped it: its entry may lapse and come back while it still serves.
+	forgetSaid = 5 * time.Minute
+)
+
+// SaidLeaving takes in an upstream's own word, to this host or with own unset to a peer,
+// that it leaves. The list doesn't take that back. It reports whether it is new.
+func (f *Fleet) SaidLeaving(now time.Time, id member.UpstreamID, life Life, own bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.upstreams[id]
+	if k == nil || k.said || life != 0 && k.Life != life {
+		return false
+	}
+	k.said, k.declared, k.hinted = true, true, false
+	if own && !k.gone {
+		f.tellPeers(k, now.Add(saidShared))
+	}
+	k.leave(now, WordOfUpstream)
+	f.notify(true)
+	return true
+}
+
+// tellPeers has peers be told for a while that an upstream leaves. The mutex is held.
+func (f *Fleet) tellPeers(k *known, until time.Time) {
+	k.tellUntil = until
+	f.tellUntil = later(f.tellUntil, until)
+}
+
+// Marks returns this host's own words that upstreams leave.
+func (f *Fleet) Marks(now time.Time) []LeavingMark {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !now.Before(f.tellUntil) {
+		return nil
+	}
+	var marks []LeavingMark
+	for id, k := range f.upstreams {
+		if !now.Before(k.tellUntil) || k.gone {
+			continue
+		}
+		mark := LeavingMark{Engine: id, Life: k.Life, Said: k.said}
+		if !k.goneAt.IsZero() {
+			mark.In = max(k.goneAt.Sub(now), time.Millisecond)
+		}
+		marks = append(marks, mark)
+	}
+	return marks
+}
+
+// hearLeaving takes in a peer's word that an upstream leaves.
+func (f *Forwarder) hearLeaving(now time.Time, from member.HostID, mark LeavingMark) {
+	if !f.fleet.HearLife(mark.Engine, mark.Life) {
+		return
+	}
+	isNew := false
+	if mark.Said {
+		isNew = f.fleet.SaidLeaving(now, mark.Engine, mark.Life, false)
+	} else {
+		isNew = f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
+	}
+	if isNew {
+		f.journal.Belief("peer says that an upstream leaves", "upstream", mark.Engine, "peer", from, "in", mark.In, "upstream_said_so", mark.Said)
+	}
+}
+
+// LeavingUpstreams counts the upstreams that leave, by whose word it was first.
+func (f *Fleet) LeavingUpstreams() map[LeavingWord]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := map[LeavingWord]int{WordOfList: 0, WordOfUpstream: 0, WordOfHost: 0, WordOfPeer: 0}
+	for _, k := range f.upstreams {
+		if k.Leaving && !k.gone {
+			n[k.word]++
+		}
+	}
+	return n
+}
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -104,11 +104,11 @@
 	var news []Change
 	for id, k := range f.upstreams {
 		if k.missing && !now.Before(f.trustGoneFrom) {
-			k.gone, k.missing = true, false
-			k.leave(now)
+			k.gone, k.missing, k.droppedAt = true, false, now
+			k.leave(now, WordOfList)
 			news = append(news, Change{Upstream: k.Upstream, Gone: true})
 		}
-		if k.gone && now.Sub(k.leftAt) > forgetGone {
+		if k.gone && now.Sub(k.leftAt) > forgetGone && (!k.said || now.Sub(k.droppedAt) > forgetSaid) {
 			f.forgotten = max(f.forgotten, k.Revision)
 			delete(f.upstreams, id)
 		}
--- a/forward/lives.go
+++ b/forward/lives.go
@@ -85,5 +85,6 @@
 		f.engines.renew(id)
 		f.plain.renew(id)
 		f.limiter.Renew(id)
+		f.backoffs.Renew(id)
 	}
 }
--- a/forward/move.go
+++ b/forward/move.go
@@ -4,11 +4,14 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -185,10 +188,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		x.counted(ctx, m.from)
-		sent := x.now()
-		told, err := x.transport.Discard(ctx, m.from, handle)
-		x.takeSignals(sent, m.from, answerToDiscard, told)
-		if err != nil {
+		if err := x.discardCopy(ctx, m.from, handle); err != nil {
 			// The engines free it by themselves within seconds.
 			x.journal.Request(x.call.ID, "copy not freed", "upstream", m.from.ID, "err", err)
 		}
@@ -329,6 +329,10 @@
 		// The links were busy with others' copies.
 		free = quickCopy
 	}
+	if v := x.judge(x.now(), to, eligibility.Request); !v.OK() {
+		// The run isn't stopped yet, and may still go elsewhere.
+		return nil, &keptBackError{v}
+	}
 	m.mu.Lock()
 	m.stopping = true
 	m.mu.Unlock()
@@ -359,8 +363,7 @@
 	defer cancel()
 	began := x.now()
 	x.counted(ctx, m.from)
-	moved, err := x.transport.Move(ctx, m.from, MoveRequest{ID: x.call.ID, To: to.Address, Stop: stop})
-	x.takeSignals(began, m.from, answerToMove, moved.Signals)
+	moved, err := x.askMove(ctx, m.from, MoveRequest{ID: x.call.ID, To: to.Address, Stop: stop})
 	if moved.Handle != "" {
 		m.mu.Lock()
 		m.handle = moved.Handle
@@ -370,9 +373,6 @@
 	return moved, err
 }
 
-// errOutOfService says that a run may not go on at an engine, by the operator's order.
-var errOutOfService = errors.New("the engine's zone is out of service")
-
 // takeUp sends the request to the engine that holds the copy; when that refuses
 // it, to the engine where the run stopped.
 func (s *streamExchange) takeUp(ctx context.Context, h *handover) (Upstream, *Answer, error) {
@@ -380,15 +380,12 @@
 	if h.to.ID != h.source.ID {
 		targets = append(targets, h.source)
 	}
-	last := errOutOfService
+	var last error
+	// One that wants nothing now is the last resort.
+	slices.SortStableFunc(targets, func(a, b Upstream) int {
+		return cmp.Compare(s.backoffs.Resting(s.now(), a.ID), s.backoffs.Resting(s.now(), b.ID))
+	})
 	for _, u := range targets {
-		if s.held(s.now()) {
-			return Upstream{}, nil, errHeld
-		}
-		if !s.fleet.MayTakeUp(s.now(), u.Zone) {
-			s.journal.Request(s.call.ID, "not taken up", "upstream", u.ID, "err", errOutOfService)
-			continue
-		}
 		if u.ID != h.to.ID || s.now().Sub(h.permitted) > permittedFor {
 			s.counted(ctx, u)
 		}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -218,9 +218,7 @@
 	}
 	f.noteZones(f.fleet.HearZones(now, s.Zones))
 	for _, mark := range s.Leaving {
-		if f.fleet.HearLife(mark.Engine, mark.Life) && f.fleet.MarkLeaving(now, mark.Engine, mark.In, false) {
-			f.journal.Belief("peer says that an engine leaves", "upstream", mark.Engine, "peer", s.From.ID, "in", mark.In)
-		}
+		f.hearLeaving(now, s.From.ID, mark)
 	}
 	if s.From.Zone == f.peers.self.Zone {
 		f.fleet.HearFailing(now, s.Failing)
--- a/forward/permits.go
+++ b/forward/permits.go
@@ -31,7 +31,7 @@
 
 // anyBound reports whether some upstream of a service may be bounded.
 func (f *Forwarder) anyBound(now time.Time, s *Service) bool {
-	return f.limiter.Words.Any() || s.ColdRate > 0 && f.fleet.AnyCold(now)
+	return f.backoffs.Any() || f.limiter.Words.Any() || s.ColdRate > 0 && f.fleet.AnyCold(now)
 }
 
 // errand is something to be sent to an upstream.
@@ -67,13 +67,14 @@
 // OnPermit serves a host that asks for leave to send to an upstream.
 func (f *Forwarder) OnPermit(a permit.Ask) permit.Reply { return f.limiter.OnAsk(a) }
 
-// keptBack is how long it is until this host asks again for leave to send to an upstream;
-// zero when it may now.
+// keptBack is how long it is until this host may send to an upstream, or may ask for leave
+// to; zero when it may now.
 func (f *Forwarder) keptBack(now time.Time, s *Service, u Upstream) time.Duration {
-	if _, bounded := f.bound(now, s, u); !bounded {
-		return 0
+	wait := f.backoffs.Wait(now, u.ID)
+	if _, bounded := f.bound(now, s, u); bounded {
+		wait = max(wait, f.limiter.Wait(now, u.ID))
 	}
-	return f.limiter.Wait(now, u.ID)
+	return wait
 }
 
 // permitSite is this host and the others as a permit.Limiter sees them.
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -109,10 +109,6 @@
 // launch sends the request to the best upstream that wasn't tried yet.
 // repeat says that another upstream has had it.
 func (p *plainExchange) launch(ctx context.Context, repeat bool) bool {
-	if p.held(p.now()) {
-		p.none = heldRefusal
-		return false
-	}
 	u, none, found := p.choosePlain(ctx, p.tried, repeat)
 	if !found {
 		p.none = none
@@ -174,6 +170,12 @@
 	why := p.judge(ctx, now, t)
 	p.journal.Request(p.call.ID, "try failed", "upstream", t.upstream.ID, "why", why, "status", status(t.answer), "err", t.err, "took", t.took)
 	switch why {
+	case "kept_back":
+		p.sent--
+		p.lastCode = CodeOverloaded
+		if ctx.Err() == nil && !p.held(now) {
+			p.launch(ctx, p.sent > 0)
+		}
 	case "not_sent":
 		p.sent--
 		p.dials++
@@ -195,7 +197,10 @@
 
 // judge says what a failed try means and marks the upstream accordingly.
 func (p *plainExchange) judge(ctx context.Context, now time.Time, t *plainTry) string {
+	_, kept := keptBackBy(t.err)
 	switch {
+	case kept:
+		return "kept_back"
 	case errors.Is(t.err, ErrNotSent):
 		p.fleet.Suspect(now, t.upstream.ID)
 		return "not_sent"
@@ -290,15 +295,21 @@
 
 // failed answers when every try has ended without a good answer.
 func (p *plainExchange) failed() {
+	now := p.now()
 	switch {
 	case p.failure != nil:
 		p.deliver(p.failure)
 	case p.mayHaveRun:
-		p.refuse(p.truly(p.now(), Refusal{Code: p.lastCode, MayHaveRun: true}), "tries", len(p.tried))
-	case p.held(p.now()):
+		p.refuse(p.truly(now, Refusal{Code: p.lastCode, MayHaveRun: true}), "tries", len(p.tried))
+	case p.held(now):
 		p.refuse(heldRefusal, "tries", len(p.tried))
 	default:
-		p.refuse(Refusal{Code: p.lastCode, RetryAfter: retryUnknown}, "tries", len(p.tried))
+		refusal := Refusal{Code: p.lastCode, RetryAfter: retryUnknown}
+		if p.lastCode == CodeOverloaded {
+			refusal = noUpstream(p.soonest(now, p.fleet.Takers(now, p.service.Name), nil))
+			refusal.Code = CodeOverloaded
+		}
+		p.refuse(refusal, "tries", len(p.tried), "kept_back", p.keptCount(now))
 	}
 }
 
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -95,10 +95,6 @@
 		s.journal.Request(s.call.ID, "not resumed", "why", refusal.Code)
 		return Upstream{}, nil, false
 	}
-	if s.held(s.now()) {
-		s.free(false)
-		return Upstream{}, nil, false
-	}
 	answer, err := s.send(ctx, u, s.beginning())
 	if err == nil && answer.Status == http.StatusOK && answer.Signed && !answer.Encoded {
 		s.journal.Request(s.call.ID, "resumed", "from", broken.ID, "upstream", u.ID, "after", s.lastEvent)
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -13,14 +13,6 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-// LeavingMark is a host's own observation that an engine leaves, for its peers.
-type LeavingMark struct {
-	Engine member.UpstreamID
-	Life   Life
-	// In is how long it will still serve; zero when that isn't known.
-	In time.Duration
-}
-
 // While the list of upstreams can't be had, engines are asked themselves whether
 // they leave: a notice is short, and a run that isn't moved is lost.
 const (
@@ -37,8 +29,6 @@
 	// from 15.5 to 7.8 of some 250 by this, and to 2.8 by asking those that hint
 	// that they leave (2 and 4 seeds).
 	doubtFor = 10 * time.Second
-	// markShared is how long an observation is told to peers.
-	markShared = 3 * time.Second
 )
 
 // RunScout asks the engines while the list is lost, until the context ends.
@@ -122,18 +112,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
-	sent := f.now()
-	health, err := f.transport.Health(ctx, u, s.HealthPath)
+	health, err := f.checkHealth(ctx, s, u)
 	now := f.now()
 	if err != nil || !f.fleet.HearLife(u.ID, health.Life) {
 		return
 	}
 	f.dropOldLives()
-	f.takeSignals(sent, u, answerToHealth, health.Signals)
 	if health.ColdFor > 0 {
 		f.fleet.MarkCold(u.ID, now.Add(health.ColdFor))
 	}
-	if health.Well {
+	if health.Well || health.TurnedAway {
 		return
 	}
 	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "origin_age", f.OriginAge(now))
--- /dev/null
+++ b/forward/send.go
@@ -0,0 +1,160 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/member"
+)
+
+// Everything that goes to an upstream goes through here: it is judged at the moment of
+// sending, and what the answer tells about the upstream is taken in.
+
+// keptBackError says why a request was not sent to its upstream. It is an ErrNotSent.
+type keptBackError struct{ eligibility.Verdict }
+
+func (e *keptBackError) Error() string { return fmt.Sprintf("not sent: %v", e.Verdict) }
+
+func (e *keptBackError) Is(target error) bool { return target == ErrNotSent }
+
+// keptBackBy returns the verdict of a keptBackError.
+func keptBackBy(err error) (eligibility.Verdict, bool) {
+	var kept *keptBackError
+	if errors.As(err, &kept) {
+		return kept.Verdict, true
+	}
+	return eligibility.Verdict{}, false
+}
+
+// State is what the fleet knows that bears on sending to an upstream.
+func (f *Fleet) State(now time.Time, id member.UpstreamID) eligibility.State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.upstreams[id]
+	if k == nil {
+		return eligibility.State{Unknown: true}
+	}
+	zone := f.zones[k.Zone]
+	return eligibility.State{
+		Leaving: k.Leaving, Unusable: k.unusable,
+		ZoneOut: zone.Out, ZoneClosed: zone.Out && now.Sub(zone.heard) > handoverGrace,
+	}
+}
+
+// judge decides whether something may be sent to an upstream now, but for the permit that a
+// bounded upstream needs.
+func (f *Forwarder) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
+	s := f.fleet.State(now, u.ID)
+	s.Backoff = f.backoffs.Wait(now, u.ID)
+	return eligibility.Judge(s, p)
+}
+
+// judge is the Forwarder's for this request, which may itself be kept back.
+func (x *exchange) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
+	s := x.fleet.State(now, u.ID)
+	s.Backoff = x.backoffs.Wait(now, u.ID)
+	s.Quarantined = x.held(now)
+	return eligibility.Judge(s, p)
+}
+
+// sendTo sends the request to an upstream, unless that may not get it now.
+func (x *exchange) sendTo(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
+	purpose := eligibility.Request
+	if out.Continue != nil && out.Continue.Handle != "" {
+		purpose = eligibility.Continuation
+	}
+	sent := x.now()
+	v := x.judge(sent, u, purpose)
+	var ticket backoff.Ticket
+	if v.OK() {
+		var wait time.Duration
+		if ticket, wait = x.backoffs.Begin(sent, u.ID, v.Despite != ""); wait > 0 {
+			v = eligibility.Verdict{Reason: eligibility.Backoff, Wait: wait}
+		}
+	}
+	x.noteVerdict(u, v)
+	if !v.OK() {
+		return nil, &keptBackError{v}
+	}
+	answer, err := x.transport.Send(ctx, u, out)
+	if err != nil || answer.OtherInstance {
+		x.backoffs.End(x.now(), u.ID, ticket, false)
+		return answer, err
+	}
+	answer.Signals.Own = answer.Signed || answer.NotRun
+	x.takeSignals(sent, u, answerToRequest, answer.Signals)
+	x.backoffs.End(x.now(), u.ID, ticket, answer.Signed && !answer.NotRun && answer.Status < http.StatusInternalServerError)
+	return answer, nil
+}
+
+// noteVerdict tells of a request that isn't sent to its upstream, or is all the same.
+func (x *exchange) noteVerdict(u Upstream, v eligibility.Verdict) {
+	switch {
+	case !v.OK():
+		x.journal.Request(x.call.ID, "not sent", "upstream", u.ID, "why", v.Reason, "wait", v.Wait)
+	case v.Despite != "":
+		x.journal.Request(x.call.ID, "sent all the same", "upstream", u.ID, "despite", v.Despite)
+	default:
+		return
+	}
+	x.observer.Send(v)
+}
+
+// askMove has a run's memory copied, and takes in what the answer tells about the engine.
+func (x *exchange) askMove(ctx context.Context, from Upstream, r MoveRequest) (Moved, error) {
+	x.observeControl(from)
+	sent := x.now()
+	moved, err := x.transport.Move(ctx, from, r)
+	x.takeSignals(sent, from, answerToMove, moved.Signals)
+	return moved, err
+}
+
+// discardCopy frees a copy, and takes in what the answer tells about the engine.
+func (x *exchange) discardCopy(ctx context.Context, at Upstream, handle string) error {
+	x.observeControl(at)
+	sent := x.now()
+	told, err := x.transport.Discard(ctx, at, handle)
+	x.takeSignals(sent, at, answerToDiscard, told)
+	return err
+}
+
+// observeControl counts a call about a run that goes to its engine whatever that asked for.
+func (x *exchange) observeControl(u Upstream) {
+	if v := x.Forwarder.judge(x.now(), u, eligibility.Control); v.Despite != "" {
+		x.observer.Send(v)
+	}
+}
+
+// checkHealth asks an upstream how it is, unless it may not be asked now.
+func (f *Forwarder) checkHealth(ctx context.Context, s *Service, u Upstream) (Health, error) {
+	sent := f.now()
+	if v := f.judge(sent, u, eligibility.Probe); !v.OK() {
+		f.observer.Send(v)
+		return Health{}, &keptBackError{v}
+	}
+	health, err := f.transport.Health(ctx, u, s.HealthPath)
+	if err == nil {
+		f.takeSignals(sent, u, answerToHealth, health.Signals)
+	}
+	return health, err
+}
+
+// candidates are the upstreams of a service that a request may go to, but for limits and
+// the windows of those that return after a backoff.
+func (f *Forwarder) candidates(now time.Time, service ServiceName) []Upstream {
+	if !f.backoffs.Any() {
+		return f.fleet.Takers(now, service)
+	}
+	return f.fleet.TakersBut(now, service, func(id member.UpstreamID) bool { return f.backoffs.Resting(now, id) > 0 })
+}
+
+// BackoffEntries lists the upstreams that asked this host for backoff.
+func (f *Forwarder) BackoffEntries() []backoff.Entry { return f.backoffs.Entries(f.now()) }
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -3,10 +3,7 @@
 
 package forward
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // Signals are what an answer tells about its upstream, besides answering the request.
 type Signals struct {
@@ -56,7 +53,10 @@
 	}
 	if s.Leaving {
 		f.observer.Signal(SignalLeaving)
-		f.noteSignal(now, u, "upstream says that it leaves", "answer_to", to, "asked_ago", now.Sub(sent))
+		if f.fleet.SaidLeaving(now, u.ID, u.Life, true) {
+			f.journal.Belief("upstream says that it leaves", "upstream", u.ID, "life", u.Life, "answer_to", to, "asked_ago", now.Sub(sent))
+			f.peers.nudgeAll()
+		}
 	}
 	if s.RetryAfter > 0 {
 		f.observer.Signal(SignalBackoff)
@@ -77,15 +77,3 @@
 		f.journal.Belief(event, append([]any{"upstream", u.ID, "life", u.Life}, keyvals...)...)
 	}
 }
-
-// sendTo sends a request to an upstream, and takes in what the answer tells about it.
-func (f *Forwarder) sendTo(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
-	sent := f.now()
-	answer, err := f.transport.Send(ctx, u, out)
-	if err != nil || answer.OtherInstance {
-		return answer, err
-	}
-	answer.Signals.Own = answer.Signed || answer.NotRun
-	f.takeSignals(sent, u, answerToRequest, answer.Signals)
-	return answer, nil
-}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -70,11 +71,6 @@
 			s.refuse(s.honest(refusal), "service", x.service.Name, "avoided", len(s.avoid), "kept_back", x.keptCount(x.now()))
 			return
 		}
-		if s.held(x.now()) {
-			s.free(false)
-			s.refuse(s.honest(heldRefusal), "sent", s.sent)
-			return
-		}
 		stopWatch := s.watchFirstEvent(u.ID)
 		answer, err := s.sendFirst(ctx, u)
 		stopWatch()
@@ -150,7 +146,7 @@
 func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
 	now := s.now()
 	if !s.untried(now) {
-		return Upstream{}, Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
+		return Upstream{}, noUpstream(s.soonest(now, s.fleet.Takers(now, s.service.Name), nil)), false
 	}
 	p := s.call.Prompt
 	r := policy.Request{
@@ -237,7 +233,12 @@
 	if a != nil {
 		closeBody(a)
 	}
+	kept, isKept := keptBackBy(err)
 	switch {
+	case isKept && kept.Reason == eligibility.Quarantined:
+		return heldRefusal
+	case isKept && ctx.Err() == nil:
+		return noUpstream(kept.Wait)
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		s.fleet.Suspect(now, u.ID)
 		s.unreachable(now, u)
@@ -259,6 +260,8 @@
 		s.avoid = append(s.avoid, u.ID)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	default:
-		return Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
+		refusal := noUpstream(s.soonest(now, s.fleet.Takers(now, s.service.Name), nil))
+		refusal.Code = CodeOverloaded
+		return refusal
 	}
 }
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -124,14 +124,6 @@
 	return !f.zones[zone].Out
 }
 
-// MayTakeUp reports whether a run that is being moved may go on in a zone.
-func (f *Fleet) MayTakeUp(now time.Time, zone member.Zone) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	z := f.zones[zone]
-	return !z.Out || now.Sub(z.heard) <= handoverGrace
-}
-
 // noteZones logs orders that made a difference.
 func (f *Forwarder) noteZones(news []ZoneOrder) {
 	for _, o := range news {
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -13,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -210,10 +210,10 @@
 func TestTakeUpOutOfService(t *testing.T) {
 	for name, c := range map[string]struct {
 		heard time.Duration
-		want  error
+		want  eligibility.Reason
 	}{
-		"just now": {500 * time.Millisecond, nil},
-		"long ago": {2 * time.Second, errOutOfService},
+		"just now": {500 * time.Millisecond, ""},
+		"long ago": {2 * time.Second, eligibility.ZoneOut},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -228,7 +228,9 @@
 				source, _ := f.fleet.Upstream("llm3")
 				s := &streamExchange{exchange: &exchange{Forwarder: f, call: call("/llm/")}}
 				_, _, err := s.takeUp(t.Context(), &handover{to: to, source: source, handle: "h"})
-				is.True(errors.Is(err, c.want))
+				kept, _ := keptBackBy(err)
+				is.Equal(kept.Reason, c.want)
+				is.Equal(err != nil, c.want != "")
 			})
 		})
 	}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -76,6 +76,7 @@
 type wireLeaving struct {
 	Engine   string
 	Life, In int64
+	Said     bool
 }
 
 // wireEndedRun is forward.EndedRun.
@@ -109,7 +110,7 @@
 		w.Ended = append(w.Ended, wireEndedRun{Run: string(r.Run), Made: int(r.Made)})
 	}
 	for _, mark := range s.Leaving {
-		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), Life: int64(mark.Life), In: mark.In.Milliseconds()})
+		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), Life: int64(mark.Life), In: mark.In.Milliseconds(), Said: mark.Said})
 	}
 	for _, mark := range s.Cold {
 		w.Cold = append(w.Cold, wireCold{Upstream: string(mark.Upstream), Life: int64(mark.Life), For: mark.For.Milliseconds()})
@@ -141,7 +142,7 @@
 	}
 	for _, mark := range w.Leaving {
 		s.Leaving = append(s.Leaving, forward.LeavingMark{
-			Engine: member.UpstreamID(mark.Engine), Life: forward.Life(mark.Life), In: time.Duration(mark.In) * time.Millisecond,
+			Engine: member.UpstreamID(mark.Engine), Life: forward.Life(mark.Life), In: time.Duration(mark.In) * time.Millisecond, Said: mark.Said,
 		})
 	}
 	for _, mark := range w.Cold {
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/ratelimit"
@@ -80,5 +81,6 @@
 func (nothingCounted) Unread(int)                                   {}
 func (nothingCounted) Broken(bool)                                  {}
 func (nothingCounted) Permit(permit.Outcome)                        {}
+func (nothingCounted) Send(eligibility.Verdict)                     {}
 func (nothingCounted) Signal(forward.SignalKind)                    {}
 func (nothingCounted) Suspended(time.Duration)                      {}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -13,6 +13,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/permit"
 )
@@ -37,6 +39,8 @@
 	suspended  prometheus.Counter
 	permits    *prometheus.CounterVec
 	signals    *prometheus.CounterVec
+	keptBack   *prometheus.CounterVec
+	sentAnyway *prometheus.CounterVec
 	unlogged   prometheus.Counter
 }
 
@@ -62,6 +66,8 @@
 	f.suspended = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
 	f.permits = f.counter("permits_total", "Answers to whether something may be sent to an upstream that is bounded.", "outcome")
 	f.signals = f.counter("upstream_signals_total", "What upstreams told about themselves in their answers.", "signal")
+	f.keptBack = f.counter("sends_kept_back_total", "What wasn't sent to the upstream that was chosen for it, by the reason.", "reason")
+	f.sentAnyway = f.counter("sends_despite_total", "What was sent to an upstream although a reason was against it, for a run would be lost otherwise.", "reason")
 	f.unlogged = f.counter("unlogged_requests_total", "Decisions that were left out of the log by sampling.").WithLabelValues()
 	f.all.MustRegister(
 		collectors.NewGoCollector(),
@@ -138,6 +144,56 @@
 // Signal counts what an upstream told about itself in an answer.
 func (f *Forward) Signal(k forward.SignalKind) { f.signals.WithLabelValues(string(k)).Inc() }
 
+// Send counts what was not sent, or sent all the same.
+func (f *Forward) Send(v eligibility.Verdict) {
+	if !v.OK() {
+		f.keptBack.WithLabelValues(string(v.Reason)).Inc()
+		return
+	}
+	f.sentAnyway.WithLabelValues(string(v.Despite)).Inc()
+}
+
+// WatchSignals has the metrics tell which upstreams leave, by whose word, and how many want
+// no requests from this host.
+func (f *Forward) WatchSignals(leaving func() map[forward.LeavingWord]int, backoffs func() []backoff.Entry) {
+	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", "upstreams_leaving"), "Upstreams that leave, by whose word it was first.", []string{"word"}, nil)
+	f.all.MustRegister(&leavingCollector{desc, leaving})
+	f.Gauge("upstreams_backing_off", "Upstreams that want no requests from this host at present.", func() float64 {
+		n := 0
+		for _, e := range backoffs() {
+			if e.Left > 0 {
+				n++
+			}
+		}
+		return float64(n)
+	})
+	f.Gauge("upstreams_returning", "Upstreams to which traffic returns in steps after a backoff.", func() float64 {
+		n := 0
+		for _, e := range backoffs() {
+			if e.Left == 0 {
+				n++
+			}
+		}
+		return float64(n)
+	})
+}
+
+// leavingCollector serves how many upstreams leave.
+type leavingCollector struct {
+	desc *prometheus.Desc
+	read func() map[forward.LeavingWord]int
+}
+
+// Describe sends the collector's metric.
+func (c *leavingCollector) Describe(to chan<- *prometheus.Desc) { to <- c.desc }
+
+// Collect sends the values as they are now.
+func (c *leavingCollector) Collect(to chan<- prometheus.Metric) {
+	for word, n := range c.read() {
+		to <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(n), string(word))
+	}
+}
+
 // WatchPeers has the metrics tell how many other hosts are heard.
 func (f *Forward) WatchPeers(read func() int) {
 	f.Gauge("peers", "Other hosts that were heard lately.", func() float64 { return float64(read()) })
