forward: an upstream that asks for backoff gets nothing for that long

Cause: Retry-After of an upstream's refusals was read by nobody. Each request chose the upstream anew: it answers in 2 ms, and where a tenth of all answers fail its refusals don't stand out.

Why this works: the end is kept by the host that was asked, each answer until its own end, and every send is judged by it at the moment of sending. What waits for such an engine is placed elsewhere, a move doesn't stop a run for a target that rests, and a copy is taken up at one that doesn't, if there is one. Where nothing else takes requests, callers are told at once when to come back. Traffic returns with one request at a time, twice as many with each good answer, and from each host at another moment within half a second.

--- a/forward/peers.go
+++ b/forward/peers.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
@@ -46,6 +47,8 @@
 	Crashes []quarantine.Mark
 	// Limits are the newest words of the limits that upstreams name.
 	Limits []ratelimit.Mark
+	// Backoffs are the upstreams that want nothing from the host for a while.
+	Backoffs []backoff.Mark
 }
 
 // Peers is the interface to the other hosts.
@@ -189,7 +192,7 @@
 		From: f.peers.self, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Leaving: f.fleet.Marks(now),
 		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), Zones: f.fleet.ZonesSince(0, true), Epoch: f.peers.epoch,
-		Limits: f.limiter.Words.Marks(now),
+		Limits: f.limiter.Words.Marks(now), Backoffs: f.backoffs.Marks(now),
 	}
 }
 
@@ -231,6 +234,11 @@
 	for _, mark := range s.Limits {
 		f.hearLimitMark(now, s.From.ID, mark)
 	}
+	for _, mark := range s.Backoffs {
+		if f.fleet.HearLife(mark.Upstream, Life(mark.Life)) {
+			f.backoffs.Hear(now, mark)
+		}
+	}
 	f.dropOldLives()
 	f.crashes.Met(s.From.ID, s.Epoch)
 	f.hearCrashes(now, s.Crashes)
--- a/forward/send.go
+++ b/forward/send.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -147,6 +148,21 @@
 	return health, err
 }
 
+// backoffSpread is the most that is added to a backoff, so that hosts which were asked
+// together don't return together; it is a part of the backoff where that is shorter.
+const backoffSpread = 500 * time.Millisecond
+
+// takeBackoff takes in that an upstream wants nothing from this host for a while.
+func (f *Forwarder) takeBackoff(now time.Time, u Upstream, d time.Duration) (started bool) {
+	started = f.backoffs.Ask(now, u.ID, int64(u.Life), d, rand.N(min(backoffSpread, d/4)+1))
+	if started {
+		// What waits for it is placed elsewhere, and peers hear of it.
+		f.fleet.Wake()
+		f.peers.nudgeAll()
+	}
+	return started
+}
+
 // candidates are the upstreams of a service that a request may go to, but for limits and
 // the windows of those that return after a backoff.
 func (f *Forwarder) candidates(now time.Time, service ServiceName) []Upstream {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
@@ -35,6 +36,13 @@
 	Epoch             uint64
 	Crashes           []wireCrashes
 	Limits            []wireLimit
+	Backoffs          []wireBackoff
+}
+
+// wireBackoff is backoff.Mark; Ago and For are in milliseconds.
+type wireBackoff struct {
+	Upstream       string
+	Life, Ago, For int64
 }
 
 // wireCold is forward.ColdMark; For is in milliseconds.
@@ -112,6 +120,9 @@
 	for _, mark := range s.Leaving {
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), Life: int64(mark.Life), In: mark.In.Milliseconds(), Said: mark.Said})
 	}
+	for _, mark := range s.Backoffs {
+		w.Backoffs = append(w.Backoffs, wireBackoff{Upstream: string(mark.Upstream), Life: mark.Life, Ago: mark.Ago.Milliseconds(), For: mark.For.Milliseconds()})
+	}
 	for _, mark := range s.Cold {
 		w.Cold = append(w.Cold, wireCold{Upstream: string(mark.Upstream), Life: int64(mark.Life), For: mark.For.Milliseconds()})
 	}
@@ -145,6 +156,12 @@
 			Engine: member.UpstreamID(mark.Engine), Life: forward.Life(mark.Life), In: time.Duration(mark.In) * time.Millisecond, Said: mark.Said,
 		})
 	}
+	for _, mark := range w.Backoffs {
+		s.Backoffs = append(s.Backoffs, backoff.Mark{
+			Upstream: member.UpstreamID(mark.Upstream), Life: mark.Life,
+			Ago: time.Duration(mark.Ago) * time.Millisecond, For: time.Duration(mark.For) * time.Millisecond,
+		})
+	}
 	for _, mark := range w.Cold {
 		s.Cold = append(s.Cold, forward.ColdMark{
 			Upstream: member.UpstreamID(mark.Upstream), Life: forward.Life(mark.Life), For: time.Duration(mark.For) * time.Millisecond,
