forward: what an upstream turned away goes to another, whatever its kind

Cause: an upstream that said "not run" counted against the route's attempts, of which such routes have one.

Why this is right: what has not run may be repeated whatever its kind. Up to three upstreams may turn a request away, each further send within the retry budget of all hosts; attempts count the upstreams that may have run it.

--- a/forward/plain.go
+++ b/forward/plain.go
@@ -23,6 +23,8 @@
 	// secondTryPart is the part of the objective after which a request that
 	// may be repeated is sent to a second upstream, too.
 	secondTryPart = 0.6
+	// mostTurnedAway bounds the upstreams that turn a request away before its caller is told.
+	mostTurnedAway = 3
 )
 
 // plainTry is one upstream's part in a plain exchange.
@@ -55,6 +57,8 @@
 	// sent counts the upstreams that may have got the request, dials those
 	// that surely didn't, and open the tries that haven't ended.
 	sent, dials, open int
+	// turnedAway counts the upstreams that said that they didn't run it.
+	turnedAway int
 	// mayHaveRun is whether a try that ended may have run.
 	mayHaveRun bool
 	// failure is an upstream's own failure, which the caller gets when nothing
@@ -174,7 +178,7 @@
 		p.sent--
 		p.lastCode = CodeOverloaded
 		if ctx.Err() == nil && !p.held(now) {
-			p.launch(ctx, p.sent > 0)
+			p.launch(ctx, p.sent+p.turnedAway > 0)
 		}
 	case "not_sent":
 		p.sent--
@@ -184,8 +188,13 @@
 			p.launch(ctx, false)
 		}
 	case "not_run":
+		// What didn't run there doesn't count against the upstreams that may run it.
+		p.sent--
+		p.turnedAway++
 		p.lastCode = CodeOverloaded
-		p.again(ctx, why)
+		if p.turnedAway < mostTurnedAway {
+			p.again(ctx, why)
+		}
 	default:
 		p.mayHaveRun = true
 		if p.route.Kind == KindSafe {
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -32,9 +32,11 @@
 // and the shared budget allow another.
 func (s *streamExchange) takeRepeat(why string) bool {
 	s.sent++
-	if s.sent >= s.route.Attempts {
-		return false
-	}
+	return s.sent < s.route.Attempts && s.takeBudget(why)
+}
+
+// takeBudget reports whether the shared budget allows another send.
+func (s *streamExchange) takeBudget(why string) bool {
 	if !s.retries.take(s.now(), s.service.Name) {
 		s.journal.Request(s.call.ID, "not repeated", "why", "retry budget used up", "after", why)
 		return false
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,8 +40,9 @@
 	// dialed are the engines that couldn't be reached for this request, and
 	// avoid those and the ones that probably can't either.
 	dialed, avoid []member.UpstreamID
-	// sent counts the engines that may have got the request.
-	sent int
+	// sent counts the engines that may have run the request, and turnedAway those that said
+	// that they didn't.
+	sent, turnedAway int
 	// mayHaveRun says that one of them may have worked on it.
 	mayHaveRun bool
 	// callerGone is the error of the caller's connection.
@@ -99,6 +100,10 @@
 		return true
 	}
 	s.avoid = append(s.avoid, u.ID)
+	if notRun {
+		s.turnedAway++
+		return s.turnedAway < mostTurnedAway && s.takeBudget(string(last.Code))
+	}
 	return s.takeRepeat(string(last.Code))
 }
 
