forward: an upstream that hasn't answered doesn't look faster the longer ago it was chosen

What callers saw: after a backoff, a returning upstream of two in its zone got up to 42 of 120 calls a second for a second or two where 20 were its part (60 hosts), and plain calls left their zone.

Cause: what a host saw of an upstream fades towards the usual; an upstream without an answer has no time at all, which faded from zero, so 1.2 s after it was chosen it was taken to answer in 2.8 ms.

Evidence: TestUnseenUpstreamLooksFast failed for 2 s and 8 s, and passes.

It matters where hosts see few requests to each upstream, so most on large sites.

--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -317,3 +317,19 @@
 	_, found := c.choose(now, from, []member.UpstreamID{"a", "b"})
 	is.True(!found)
 }
+
+// TestUnseenUpstreamLooksFast has an upstream that was chosen and hasn't answered be taken for
+// a usual one, however long ago that was.
+func TestUnseenUpstreamLooksFast(t *testing.T) {
+	now := time.Now()
+	for _, idle := range []time.Duration{0, 2 * time.Second, 8 * time.Second, time.Minute} {
+		t.Run(idle.String(), func(t *testing.T) {
+			is := is.New(t)
+			c := newPlainChooser("z1")
+			u, _ := c.choose(now, []Upstream{{ID: "a", Zone: "z1"}}, nil)
+			c.done(now, u.ID, 0, false)
+			lowest := 0.9 * float64(tookUnknown)
+			is.True(c.cost(now.Add(idle), u, 0) >= lowest)
+		})
+	}
+}
--- a/forward/plainchoice.go
+++ b/forward/plainchoice.go
@@ -116,7 +116,9 @@
 	if idle := now.Sub(s.at); idle > time.Second {
 		fade := math.Exp(-float64(idle) / float64(seenFades))
 		s.failures *= fade
-		s.took = tookUnknown + time.Duration(fade*float64(s.took-tookUnknown))
+		if s.took > 0 {
+			s.took = tookUnknown + time.Duration(fade*float64(s.took-tookUnknown))
+		}
 		s.at = now
 	}
 	return s
