backoff, forward: an upstream that asked two hosts for backoff gets nothing from the others either

Kept: the word of two. It ends when one of them is left, and each host adds a moment of its own.

Property test as before: nothing begins before the end of any backoff that was asked of this host.

--- a/backoff/table.go
+++ b/backoff/table.go
@@ -21,9 +21,11 @@
 	windowPause = 50 * time.Millisecond
 )
 
-// Table keeps the upstreams that asked this host for backoff. Afterwards each gets as many
-// requests at once as its window allows: one, and twice as many with each good answer. The
-// zero value is ready to use. It is safe for use by several goroutines.
+// Table keeps the upstreams that asked hosts for backoff. One that asked this host gets
+// nothing from it until the end, and neither does one that asked two other hosts: it isn't
+// these that send too much. Afterwards each gets as many requests at once as its window
+// allows: one, and twice as many with each good answer. The zero value is ready to use. It
+// is safe for use by several goroutines.
 type Table struct {
 	// some says that the table isn't empty, which is all that most requests ask.
 	some atomic.Bool
@@ -35,17 +37,16 @@
 // entry is one upstream's.
 type entry struct {
 	life int64
-	// asked is when the host was asked last, by the upstream or by a peer's word; zero
-	// for never.
-	asked time.Time
-	// until is when the backoff ends; zero where only peers were asked.
+	// own is when the backoff ends that this host was asked for, and peers when those end
+	// that others were.
+	own   time.Time
+	peers map[member.HostID]time.Time
+	// spread is added to what peers were asked for.
+	spread time.Duration
+	// until is when this host may send again.
 	until time.Time
-	// bounded is when the window no longer applies.
-	bounded time.Time
-	// window is how many requests may be under way, and inFlight how many are.
+	// window is how many requests may be under way then, and inFlight how many are.
 	window, inFlight int
-	// good is when the last good answer came.
-	good time.Time
 }
 
 // Mark tells a peer that an upstream asked this host for backoff.
@@ -53,50 +54,79 @@
 	Upstream member.UpstreamID
 	// Life tells this start of the upstream from others under its id.
 	Life int64
-	// Ago is how long ago it asked, and For how much longer it wants nothing.
-	Ago, For time.Duration
+	// For is how much longer it wants nothing from the host.
+	For time.Duration
 }
 
 // Entry is how an upstream stands, for operators.
 type Entry struct {
 	Upstream member.UpstreamID
-	// Left is how much longer it wants nothing; zero while it returns.
+	// Left is how much longer it gets nothing from this host; zero while it returns.
 	Left time.Duration
-	// Window is how many requests it may have at once then.
+	// Hosts is how many hosts it wants nothing from, as far as is known.
+	Hosts int
+	// Window is how many requests it may have at once while it returns.
 	Window int
 }
 
 // Ask takes in that an upstream asked this host for backoff. spread is added to it, so that
-// hosts that were asked together return one after another. It reports whether the end moved
-// from one that was over.
-func (t *Table) Ask(now time.Time, id member.UpstreamID, life int64, d, spread time.Duration) (started bool) {
+// hosts which were asked together return one after another. It reports whether the upstream
+// wanted nothing from this host before, either.
+func (t *Table) Ask(now time.Time, id member.UpstreamID, life int64, d, spread time.Duration) (again bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.of(id, life)
-	started = !now.Before(e.until)
-	e.asked = now
+	again = now.Before(e.own)
 	// Each answer binds until its own end: a shorter one later doesn't take it back.
-	if until := now.Add(min(d, Longest) + spread); until.After(e.until) {
-		e.until = until
+	if until := now.Add(min(d, Longest) + spread); until.After(e.own) {
+		e.own = until
 	}
-	e.window, e.bounded = 1, e.until.Add(returnLasts)
-	return started
+	e.extend()
+	return again
 }
 
-// Hear takes in that an upstream asked a peer for backoff. The host may go on sending, one
-// request at a time until a good answer comes: only the peer may have sent too much.
-func (t *Table) Hear(now time.Time, m Mark) {
+// Hear takes in that an upstream asked a peer for backoff. spread is Ask's. It reports
+// whether the upstream gets nothing from this host for a longer time because of it.
+func (t *Table) Hear(now time.Time, from member.HostID, m Mark, spread time.Duration) (longer bool) {
+	if m.For <= 0 {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.of(m.Upstream, m.Life)
-	asked := now.Add(-max(m.Ago, 0))
-	if !asked.After(e.asked) || !asked.After(e.good) {
-		return
+	if e.peers == nil {
+		e.peers, e.spread = map[member.HostID]time.Time{}, spread
+	}
+	e.peers[from] = now.Add(min(m.For, Longest))
+	return e.extend()
+}
+
+// extend works out anew until when this host sends nothing. It reports whether that is later
+// than before.
+func (e *entry) extend() (longer bool) {
+	until := e.own
+	if common := e.common(); !common.IsZero() && common.Add(e.spread).After(until) {
+		until = common.Add(e.spread)
 	}
-	e.asked, e.window = asked, 1
-	if bounded := now.Add(min(max(m.For, 0), Longest) + returnLasts); bounded.After(e.bounded) {
-		e.bounded = bounded
+	if !until.After(e.until) {
+		return false
 	}
+	e.until, e.window = until, 1
+	return true
+}
+
+// common is until when at least two hosts are to send nothing; zero for never.
+func (e *entry) common() time.Time {
+	first, second := e.own, time.Time{}
+	for _, until := range e.peers {
+		if until.After(first) {
+			first, until = until, first
+		}
+		if until.After(second) {
+			second = until
+		}
+	}
+	return second
 }
 
 func (t *Table) of(id member.UpstreamID, life int64) *entry {
@@ -145,12 +175,17 @@
 	switch {
 	case now.Before(e.until):
 		return e.until.Sub(now)
-	case now.Before(e.bounded) && e.window < openAt && e.inFlight >= e.window:
+	case e.returning(now) && e.inFlight >= e.window:
 		return windowPause
 	}
 	return 0
 }
 
+// returning reports whether the window applies.
+func (e *entry) returning(now time.Time) bool {
+	return e.window > 0 && e.window < openAt && now.Before(e.until.Add(returnLasts))
+}
+
 // Ticket counts one request as under way at an upstream. The zero value counts nothing.
 type Ticket struct{ entry *entry }
 
@@ -181,13 +216,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.upstreams[id]
-	if e == nil {
-		return
-	}
-	if good {
-		e.good = now
-	}
-	if ticket.entry != e {
+	if e == nil || ticket.entry != e {
 		return
 	}
 	e.inFlight--
@@ -204,6 +233,32 @@
 	t.some.Store(len(t.upstreams) > 0)
 }
 
+// hosts counts the hosts that are to send nothing.
+func (e *entry) hosts(now time.Time) int {
+	n := 0
+	if now.Before(e.own) {
+		n++
+	}
+	for _, until := range e.peers {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// Alone reports whether an upstream wants nothing from this host, and no other is known of
+// which it doesn't want anything either.
+func (t *Table) Alone(now time.Time, id member.UpstreamID) bool {
+	if !t.some.Load() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.upstreams[id]
+	return e != nil && now.Before(e.own) && e.hosts(now) == 1
+}
+
 // Forget drops the upstreams that are no longer bounded.
 func (t *Table) Forget(now time.Time) {
 	if !t.some.Load() {
@@ -212,7 +267,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.upstreams {
-		if !now.Before(e.until) && !now.Before(e.bounded) {
+		for host, until := range e.peers {
+			if !now.Before(until) {
+				delete(e.peers, host)
+			}
+		}
+		if len(e.peers) == 0 && !now.Before(e.until.Add(returnLasts)) {
 			delete(t.upstreams, id)
 		}
 	}
@@ -228,8 +288,8 @@
 	defer t.mu.Unlock()
 	var marks []Mark
 	for id, e := range t.upstreams {
-		if left := e.until.Sub(now); left > 0 {
-			marks = append(marks, Mark{Upstream: id, Life: e.life, Ago: now.Sub(e.asked), For: left})
+		if left := e.own.Sub(now); left > 0 {
+			marks = append(marks, Mark{Upstream: id, Life: e.life, For: left})
 		}
 	}
 	return marks
@@ -241,7 +301,7 @@
 	defer t.mu.Unlock()
 	entries := make([]Entry, 0, len(t.upstreams))
 	for id, e := range t.upstreams {
-		entries = append(entries, Entry{Upstream: id, Left: max(e.until.Sub(now), 0), Window: e.window})
+		entries = append(entries, Entry{Upstream: id, Left: max(e.until.Sub(now), 0), Hosts: e.hosts(now), Window: e.window})
 	}
 	return entries
 }
--- a/backoff/table_test.go
+++ b/backoff/table_test.go
@@ -68,24 +68,36 @@
 	is.True(!table.Any())
 }
 
-func TestPeersBackoffLeavesOneRequestAtATime(t *testing.T) {
+func TestBackoffOfTwoPeersBindsThisHost(t *testing.T) {
 	is := is.New(t)
 	var table Table
 	now := time.Now()
-	mark := Mark{Upstream: up, Life: 1, For: 3 * time.Second}
-	table.Hear(now, mark)
-	ticket, wait := table.Begin(now, up, false)
-	is.Equal(wait, time.Duration(0))
-	_, wait = table.Begin(now, up, false)
-	is.True(wait > 0)
-	now = now.Add(10 * time.Millisecond)
-	table.End(now, up, ticket, true)
-	mark.Ago, mark.For = 20*time.Millisecond, mark.For-20*time.Millisecond
-	table.Hear(now, mark) // it is older than the good answer
-	_, first := table.Begin(now, up, false)
-	_, second := table.Begin(now, up, false)
-	is.Equal(first+second, time.Duration(0))
-	is.Equal(len(table.Marks(now)), 0) // nothing asked this host
+	mark := func(d time.Duration) Mark { return Mark{Upstream: up, Life: 1, For: d} }
+	is.True(!table.Hear(now, "h2", mark(3*time.Second), time.Millisecond))
+	is.Equal(table.Wait(now, up), time.Duration(0)) // only h2 may have sent too much
+	is.True(table.Hear(now, "h3", mark(2*time.Second), time.Second))
+	is.Equal(table.Wait(now, up), 2*time.Second+time.Millisecond) // until one is left
+	is.True(!table.Hear(now, "h3", mark(2*time.Second), 0))
+	is.Equal(len(table.Marks(now)), 0) // nothing asked this host itself
+	is.True(!table.Alone(now, up))
+	table.Ask(now, up, 1, time.Second, 0)
+	is.Equal(table.Marks(now), []Mark{mark(time.Second)})
+	now = now.Add(2*time.Second + time.Millisecond)
+	is.Equal(table.Wait(now, up), time.Duration(0))
+}
+
+func TestBackoffOfThisHostAndAPeer(t *testing.T) {
+	is := is.New(t)
+	var table Table
+	now := time.Now()
+	table.Ask(now, up, 1, time.Second, 0)
+	is.True(table.Alone(now, up))
+	table.Hear(now, "h2", Mark{Upstream: up, Life: 1, For: 3 * time.Second}, 0)
+	is.True(!table.Alone(now, up))
+	is.Equal(table.Wait(now, up), time.Second)
+	is.Equal(table.Entries(now), []Entry{{Upstream: up, Left: time.Second, Hosts: 2, Window: 1}})
+	table.Forget(now.Add(time.Minute))
+	is.True(!table.Any())
 }
 
 func TestBackoffOfAnEarlierLifeIsOver(t *testing.T) {
@@ -116,7 +128,8 @@
 					until = end
 				}
 			case 1:
-				table.Hear(now, Mark{Upstream: up, Life: 1, Ago: d / 10, For: d})
+				host := member.HostID(rapid.SampledFrom([]string{"h2", "h3", "h4"}).Draw(t, "host"))
+				table.Hear(now, host, Mark{Upstream: up, Life: 1, For: d}, 0)
 			case 2:
 				table.Forget(now)
 			case 3:
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -235,9 +235,7 @@
 		f.hearLimitMark(now, s.From.ID, mark)
 	}
 	for _, mark := range s.Backoffs {
-		if f.fleet.HearLife(mark.Upstream, Life(mark.Life)) {
-			f.backoffs.Hear(now, mark)
-		}
+		f.hearBackoff(now, s.From.ID, mark)
 	}
 	f.dropOldLives()
 	f.crashes.Met(s.From.ID, s.Epoch)
--- a/forward/send.go
+++ b/forward/send.go
@@ -152,17 +152,31 @@
 // together don't return together; it is a part of the backoff where that is shorter.
 const backoffSpread = 500 * time.Millisecond
 
-// takeBackoff takes in that an upstream wants nothing from this host for a while.
-func (f *Forwarder) takeBackoff(now time.Time, u Upstream, d time.Duration) (started bool) {
-	started = f.backoffs.Ask(now, u.ID, int64(u.Life), d, rand.N(min(backoffSpread, d/4)+1))
-	if started {
-		// What waits for it is placed elsewhere, and peers hear of it.
-		f.fleet.Wake()
-		f.peers.nudgeAll()
+// takeBackoff takes in that an upstream wants nothing from this host for a while. It reports
+// whether that is news.
+func (f *Forwarder) takeBackoff(now time.Time, u Upstream, d time.Duration) bool {
+	if f.backoffs.Ask(now, u.ID, int64(u.Life), d, spreadOf(d)) {
+		return false
 	}
-	return started
+	// What waits for it is placed elsewhere, and peers hear of it.
+	f.fleet.Wake()
+	f.peers.nudgeAll()
+	return true
 }
 
+// hearBackoff takes in that an upstream wants nothing from a peer for a while.
+func (f *Forwarder) hearBackoff(now time.Time, from member.HostID, mark backoff.Mark) {
+	if !f.fleet.HearLife(mark.Upstream, Life(mark.Life)) || !f.backoffs.Hear(now, from, mark, spreadOf(mark.For)) {
+		return
+	}
+	f.fleet.Wake()
+	if f.signalLines.allow(now, mark.Upstream) {
+		f.journal.Belief("upstream asks several hosts for backoff", "upstream", mark.Upstream, "peer", from, "for", mark.For)
+	}
+}
+
+func spreadOf(d time.Duration) time.Duration { return rand.N(min(backoffSpread, d/4) + 1) }
+
 // candidates are the upstreams of a service that a request may go to, but for limits and
 // the windows of those that return after a backoff.
 func (f *Forwarder) candidates(now time.Time, service ServiceName) []Upstream {
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -39,10 +39,10 @@
 	Backoffs          []wireBackoff
 }
 
-// wireBackoff is backoff.Mark; Ago and For are in milliseconds.
+// wireBackoff is backoff.Mark; For is in milliseconds.
 type wireBackoff struct {
-	Upstream       string
-	Life, Ago, For int64
+	Upstream  string
+	Life, For int64
 }
 
 // wireCold is forward.ColdMark; For is in milliseconds.
@@ -121,7 +121,7 @@
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Engine), Life: int64(mark.Life), In: mark.In.Milliseconds(), Said: mark.Said})
 	}
 	for _, mark := range s.Backoffs {
-		w.Backoffs = append(w.Backoffs, wireBackoff{Upstream: string(mark.Upstream), Life: mark.Life, Ago: mark.Ago.Milliseconds(), For: mark.For.Milliseconds()})
+		w.Backoffs = append(w.Backoffs, wireBackoff{Upstream: string(mark.Upstream), Life: mark.Life, For: mark.For.Milliseconds()})
 	}
 	for _, mark := range s.Cold {
 		w.Cold = append(w.Cold, wireCold{Upstream: string(mark.Upstream), Life: int64(mark.Life), For: mark.For.Milliseconds()})
@@ -158,8 +158,7 @@
 	}
 	for _, mark := range w.Backoffs {
 		s.Backoffs = append(s.Backoffs, backoff.Mark{
-			Upstream: member.UpstreamID(mark.Upstream), Life: mark.Life,
-			Ago: time.Duration(mark.Ago) * time.Millisecond, For: time.Duration(mark.For) * time.Millisecond,
+			Upstream: member.UpstreamID(mark.Upstream), Life: mark.Life, For: time.Duration(mark.For) * time.Millisecond,
 		})
 	}
 	for _, mark := range w.Cold {
