forward: refused callers come back where and when they are served; asking for backoff isn't failing

- Where other upstreams take requests, but the retry budget allows no further send, callers were told to come back after the rest (2 s).
Now at once: another host may serve them, and a caller's own return draws on no budget.
Where all of a service want nothing from this host alone, the same; where they want nothing from others either, when one of the first takes requests from every host again, spread over a second.
- A refusal that asks for backoff counted as a failure, four times the expected time for some 8 s: the upstream got 1 call a second in place of 20 for 15 s after its backoff (9 hosts).
It counts as nothing now, the backoff is kept; TestBackoffOfAllHostsEnds has it within a fifth of its like's from 5 s after, on 9, 60 and 300 hosts.
- What waits or comes for engines that all want nothing is refused at once.

--- a/backoff/table.go
+++ b/backoff/table.go
@@ -247,6 +247,27 @@
 	return n
 }
 
+// Everywhere is how long it is until the upstream takes requests from every host again, as
+// far as is known.
+func (t *Table) Everywhere(now time.Time, id member.UpstreamID) time.Duration {
+	if !t.some.Load() {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.upstreams[id]
+	if e == nil {
+		return 0
+	}
+	last := e.until
+	for _, until := range e.peers {
+		if until.After(last) {
+			last = until
+		}
+	}
+	return max(last.Sub(now), 0)
+}
+
 // Alone reports whether an upstream wants nothing from this host, and no other is known of
 // which it doesn't want anything either.
 func (t *Table) Alone(now time.Time, id member.UpstreamID) bool {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -140,7 +140,8 @@
 	now := p.now()
 	t.took = now.Sub(began)
 	switch {
-	case errors.Is(t.err, ErrNotSent), t.err == nil && t.answer.OtherInstance:
+	case errors.Is(t.err, ErrNotSent), t.err == nil && (t.answer.OtherInstance || t.answer.Signals.RetryAfter > 0):
+		// What asks for backoff gets that, and counts as no worse afterwards.
 		p.plain.done(now, u.ID, 0, true)
 	default:
 		p.plain.done(now, u.ID, t.took, !t.good())
@@ -315,8 +316,7 @@
 	default:
 		refusal := Refusal{Code: p.lastCode, RetryAfter: retryUnknown}
 		if p.lastCode == CodeOverloaded {
-			refusal = noUpstream(p.soonest(now, p.fleet.Takers(now, p.service.Name), nil))
-			refusal.Code = CodeOverloaded
+			refusal = p.turnedAwayEverywhere(now)
 		}
 		p.refuse(refusal, "tries", len(p.tried), "kept_back", p.keptCount(now))
 	}
--- a/forward/signalday_test.go
+++ b/forward/signalday_test.go
@@ -7,8 +7,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -17,7 +19,10 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-var signalSeedFlag = flag.Uint64("signal.seed", 1, "seed of the callers of upstreams that tell about themselves")
+var (
+	signalSeedFlag  = flag.Uint64("signal.seed", 1, "seed of the callers of upstreams that tell about themselves")
+	signalSizesFlag = flag.Bool("signal.sizes", false, "play days of upstreams that tell about themselves on up to 300 hosts")
+)
 
 // signalDay is a load on upstreams that tell about themselves.
 type signalDay struct {
@@ -32,6 +37,29 @@
 	storeLost, storeBack time.Duration
 	// happens is what befalls the site meanwhile.
 	happens func(ctx context.Context, s *site, fleet *signalFleet)
+	// returns has refused callers come back when they are told to, to a host of their zone,
+	// so many times.
+	returns int
+}
+
+// otherOf is another host of a host's zone; after some tries each is one.
+func (s *site) otherOf(f *Forwarder, n int) *Forwarder {
+	zone := s.zoneHosts(f.settings.Self.Zone)
+	at := slices.Index(zone, f)
+	return zone[(at+1+n%max(len(zone)-1, 1))%len(zone)]
+}
+
+// zoneHosts are a zone's hosts in the order of their addresses.
+func (s *site) zoneHosts(zone member.Zone) []*Forwarder {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var hosts []*Forwarder
+	for _, address := range slices.Sorted(maps.Keys(s.hosts)) {
+		if f := s.hosts[address]; f.settings.Self.Zone == zone {
+			hosts = append(hosts, f)
+		}
+	}
+	return hosts
 }
 
 // signalTally is what callers got.
@@ -41,6 +69,14 @@
 	refused                     map[Code]int
 	slowest                     time.Duration
 	longestAfter, shortestAfter time.Duration
+	// tries counts the callers by how often they came.
+	tries map[int]int
+}
+
+func (t *signalTally) returned(tries int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tries[tries]++
 }
 
 func (t *signalTally) note(s *fakeSink, took time.Duration) {
@@ -90,11 +126,11 @@
 		defer cancel()
 		fleet := newSignalFleet(d.spells...)
 		fleet.failEvery = d.failEvery
-		tally := &signalTally{refused: map[Code]int{}}
+		tally := &signalTally{refused: map[Code]int{}, tries: map[int]int{}}
 		s := newCrashSiteOf(fleet.fakeFleet, d.zones, d.hostsPerZone, d.upstreams)
 		for _, f := range s.hosts {
 			f.transport = signalTransport{fleet, f.settings.Self.ID}
-			f.SetRetryLimit(RetryLimit{Ratio: 0.2, Slack: 60, Window: 10 * time.Second})
+			f.SetRetryLimit(RetryLimit{Ratio: 0.2, Slack: max(60, 2.2*float64(len(s.hosts))), Window: 10 * time.Second})
 		}
 		s.serveAll(ctx)
 		var under sync.WaitGroup
@@ -115,10 +151,20 @@
 		for n := 0; fleet.now() < d.lasts; n++ {
 			host := s.nth(random.IntN(d.zones * d.hostsPerZone))
 			under.Go(func() {
-				c, sink := call(d.path), &fakeSink{}
-				c.ID, c.Prompt = RequestID(fmt.Sprint("r", n)), Prompt{Tokens: 500, MostOut: 300}
-				host.Serve(ctx, c, sink)
-				tally.note(sink, time.Since(c.Arrived))
+				var sink *fakeSink
+				began, tries := time.Now(), 0
+				for ; tries <= d.returns && (sink == nil || sink.refused != nil); tries++ {
+					if sink != nil {
+						time.Sleep(sink.refused.RetryAfter)
+						host = s.otherOf(host, tries)
+					}
+					c := call(d.path)
+					c.ID, c.Prompt = RequestID(fmt.Sprint("r", n, "-", tries)), Prompt{Tokens: 500, MostOut: 300}
+					sink = &fakeSink{}
+					host.Serve(ctx, c, sink)
+				}
+				tally.note(sink, time.Since(began))
+				tally.returned(tries)
 			})
 			time.Sleep(time.Duration(-math.Log(1-random.Float64()) * pause))
 		}
@@ -246,3 +292,67 @@
 		})
 	}
 }
+
+// TestBackoffOfAllHostsEnds has an upstream that asked for backoff get its part of the calls
+// again, within a fifth of its like's, and never twice of that in a second on the way.
+func TestBackoffOfAllHostsEnds(t *testing.T) {
+	const from, until, back, lasts = 6 * time.Second, 9 * time.Second, 14 * time.Second, 34 * time.Second
+	for _, size := range []struct{ zones, hostsPerZone int }{{3, 3}, {3, 20}, {5, 60}} {
+		if size.hostsPerZone > 3 && !*signalSizesFlag {
+			continue
+		}
+		t.Run(fmt.Sprint(size.zones*size.hostsPerZone, " hosts"), func(t *testing.T) {
+			d := signalDay{
+				zones: size.zones, hostsPerZone: size.hostsPerZone, upstreams: 2 * size.zones, path: "/order/",
+				perSecond: 40 * float64(size.zones), lasts: lasts,
+				spells: []spell{{upstream: "app00", backoff: 3 * time.Second, from: from, until: until}},
+			}
+			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+				t.Log(tally, "turned away", fleet.turnedAway)
+				report(t, "rule", fleet.restRule())
+				report(t, "aim", fleet.restAim())
+				if tally.good < tally.asked {
+					t.Errorf("not all were served: %v", tally)
+				}
+				// The other upstream of its zone is its like.
+				like := member.UpstreamID(fmt.Sprintf("app%02d", size.zones))
+				part := float64(fleet.got("app00", back, lasts)) / float64(fleet.got(like, back, lasts))
+				mean := float64(fleet.got(like, back, lasts)) / (lasts - back).Seconds()
+				most := 0
+				for at := from; at < lasts; at += time.Second {
+					most = max(most, fleet.got("app00", at, at+time.Second))
+				}
+				t.Logf("%.2f of its like's %.0f a second; %d in a second at most", part, mean, most)
+				if part < 0.8 || part > 1.2 || float64(most) > 2*mean {
+					t.Errorf("it got %.2f of its like's %.0f a second, and %d in one", part, mean, most)
+				}
+			})
+		})
+	}
+}
+
+// TestRefusedCallersComeBackAfterBackoff has callers that were refused because every upstream
+// asked for backoff be served when they come back as they were told.
+func TestRefusedCallersComeBackAfterBackoff(t *testing.T) {
+	const from, until = 5 * time.Second, 6 * time.Second
+	for name, only := range map[string][]member.HostID{"all hosts": nil, "one host": {"z1-h01"}} {
+		for _, path := range []string{"/order/", "/llm/"} {
+			t.Run(name+path, func(t *testing.T) {
+				d := signalDay{zones: 3, hostsPerZone: 3, upstreams: 3, path: path, lasts: 12 * time.Second, returns: 4}
+				d.perSecond = d.bearable()
+				for n := range 3 {
+					id := member.UpstreamID(fmt.Sprintf("%s%02d", map[string]string{"/order/": "app", "/llm/": "llm"}[path], n))
+					d.spells = append(d.spells, spell{upstream: id, backoff: 3 * time.Second, from: from, until: until, only: only})
+				}
+				d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+					t.Log(tally, "came so often", tally.tries)
+					report(t, "rule", fleet.restRule())
+					report(t, "aim", fleet.restAim())
+					if tally.good < tally.asked {
+						t.Errorf("not all were served: %v, came so often %v", tally, tally.tries)
+					}
+				})
+			})
+		}
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -151,7 +151,11 @@
 func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
 	now := s.now()
 	if !s.untried(now) {
-		return Upstream{}, noUpstream(s.soonest(now, s.fleet.Takers(now, s.service.Name), nil)), false
+		takers := s.fleet.Takers(now, s.service.Name)
+		return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
+	}
+	if takers := s.fleet.Takers(now, s.service.Name); len(takers) > 0 && len(s.candidates(now, s.service.Name)) == 0 {
+		return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
 	}
 	p := s.call.Prompt
 	r := policy.Request{
@@ -243,7 +247,7 @@
 	case isKept && kept.Reason == eligibility.Quarantined:
 		return heldRefusal
 	case isKept && ctx.Err() == nil:
-		return noUpstream(kept.Wait)
+		return s.noUpstream(now, s.fleet.Takers(now, s.service.Name), kept.Wait)
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		s.fleet.Suspect(now, u.ID)
 		s.unreachable(now, u)
@@ -265,8 +269,6 @@
 		s.avoid = append(s.avoid, u.ID)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	default:
-		refusal := noUpstream(s.soonest(now, s.fleet.Takers(now, s.service.Name), nil))
-		refusal.Code = CodeOverloaded
-		return refusal
+		return s.turnedAwayEverywhere(now)
 	}
 }
