forward: tests of leaving while hosts, upstreams and the list fail

Entries that lapse and come back as ready, the store away for the whole time, hosts that start again meanwhile (peers tell them), hosts cut off from all others, upstreams that start again under their id.

Starts are told where ids are used again.

--- a/forward/signalday_test.go
+++ b/forward/signalday_test.go
@@ -150,6 +150,10 @@
 		pause := float64(time.Second) / d.perSecond
 		for n := 0; fleet.now() < d.lasts; n++ {
 			host := s.nth(random.IntN(d.zones * d.hostsPerZone))
+			for !host.Ready() {
+				// Callers aren't led to a host that isn't.
+				host = s.nth(random.IntN(d.zones * d.hostsPerZone))
+			}
 			under.Go(func() {
 				var sink *fakeSink
 				began, tries := time.Now(), 0
--- /dev/null
+++ b/forward/signalfaults_test.go
@@ -0,0 +1,135 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+// Upstreams that tell about themselves, while hosts and upstreams start again, hosts are cut
+// off and entries of the list lapse.
+
+// startAgain has another process be in a host's place, which knows nothing.
+func (s *site) startAgain(ctx context.Context, fleet *signalFleet, old *Forwarder) {
+	f := New(old.settings, signalTransport{fleet, old.settings.Self.ID}, silentJournal{}, silentObserver{})
+	f.SetRetryLimit(RetryLimit{Ratio: 0.2, Slack: 60, Window: 10 * time.Second})
+	s.replace(f)
+	s.start(ctx, f)
+	go f.Run(ctx)
+}
+
+// TestLeavingIsBelievedUnderFaults has an upstream that said that it leaves get nothing from
+// hosts that heard it, whatever befalls them, the list and the upstream, until a new life.
+func TestLeavingIsBelievedUnderFaults(t *testing.T) {
+	const from, until = 5 * time.Second, 16 * time.Second
+	const id = member.UpstreamID("app00")
+	lapse := func(back time.Duration) func(context.Context, *site, *signalFleet) {
+		return func(_ context.Context, s *site, _ *signalFleet) {
+			time.Sleep(6 * time.Second)
+			u, _ := s.first().fleet.Upstream(id)
+			u.Leaving, u.Revision = false, 50
+			s.origin.publish(Change{Upstream: u, Gone: true})
+			time.Sleep(back)
+			u.Revision = 60
+			s.origin.publish(Change{Upstream: u})
+		}
+	}
+	again := func(before, after Life, address string) func(context.Context, *site, *signalFleet) {
+		return func(_ context.Context, s *site, fleet *signalFleet) {
+			time.Sleep(3 * time.Second)
+			u, _ := s.first().fleet.Upstream(id)
+			u.Life, u.Revision = before, 40
+			s.origin.publish(Change{Upstream: u})
+			time.Sleep(5 * time.Second)
+			fleet.mu.Lock()
+			fleet.spells = nil
+			fleet.told = map[member.UpstreamID]map[member.HostID][]toldSignal{}
+			fleet.mu.Unlock()
+			u.Life, u.Revision, u.Address = after, 50, address
+			s.origin.publish(Change{Upstream: u})
+		}
+	}
+	for name, c := range map[string]struct {
+		happens              func(context.Context, *site, *signalFleet)
+		storeLost, storeBack time.Duration
+		// quietFrom is from when no host sends anything to the upstream, told or not; zero
+		// doesn't ask that.
+		quietFrom time.Duration
+		// returns says that the upstream has to get requests at the end.
+		returns bool
+	}{
+		"hosts hear it from each other":             {quietFrom: from + contactBound},
+		"its entry lapses for 1 s":                  {happens: lapse(time.Second)},
+		"its entry lapses for 5 s":                  {happens: lapse(5 * time.Second)},
+		"the store is away until it has long ended": {storeLost: 3 * time.Second, storeBack: 15 * time.Second, quietFrom: from + contactBound},
+		"hosts start again while the store is away": {
+			storeLost: 3 * time.Second, storeBack: 15 * time.Second, quietFrom: 12 * time.Second,
+			happens: func(ctx context.Context, s *site, fleet *signalFleet) {
+				time.Sleep(8 * time.Second)
+				for n := range 3 {
+					s.startAgain(ctx, fleet, s.nth(n))
+					time.Sleep(time.Second)
+				}
+			},
+		},
+		"hosts are cut off from each other and the store": {
+			storeLost: 3 * time.Second, storeBack: 15 * time.Second,
+			happens: func(_ context.Context, s *site, _ *signalFleet) {
+				time.Sleep(4 * time.Second)
+				for zone := range 3 {
+					s.cutOff(s.zone(zone + 1)...)
+				}
+			},
+		},
+		"it starts again under its id":   {returns: true, happens: again(1, 2, "10.9.9.1:80")},
+		"it starts again at its address": {returns: true, happens: again(1, 2, "10.9.0.1:80")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := signalDay{
+				zones: 3, hostsPerZone: 2, upstreams: 3, path: "/order/", perSecond: 30, lasts: until,
+				spells:    []spell{{upstream: id, leaving: true, from: from, until: until}},
+				storeLost: c.storeLost, storeBack: c.storeBack, happens: c.happens,
+			}
+			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+				t.Log(tally)
+				report(t, "rule", fleet.drainRule())
+				if n := fleet.got(id, c.quietFrom, until); c.quietFrom > 0 && n > 0 {
+					t.Errorf("it got %d requests from %v on", n, c.quietFrom)
+				}
+				if n := fleet.got(id, until-4*time.Second, until); c.returns && n < 15 {
+					t.Errorf("it got only %d requests after it had started again", n)
+				}
+				if tally.good < tally.asked {
+					t.Errorf("not all were served: %v", tally)
+				}
+			})
+		})
+	}
+}
+
+// TestRunsLeaveAnEngineThatSaysItLeaves has no stream cut by an engine that says only in its
+// answers that it leaves, and ends after the drain time.
+func TestRunsLeaveAnEngineThatSaysItLeaves(t *testing.T) {
+	const from = 6 * time.Second
+	d := signalDay{
+		zones: 3, hostsPerZone: 2, upstreams: 3, path: "/llm/", perSecond: 6, lasts: 12 * time.Second,
+		spells:    []spell{{upstream: "llm00", leaving: true, from: from, until: from + drainBound}},
+		storeLost: 4 * time.Second, storeBack: 14 * time.Second,
+		happens: func(_ context.Context, _ *site, fleet *signalFleet) {
+			time.Sleep(from + drainBound)
+			fleet.end("llm00")
+		},
+	}
+	d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+		t.Log(tally, "calls about runs", len(fleet.arrivals["llm00"])-fleet.got("llm00", 0, d.lasts))
+		report(t, "rule", fleet.drainRule())
+		if tally.cut > 0 {
+			t.Errorf("callers: %v", tally)
+		}
+	})
+}
