forward: near the end of a backoff callers aren't sent from host to host; its engines are listed at once

A host says "elsewhere" now only while more than a second of its own backoff is left. And an engine whose backoff had just ended was a candidate but not listed until the next tick of 100 ms: its callers were told to come back in 2 s.

--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -31,7 +31,10 @@
 	}
 	wait = max(wait, x.drawReturn(now, takers))
 	r := Refusal{Code: CodeOverloaded, RetryAfter: min(max(wait, retryLeast), retryKeptMost) + rand.N(min(wait, retryKeptSpread)+1)}
-	alone := func(u Upstream) bool { return x.backoffs.Alone(now, u.ID) }
+	// Near its end every host may be alone with some upstream's.
+	alone := func(u Upstream) bool {
+		return x.backoffs.Alone(now, u.ID) && x.backoffs.Resting(now, u.ID) > retryKeptSpread
+	}
 	if slices.ContainsFunc(takers, alone) && x.peers.zoneHasOther(now) {
 		r.RetryAfter = retryElsewhere
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -154,8 +154,13 @@
 		takers := s.fleet.Takers(now, s.service.Name)
 		return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
 	}
-	if takers := s.fleet.Takers(now, s.service.Name); len(takers) > 0 && len(s.candidates(now, s.service.Name)) == 0 {
-		return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
+	if s.backoffs.Any() {
+		candidates := s.candidates(now, s.service.Name)
+		if takers := s.fleet.Takers(now, s.service.Name); len(takers) > 0 && len(candidates) == 0 {
+			return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
+		}
+		// One whose backoff has just ended isn't listed until the next tick.
+		s.engines.list(now, s.service.Name, candidates)
 	}
 	p := s.call.Prompt
 	r := policy.Request{
