entry: an upstream that asks for backoff gets nothing from this entry for that long

Three tests failed before: of six generations at once 3 went to the engine that had asked for 3 s, one refused for all engines came back in 200 ms and met the same engines, a fourth call went to a service whose three upstreams had all asked.

Now an engine or service upstream that asked this entry gets nothing until the end, checked at the moment of sending; the coordinator is told which engines to avoid for the run; where all asked, the caller is refused at once, "not run", with when to come back. Fractions of seconds are read.

Other entries aren't told: its protocol's engines report their load, by which the coordinator already sends less.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/shedpath/shedpath/clock"
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/resource"
@@ -99,6 +100,8 @@
 	limits    accountLimits
 	retries   retryBudget
 	crashes   *crashes
+	// backoffs are the upstreams that asked this entry for backoff.
+	backoffs backoff.Table
 
 	// stopped closes when Run's context has ended.
 	stopped chan struct{}
--- a/entry/fakeengines_test.go
+++ b/entry/fakeengines_test.go
@@ -77,6 +77,13 @@
 	return &fakeStream{run: r.Run, script: s, hold: f.hold}, nil
 }
 
+// startedBy counts the starts that reached each engine.
+func (f *fakeEngines) startedBy() map[member.UpstreamID]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.started)
+}
+
 func (f *fakeEngines) Resume(_ context.Context, _ member.Upstream, run policy.RunID, after int) (Stream, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -261,16 +268,27 @@
 	// ErrNotSent.
 	err   error
 	delay time.Duration
+	// backoff has each upstream answer 503 and ask for so long.
+	backoff time.Duration
+}
+
+func (f *fakeServices) setBackoff(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backoff = d
 }
 
 func (f *fakeServices) Call(ctx context.Context, _ member.Upstream, r ServiceRequest) (ServiceAnswer, error) {
 	f.mu.Lock()
-	err, delay := f.err, f.delay
+	err, delay, backoff := f.err, f.delay, f.backoff
 	if !errors.Is(err, ErrNotSent) {
 		f.calls[r.IdempotencyKey]++
 	}
 	f.mu.Unlock()
 	pause(ctx, delay)
+	if backoff > 0 {
+		return ServiceAnswer{Status: 503, RetryAfter: backoff}, err
+	}
 	return ServiceAnswer{Status: 200}, err
 }
 
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -188,11 +188,15 @@
 func (g *generation) place(ctx context.Context, run policy.RunID, avoid member.UpstreamID, deadline time.Time) (policy.Decision, *Failure) {
 	ctx, span := g.entry.tracer.Start(ctx, "placement", trace.WithAttributes(attribute.String("pool", string(g.pool))))
 	defer span.End()
+	resting, wait := g.entry.restingEngines(g.pool)
+	if wait > 0 {
+		return policy.Decision{}, fail(CodeOverloaded, NotRun, "every engine asked this entry to stay away").retryAfter(wait)
+	}
 	account, _ := g.entry.config.Catalog().Account(g.request.Account)
 	r := policy.Request{
 		Run: run, Route: g.request.Route, Account: g.request.Account, Priority: account.Priority,
 		Prompt: g.request.Prompt, Limit: g.request.Limit, Bytes: len(g.request.Body),
-		Prefix: g.request.Prefix, PrefixTokens: g.request.PrefixTokens, Deadline: deadline, Avoid: avoid,
+		Prefix: g.request.Prefix, PrefixTokens: g.request.PrefixTokens, Deadline: deadline, Avoid: avoid, AvoidAlso: resting,
 	}
 	decision, err := g.entry.placement.place(ctx, g.pool, r)
 	if err != nil {
@@ -227,6 +231,10 @@
 	if !known {
 		return Ending{}, fail(CodeUpstreamLost, NotRun, "engine %s is gone", d.Engine)
 	}
+	if wait := g.entry.backoffs.Resting(g.entry.now(), d.Engine); wait > 0 {
+		// It asked for that since the run was placed there.
+		return Ending{}, fail(CodeOverloaded, NotRun, "engine %s asked this entry to stay away", d.Engine).retryAfter(wait)
+	}
 	id := newGenerationID(g.entry.generationKey, location{
 		Engine: d.Engine, Run: run, Account: g.request.Account, Route: g.request.Route,
 	})
@@ -238,6 +246,7 @@
 		Prefix: prefixName(g.request.Prefix), PrefixTokens: g.request.PrefixTokens,
 	})
 	if err != nil {
+		g.entry.takeBackoff(d.Engine, backoffOf(err))
 		failure := startFailure(ctx, d.Engine, err)
 		if failure.Code == CodeUpstreamLost && failure.Run != NotRun {
 			g.entry.broke(ctx, &g.asking, upstream, time.Time{})
--- a/entry/service.go
+++ b/entry/service.go
@@ -38,6 +38,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// RetryAfter is for how long the upstream wants nothing; zero doesn't ask.
+	RetryAfter time.Duration
 	// Rest continues a body too long to be held; it is to be closed.
 	Rest interface {
 		Read(p []byte) (int, error)
@@ -83,7 +85,10 @@
 	if !known || route.Service == "" {
 		return ServiceAnswer{}, fail(CodeUnknownRoute, NotRun, "there is no service route %q", r.Route)
 	}
-	upstreams := e.serviceUpstreams(route.Service)
+	upstreams, wait := e.serviceUpstreams(route.Service)
+	if wait > 0 {
+		return ServiceAnswer{}, fail(CodeOverloaded, NotRun, "every upstream of service %s asked this entry to stay away", route.Service).retryAfter(wait)
+	}
 	if len(upstreams) == 0 {
 		return ServiceAnswer{}, fail(CodeOverloaded, NotRun, "no upstream of service %s takes work now", route.Service).retryAfter(retryUnknown)
 	}
@@ -112,9 +117,10 @@
 }
 
 // serviceUpstreams lists a service's upstreams in the order to try: this
-// zone's in a random order, then the others'.
-func (e *Entry) serviceUpstreams(name resource.Name) []member.Upstream {
-	all := e.members.upstreamsFor(member.KindService, name, "")
+// zone's in a random order, then the others'. wait is how long it is until one takes calls
+// where all asked this entry to stay away.
+func (e *Entry) serviceUpstreams(name resource.Name) (upstreams []member.Upstream, wait time.Duration) {
+	all, wait := e.withoutResting(e.members.upstreamsFor(member.KindService, name, ""))
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	ordered := make([]member.Upstream, 0, len(all))
 	for _, near := range []bool{true, false} {
@@ -124,7 +130,7 @@
 			}
 		}
 	}
-	return ordered[:min(len(ordered), maxServiceTries)]
+	return ordered[:min(len(ordered), maxServiceTries)], wait
 }
 
 // callUpstreams tries one upstream after another: always while no byte has
@@ -166,7 +172,11 @@
 	ctx, span := e.tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", string(u.ID))))
 	defer span.End()
+	if wait := e.backoffs.Resting(e.now(), u.ID); wait > 0 {
+		return ServiceAnswer{}, fail(CodeOverloaded, NotRun, "upstream %s asked this entry to stay away", u.ID).retryAfter(wait)
+	}
 	answer, err := e.services.Call(ctx, u, r)
+	e.takeBackoff(u.ID, answer.RetryAfter)
 	switch {
 	case err == nil:
 		return answer, nil
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -22,6 +22,7 @@
 	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
@@ -131,9 +132,8 @@
 	}
 	text, _ := io.ReadAll(io.LimitReader(answer.Body, maxRefusalBytes))
 	refused := &entry.EngineRefusal{Status: answer.StatusCode, Text: strings.TrimSpace(string(text))}
-	if seconds, err := strconv.Atoi(answer.Header.Get("Retry-After")); err == nil {
-		refused.RetryAfter = time.Duration(seconds) * time.Second
-	}
+	// One that can't be read asks for nothing.
+	refused.RetryAfter, _ = backoff.Parse(answer.Header.Get("Retry-After"))
 	return refused
 }
 
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -143,23 +143,32 @@
 	Bytes        int
 	Left         time.Duration
 	Avoid        string
+	AvoidAlso    []string
 }
 
 func toWireRequest(now time.Time, r policy.Request) wireRequest {
-	return wireRequest{
+	w := wireRequest{
 		Run: string(r.Run), Route: string(r.Route), Account: string(r.Account), Priority: r.Priority,
 		Prompt: int(r.Prompt), Limit: int(r.Limit), Prefix: r.Prefix, PrefixTokens: int(r.PrefixTokens),
 		Bytes: r.Bytes, Left: r.Deadline.Sub(now), Avoid: string(r.Avoid),
 	}
+	for _, id := range r.AvoidAlso {
+		w.AvoidAlso = append(w.AvoidAlso, string(id))
+	}
+	return w
 }
 
 func (w wireRequest) request(now time.Time) policy.Request {
-	return policy.Request{
+	r := policy.Request{
 		Run: policy.RunID(w.Run), Route: resource.Name(w.Route), Account: resource.Account(w.Account),
 		Priority: w.Priority, Prompt: policy.Tokens(w.Prompt), Limit: policy.Tokens(w.Limit),
 		Prefix: w.Prefix, PrefixTokens: policy.Tokens(w.PrefixTokens), Bytes: w.Bytes,
 		Deadline: now.Add(w.Left), Avoid: member.UpstreamID(w.Avoid),
 	}
+	for _, id := range w.AvoidAlso {
+		r.AvoidAlso = append(r.AvoidAlso, member.UpstreamID(id))
+	}
+	return r
 }
 
 type wirePlace struct {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -20,6 +20,7 @@
 	"github.com/gravitational/trace"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/member"
 )
@@ -83,6 +84,10 @@
 // hold reads the answer up to the bound; what is whole by then is final.
 func hold(answer *http.Response) (entry.ServiceAnswer, error) {
 	held := entry.ServiceAnswer{Status: answer.StatusCode, Header: answer.Header}
+	if answer.StatusCode == http.StatusServiceUnavailable || answer.StatusCode == http.StatusTooManyRequests {
+		// One that can't be read asks for nothing.
+		held.RetryAfter, _ = backoff.Parse(answer.Header.Get("Retry-After"))
+	}
 	var err error
 	held.Body, err = io.ReadAll(io.LimitReader(answer.Body, heldBytes))
 	if err != nil {
