--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,8 +22,8 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
-	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/resource"
--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -57,11 +57,11 @@
 		if !found {
 			return u, x.noUpstream(now, takers, sooner(refused, x.soonest(now, takers, tried))), false
 		}
-		wait, ok := x.mayGo(ctx, u, repeat)
-		if ok {
+		v := x.eligible(ctx, u, repeat)
+		if v.OK() {
 			return u, Refusal{}, true
 		}
-		refused = sooner(refused, wait)
+		refused = sooner(refused, v.Wait)
 		now = x.now()
 		x.plain.done(now, u.ID, 0, false)
 		not = append(not, u.ID)
@@ -109,17 +109,6 @@
 	return min(a, b)
 }
 
-// mayGo reports whether the request may be sent to an upstream now, and if not, how long it
-// is until it may.
-func (x *exchange) mayGo(ctx context.Context, u Upstream, repeat bool) (wait time.Duration, ok bool) {
-	return x.permit(ctx, errand{request: x.call.ID, service: &x.service, upstream: u, rank: int(x.urgency), repeat: repeat})
-}
-
-// counted has something be counted that goes to an upstream in any case.
-func (x *exchange) counted(ctx context.Context, u Upstream) {
-	x.permit(ctx, errand{service: &x.service, upstream: u, must: true})
-}
-
 // placedRun is a run with the decision that placed it.
 type placedRun struct {
 	*ownRun
@@ -137,16 +126,16 @@
 		if p.decision.Verdict != policy.Granted {
 			return p.at, placedRun{}, s.noPlace(ctx, p.decision), false
 		}
-		wait, ok := s.mayGo(ctx, p.at, s.sent > 0)
-		if ok {
+		v := s.eligible(ctx, p.at, s.sent > 0)
+		if v.OK() {
 			return p.at, placedRun{p.run, p.decision}, Refusal{}, true
 		}
 		now = s.now()
 		s.engines.finish(now, s.service.Name, p.run, false)
-		refused.keep(p.at, s.peers.self.Zone, wait)
+		refused.keep(p.at, s.peers.self.Zone, v.Wait)
 		if ctx.Err() != nil || p.decision.Waited > 0 {
 			// It has waited for a place once.
-			return p.at, placedRun{}, s.noPlace(ctx, policy.Decision{Verdict: policy.Refused, Reason: policy.ReasonDeadline, RetryAfter: wait}), false
+			return p.at, placedRun{}, s.noPlace(ctx, policy.Decision{Verdict: policy.Refused, Reason: policy.ReasonDeadline, RetryAfter: v.Wait}), false
 		}
 	}
 }
@@ -159,7 +148,7 @@
 	if !found {
 		return u, false
 	}
-	if _, ok := x.mayGo(ctx, u, false); !ok {
+	if !x.eligible(ctx, u, false).OK() {
 		x.engines.stay(x.now(), x.service.Name, run, from)
 		return Upstream{}, false
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -187,7 +187,6 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		x.counted(ctx, m.from)
 		if err := x.discardCopy(ctx, m.from, handle); err != nil {
 			// The engines free it by themselves within seconds.
 			x.journal.Request(x.call.ID, "copy not freed", "upstream", m.from.ID, "err", err)
@@ -362,7 +361,6 @@
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
 	began := x.now()
-	x.counted(ctx, m.from)
 	moved, err := x.askMove(ctx, m.from, MoveRequest{ID: x.call.ID, To: to.Address, Stop: stop})
 	if moved.Handle != "" {
 		m.mu.Lock()
@@ -387,7 +385,7 @@
 	})
 	for _, u := range targets {
 		if u.ID != h.to.ID || s.now().Sub(h.permitted) > permittedFor {
-			s.counted(ctx, u)
+			s.countSend(ctx, u)
 		}
 		a, err := s.send(ctx, u, &Continuation{Source: h.source.Address, Handle: h.handle, LastEvent: s.lastEvent})
 		if err == nil && a.Status == 200 && a.Signed {
--- a/forward/permits.go
+++ b/forward/permits.go
@@ -34,8 +34,8 @@
 	return f.backoffs.Any() || f.limiter.Words.Any() || s.ColdRate > 0 && f.fleet.AnyCold(now)
 }
 
-// errand is something to be sent to an upstream.
-type errand struct {
+// permitRequest is something to be sent to an upstream.
+type permitRequest struct {
 	// request is whose it is; empty for none.
 	request  RequestID
 	service  *Service
@@ -47,19 +47,19 @@
 
 // permit reports whether something may be sent to an upstream now, and if not, how long it is
 // until it may be asked for again. It is asked just before sending.
-func (f *Forwarder) permit(ctx context.Context, e errand) (wait time.Duration, ok bool) {
+func (f *Forwarder) permit(ctx context.Context, r permitRequest) (wait time.Duration, ok bool) {
 	now := f.now()
-	rate, bounded := f.bound(now, e.service, e.upstream)
+	rate, bounded := f.bound(now, r.service, r.upstream)
 	if !bounded {
 		return 0, true
 	}
-	asked := f.limiter.Wait(now, e.upstream.ID) == 0
-	v := f.limiter.Take(ctx, permit.Request{Upstream: e.upstream.ID, Rate: rate, Rank: e.rank, Repeat: e.repeat, Must: e.must})
-	if !e.must {
+	asked := f.limiter.Wait(now, r.upstream.ID) == 0
+	v := f.limiter.Take(ctx, permit.Request{Upstream: r.upstream.ID, Rate: rate, Rank: r.rank, Repeat: r.repeat, Must: r.must})
+	if !r.must {
 		f.observer.Permit(v.Outcome)
 	}
-	if !v.OK() && asked && e.request != "" {
-		f.journal.Request(e.request, "kept back", "upstream", e.upstream.ID, "per_second", rate, "wait", v.Wait, "by", v.Outcome, "late", v.Late)
+	if !v.OK() && asked && r.request != "" {
+		f.journal.Request(r.request, "kept back", "upstream", r.upstream.ID, "per_second", rate, "wait", v.Wait, "by", v.Outcome, "late", v.Late)
 	}
 	return v.Wait, v.OK()
 }
--- a/forward/scout.go
+++ b/forward/scout.go
@@ -107,9 +107,6 @@
 // that it is cold or in a new life. No answer says nothing. One that is bounded is asked
 // only where no request wants its place.
 func (f *Forwarder) ask(ctx context.Context, s *Service, u Upstream) {
-	if _, ok := f.permit(ctx, errand{service: s, upstream: u, rank: int(MostPatient), repeat: true}); !ok {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
 	defer cancel()
 	health, err := f.checkHealth(ctx, s, u)
--- a/forward/send.go
+++ b/forward/send.go
@@ -66,6 +66,29 @@
 	return eligibility.Judge(s, p)
 }
 
+// eligible decides whether the request may be sent to an upstream now, and gets the permit that
+// a bounded one needs. repeat says that another upstream has had it.
+func (x *exchange) eligible(ctx context.Context, u Upstream, repeat bool) eligibility.Verdict {
+	if v := x.judge(x.now(), u, eligibility.Request); !v.OK() {
+		return v
+	}
+	return x.permitted(ctx, permitRequest{request: x.call.ID, service: &x.service, upstream: u, rank: int(x.urgency), repeat: repeat})
+}
+
+// permitted is the verdict on something that only a permit may be missing for.
+func (f *Forwarder) permitted(ctx context.Context, r permitRequest) eligibility.Verdict {
+	wait, ok := f.permit(ctx, r)
+	if ok {
+		return eligibility.Verdict{}
+	}
+	return eligibility.Judge(eligibility.State{Limit: max(wait, 1)}, eligibility.Request)
+}
+
+// countSend has something be counted that goes to a bounded upstream in any case.
+func (x *exchange) countSend(ctx context.Context, u Upstream) {
+	x.permit(ctx, permitRequest{service: &x.service, upstream: u, must: true})
+}
+
 // sendTo sends the request to an upstream, unless that may not get it now.
 func (x *exchange) sendTo(ctx context.Context, u Upstream, out *Outgoing) (*Answer, error) {
 	purpose := eligibility.Request
@@ -111,7 +134,7 @@
 
 // askMove has a run's memory copied, and takes in what the answer tells about the engine.
 func (x *exchange) askMove(ctx context.Context, from Upstream, r MoveRequest) (Moved, error) {
-	x.observeControl(from)
+	x.observeControl(ctx, from)
 	sent := x.now()
 	moved, err := x.transport.Move(ctx, from, r)
 	x.takeSignals(sent, from, answerToMove, moved.Signals)
@@ -120,7 +143,7 @@
 
 // discardCopy frees a copy, and takes in what the answer tells about the engine.
 func (x *exchange) discardCopy(ctx context.Context, at Upstream, handle string) error {
-	x.observeControl(at)
+	x.observeControl(ctx, at)
 	sent := x.now()
 	told, err := x.transport.Discard(ctx, at, handle)
 	x.takeSignals(sent, at, answerToDiscard, told)
@@ -128,7 +151,8 @@
 }
 
 // observeControl counts a call about a run that goes to its engine whatever that asked for.
-func (x *exchange) observeControl(u Upstream) {
+func (x *exchange) observeControl(ctx context.Context, u Upstream) {
+	x.countSend(ctx, u)
 	if v := x.Forwarder.judge(x.now(), u, eligibility.Control); v.Despite != "" {
 		x.observer.Send(v)
 	}
@@ -137,7 +161,12 @@
 // checkHealth asks an upstream how it is, unless it may not be asked now.
 func (f *Forwarder) checkHealth(ctx context.Context, s *Service, u Upstream) (Health, error) {
 	sent := f.now()
-	if v := f.judge(sent, u, eligibility.Probe); !v.OK() {
+	v := f.judge(sent, u, eligibility.Probe)
+	if v.OK() {
+		// Where requests want the upstream's permits, they go first.
+		v = f.permitted(ctx, permitRequest{service: s, upstream: u, rank: int(MostPatient), repeat: true})
+	}
+	if !v.OK() {
 		f.observer.Send(v)
 		return Health{}, &keptBackError{v}
 	}
