--- a/forward/asking.go
+++ b/forward/asking.go
@@ -52,9 +52,9 @@
 	// askTimeout bounds the answer of a host that is asked for a place: zones are a
 	// millisecond or two apart, and a slow host is as good as none.
 	askTimeout = 40 * time.Millisecond
-	// lentFor is how long a place that was given to another host's run is kept before
+	// grantedFor is how long a place that was given to another host's run is kept before
 	// that host must have told of the run, which it does within some 5 ms.
-	lentFor = 300 * time.Millisecond
+	grantedFor = 300 * time.Millisecond
 )
 
 func askOf(self member.HostID, service ServiceName, now time.Time, r policy.Request) PlaceAsk {
@@ -91,7 +91,7 @@
 	service, _ := t.Service(a.Service)
 	x := &exchange{Forwarder: f, service: service}
 	a.Avoid = slices.Concat(a.Avoid, x.keptEngines(now).near)
-	d, ok := f.engines.lend(now, a)
+	d, ok := f.engines.grant(now, a)
 	if !ok {
 		return PlaceGrant{}
 	}
--- a/forward/asking_test.go
+++ b/forward/asking_test.go
@@ -154,7 +154,7 @@
 				if c.told {
 					far.engines.adopt(time.Now(), "h1", near.engines.states(time.Now()), nil)
 				}
-				time.Sleep(lentFor + time.Millisecond)
+				time.Sleep(grantedFor + time.Millisecond)
 				far.listEngines(time.Now(), far.Table())
 				is.Equal(counted(), c.want)
 			})
--- a/forward/clock_test.go
+++ b/forward/clock_test.go
@@ -54,8 +54,8 @@
 			func(f *Forwarder, now time.Time) time.Duration { return f.followed.age(now) },
 		},
 		"doubt": {
-			func(f *Forwarder, now time.Time) { f.doubtList(now) },
-			func(f *Forwarder, now time.Time) time.Duration { return f.doubted.age(now) },
+			func(f *Forwarder, now time.Time) { f.suspectList(now) },
+			func(f *Forwarder, now time.Time) time.Duration { return f.listSuspect.age(now) },
 		},
 	}
 	for name, p := range proofs {
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -27,8 +27,8 @@
 
 	mu    sync.Mutex
 	pools map[ServiceName]*enginePool
-	// told is when each peer last told its runs.
-	told map[member.HostID]time.Time
+	// reported is when each peer last told its runs.
+	reported map[member.HostID]time.Time
 	// ended are this host's runs whose answers ended by themselves lately.
 	ended []EndedRun
 }
@@ -44,8 +44,8 @@
 	// own are this host's runs, theirs those of its peers.
 	own    map[policy.RunID]*ownRun
 	theirs map[policy.RunID]member.HostID
-	// lent are when places were given to runs of peers that haven't told of them yet.
-	lent map[policy.RunID]time.Time
+	// granted are when places were given to runs of peers that haven't told of them yet.
+	granted map[policy.RunID]time.Time
 	// usualStep is the time of a step as it was observed of all engines; zero
 	// before the first.
 	usualStep time.Duration
@@ -121,7 +121,7 @@
 )
 
 func newEngines(self member.HostID, zone member.Zone) *engines {
-	return &engines{self: self, zone: zone, pools: map[ServiceName]*enginePool{}, told: map[member.HostID]time.Time{}}
+	return &engines{self: self, zone: zone, pools: map[ServiceName]*enginePool{}, reported: map[member.HostID]time.Time{}}
 }
 
 func (e *engines) now() time.Time { return e.clock.Now() }
@@ -138,7 +138,7 @@
 		if p == nil {
 			p = &enginePool{
 				listed: map[member.UpstreamID]Upstream{}, waiting: map[policy.RunID]chan policy.Decision{},
-				own: map[policy.RunID]*ownRun{}, theirs: map[policy.RunID]member.HostID{}, lent: map[policy.RunID]time.Time{},
+				own: map[policy.RunID]*ownRun{}, theirs: map[policy.RunID]member.HostID{}, granted: map[policy.RunID]time.Time{},
 			}
 			p.pool = policy.NewPool(policy.Settings{})
 			e.pools[name] = p
@@ -196,7 +196,7 @@
 
 // refresh tells the pool how its engines stand and decides what waits.
 func (p *enginePool) refresh(now time.Time) {
-	p.takeBack(now)
+	p.revokeUnused(now)
 	for id, run := range p.own {
 		p.pool.Progress(now, id, policy.Tokens(run.made.Load()))
 		p.pool.Reading(now, id, run.first)
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -89,9 +89,9 @@
 		"nobody told": {nil, now, 0},
 		"half told":   {[]member.HostID{"a"}, now, 0.5},
 		"all told":    {[]member.HostID{"a", "b"}, now, 1},
-		"long ago":    {[]member.HostID{"a", "b"}, now.Add(toldLately + time.Millisecond), 0},
+		"long ago":    {[]member.HostID{"a", "b"}, now.Add(reportedLately + time.Millisecond), 0},
 	} {
-		clear(f.engines.told)
+		clear(f.engines.reported)
 		for _, id := range c.tell {
 			f.engines.adopt(now, id, nil, nil)
 		}
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -130,14 +130,14 @@
 		return
 	}
 	s.journal.Belief("upstream fails", "upstream", id, "request", s.call.ID, "why", why, "no_new_work_for", hold)
-	s.peers.nudge()
+	s.peers.notify()
 }
 
 // brokeOff notes that an engine broke a stream off in its midst. Where nothing had
 // told that it leaves, the list may be behind.
 func (s *streamExchange) brokeOff(now time.Time, id member.UpstreamID) {
 	if u, known := s.fleet.Upstream(id); known && !u.Leaving {
-		s.doubtList(now)
+		s.suspectList(now)
 	}
 	s.failed(now, id, "it broke a stream off")
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -213,7 +213,7 @@
 	case c.Missing:
 		return f.miss(now, k, c.Revision)
 	case c.Unusable:
-		return k.spoil(c.Revision)
+		return k.markUnusable(c.Revision)
 	case c.Life == 0:
 		c.Life = k.Life
 	case k.Life != 0 && c.Life != k.Life:
@@ -244,9 +244,9 @@
 	return &known{Upstream: u, leaving: make(chan struct{}), over: make(chan struct{})}
 }
 
-// spoil takes in that the upstream's entry can't be used as of a revision. What runs
+// markUnusable takes in that the upstream's entry can't be used as of a revision. What runs
 // there goes on, and an entry that can be used gives it work again.
-func (k *known) spoil(at Revision) bool {
+func (k *known) markUnusable(at Revision) bool {
 	k.Revision = at
 	if k.unusable || k.gone {
 		return false
@@ -283,9 +283,9 @@
 	return true
 }
 
-// told is the upstream as a peer that follows this host is told of it. Signs other than
+// change is the upstream as a peer that follows this host is told of it. Signs other than
 // the list's travel by themselves, and are taken back; what came with the list stays.
-func (k *known) told() Change {
+func (k *known) change() Change {
 	c := Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing, Unusable: k.unusable, ColdUntil: k.coldUntil}
 	c.Leaving = k.Leaving && (k.declared || !k.hinted)
 	return c
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -46,12 +46,12 @@
 func (f *Fleet) takers(now time.Time, service ServiceName, but func(member.UpstreamID) bool) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var takers, doubtful []Upstream
+	var takers, suspected []Upstream
 	for _, k := range f.upstreams {
 		switch {
 		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out || but(k.ID):
 		case k.missing || now.Before(k.suspectUntil):
-			doubtful = append(doubtful, k.Upstream)
+			suspected = append(suspected, k.Upstream)
 		default:
 			takers = append(takers, k.Upstream)
 		}
@@ -60,7 +60,7 @@
 		return takers
 	}
 	// With nobody else, those under suspicion are better than nothing.
-	return doubtful
+	return suspected
 }
 
 // Since returns what changed after a revision, for a peer that follows this host,
@@ -72,7 +72,7 @@
 	whole = after < f.forgotten || f.skippedFrom < after && after < f.skippedTo
 	for _, k := range f.upstreams {
 		if whole || k.Revision > after {
-			changes = append(changes, k.told())
+			changes = append(changes, k.change())
 		}
 	}
 	return changes, f.revision, whole
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -100,8 +100,8 @@
 	proofInherited atomic.Bool
 	// followed is when a peer that is followed last answered.
 	followed latest
-	// doubted is when an engine last went without notice that the list had.
-	doubted latest
+	// listSuspect is when an engine last went without notice that the list had.
+	listSuspect latest
 	// newest is the configuration in force as it came, for peers.
 	newest atomic.Pointer[Config]
 	peers  *peerSet
@@ -224,7 +224,7 @@
 	if slept > before {
 		f.journal.Belief("was suspended", "for", slept-before)
 		f.observer.Suspended(slept - before)
-		f.peers.nudgeAll()
+		f.peers.notifyAll()
 	}
 	return slept
 }
--- a/forward/lending.go
+++ b/forward/granting.go
@@ -73,24 +73,24 @@
 	return run
 }
 
-// lend gives a peer's run a place on an engine of the own zone, if one has room.
-func (e *engines) lend(now time.Time, a PlaceAsk) (policy.Decision, bool) {
+// grant gives a peer's run a place on an engine of the own zone, if one has room.
+func (e *engines) grant(now time.Time, a PlaceAsk) (policy.Decision, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.pools[a.Service]
 	if p == nil || p.own[a.Run] != nil {
 		return policy.Decision{}, false
 	}
-	d, ok := p.placeTheirs(now, a, e.zone)
+	d, ok := p.placePeers(now, a, e.zone)
 	if ok {
-		p.theirs[a.Run], p.lent[a.Run] = a.From, now
+		p.theirs[a.Run], p.granted[a.Run] = a.From, now
 	}
 	return d, ok
 }
 
-// placeTheirs places a peer's run on an engine of a zone. One that is known here already
+// placePeers places a peer's run on an engine of a zone. One that is known here already
 // is to move, and stays counted where it is if there is no room.
-func (p *enginePool) placeTheirs(now time.Time, a PlaceAsk, zone member.Zone) (policy.Decision, bool) {
+func (p *enginePool) placePeers(now time.Time, a PlaceAsk, zone member.Zone) (policy.Decision, bool) {
 	if _, known := p.theirs[a.Run]; known {
 		id, ok := p.pool.Relocate(now, a.Run, policy.Target{Avoid: a.Avoid, OnlyZone: true, Zone: zone})
 		return policy.Decision{Run: a.Run, Verdict: policy.Granted, Engine: id}, ok
@@ -100,11 +100,11 @@
 	return p.pool.TryPlace(now, r)
 }
 
-// takeBack frees the places that were given to peers' runs that nothing was heard of.
-func (p *enginePool) takeBack(now time.Time) {
-	for id, at := range p.lent {
-		if now.Sub(at) > lentFor {
-			delete(p.lent, id)
+// revokeUnused frees the places that were given to peers' runs that nothing was heard of.
+func (p *enginePool) revokeUnused(now time.Time) {
+	for id, at := range p.granted {
+		if now.Sub(at) > grantedFor {
+			delete(p.granted, id)
 			delete(p.theirs, id)
 			p.pool.Finish(now, policy.Finish{Run: id})
 		}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -100,7 +100,7 @@
 // for all, and a run that has ended and still counts keeps another away. While such runs
 // were told of within 7 s, hosts took each engine to have 1.4 runs more than its 5.5, and
 // on a quiet day 129 requests of 2,479 were refused for want of room.
-func (f *Forwarder) tellRuns(u Upstream) { f.peers.nudgeZone(u.Zone) }
+func (f *Forwarder) tellRuns(u Upstream) { f.peers.notifyZone(u.Zone) }
 
 // RunPeers tells the peers about this host until the context ends.
 func (f *Forwarder) RunPeers(ctx context.Context, peers Peers) {
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -225,16 +225,16 @@
 	return p.known[id] != nil
 }
 
-// nudge asks for a share to the own zone at once.
-func (p *peerSet) nudge() {
+// notify asks for a share to the own zone at once.
+func (p *peerSet) notify() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
 	}
 }
 
-// nudgeZone asks for a share to the own zone and another at once.
-func (p *peerSet) nudgeZone(zone member.Zone) {
+// notifyZone asks for a share to the own zone and another at once.
+func (p *peerSet) notifyZone(zone member.Zone) {
 	if zone != p.self.Zone {
 		p.mu.Lock()
 		if p.woken == nil {
@@ -243,11 +243,11 @@
 		p.woken[zone] = true
 		p.mu.Unlock()
 	}
-	p.nudge()
+	p.notify()
 }
 
-// nudgeAll asks for a share to all peers at once.
-func (p *peerSet) nudgeAll() {
+// notifyAll asks for a share to all peers at once.
+func (p *peerSet) notifyAll() {
 	select {
 	case p.wakeAll <- struct{}{}:
 	default:
--- a/forward/scout.go
+++ b/forward/probe.go
@@ -16,24 +16,24 @@
 // While the list of upstreams can't be had, engines are asked themselves whether
 // they leave: a notice is short, and a run that isn't moved is lost.
 const (
-	// scoutEvery is the period of asking one engine. Each answer has a price,
+	// probeEvery is the period of asking one engine. Each answer has a price,
 	// so only one host asks each engine, and only while the list is lost.
-	scoutEvery = 300 * time.Millisecond
-	// scoutTimeout bounds one answer.
-	scoutTimeout = 400 * time.Millisecond
+	probeEvery = 300 * time.Millisecond
+	// probeTimeout bounds one answer.
+	probeTimeout = 400 * time.Millisecond
 	// listLate is how old the proof of the list may be before engines are asked.
 	listLate = watchWait + 600*time.Millisecond
-	// doubtFor is how long engines are asked after one went without notice: its own
+	// suspectListFor is how long engines are asked after one went without notice: its own
 	// entry on the list came late, and others' may, too. On a day on which half of
 	// the writes to the list were lost or late for 8 s, the chats that failed fell
 	// from 15.5 to 7.8 of some 250 by this, and to 2.8 by asking those that hint
 	// that they leave (2 and 4 seeds).
-	doubtFor = 10 * time.Second
+	suspectListFor = 10 * time.Second
 )
 
-// RunScout asks the engines while the list is lost, until the context ends.
-func (f *Forwarder) RunScout(ctx context.Context) {
-	tick := time.NewTicker(scoutEvery)
+// RunProbes asks the engines while the list is lost, until the context ends.
+func (f *Forwarder) RunProbes(ctx context.Context) {
+	tick := time.NewTicker(probeEvery)
 	defer tick.Stop()
 	for {
 		select {
@@ -41,12 +41,12 @@
 			return
 		case <-tick.C:
 			now := f.now()
-			if !f.listKnown(now) || f.listDoubted(now) {
-				f.scout(ctx, now, f.engines.busy())
+			if !f.listKnown(now) || f.listSuspected(now) {
+				f.probe(ctx, now, f.engines.busy())
 				continue
 			}
 			if missing := f.fleet.Missing(); len(missing) > 0 {
-				f.scout(ctx, now, intersect(f.engines.busy(), missing))
+				f.probe(ctx, now, intersect(f.engines.busy(), missing))
 			}
 		}
 	}
@@ -58,24 +58,24 @@
 	return f.following(now) || f.OriginAge(now) <= listLate
 }
 
-// doubtList takes in that an engine which the list has as well went without
+// suspectList takes in that an engine which the list has as well went without
 // notice.
-func (f *Forwarder) doubtList(now time.Time) {
-	if !f.listDoubted(now) {
-		f.journal.Belief("list doubted", "for", doubtFor, "list_revision", f.fleet.Revision())
+func (f *Forwarder) suspectList(now time.Time) {
+	if !f.listSuspected(now) {
+		f.journal.Belief("list listSuspect", "for", suspectListFor, "list_revision", f.fleet.Revision())
 	}
-	f.doubted.raise(now)
+	f.listSuspect.raise(now)
 }
 
-func (f *Forwarder) listDoubted(now time.Time) bool { return f.doubted.age(now) < doubtFor }
+func (f *Forwarder) listSuspected(now time.Time) bool { return f.listSuspect.age(now) < suspectListFor }
 
 // intersect returns the ids that are in both lists.
 func intersect(a, b []member.UpstreamID) []member.UpstreamID {
 	return slices.DeleteFunc(a, func(id member.UpstreamID) bool { return !slices.Contains(b, id) })
 }
 
-// scout asks those of some engines that this host is the arbiter of.
-func (f *Forwarder) scout(ctx context.Context, now time.Time, ids []member.UpstreamID) {
+// probe asks those of some engines that this host is the arbiter of.
+func (f *Forwarder) probe(ctx context.Context, now time.Time, ids []member.UpstreamID) {
 	t := f.table.Load()
 	if t == nil {
 		return
@@ -107,7 +107,7 @@
 // that it is cold or in a new life. No answer says nothing. One that is bounded is asked
 // only where no request wants its place.
 func (f *Forwarder) ask(ctx context.Context, s *Service, u Upstream) {
-	ctx, cancel := context.WithTimeout(ctx, scoutTimeout)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	health, err := f.checkHealth(ctx, s, u)
 	now := f.now()
@@ -123,5 +123,5 @@
 	}
 	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "origin_age", f.OriginAge(now))
 	f.fleet.MarkLeaving(now, u.ID, 0, true)
-	f.peers.nudgeAll()
+	f.peers.notifyAll()
 }
--- a/forward/scout_test.go
+++ b/forward/probe_test.go
@@ -16,9 +16,9 @@
 	"github.com/shedpath/shedpath/policy"
 )
 
-// TestScout has the engines that carry runs asked as soon as the list is lost,
+// TestProbe has the engines that carry runs asked as soon as the list is lost,
 // and one that isn't well count as leaving.
-func TestScout(t *testing.T) {
+func TestProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var asked atomic.Int32
@@ -30,7 +30,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		origin := &failingOrigin{}
 		go f.Follow(ctx, origin)
-		go f.RunScout(ctx)
+		go f.RunProbes(ctx)
 		synctest.Wait() // the list is read
 		f.listEngines(time.Now(), f.Table())
 		_, run, _ := f.engines.place(ctx, time.Now(), "llm", policy.Request{Run: "r", Prompt: 100})
@@ -51,9 +51,9 @@
 	})
 }
 
-// TestScoutDoubt has engines asked for a while, though the list is known, after
+// TestProbeListSuspected has engines asked for a while, though the list is known, after
 // one went without notice.
-func TestScoutDoubt(t *testing.T) {
+func TestProbeListSuspected(t *testing.T) {
 	for name, c := range map[string]struct {
 		// listed says that the list told of the leaving before.
 		listed bool
@@ -75,17 +75,17 @@
 				}
 				f = newForwarder(t, transport)
 				ctx, cancel := context.WithCancel(t.Context())
-				go f.RunScout(ctx)
+				go f.RunProbes(ctx)
 				synctest.Wait()
 				f.listEngines(time.Now(), f.Table())
 				f.Serve(ctx, call("/llm/"), &fakeSink{}) // placed on llm1
 				f.engines.list(time.Now(), "llm", []Upstream{{ID: "llm2", Service: "llm", Zone: "z1"}})
 				_, run, _ := f.engines.place(ctx, time.Now(), "llm", policy.Request{Run: "r", Prompt: 100})
 				is.Equal(run.engine, member.UpstreamID("llm2"))
-				time.Sleep(2 * scoutEvery)
+				time.Sleep(2 * probeEvery)
 				u, _ := f.fleet.Upstream("llm2")
 				is.Equal(u.Leaving, c.marked)
-				is.True(!f.listDoubted(time.Now().Add(doubtFor))) // not for ever
+				is.True(!f.listSuspected(time.Now().Add(suspectListFor))) // not for ever
 				cancel()
 				synctest.Wait()
 			})
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -81,7 +81,7 @@
 		x.endHeld([]quarantine.Fingerprint{f})
 		x.keep(f)
 	}
-	x.peers.nudgeAll()
+	x.peers.notifyAll()
 }
 
 // survived takes in that an upstream has run the request and gone on.
@@ -160,7 +160,7 @@
 	if release != nil {
 		if released = f.crashes.RanWell(now, *release); released {
 			f.journal.Belief("let through again", "asks", *release, "by", "operator")
-			f.peers.nudgeAll()
+			f.peers.notifyAll()
 			f.keep(*release)
 		}
 	}
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -91,16 +91,16 @@
 			}
 		}
 	}
-	for host := range e.told {
+	for host := range e.reported {
 		if !isKnown(host) {
-			delete(e.told, host)
+			delete(e.reported, host)
 		}
 	}
 }
 
-// toldLately is how recent a peer's word of its runs must be for them to be known: new
+// reportedLately is how recent a peer's word of its runs must be for them to be known: new
 // runs come and prompts are read within about a second.
-const toldLately = time.Second
+const reportedLately = time.Second
 
 // noteKnown takes in how much of each zone's runs this host knows.
 func (e *engines) noteKnown(now time.Time, zoneOf map[member.HostID]member.Zone) {
@@ -109,7 +109,7 @@
 	hosts, told := map[member.Zone]int{}, map[member.Zone]int{}
 	for host, zone := range zoneOf {
 		hosts[zone]++
-		if at, ever := e.told[host]; ever && now.Sub(at) <= toldLately {
+		if at, ever := e.reported[host]; ever && now.Sub(at) <= reportedLately {
 			told[zone]++
 		}
 	}
@@ -124,7 +124,7 @@
 func (e *engines) adopt(now time.Time, host member.HostID, states []RunState, ended []EndedRun) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.told[host] = now
+	e.reported[host] = now
 	listed := make(map[policy.RunID]RunState, len(states))
 	for _, s := range states {
 		listed[s.Run] = s
@@ -140,10 +140,10 @@
 			}
 			s, still := listed[id]
 			if still && p.pool.EngineOf(id) == s.Engine {
-				delete(p.lent, id)
+				delete(p.granted, id)
 				continue
 			}
-			if _, lent := p.lent[id]; lent {
+			if _, isGranted := p.granted[id]; isGranted {
 				// The share was on its way when the place was given.
 				continue
 			}
--- a/forward/send.go
+++ b/forward/send.go
@@ -189,7 +189,7 @@
 	}
 	// What waits for it is placed elsewhere, and peers hear of it.
 	f.fleet.Wake()
-	f.peers.nudgeAll()
+	f.peers.notifyAll()
 	return true
 }
 
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -55,7 +55,7 @@
 		f.observer.Signal(SignalLeaving)
 		if f.fleet.SaidLeaving(now, u.ID, u.Life, true) {
 			f.journal.Belief("upstream says that it leaves", "upstream", u.ID, "life", u.Life, "answer_to", to, "asked_ago", now.Sub(sent))
-			f.peers.nudgeAll()
+			f.peers.notifyAll()
 		}
 	}
 	if s.RetryAfter > 0 {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -127,7 +127,7 @@
 		}
 	}
 	s.fleet.ZoneUnreachable(now, s.service.Name, u.Zone)
-	s.peers.nudge()
+	s.peers.notify()
 }
 
 // untried reports whether an engine is left that hasn't been tried. Those that
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -43,7 +43,7 @@
 			"configuration":      func(f *Forwarder) time.Duration { return f.ContactAge(f.now()) },
 			"list":               func(f *Forwarder) time.Duration { return f.OriginAge(f.now()) },
 			"followed":           func(f *Forwarder) time.Duration { return f.followed.age(f.now()) },
-			"doubt":              func(f *Forwarder) time.Duration { return f.doubted.age(f.now()) },
+			"doubt":              func(f *Forwarder) time.Duration { return f.listSuspect.age(f.now()) },
 			"told to peers":      func(f *Forwarder) time.Duration { return f.share(f.now()).ConfigAge },
 			"told to followers":  func(f *Forwarder) time.Duration { return f.OnFollow(context.Background(), FollowRequest{}).OriginAge },
 			"told with a config": func(f *Forwarder) time.Duration { return f.OnConfig(0).Age },
@@ -51,7 +51,7 @@
 			t.Run(fmt.Sprint(name, " ", slept), func(t *testing.T) {
 				onSuspendable(t, &fakeTransport{}, func(is *is.I, f *Forwarder, s *clocktest.Machine) {
 					f.followed.raise(f.now())
-					f.doubted.raise(f.now())
+					f.listSuspect.raise(f.now())
 					s.Suspend(slept)
 					is.Equal(age(f), slept)
 				})
