--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -50,7 +50,9 @@
 		takers = x.fleet.Takers(now, x.service.Name)
 		return Upstream{}, x.noUpstream(now, takers, x.soonest(now, takers, nil)), false
 	}
-	not := slices.Concat(tried, x.keptFrom(now, takers))
+	kept := x.keptFrom(now, takers)
+	x.passedOver = len(kept)
+	not := slices.Concat(tried, kept)
 	refused := time.Duration(0)
 	for {
 		u, found := x.plain.choose(now, takers, not)
@@ -120,6 +122,7 @@
 	var refused keptEngines
 	for {
 		kept := s.keptEngines(now)
+		s.passedOver = len(kept.near) + len(kept.far)
 		kept.also(&refused)
 		r.AvoidAlso = slices.Concat(s.avoid, kept.near)
 		p := s.findPlace(ctx, now, r, kept)
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -276,7 +276,7 @@
 	if err != nil {
 		outcome = "not_delivered"
 	}
-	p.answered(outcome, "upstream", t.upstream.ID, "status", t.answer.Status, "tries", len(p.tried), "err", err)
+	p.answered(outcome, "upstream", t.upstream.ID, "status", t.answer.Status, "tries", len(p.tried), "passed_over", p.passedOver, "err", err)
 }
 
 // deliverLong passes on an answer that is too long to be held.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -181,7 +181,7 @@
 	s.run = run.ownRun
 	d := run.decision
 	s.tellRuns(u)
-	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "memory_foreseen", d.Memory, "runs", d.Batch, "zone", u.Zone, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
+	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "memory_foreseen", d.Memory, "runs", d.Batch, "zone", u.Zone, "passed_over", s.passedOver, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
 }
 
--- a/internal/explain/story.go
+++ b/internal/explain/story.go
@@ -25,7 +25,7 @@
 	CauseCrash      Cause = "cut: the engine ended"
 	CauseLink       Cause = "cut: the link to the engine broke"
 	CauseUnknown    Cause = "cut"
-	CauseBounded    Cause = refusedPrefix + "overloaded, upstreams kept to their limits"
+	CauseBounded    Cause = refusedPrefix + "overloaded, upstreams limited or backing off"
 )
 
 const refusedPrefix = "refused: "
