--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -25,8 +25,7 @@
 
 const (
 	// beginsFor is how long after its first token a run counts as beginning on its
-	// engine. Engines that ended under a request did so 75 to 110 ms after its first
-	// token; what had run for five times as long only ran beside.
+	// engine; what has run for longer only ran beside.
 	beginsFor = 500 * time.Millisecond
 	// reachTimeout bounds the look at an upstream whose link broke: one that ended
 	// refuses a connection within a round trip.
--- a/forward/asking.go
+++ b/forward/asking.go
@@ -18,9 +18,7 @@
 // placed, and those of other zones only in part: bytes between zones have a price. So it
 // places in its own zone by itself, and where that has no room it asks a host of another
 // zone, which answers for a place there. A zone whose hosts can't be asked is placed in
-// blindly, as far as its runs are known. On a load that fills the engines' memory
-// (policy's TestFullMemory), of 1,150 long and 2,079 short answers 6 and 30 had a late
-// first token and 781 and 1,816 came in time; without asking 28 and 116, 740 and 1,741.
+// blindly, as far as its runs are known.
 
 // PlaceAsk asks a host for a place on one of its zone's engines.
 type PlaceAsk struct {
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -87,11 +87,7 @@
 	// are, so it goes there only when the own zone's engines are much fuller. Short
 	// answers pay it, too: hosts hear of each run on their own zone's engines at
 	// once, but of another's only now and then, so an engine that looks idle from
-	// afar mostly isn't. With 85 hosts and 48 engines on a quiet day, at a cost of
-	// 0.1, 541 of 680 short answers went to other zones, where the first token came
-	// after 0.62 s (the median; 0.33 s in their own zone) and 10 were late (1); at
-	// 0.7, 30 of 686 did, the median of all fell from 0.56 to 0.40 s, the 99th of
-	// 100 from 1.52 to 1.21 s, and late were 2 in place of 12.
+	// afar mostly isn't.
 	farCostToStart = 0.7
 	// farCostToMove is the same for a run that moves; a move between zones also
 	// takes the links twice as long.
@@ -169,8 +165,8 @@
 	return s
 }
 
-// shortNotice is the shortest notice of an engine that leaves that was seen on
-// the first users' platform, less what the first move waits.
+// shortNotice is the shortest notice of an engine that leaves, less what the first move
+// waits.
 const shortNotice = 1400 * time.Millisecond
 
 // list tells which engines take work now.
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -149,9 +149,7 @@
 
 // watchFirstEvent has the engine count as failing when the first event is late and none of
 // its other runs gets on either: one that is only full would be given up by all hosts of
-// the zone for seconds, and the others have to take what it would have. With 60 engines
-// whose memory was full, 86 were given up so in 34 s; of 1,160 long answers 853 came in
-// time, and 894 without that (one seed; 840 and 846 of 1,125 on another).
+// the zone for seconds, and the others have to take what it would have.
 // The returned function ends that.
 func (s *streamExchange) watchFirstEvent(id member.UpstreamID) (stop func()) {
 	if s.route.Objective <= 0 {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -61,9 +61,7 @@
 	// coldUntil is when the last upstream will be warm that was ever cold.
 	coldUntil time.Time
 	// failedUntil and tellUntil are the latest of all upstreams', so that hosts which have
-	// found nothing lately needn't look through them for each share: with 300 hosts before
-	// 120 upstreams, 29% of what hosts do for each other went into that (BenchmarkShare: 0.9
-	// in place of 14 us).
+	// found nothing lately needn't look through them for each share.
 	failedUntil, tellUntil time.Time
 	// renewed are upstreams that have begun a new life since TakeRenewed.
 	renewed []member.UpstreamID
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -145,9 +145,8 @@
 
 // shareRetries has the hosts share the slack of the retry budget that were known lately,
 // heard or not: one that hears nobody is behind a cut more often than alone, and has an even
-// part still. Six hosts cut off from each other, each with all of it, had 54 repeats where
-// 22 are allowed. A host that has just started and knows nobody has none until it has
-// looked for others; 40 otherwise when six start together.
+// part still. A host that has just started and knows nobody has none until it has looked for
+// others.
 func (f *Forwarder) shareRetries(now time.Time, sinceStart time.Duration) {
 	hosts := f.peers.mostKnown(now)
 	if hosts == 1 && sinceStart < startLasts {
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -24,10 +24,7 @@
 	// listLate is how old the proof of the list may be before engines are asked.
 	listLate = watchWait + 600*time.Millisecond
 	// suspectListFor is how long engines are asked after one went without notice: its own
-	// entry on the list came late, and others' may, too. On a day on which half of
-	// the writes to the list were lost or late for 8 s, the chats that failed fell
-	// from 15.5 to 7.8 of some 250 by this, and to 2.8 by asking those that hint
-	// that they leave (2 and 4 seeds).
+	// entry on the list came late, and others' may, too.
 	suspectListFor = 10 * time.Second
 )
 
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -15,8 +15,7 @@
 // what becomes of a request that is one of them.
 
 // beginsFor is how long after its first event at an upstream a run counts as beginning
-// there. Upstreams that ended under a request did so 75 to 110 ms after its first token;
-// what had run for five times as long only ran beside, and says that it is harmless.
+// there; what has run for longer only ran beside, and says that it is harmless.
 const beginsFor = 500 * time.Millisecond
 
 // noticeLeast is how long before its end an upstream has to be known to leave for that to be
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -190,9 +190,7 @@
 
 // retryStopping is when a caller refused by a stopping host should come back: at
 // once if its zone has another host, else when it won't meet this one again.
-// Callers that come back at once to a zone's only host use up their returns there:
-// on three days with restarts, six seeds each, the chats that were refused for good
-// fell from 6.3, 5.5 and 3.5 a day to 5.0, 4.0 and 1.7.
+// Callers that come back at once to a zone's only host use up their returns there.
 func (x *exchange) retryStopping(now time.Time) time.Duration {
 	if x.peers.zoneHasOther(now) {
 		return retryElsewhere
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -228,10 +228,7 @@
 // runUrgency is what every engine is told of every run, whatever its route or account:
 // urgency orders who gets a place here. An engine whose memory is full throws a run of
 // lower urgency back in the midst of its stream to admit another; its caller gets it late,
-// and all of it is read again. With short answers more urgent than long ones, on a load
-// that fills the memory at its crests (policy's TestFullMemory), 335 times a long one of
-// 1,150 was thrown back and 627 came in time; alike, 17 and 781. Short ones in time: 1,840
-// and 1,816 of 2,079.
+// and all of it is read again.
 const runUrgency = DefaultUrgency
 
 func (s *streamExchange) send(ctx context.Context, u Upstream, c *Continuation) (*Answer, error) {
--- a/forward/turns.go
+++ b/forward/turns.go
@@ -58,7 +58,7 @@
 	// turnGather is how long the first request for an engine waits for others,
 	// so that the order matters: hosts learn of a leaving within milliseconds.
 	turnGather = 8 * time.Millisecond
-	// turnLasts is the longest turn: moves take 0.2 to 0.8 s.
+	// turnLasts is the longest turn; a move takes less.
 	turnLasts = 900 * time.Millisecond
 	// turnIdle is when a line that nobody uses is forgotten.
 	turnIdle = 10 * time.Second
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -99,8 +99,7 @@
 // atLeast is what an engine's load is taken for of which only a part of its runs is
 // known: the unknown part makes up for the difference to the mean of those that are
 // known well. Where hosts hear little of another zone, its engines look idle to them
-// all the time, and the hosts of four zones meet on a fifth's newest engine: with 85
-// hosts before 48 engines on a busy day, chats that failed fell from 15 to 3 of 889.
+// all the time, and the hosts of four zones meet on a fifth's newest engine.
 func (m *meanLoad) atLeast(load, unknown float64) float64 {
 	if m.n == 0 {
 		return load
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -161,11 +161,8 @@
 const (
 	DefaultDeviations = 2.0
 	DefaultFullMark   = 0.96
-	// DefaultWaitPart: where memory is full, of the long answers that had waited for longer
-	// than 0.2 s, 20 of 137 came in time, and nearly all others were refused in the end,
-	// 0.75 s after they had come (median). Refused soon, a caller can come back soon, and
-	// what is let in is less late: 30 first tokens of 2,079 short answers in place of 59
-	// (TestFullMemory).
+	// DefaultWaitPart is short: refused soon, a caller can come back soon, and what is let
+	// in is less late.
 	DefaultWaitPart = 0.15
 )
 
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -387,8 +387,6 @@
 // stagger has an engine that has just begun to take work get what waits here only when
 // this decider's time has come. All hosts hear of it at once, and those that have requests
 // waiting would all place them there before they hear of each other's.
-// Without it, 30 of 2,206 long and 105 of 4,227 short answers had a late first token on a
-// load of 66 hosts that fills the memory, with it 23 and 98 (TestFullMemoryNewEngines).
 func (p *Pool) stagger(now time.Time, e *engine) {
 	if !e.isNew {
 		return
--- a/policy/reading.go
+++ b/policy/reading.go
@@ -13,9 +13,7 @@
 // engines of one pool differ in speed and hosts hear of each other's runs late, so what
 // is foreseen is held to what is seen: a run without a token has not been read, and one
 // with a token has, with all that were placed before it. From when first tokens came
-// each engine's own speed is learnt. In a load played in virtual time, a third of the
-// engines slower by a half, 59 of 621 short answers came late without, and 2 with it
-// (TestLoadOfUnlikeEngines).
+// each engine's own speed is learnt.
 
 const (
 	// overduePart is the part of a prompt that is taken to be left to read when its run
--- a/policy/refusal.go
+++ b/policy/refusal.go
@@ -11,9 +11,7 @@
 
 // firstTokenMark is the part of its objective within which a request's first
 // token must be foreseen. The foreseen time is a mean: of those admitted at the
-// whole objective every second would be late. On days with two bursts of 2.5
-// times the traffic, four seeds each, chats in time rose from 267 to 277 of 319
-// at 0.7; 266 at 1.0, 272 at 0.5, 266 at 0.35, with the reading rate held fixed.
+// whole objective every second would be late.
 const firstTokenMark = 0.7
 
 // Waits that callers are told when the pool can't foresee one.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -45,10 +45,7 @@
 
 const (
 	// DefaultHeldAfter is how many upstreams have to end under a request for it to be held.
-	// Before 45 engines that are reclaimed, crash and flap, with a tenth of the requests
-	// ending engines (15 different ones), 747 of 4,648 others were lost with an engine and
-	// 4 held by mistake; with two, 567 and 28 of 4,514; never held, 2,047 of 5,662. Without
-	// any such request, three held nobody, and two 5 of 4,313 (TestCrashWays, 3 seeds).
+	// Fewer would hold requests that only ran beside another.
 	DefaultHeldAfter = 3
 	// heldFirst is how long after the last end a request is held until it is tried once
 	// more; with each upstream that ends of that, it is heldMore times as long. One that
--- a/ratelimit/granter.go
+++ b/ratelimit/granter.go
@@ -39,8 +39,7 @@
 const (
 	// asksPerSecond is how many questions a second are aimed at for one upstream, where its
 	// limit isn't higher: hosts that were refused are spread over as long, mostSpread at
-	// most. With all of them spread over mostSpread, nine hosts used 0.89 to 0.98 of 1.2 a
-	// second, for what had come free waited for the next who asked.
+	// most: what comes free waits for the next who asks.
 	asksPerSecond = 30
 	mostSpread    = time.Second
 	// crowdFor is how long a host counts that was refused.
--- a/ratelimit/words.go
+++ b/ratelimit/words.go
@@ -76,8 +76,7 @@
 	// returnDoubles is in how long the bound of an upstream doubles whose need is over:
 	// hosts hear of it together, and all would turn to the one that stood idle.
 	returnDoubles = 500 * time.Millisecond
-	// returnAfter is when that begins: one that names its limit in every second answer
-	// got 23 requests in 4 s at 4 a second without.
+	// returnAfter is when that begins: an upstream may name its limit in every second answer.
 	returnAfter = 500 * time.Millisecond
 	// returnsFor is after how long it isn't bounded any more: it gets 256 times what it
 	// had named.
