--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/clock/clocktest"
 	"github.com/shedpath/shedpath/member"
@@ -126,6 +127,22 @@
 				func(f *Forwarder) { f.turns.try(f.now(), TurnRequest{Engine: engine, Run: "r9"}) },
 				func(f *Forwarder) bool { return !f.turns.try(f.now(), TurnRequest{Engine: engine, Run: "r8"}) }, turnLasts,
 			},
+			"an upstream wants nothing": {
+				func(f *Forwarder) { f.backoffs.Ask(f.now(), engine, 0, 10*time.Second, 0) },
+				func(f *Forwarder) bool { return f.backoffs.Resting(f.now(), engine) > 0 }, 10 * time.Second,
+			},
+			"an upstream wants nothing from two others": {
+				func(f *Forwarder) {
+					for _, peer := range []member.HostID{"h2", "h3"} {
+						f.backoffs.Hear(f.now(), peer, backoff.Mark{Upstream: engine, For: 10 * time.Second}, 0)
+					}
+				},
+				func(f *Forwarder) bool { return f.backoffs.Resting(f.now(), engine) > 0 }, 10 * time.Second,
+			},
+			"an upstream that leaves is told of": {
+				func(f *Forwarder) { f.fleet.SaidLeaving(f.now(), engine, 0, true) },
+				func(f *Forwarder) bool { return len(f.fleet.Marks(f.now())) > 0 }, saidShared,
+			},
 			"a request is held": {
 				func(f *Forwarder) {
 					for n := range 3 {
