--- a/forward/signalfaults_test.go
+++ b/forward/signalfaults_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -133,3 +134,32 @@
 		}
 	})
 }
+
+// TestLeavingReachesEveryHost has every host of a site keep from an upstream within the contact
+// bound after it told one of them that it leaves, with the store away.
+func TestLeavingReachesEveryHost(t *testing.T) {
+	const from, until = 5 * time.Second, 12 * time.Second
+	for _, size := range []struct{ zones, hostsPerZone int }{{3, 3}, {3, 20}, {5, 60}} {
+		if size.hostsPerZone > 3 && !*signalSizesFlag {
+			continue
+		}
+		t.Run(fmt.Sprint(size.zones*size.hostsPerZone, " hosts"), func(t *testing.T) {
+			d := signalDay{
+				zones: size.zones, hostsPerZone: size.hostsPerZone, upstreams: 2 * size.zones, path: "/order/",
+				perSecond: 40 * float64(size.zones), lasts: until, storeLost: 4 * time.Second, storeBack: 14 * time.Second,
+				spells: []spell{{upstream: "app00", leaving: true, from: from, until: until}},
+			}
+			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
+				t.Logf("%v; it got %d requests after it had told the first host", tally, fleet.got("app00", from, until))
+				report(t, "rule", fleet.drainRule())
+				report(t, "aim", fleet.drainAim())
+				if n := fleet.got("app00", from+contactBound, until); n > 0 {
+					t.Errorf("it got %d requests later than the contact bound", n)
+				}
+				if tally.good < tally.asked {
+					t.Errorf("not all were served: %v", tally)
+				}
+			})
+		})
+	}
+}
