forward: an answer of the life before says nothing; sends judged at the same time don't race

Found by reading. An answer that was under way when its upstream started again replaced the new life's backoff (TestSignalOfTheLifeBefore failed); the check that limits had is before all signals now. A second try beside a slow one is judged in its own goroutine since all sends are, and both read and wrote whether the request is the one by which a held one is tried again (TestRequestJudgedBySeveralSends: a data race, or the request refused). Where every upstream that doesn't rest was tried, the caller is told when one that rests takes requests.

--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -57,6 +57,7 @@
 	for {
 		u, found := x.plain.choose(now, takers, not)
 		if !found {
+			takers = x.fleet.Takers(now, x.service.Name)
 			return u, x.noUpstream(now, takers, sooner(refused, x.soonest(now, takers, tried))), false
 		}
 		v := x.eligible(ctx, u, repeat)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -261,6 +261,8 @@
 	urgency Urgency
 	// print is what the request asks, once that has been worked out.
 	print atomic.Pointer[quarantine.Fingerprint]
+	// trying guards isTry, for sends beside each other are judged at the same time.
+	trying sync.Mutex
 	// isTry says that upstreams ended under the same request, and this one finds out
 	// whether they bear it by now.
 	isTry bool
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -32,10 +32,6 @@
 	if !l.Named && !f.limiter.Words.Any() {
 		return
 	}
-	if known, found := f.fleet.Upstream(u.ID); found && u.Life != 0 && known.Life != u.Life {
-		// Of the life before.
-		return
-	}
 	word := ratelimit.Word{Named: l.Named, Rate: l.Rate, Since: sent, At: now}
 	f.noteLimit(now, u.ID, f.peers.self.ID, l.Rate, 0, f.limiter.Words.Hear(now, u.ID, int64(u.Life), f.peers.self.ID, word))
 }
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -59,6 +59,8 @@
 // tries reports whether this request is the one by which a host finds out whether upstreams
 // bear it by now. One host does so for all that reach each other.
 func (x *exchange) tries(now time.Time) bool {
+	x.trying.Lock()
+	defer x.trying.Unlock()
 	if !x.isTry && x.peers.first(now, x.fingerprint().String()) == x.peers.self.ID && x.crashes.TakeTry(now, x.fingerprint()) {
 		x.isTry = true
 		x.journal.Request(x.call.ID, "tried again", "asks", x.fingerprint())
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -47,6 +47,10 @@
 // answer. sent is when its request was.
 func (f *Forwarder) takeSignals(sent time.Time, u Upstream, to answerKind, s Signals) {
 	now := f.now()
+	if known, found := f.fleet.Upstream(u.ID); found && u.Life != 0 && known.Life != u.Life {
+		// Of the life before.
+		return
+	}
 	for _, err := range s.Unusable {
 		f.observer.Signal(SignalUnusable)
 		f.noteSignal(now, u, "signal not usable", "answer_to", to, "err", err)
