--- a/forward/signalfaults_test.go
+++ b/forward/signalfaults_test.go
@@ -6,9 +6,14 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -163,3 +168,39 @@
 		})
 	}
 }
+
+// TestMoveToAnEngineThatAsksForBackoff has a run not be taken up at an engine that asked for
+// backoff since it was chosen, and not be cut for it.
+func TestMoveToAnEngineThatAsksForBackoff(t *testing.T) {
+	for name, duringStop := range map[string]bool{"during the first copy": false, "during the last part": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := &engineScript{made: 60, handle: "h", copyTook: 200 * time.Millisecond, stopped: make(chan struct{})}
+				transport := &fakeTransport{send: e.send}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				resting := member.UpstreamID("")
+				transport.move = func(ctx context.Context, from Upstream, r MoveRequest) (Moved, error) {
+					if resting == "" && r.Stop == duringStop {
+						resting = member.UpstreamID(r.To[len("10.1.0.1:"):])
+						f.backoffs.Ask(f.now(), resting, 0, 10*time.Second, 0)
+					}
+					return e.move(ctx, from, r)
+				}
+				f.fleet.Suspect(time.Now(), "llm2")
+				f.fleet.Suspect(time.Now(), "llm3")
+				f.listEngines(time.Now(), f.Table()) // the first engine gets the run
+				time.AfterFunc(100*time.Millisecond, func() {
+					f.fleet.Replace(time.Now(), leaving(f, "llm1"), 2)
+					f.listEngines(time.Now(), f.Table())
+				})
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.True(!sink.cut)
+				is.True(resting != "")
+				is.True(!slices.Contains(transport.sentTo(), resting))
+				is.Equal(strings.Count(sink.body.String(), "data"), 60)
+				synctest.Wait()
+			})
+		})
+	}
+}
