--- /dev/null
+++ b/forward/unserved.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// What callers are told that no upstream serves now, and when they return.
+
+// retryKeptMost bounds what a caller is told to wait for upstreams that get nothing now:
+// others may come in place of them meanwhile.
+const retryKeptMost = 10 * time.Second
+
+// retryKeptSpread is the most over which callers return that wait for the same upstream.
+const retryKeptSpread = time.Second
+
+// noUpstream refuses where no upstream takes the request. wait is how long it is until one
+// of those may get it that don't now; zero when there are none.
+func (x *exchange) noUpstream(now time.Time, takers []Upstream, wait time.Duration) Refusal {
+	if wait <= 0 {
+		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
+	}
+	wait = max(wait, x.drawReturn(now, takers))
+	r := Refusal{Code: CodeOverloaded, RetryAfter: min(max(wait, retryLeast), retryKeptMost) + rand.N(min(wait, retryKeptSpread)+1)}
+	// Near its end every host may be alone with some upstream's.
+	alone := func(u Upstream) bool {
+		return x.backoffs.Alone(now, u.ID) && x.backoffs.Resting(now, u.ID) > retryKeptSpread
+	}
+	if slices.ContainsFunc(takers, alone) && x.peers.zoneHasOther(now) {
+		r.RetryAfter = retryElsewhere
+	}
+	return r
+}
+
+// drawReturn draws one of the upstreams that take requests from every host again at about the
+// same time as the first, and returns when it does; zero where none asked for backoff. The
+// caller may come to another host, and with others who wait.
+func (x *exchange) drawReturn(now time.Time, takers []Upstream) time.Duration {
+	var ends []time.Duration
+	for _, u := range takers {
+		if end := x.backoffs.Everywhere(now, u.ID); end > 0 {
+			ends = append(ends, end)
+		}
+	}
+	if len(ends) == 0 {
+		return 0
+	}
+	slices.Sort(ends)
+	last, _ := slices.BinarySearch(ends, ends[0]+2*retryKeptSpread)
+	return ends[rand.IntN(last)]
+}
+
+// turnedAwayEverywhere refuses a request that upstreams turned away and that isn't sent on.
+func (x *exchange) turnedAwayEverywhere(now time.Time) Refusal {
+	takers := x.fleet.Takers(now, x.service.Name)
+	kept := len(x.keptFrom(now, takers))
+	r := Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
+	switch {
+	case kept > 0 && kept == len(takers):
+		r = x.noUpstream(now, takers, x.soonest(now, takers, nil))
+	case kept > 0:
+		// Others take requests, and a caller that comes back draws on no budget of ours.
+		r.RetryAfter = retryElsewhere
+	}
+	return r
+}
