--- a/forward/send.go
+++ b/forward/send.go
@@ -50,18 +50,17 @@
 	}
 }
 
-// judge decides whether something may be sent to an upstream now, but for the permit that a
-// bounded upstream needs.
-func (f *Forwarder) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
+// upstreamState is what this host knows that bears on sending to an upstream, but for the
+// permit that a bounded one needs.
+func (f *Forwarder) upstreamState(now time.Time, u Upstream) eligibility.State {
 	s := f.fleet.State(now, u.ID)
 	s.Backoff = f.backoffs.Wait(now, u.ID)
-	return eligibility.Judge(s, p)
+	return s
 }
 
-// judge is the Forwarder's for this request, which may itself be kept back.
+// judge decides whether the request may be sent to an upstream now, but for a permit.
 func (x *exchange) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
-	s := x.fleet.State(now, u.ID)
-	s.Backoff = x.backoffs.Wait(now, u.ID)
+	s := x.upstreamState(now, u)
 	s.Quarantined = x.held(now)
 	return eligibility.Judge(s, p)
 }
@@ -153,7 +152,7 @@
 // observeControl counts a call about a run that goes to its engine whatever that asked for.
 func (x *exchange) observeControl(ctx context.Context, u Upstream) {
 	x.countSend(ctx, u)
-	if v := x.Forwarder.judge(x.now(), u, eligibility.Control); v.Despite != "" {
+	if v := eligibility.Judge(x.upstreamState(x.now(), u), eligibility.Control); v.Despite != "" {
 		x.observer.Send(v)
 	}
 }
@@ -161,7 +160,7 @@
 // checkHealth asks an upstream how it is, unless it may not be asked now.
 func (f *Forwarder) checkHealth(ctx context.Context, s *Service, u Upstream) (Health, error) {
 	sent := f.now()
-	v := f.judge(sent, u, eligibility.Probe)
+	v := eligibility.Judge(f.upstreamState(sent, u), eligibility.Probe)
 	if v.OK() {
 		// Where requests want the upstream's permits, they go first.
 		v = f.permitted(ctx, permitRequest{service: s, upstream: u, rank: int(MostPatient), repeat: true})
