--- a/backoff/table.go
+++ b/backoff/table.go
@@ -145,8 +145,8 @@
 // Any reports whether some upstream may be in the table.
 func (t *Table) Any() bool { return t.some.Load() }
 
-// Resting is how much longer an upstream wants nothing from this host.
-func (t *Table) Resting(now time.Time, id member.UpstreamID) time.Duration {
+// Remaining is how much longer an upstream wants nothing from this host.
+func (t *Table) Remaining(now time.Time, id member.UpstreamID) time.Duration {
 	if !t.some.Load() {
 		return 0
 	}
--- a/entry/backoff.go
+++ b/entry/backoff.go
@@ -31,16 +31,16 @@
 	return 0
 }
 
-// restingEngines lists the engines of a pool that want nothing from this entry now. If these
+// backingOff lists the engines of a pool that want nothing from this entry now. If these
 // are all, it returns how long it is until one of them does.
-func (e *Entry) restingEngines(pool resource.Name) (resting []member.UpstreamID, all time.Duration) {
+func (e *Entry) backingOff(pool resource.Name) (resting []member.UpstreamID, all time.Duration) {
 	if !e.backoffs.Any() {
 		return nil, 0
 	}
 	now := e.now()
 	engines := e.members.EnginesFor(now, pool)
 	for _, id := range engines {
-		left := e.backoffs.Resting(now, id)
+		left := e.backoffs.Remaining(now, id)
 		if left <= 0 {
 			continue
 		}
@@ -55,12 +55,12 @@
 	return resting, all
 }
 
-// withoutResting drops the upstreams that want nothing from this entry now. If these are all,
+// withoutBackingOff drops the upstreams that want nothing from this entry now. If these are all,
 // it returns how long it is until one of them does.
-func (e *Entry) withoutResting(upstreams []member.Upstream) (rest []member.Upstream, all time.Duration) {
+func (e *Entry) withoutBackingOff(upstreams []member.Upstream) (rest []member.Upstream, all time.Duration) {
 	now := e.now()
 	for _, u := range upstreams {
-		left := e.backoffs.Resting(now, u.ID)
+		left := e.backoffs.Remaining(now, u.ID)
 		if left <= 0 {
 			rest = append(rest, u)
 			continue
--- a/entry/backoff_test.go
+++ b/entry/backoff_test.go
@@ -12,8 +12,7 @@
 	"github.com/matryer/is"
 )
 
-// TestEngineAsksForBackoffAndGetsGenerations has an engine that refused with a time to stay
-// away get nothing from its entry until then, and generations go to another.
+// TestEngineAsksForBackoffAndGetsGenerations has generations go to another engine until the end.
 func TestEngineAsksForBackoffAndGetsGenerations(t *testing.T) {
 	refused := script{startErr: &EngineRefusal{Status: 503, Text: "full", RetryAfter: 3 * time.Second}}
 	good := script{events: append(tokens(1, 5), ended(5))}
@@ -68,8 +67,7 @@
 	})
 }
 
-// TestServiceAsksForBackoffAndGetsCalls has a service's upstream that answered 503 with a time
-// to stay away get nothing from its entry until then.
+// TestServiceAsksForBackoffAndGetsCalls has a service's upstream get nothing until the end.
 func TestServiceAsksForBackoffAndGetsCalls(t *testing.T) {
 	inSite(t, nil, nil, func(t *testing.T, s *fakeSite, e *Entry) {
 		is := is.New(t)
--- a/entry/generation.go
+++ b/entry/generation.go
@@ -188,7 +188,7 @@
 func (g *generation) place(ctx context.Context, run policy.RunID, avoid member.UpstreamID, deadline time.Time) (policy.Decision, *Failure) {
 	ctx, span := g.entry.tracer.Start(ctx, "placement", trace.WithAttributes(attribute.String("pool", string(g.pool))))
 	defer span.End()
-	resting, wait := g.entry.restingEngines(g.pool)
+	resting, wait := g.entry.backingOff(g.pool)
 	if wait > 0 {
 		return policy.Decision{}, fail(CodeOverloaded, NotRun, "every engine asked this entry to stay away").retryAfter(wait)
 	}
@@ -231,7 +231,7 @@
 	if !known {
 		return Ending{}, fail(CodeUpstreamLost, NotRun, "engine %s is gone", d.Engine)
 	}
-	if wait := g.entry.backoffs.Resting(g.entry.now(), d.Engine); wait > 0 {
+	if wait := g.entry.backoffs.Remaining(g.entry.now(), d.Engine); wait > 0 {
 		// It asked for that since the run was placed there.
 		return Ending{}, fail(CodeOverloaded, NotRun, "engine %s asked this entry to stay away", d.Engine).retryAfter(wait)
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -120,7 +120,7 @@
 // zone's in a random order, then the others'. wait is how long it is until one takes calls
 // where all asked this entry to stay away.
 func (e *Entry) serviceUpstreams(name resource.Name) (upstreams []member.Upstream, wait time.Duration) {
-	all, wait := e.withoutResting(e.members.upstreamsFor(member.KindService, name, ""))
+	all, wait := e.withoutBackingOff(e.members.upstreamsFor(member.KindService, name, ""))
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	ordered := make([]member.Upstream, 0, len(all))
 	for _, near := range []bool{true, false} {
@@ -172,7 +172,7 @@
 	ctx, span := e.tracer.Start(ctx, "upstream", trace.WithSpanKind(trace.SpanKindClient),
 		trace.WithAttributes(attribute.String("upstream", string(u.ID))))
 	defer span.End()
-	if wait := e.backoffs.Resting(e.now(), u.ID); wait > 0 {
+	if wait := e.backoffs.Remaining(e.now(), u.ID); wait > 0 {
 		return ServiceAnswer{}, fail(CodeOverloaded, NotRun, "upstream %s asked this entry to stay away", u.ID).retryAfter(wait)
 	}
 	answer, err := e.services.Call(ctx, u, r)
--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -25,7 +25,7 @@
 		return Upstream{}, x.noUpstream(now, takers, x.soonest(now, takers, nil)), false
 	}
 	kept := x.keptFrom(now, takers)
-	x.passedOver = len(kept)
+	x.skipped = len(kept)
 	not := slices.Concat(tried, kept)
 	refused := time.Duration(0)
 	for {
@@ -64,7 +64,7 @@
 	var refused keptEngines
 	for {
 		kept := s.keptEngines(now)
-		s.passedOver = len(kept.near) + len(kept.far)
+		s.skipped = len(kept.near) + len(kept.far)
 		kept.also(&refused)
 		r.AvoidAlso = slices.Concat(s.avoid, kept.near)
 		p := s.findPlace(ctx, now, r, kept)
--- a/forward/call.go
+++ b/forward/call.go
@@ -185,8 +185,8 @@
 type Health struct {
 	// Well says that it works and isn't leaving.
 	Well bool
-	// TurnedAway says that it had no room for the question, which tells nothing about Well.
-	TurnedAway bool
+	// Rejected says that it had no room for the question, which tells nothing about Well.
+	Rejected bool
 	// ColdFor is how much longer it is cold; zero when it isn't.
 	ColdFor time.Duration
 	// Life is its present one; zero when it doesn't say.
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -105,8 +105,8 @@
 	// said says that the upstream itself told that it leaves; nothing but a new life takes
 	// that back.
 	said bool
-	// word is whose word it was first that it leaves; empty while it doesn't.
-	word LeavingWord
+	// source is who told first that it leaves; empty while it doesn't.
+	source LeavingSource
 	// hinted says that only another sign than the list's tells that it leaves.
 	hinted bool
 	// leaving closes when it starts leaving.
@@ -223,7 +223,7 @@
 	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision > k.Revision) {
 		// The list knows better than other signs; and an entry that ran out
 		// while its upstream was cut off comes back.
-		k.Leaving, k.hinted, k.leftAt, k.leaving, k.word = false, false, time.Time{}, make(chan struct{}), ""
+		k.Leaving, k.hinted, k.leftAt, k.leaving, k.source = false, false, time.Time{}, make(chan struct{}), ""
 	}
 	// An id is of one incarnation: once it has said that it leaves, it never
 	// comes back.
@@ -233,7 +233,7 @@
 	k.Upstream, k.missing, k.unusable, k.coldUntil = c.Upstream, false, false, c.ColdUntil
 	f.coldUntil = later(f.coldUntil, c.ColdUntil)
 	if c.Leaving {
-		k.leave(now, WordOfList)
+		k.leave(now, SourceList)
 	}
 	return !same
 }
@@ -277,7 +277,7 @@
 	}
 	k.gone, k.missing, k.hinted = true, false, false
 	k.droppedAt = now
-	k.leave(now, WordOfList)
+	k.leave(now, SourceList)
 	return true
 }
 
@@ -290,10 +290,10 @@
 }
 
 // leave marks the upstream as leaving, for good.
-func (k *known) leave(now time.Time, word LeavingWord) {
+func (k *known) leave(now time.Time, source LeavingSource) {
 	k.Leaving = true
 	if k.leftAt.IsZero() {
-		k.leftAt, k.word = now, word
+		k.leftAt, k.source = now, source
 		close(k.leaving)
 	}
 }
@@ -308,12 +308,12 @@
 	if k == nil || k.Leaving {
 		return false
 	}
-	word := WordOfPeer
+	source := SourcePeer
 	if own {
-		word = WordOfHost
+		source = SourceHost
 		f.tellPeers(k, now.Add(markShared))
 	}
-	k.leave(now, word)
+	k.leave(now, source)
 	k.hinted = true
 	if in > 0 {
 		k.goneAt = now.Add(in)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -266,9 +266,9 @@
 	// isTry says that upstreams ended under the same request, and this one finds out
 	// whether they bear it by now.
 	isTry bool
-	// passedOver is how many upstreams got no request when one was chosen last, for a
+	// skipped is how many upstreams got no request when one was chosen last, for a
 	// backoff or a limit.
-	passedOver int
+	skipped int
 	// delivered says that something of an upstream's answer has come.
 	delivered atomic.Bool
 }
--- a/forward/leavingword.go
+++ b/forward/leaving.go
@@ -9,17 +9,17 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-// LeavingWord says whose word it is that an upstream leaves.
-type LeavingWord string
+// LeavingSource says who told that an upstream leaves.
+type LeavingSource string
 
-// The words.
+// The sources.
 const (
-	WordOfList LeavingWord = "list"
-	// WordOfUpstream is its own, in an answer.
-	WordOfUpstream LeavingWord = "upstream"
-	// WordOfHost is this host's finding, such as a failed health check.
-	WordOfHost LeavingWord = "host"
-	WordOfPeer LeavingWord = "peer"
+	SourceList LeavingSource = "list"
+	// SourceUpstream is its own, in an answer.
+	SourceUpstream LeavingSource = "upstream"
+	// SourceHost is this host's finding, such as a failed health check.
+	SourceHost LeavingSource = "host"
+	SourcePeer LeavingSource = "peer"
 )
 
 // LeavingMark is a host's word that an upstream leaves, for its peers.
@@ -55,7 +55,7 @@
 	if own && !k.gone {
 		f.tellPeers(k, now.Add(saidShared))
 	}
-	k.leave(now, WordOfUpstream)
+	k.leave(now, SourceUpstream)
 	f.notify(true)
 	return true
 }
@@ -103,14 +103,14 @@
 	}
 }
 
-// LeavingUpstreams counts the upstreams that leave, by whose word it was first.
-func (f *Fleet) LeavingUpstreams() map[LeavingWord]int {
+// LeavingUpstreams counts the upstreams that leave, by who told first.
+func (f *Fleet) LeavingUpstreams() map[LeavingSource]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := map[LeavingWord]int{WordOfList: 0, WordOfUpstream: 0, WordOfHost: 0, WordOfPeer: 0}
+	n := map[LeavingSource]int{SourceList: 0, SourceUpstream: 0, SourceHost: 0, SourcePeer: 0}
 	for _, k := range f.upstreams {
 		if k.Leaving && !k.gone {
-			n[k.word]++
+			n[k.source]++
 		}
 	}
 	return n
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -105,7 +105,7 @@
 	for id, k := range f.upstreams {
 		if k.missing && !now.Before(f.trustGoneFrom) {
 			k.gone, k.missing, k.droppedAt = true, false, now
-			k.leave(now, WordOfList)
+			k.leave(now, SourceList)
 			news = append(news, Change{Upstream: k.Upstream, Gone: true})
 		}
 		if k.gone && now.Sub(k.leftAt) > forgetGone && (!k.said || now.Sub(k.droppedAt) > forgetSaid) {
--- a/forward/move.go
+++ b/forward/move.go
@@ -381,7 +381,7 @@
 	var last error
 	// One that wants nothing now is the last resort.
 	slices.SortStableFunc(targets, func(a, b Upstream) int {
-		return cmp.Compare(s.backoffs.Resting(s.now(), a.ID), s.backoffs.Resting(s.now(), b.ID))
+		return cmp.Compare(s.backoffs.Remaining(s.now(), a.ID), s.backoffs.Remaining(s.now(), b.ID))
 	})
 	for _, u := range targets {
 		if u.ID != h.to.ID || s.now().Sub(h.permitted) > permittedFor {
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -23,8 +23,8 @@
 	// secondTryPart is the part of the objective after which a request that
 	// may be repeated is sent to a second upstream, too.
 	secondTryPart = 0.6
-	// mostTurnedAway bounds the upstreams that turn a request away before its caller is told.
-	mostTurnedAway = 3
+	// maxRejections bounds the upstreams that turn a request away before its caller is told.
+	maxRejections = 3
 )
 
 // plainTry is one upstream's part in a plain exchange.
@@ -57,8 +57,8 @@
 	// sent counts the upstreams that may have got the request, dials those
 	// that surely didn't, and open the tries that haven't ended.
 	sent, dials, open int
-	// turnedAway counts the upstreams that said that they didn't run it.
-	turnedAway int
+	// rejected counts the upstreams that said that they didn't run it.
+	rejected int
 	// mayHaveRun is whether a try that ended may have run.
 	mayHaveRun bool
 	// failure is an upstream's own failure, which the caller gets when nothing
@@ -179,7 +179,7 @@
 		p.sent--
 		p.lastCode = CodeOverloaded
 		if ctx.Err() == nil && !p.held(now) {
-			p.launch(ctx, p.sent+p.turnedAway > 0)
+			p.launch(ctx, p.sent+p.rejected > 0)
 		}
 	case "not_sent":
 		p.sent--
@@ -191,9 +191,9 @@
 	case "not_run":
 		// What didn't run there doesn't count against the upstreams that may run it.
 		p.sent--
-		p.turnedAway++
+		p.rejected++
 		p.lastCode = CodeOverloaded
-		if p.turnedAway < mostTurnedAway {
+		if p.rejected < maxRejections {
 			p.again(ctx, why)
 		}
 	default:
@@ -276,7 +276,7 @@
 	if err != nil {
 		outcome = "not_delivered"
 	}
-	p.answered(outcome, "upstream", t.upstream.ID, "status", t.answer.Status, "tries", len(p.tried), "passed_over", p.passedOver, "err", err)
+	p.answered(outcome, "upstream", t.upstream.ID, "status", t.answer.Status, "tries", len(p.tried), "skipped", p.skipped, "err", err)
 }
 
 // deliverLong passes on an answer that is too long to be held.
@@ -316,7 +316,7 @@
 	default:
 		refusal := Refusal{Code: p.lastCode, RetryAfter: retryUnknown}
 		if p.lastCode == CodeOverloaded {
-			refusal = p.turnedAwayEverywhere(now)
+			refusal = p.rejectedEverywhere(now)
 		}
 		p.refuse(refusal, "tries", len(p.tried), "kept_back", p.keptCount(now))
 	}
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -318,8 +318,7 @@
 	is.True(!found)
 }
 
-// TestUnseenUpstreamLooksFast has an upstream that was chosen and hasn't answered be taken for
-// a usual one, however long ago that was.
+// TestUnseenUpstreamLooksFast has an upstream without an answer yet be taken for a usual one.
 func TestUnseenUpstreamLooksFast(t *testing.T) {
 	now := time.Now()
 	for _, idle := range []time.Duration{0, 2 * time.Second, 8 * time.Second, time.Minute} {
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -115,7 +115,7 @@
 	if health.ColdFor > 0 {
 		f.fleet.MarkCold(u.ID, now.Add(health.ColdFor))
 	}
-	if health.Well || health.TurnedAway {
+	if health.Well || health.Rejected {
 		return
 	}
 	f.journal.Belief("engine says that it leaves", "upstream", u.ID, "origin_age", f.OriginAge(now))
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -119,7 +119,7 @@
 	}}
 	f, sink := resumableForwarder(t, transport, 2, 100), &fakeSink{}
 	f.Serve(t.Context(), call("/llm/"), sink)
-	is.Equal(tries, 1+mostTurnedAway)
+	is.Equal(tries, 1+maxRejections)
 	is.Equal(*sink.refused, Refusal{Code: CodeLost, MayHaveRun: true})
 }
 
--- a/forward/send.go
+++ b/forward/send.go
@@ -211,7 +211,7 @@
 	if !f.backoffs.Any() {
 		return f.fleet.Takers(now, service)
 	}
-	return f.fleet.TakersBut(now, service, func(id member.UpstreamID) bool { return f.backoffs.Resting(now, id) > 0 })
+	return f.fleet.TakersBut(now, service, func(id member.UpstreamID) bool { return f.backoffs.Remaining(now, id) > 0 })
 }
 
 // BackoffEntries lists the upstreams that asked this host for backoff.
--- a/forward/signalday_test.go
+++ b/forward/signalday_test.go
@@ -283,7 +283,7 @@
 				d.spells[i].from, d.spells[i].until = from, until
 			}
 			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
-				t.Log(tally, "turned away", fleet.turnedAway)
+				t.Log(tally, "turned away", fleet.rejected)
 				report(t, "rule", fleet.restRule())
 				report(t, "aim", fleet.restAim())
 				if tally.slowest > d.refusedWithin() || tally.cut > 0 || tally.mayHave > 0 {
@@ -297,8 +297,7 @@
 	}
 }
 
-// TestBackoffOfAllHostsEnds has an upstream that asked for backoff get its part of the calls
-// again, within a fifth of its like's, and never twice of that in a second on the way.
+// TestBackoffOfAllHostsEnds has the upstream's calls return to within a fifth of its like's, without a peak.
 func TestBackoffOfAllHostsEnds(t *testing.T) {
 	const from, until, back, lasts = 6 * time.Second, 9 * time.Second, 14 * time.Second, 34 * time.Second
 	for _, size := range []struct{ zones, hostsPerZone int }{{3, 3}, {3, 20}, {5, 60}} {
@@ -312,7 +311,7 @@
 				spells: []spell{{upstream: "app00", backoff: 3 * time.Second, from: from, until: until}},
 			}
 			d.play(t, *signalSeedFlag, func(t *testing.T, fleet *signalFleet, tally *signalTally) {
-				t.Log(tally, "turned away", fleet.turnedAway)
+				t.Log(tally, "turned away", fleet.rejected)
 				report(t, "rule", fleet.restRule())
 				report(t, "aim", fleet.restAim())
 				if tally.good < tally.asked {
@@ -335,8 +334,7 @@
 	}
 }
 
-// TestRefusedCallersComeBackAfterBackoff has callers that were refused because every upstream
-// asked for backoff be served when they come back as they were told.
+// TestRefusedCallersComeBackAfterBackoff has refused callers be served when they return as told.
 func TestRefusedCallersComeBackAfterBackoff(t *testing.T) {
 	const from, until = 5 * time.Second, 6 * time.Second
 	for name, only := range map[string][]member.HostID{"all hosts": nil, "one host": {"z1-h01"}} {
--- a/forward/signalfaults_test.go
+++ b/forward/signalfaults_test.go
@@ -29,8 +29,7 @@
 	go f.Run(ctx)
 }
 
-// TestLeavingIsBelievedUnderFaults has an upstream that said that it leaves get nothing from
-// hosts that heard it, whatever befalls them, the list and the upstream, until a new life.
+// TestLeavingIsBelievedUnderFaults has an upstream that leaves get nothing until it starts again.
 func TestLeavingIsBelievedUnderFaults(t *testing.T) {
 	const from, until = 5 * time.Second, 16 * time.Second
 	const id = member.UpstreamID("app00")
@@ -118,8 +117,7 @@
 	}
 }
 
-// TestRunsLeaveAnEngineThatSaysItLeaves has no stream cut by an engine that says only in its
-// answers that it leaves, and ends after the drain time.
+// TestRunsLeaveAnEngineThatSaysItLeaves has no stream cut when the engine ends after the drain time.
 func TestRunsLeaveAnEngineThatSaysItLeaves(t *testing.T) {
 	const from = 6 * time.Second
 	d := signalDay{
@@ -140,8 +138,7 @@
 	})
 }
 
-// TestLeavingReachesEveryHost has every host of a site keep from an upstream within the contact
-// bound after it told one of them that it leaves, with the store away.
+// TestLeavingReachesEveryHost has all hosts stop sending within the contact bound, with the store away.
 func TestLeavingReachesEveryHost(t *testing.T) {
 	const from, until = 5 * time.Second, 12 * time.Second
 	for _, size := range []struct{ zones, hostsPerZone int }{{3, 3}, {3, 20}, {5, 60}} {
@@ -169,8 +166,7 @@
 	}
 }
 
-// TestMoveToAnEngineThatAsksForBackoff has a run not be taken up at an engine that asked for
-// backoff since it was chosen, and not be cut for it.
+// TestMoveToAnEngineThatAsksForBackoff has a run go elsewhere, and not be cut.
 func TestMoveToAnEngineThatAsksForBackoff(t *testing.T) {
 	for name, duringStop := range map[string]bool{"during the first copy": false, "during the last part": true} {
 		t.Run(name, func(t *testing.T) {
--- a/forward/signalfleet_test.go
+++ b/forward/signalfleet_test.go
@@ -69,15 +69,15 @@
 	failEvery int
 	// copied are the runs that were stopped to go on elsewhere.
 	copied map[RequestID]chan struct{}
-	// turnedAway counts the refusals of each upstream.
-	turnedAway map[member.UpstreamID]int
+	// rejected counts the refusals of each upstream.
+	rejected map[member.UpstreamID]int
 }
 
 func newSignalFleet(spells ...spell) *signalFleet {
 	return &signalFleet{
 		fakeFleet: newFakeFleet(), spells: spells, start: time.Now(),
 		arrivals: map[member.UpstreamID][]signalArrival{}, told: map[member.UpstreamID]map[member.HostID][]toldSignal{},
-		copied: map[RequestID]chan struct{}{}, turnedAway: map[member.UpstreamID]int{},
+		copied: map[RequestID]chan struct{}{}, rejected: map[member.UpstreamID]int{},
 	}
 }
 
@@ -138,7 +138,7 @@
 		time.Sleep(2 * time.Millisecond)
 		t.hear(u.ID, t.host, s)
 		t.mu.Lock()
-		t.turnedAway[u.ID]++
+		t.rejected[u.ID]++
 		t.mu.Unlock()
 		return &Answer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Framed: true, NotRun: true, Body: http.NoBody, Signals: s}, nil
 	}
--- a/forward/signals_test.go
+++ b/forward/signals_test.go
@@ -15,8 +15,7 @@
 	"github.com/shedpath/shedpath/quarantine"
 )
 
-// TestSignalOfTheLifeBefore has an answer that was under way when its upstream started again say
-// nothing of the new life.
+// TestSignalOfTheLifeBefore has an answer from before a restart say nothing of the new life.
 func TestSignalOfTheLifeBefore(t *testing.T) {
 	is := is.New(t)
 	f := newForwarder(t, &fakeTransport{})
@@ -36,8 +35,7 @@
 	is.True(f.backoffs.Wait(time.Now(), "app1") > 0)
 }
 
-// TestRequestJudgedBySeveralSends has the request by which a held one is tried again go out,
-// whichever of its sends is judged first.
+// TestRequestJudgedBySeveralSends has a trial of a quarantined request go out, whichever send is judged first.
 func TestRequestJudgedBySeveralSends(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,9 +40,9 @@
 	// dialed are the engines that couldn't be reached for this request, and
 	// avoid those and the ones that probably can't either.
 	dialed, avoid []member.UpstreamID
-	// sent counts the engines that may have run the request, and turnedAway those that said
+	// sent counts the engines that may have run the request, and rejected those that said
 	// that they didn't.
-	sent, turnedAway int
+	sent, rejected int
 	// mayHaveRun says that one of them may have worked on it.
 	mayHaveRun bool
 	// callerGone is the error of the caller's connection.
@@ -101,8 +101,8 @@
 	}
 	s.avoid = append(s.avoid, u.ID)
 	if notRun {
-		s.turnedAway++
-		return s.turnedAway < mostTurnedAway && s.takeBudget(string(last.Code))
+		s.rejected++
+		return s.rejected < maxRejections && s.takeBudget(string(last.Code))
 	}
 	return s.takeRepeat(string(last.Code))
 }
@@ -181,7 +181,7 @@
 	s.run = run.ownRun
 	d := run.decision
 	s.tellRuns(u)
-	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "memory_foreseen", d.Memory, "runs", d.Batch, "zone", u.Zone, "passed_over", s.passedOver, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
+	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.FirstAfter, "memory_foreseen", d.Memory, "runs", d.Batch, "zone", u.Zone, "skipped", s.skipped, "prompt", p.Tokens, "limit", p.MostOut, "hint", p.LikelyOut, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	return u, Refusal{}, true
 }
 
@@ -271,6 +271,6 @@
 		s.avoid = append(s.avoid, u.ID)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	default:
-		return s.turnedAwayEverywhere(now)
+		return s.rejectedEverywhere(now)
 	}
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestStreamTurnedAway has a stream that every engine turns away refused as not run.
-func TestStreamTurnedAway(t *testing.T) {
+// TestStreamRejectedEverywhere has a stream that every engine turns away refused as not run.
+func TestStreamRejectedEverywhere(t *testing.T) {
 	is := is.New(t)
 	transport := &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
 		a := answer(503, "")
@@ -101,7 +101,7 @@
 	}}
 	f, sink := newForwarder(t, transport), &fakeSink{}
 	f.Serve(t.Context(), call("/llm/"), sink)
-	is.Equal(len(transport.sentTo()), mostTurnedAway)
+	is.Equal(len(transport.sentTo()), maxRejections)
 	is.Equal(*sink.refused, Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown})
 }
 
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -129,7 +129,7 @@
 			},
 			"an upstream wants nothing": {
 				func(f *Forwarder) { f.backoffs.Ask(f.now(), engine, 0, 10*time.Second, 0) },
-				func(f *Forwarder) bool { return f.backoffs.Resting(f.now(), engine) > 0 }, 10 * time.Second,
+				func(f *Forwarder) bool { return f.backoffs.Remaining(f.now(), engine) > 0 }, 10 * time.Second,
 			},
 			"an upstream wants nothing from two others": {
 				func(f *Forwarder) {
@@ -137,7 +137,7 @@
 						f.backoffs.Hear(f.now(), peer, backoff.Mark{Upstream: engine, For: 10 * time.Second}, 0)
 					}
 				},
-				func(f *Forwarder) bool { return f.backoffs.Resting(f.now(), engine) > 0 }, 10 * time.Second,
+				func(f *Forwarder) bool { return f.backoffs.Remaining(f.now(), engine) > 0 }, 10 * time.Second,
 			},
 			"an upstream that leaves is told of": {
 				func(f *Forwarder) { f.fleet.SaidLeaving(f.now(), engine, 0, true) },
--- a/forward/unserved.go
+++ b/forward/unserved.go
@@ -24,11 +24,11 @@
 	if wait <= 0 {
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}
 	}
-	wait = max(wait, x.drawReturn(now, takers))
+	wait = max(wait, x.pickReturnTime(now, takers))
 	r := Refusal{Code: CodeOverloaded, RetryAfter: min(max(wait, retryLeast), retryKeptMost) + rand.N(min(wait, retryKeptSpread)+1)}
 	// Near its end every host may be alone with some upstream's.
 	alone := func(u Upstream) bool {
-		return x.backoffs.Alone(now, u.ID) && x.backoffs.Resting(now, u.ID) > retryKeptSpread
+		return x.backoffs.Alone(now, u.ID) && x.backoffs.Remaining(now, u.ID) > retryKeptSpread
 	}
 	if slices.ContainsFunc(takers, alone) && x.peers.zoneHasOther(now) {
 		r.RetryAfter = retryElsewhere
@@ -36,10 +36,10 @@
 	return r
 }
 
-// drawReturn draws one of the upstreams that take requests from every host again at about the
+// pickReturnTime draws one of the upstreams that take requests from every host again at about the
 // same time as the first, and returns when it does; zero where none asked for backoff. The
 // caller may come to another host, and with others who wait.
-func (x *exchange) drawReturn(now time.Time, takers []Upstream) time.Duration {
+func (x *exchange) pickReturnTime(now time.Time, takers []Upstream) time.Duration {
 	var ends []time.Duration
 	for _, u := range takers {
 		if end := x.backoffs.Everywhere(now, u.ID); end > 0 {
@@ -54,8 +54,8 @@
 	return ends[rand.IntN(last)]
 }
 
-// turnedAwayEverywhere refuses a request that upstreams turned away and that isn't sent on.
-func (x *exchange) turnedAwayEverywhere(now time.Time) Refusal {
+// rejectedEverywhere refuses a request that upstreams rejected and that isn't sent on.
+func (x *exchange) rejectedEverywhere(now time.Time) Refusal {
 	takers := x.fleet.Takers(now, x.service.Name)
 	kept := len(x.keptFrom(now, takers))
 	r := Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -153,10 +153,10 @@
 	f.sentAnyway.WithLabelValues(string(v.Despite)).Inc()
 }
 
-// WatchSignals has the metrics tell which upstreams leave, by whose word, and how many want
+// WatchSignals has the metrics tell which upstreams leave, by who told first, and how many want
 // no requests from this host.
-func (f *Forward) WatchSignals(leaving func() map[forward.LeavingWord]int, backoffs func() []backoff.Entry) {
-	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", "upstreams_leaving"), "Upstreams that leave, by whose word it was first.", []string{"word"}, nil)
+func (f *Forward) WatchSignals(leaving func() map[forward.LeavingSource]int, backoffs func() []backoff.Entry) {
+	desc := prometheus.NewDesc(prometheus.BuildFQName(namespace, "", "upstreams_leaving"), "Upstreams that leave, by who told first.", []string{"source"}, nil)
 	f.all.MustRegister(&leavingCollector{desc, leaving})
 	f.Gauge("upstreams_backing_off", "Upstreams that want no requests from this host at present.", func() float64 {
 		n := 0
@@ -181,7 +181,7 @@
 // leavingCollector serves how many upstreams leave.
 type leavingCollector struct {
 	desc *prometheus.Desc
-	read func() map[forward.LeavingWord]int
+	read func() map[forward.LeavingSource]int
 }
 
 // Describe sends the collector's metric.
@@ -189,8 +189,8 @@
 
 // Collect sends the values as they are now.
 func (c *leavingCollector) Collect(to chan<- prometheus.Metric) {
-	for word, n := range c.read() {
-		to <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(n), string(word))
+	for source, n := range c.read() {
+		to <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(n), string(source))
 	}
 }
 
