forward: many backoffs don't flood the peers

Found by reading: each backoff that began had the host tell all others at once, and woke whoever follows it.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -79,14 +79,18 @@
 	table   atomic.Pointer[Table]
 	engines *engines
 	plain   *plainChooser
-	// backoffs are the upstreams that asked this host for backoff.
-	backoffs backoff.Table
+	// backoffs are the upstreams that asked this host for backoff, and backoffNotices bounds
+	// how often peers are told of that at once.
+	backoffs       backoff.Table
+	backoffNotices eventLimiter
+	// relist asks Run to tell the placement which engines take work.
+	relist chan struct{}
 	// limiter gets leave to send to bounded upstreams, and limitLines bounds the log's
 	// lines about the limits that they name.
 	limiter    *permit.Limiter
-	limitLines upstreamLines
+	limitLines eventLimiter
 	// signalLines bounds the lines about what upstreams tell about themselves.
-	signalLines upstreamLines
+	signalLines eventLimiter
 	retries     retryBudget
 	// contact is when this host last had proof that its configuration is the
 	// newest.
@@ -138,7 +142,7 @@
 		settings: s, transport: t, journal: j, observer: o,
 		fleet: &Fleet{}, engines: newEngines(s.Self.ID, s.Self.Zone), plain: newPlainChooser(s.Self.Zone),
 		peers: newPeerSet(s.Self, s.Seeds), offers: newConfigOffers(),
-		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}),
+		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}), relist: make(chan struct{}, 1),
 		toKeep: make(chan quarantine.Fingerprint, keepRing),
 	}
 	f.limiter = permit.New(s.Self, permitSite{f}, f.now)
@@ -205,6 +209,7 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-f.relist:
 		case <-tick.C:
 			f.crashes.Forget(f.now(), f.peers.isKnown)
 			f.forgetLimits(f.now())
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -65,6 +65,7 @@
 	}
 	f.limitLines.forget(now)
 	f.signalLines.forget(now)
+	f.backoffNotices.forget(now)
 	f.limiter.Forget(now, func(id member.UpstreamID) bool {
 		_, named := f.limiter.Words.Bound(now, id)
 		return named || f.fleet.Cold(now, id)
--- a/forward/send.go
+++ b/forward/send.go
@@ -186,9 +186,12 @@
 	if f.backoffs.Ask(now, u.ID, int64(u.Life), d, spreadOf(d)) {
 		return false
 	}
-	// What waits for it is placed elsewhere, and peers hear of it.
-	f.fleet.Wake()
-	f.peers.notifyAll()
+	f.relistEngines()
+	// Under overload every upstream asks again and again; what isn't told at once goes with
+	// the next share.
+	if f.backoffNotices.allow(now, "") {
+		f.peers.notifyAll()
+	}
 	return true
 }
 
@@ -197,12 +200,21 @@
 	if !f.fleet.HearLife(mark.Upstream, Life(mark.Life)) || !f.backoffs.Hear(now, from, mark, spreadOf(mark.For)) {
 		return
 	}
-	f.fleet.Wake()
+	f.relistEngines()
 	if f.signalLines.allow(now, mark.Upstream) {
 		f.journal.Belief("upstream asks several hosts for backoff", "upstream", mark.Upstream, "peer", from, "for", mark.For)
 	}
 }
 
+// relistEngines has the placement hear at once which engines take work: what waits for one
+// that doesn't any more goes elsewhere.
+func (f *Forwarder) relistEngines() {
+	select {
+	case f.relist <- struct{}{}:
+	default:
+	}
+}
+
 func spreadOf(d time.Duration) time.Duration { return rand.N(min(backoffSpread, d/4) + 1) }
 
 // candidates are the upstreams of a service that a request may go to, but for limits and
--- a/forward/signals_test.go
+++ b/forward/signals_test.go
@@ -4,6 +4,8 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -53,3 +55,41 @@
 		sends.Wait()
 	})
 }
+
+// TestBackoffsFloodPeers has hosts tell each other of many backoffs in few shares.
+func TestBackoffsFloodPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newCrashSiteOf(newFakeFleet(), 3, 3, 60)
+		s.serveAll(ctx)
+		time.Sleep(settled)
+		callsIn := func(play func()) (shares, follows int64) {
+			beforeShares, beforeFollows := s.shares.Load(), s.follows.Load()
+			play()
+			return s.shares.Load() - beforeShares, s.follows.Load() - beforeFollows
+		}
+		quiet, quietFollows := callsIn(func() { time.Sleep(3 * time.Second) })
+		busy, busyFollows := callsIn(func() {
+			for n := range 60 {
+				for _, f := range s.hosts {
+					u, _ := f.fleet.Upstream(member.UpstreamID(fmt.Sprintf("app%02d", n)))
+					f.takeSignals(time.Now(), u, answerToRequest, Signals{RetryAfter: 100 * time.Millisecond, Own: true})
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+		t.Logf("in 3 s %d shares and %d follows, with 60 backoffs at each host %d and %d", quiet, quietFollows, busy, busyFollows)
+		// Once a second at most each host tells all others at once.
+		hosts := int64(len(s.hosts))
+		if most := quiet + 4*hosts*(hosts-1); busy > most {
+			t.Errorf("%d shares, %d in quiet, %d at most", busy, quiet, most)
+		}
+		// Nothing in it is for those who follow; how many fall into a window varies.
+		if busyFollows > 2*quietFollows {
+			t.Errorf("%d follows, %d in quiet", busyFollows, quietFollows)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -183,9 +183,9 @@
 	// configTakes is how long a configuration takes to a host; links holds what
 	// each host's link has to carry still, by when that will be done.
 	configTakes time.Duration
-	// permits counts the questions for permits.
-	permits atomic.Int64
-	links   map[member.HostID]time.Time
+	// permits counts the questions for permits, shares and follows those calls.
+	permits, shares, follows atomic.Int64
+	links                    map[member.HostID]time.Time
 }
 
 // narrow has each configuration take a while from now on.
@@ -292,6 +292,7 @@
 }
 
 func (s sitePort) Share(ctx context.Context, to Peer, share Share) (Share, error) {
+	s.shares.Add(1)
 	if s.isFrozen(share.From) {
 		<-ctx.Done()
 		return Share{}, errGone
@@ -303,6 +304,7 @@
 }
 
 func (s sitePort) Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error) {
+	s.follows.Add(1)
 	if f := s.reached(ctx, s.address, to); f != nil {
 		reply := f.OnFollow(ctx, r)
 		if s.isFrozen(to) {
