forward: runs aren't copied off a failing engine while it asks for backoff

Such a move is optional, and each of its calls reaches an engine that wants none. TestFailingEngineInBackoffGetsCopies failed before. Engines that leave are still emptied: their runs would be lost.

--- a/forward/move.go
+++ b/forward/move.go
@@ -122,7 +122,8 @@
 // nothing else uses the links. Without it a stream on an engine that goes bad is
 // mostly lost with it.
 func (m *mover) leaveFailing(ctx context.Context, x *exchange, run *ownRun) *handover {
-	if !x.fleet.Failing(x.now(), m.from.ID) || !x.leavingFailing.TryLock() {
+	// A copy is a call more to an engine that may have asked for backoff.
+	if !x.fleet.Failing(x.now(), m.from.ID) || x.backoffs.Remaining(x.now(), m.from.ID) > 0 || !x.leavingFailing.TryLock() {
 		return nil
 	}
 	defer x.leavingFailing.Unlock()
--- a/forward/signalfaults_test.go
+++ b/forward/signalfaults_test.go
@@ -200,3 +200,33 @@
 		})
 	}
 }
+
+// TestFailingEngineInBackoffGetsCopies has a run stay on a failing engine that wants no more calls.
+func TestFailingEngineInBackoffGetsCopies(t *testing.T) {
+	for name, backoff := range map[string]time.Duration{"no backoff": 0, "backoff": 10 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := &engineScript{made: 60, handle: "h", copyTook: 100 * time.Millisecond, stopped: make(chan struct{})}
+				moves := 0
+				transport := &fakeTransport{send: e.send, move: func(ctx context.Context, from Upstream, r MoveRequest) (Moved, error) {
+					moves++
+					return e.move(ctx, from, r)
+				}}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				f.listEngines(time.Now(), f.Table())
+				time.AfterFunc(100*time.Millisecond, func() {
+					at := transport.sentTo()[0]
+					f.fleet.Failed(f.now(), at)
+					if backoff > 0 {
+						f.backoffs.Ask(f.now(), at, 0, backoff, 0)
+					}
+				})
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.True(!sink.cut)
+				is.Equal(moves > 0, backoff == 0)
+				synctest.Wait()
+			})
+		})
+	}
+}
