platform, forward: the store's era, refused watches and followed revisions are told

Before: 'list read revision=30' 53 times a second, 'leader not followed origin_age=1h0m0s', store_calls_total{outcome="failed"}.

Package history has the types; nothing decides by them yet.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 )
@@ -139,6 +140,7 @@
 func (silentObserver) Gap(time.Duration)                    {}
 func (silentObserver) Repeated(string)                      {}
 func (silentObserver) Unread(int)                           {}
+func (silentObserver) OriginEra(history.Era)                {}
 func (silentObserver) Broken(bool)                          {}
 func (silentObserver) Suspended(time.Duration)              {}
 func (silentObserver) Permit(permit.Outcome)                {}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/quarantine"
 )
@@ -27,6 +28,8 @@
 	// Hosts are hosts of the site that were put on its directory.
 	Hosts []Peer
 	At    Revision
+	// Era is the origin's when it answered; zero when it didn't tell.
+	Era history.Era
 	// Unread says of some entries why they couldn't be read or used; nil when all
 	// could. UnreadCount is how many there were.
 	Unread      error
@@ -111,6 +114,8 @@
 	// goes on from.
 	read bool
 	at   Revision
+	// era is the origin's as it last told.
+	era history.Era
 	// configRead is when everything was last read because a newer configuration is
 	// known of than the one in force.
 	configRead time.Time
@@ -300,6 +305,7 @@
 	}
 	switch {
 	case errors.Is(err, ErrHistoryGone):
+		w.journal.Belief("history gone", "after", w.at, "era", w.era)
 		w.read = true
 		return
 	case err != nil:
@@ -309,6 +315,7 @@
 		// Otherwise the answer may have waited here while this machine was suspended.
 		proved = w.now()
 	}
+	w.noteEra(news)
 	w.take(proved, news)
 	w.read, w.at = false, max(w.at, news.At)
 	if proved.Sub(w.began) < aloneLasts && w.peers.live(proved) == 1 {
@@ -318,6 +325,16 @@
 	}
 }
 
+// noteEra logs that the origin was restored from a copy.
+func (w *follower) noteEra(news News) {
+	if news.Era == w.era {
+		return
+	}
+	w.journal.Belief("origin in another era", "era", news.Era, "era_before", w.era, "revision", news.At, "revision_before", w.at)
+	w.era = news.Era
+	w.observer.OriginEra(news.Era)
+}
+
 // take takes in what the origin told, which was up to date at a time.
 func (w *follower) take(proved time.Time, news News) {
 	now := w.now()
@@ -327,7 +344,7 @@
 	w.peers.list(now, news.Hosts)
 	w.hearCrashes(now, news.Crashes)
 	if w.read {
-		w.journal.Belief("list read", "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
+		w.journal.Belief("list read", "era", news.Era, "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
 		w.noteZones(w.fleet.ReplaceZones(now, news.Zones, news.At))
 		w.noteList(w.fleet.ReplaceAll(now, news.Changes, news.At))
 	} else {
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -140,7 +140,8 @@
 	late := f.settings.Clock.Slept() - slept
 	reply.ConfigAge, reply.OriginAge = older(reply.ConfigAge, late), older(reply.OriginAge, late)
 	if err != nil || !bounds.accept(reply) {
-		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge, "err", err)
+		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge,
+			"list", reply.List, "own_list", f.fleet.Revision(), "err", err)
 		f.peers.distrust(leader.ID)
 		if err == nil && f.proofInherited.Load() {
 			// What this host knows is no newer than what its leader has. A proof that
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -55,6 +56,8 @@
 	Moved(outcome string, pause time.Duration)
 	// Unread counts entries of the origin that couldn't be read or used.
 	Unread(entries int)
+	// OriginEra takes the origin's era.
+	OriginEra(history.Era)
 	// Broken counts a connection that an upstream ended before its answer, and whether
 	// the upstream itself had ended.
 	Broken(ended bool)
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/ratelimit"
 )
@@ -79,6 +80,7 @@
 func (nothingCounted) Repeated(string)                              {}
 func (nothingCounted) Moved(string, time.Duration)                  {}
 func (nothingCounted) Unread(int)                                   {}
+func (nothingCounted) OriginEra(history.Era)                        {}
 func (nothingCounted) Broken(bool)                                  {}
 func (nothingCounted) Permit(permit.Outcome)                        {}
 func (nothingCounted) Send(eligibility.Verdict)                     {}
