forward: tests of a store that comes back from a copy, failing

A store in virtual time (drillStore) that goes away for 2.5 s, comes back with its last three revisions lost, gives them out again and tells a higher era; 3 zones of 3 hosts.

--- /dev/null
+++ b/forward/drill_test.go
@@ -0,0 +1,237 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Bounds of the stated rules.
+const (
+	// leavingKnownWithin is how soon after the store took an upstream's word that it leaves no
+	// host may send to it.
+	leavingKnownWithin = 2 * time.Second
+	// configInForceWithin is how soon a configuration is in force.
+	configInForceWithin = 2 * time.Second
+	// zoneOrderWithin is how soon an order about a zone is kept to.
+	zoneOrderWithin = 5 * time.Second
+	// hostCallsPerSecond are the calls of a store that takes 2,000 a second from 300 hosts.
+	hostCallsPerSecond = 6
+)
+
+// drillLost is how many of the last revisions the copy lacks.
+const drillLost = 3
+
+// playDrill has hosts run for a while, the store go away for 2.5 s, come back from a copy that
+// lacks the last revisions, and something happen.
+func playDrill(t *testing.T, zones, hostsPerZone int, before, after func(d *drill)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		d := newDrill(ctx, zones, hostsPerZone)
+		time.Sleep(4 * time.Second)
+		copied := d.store.revision()
+		if before != nil {
+			before(d)
+		}
+		for d.store.revision() < copied+drillLost {
+			d.store.touch()
+		}
+		time.Sleep(2 * time.Second)
+		d.store.leave()
+		time.Sleep(2500 * time.Millisecond)
+		d.store.restore(copied)
+		after(d)
+		cancel()
+		synctest.Wait()
+		for i, finding := range d.findings {
+			if i == 5 {
+				t.Errorf("%d findings in all", len(d.findings))
+				break
+			}
+			t.Error(finding)
+		}
+	})
+}
+
+// TestUpstreamLeavesAtARevisionGivenOutAgain: hosts that knew a higher revision must hear it.
+func TestUpstreamLeavesAtARevisionGivenOutAgain(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "three seconds later": 3 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			playDrill(t, 3, 3, nil, func(d *drill) {
+				time.Sleep(pause)
+				d.store.list(leavingUp("app1"))
+				d.hold("app1 gets nothing", leavingKnownWithin, 5*time.Second, takesNot("app1"))
+			})
+		})
+	}
+}
+
+// TestUpstreamLeavesBeforeHostsAskAgain: no watch gets 410 when the revisions have caught up.
+func TestUpstreamLeavesBeforeHostsAskAgain(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		d.store.list(leavingUp("app1"))
+		for range 3 * drillLost {
+			d.store.touch()
+		}
+		d.hold("app1 gets nothing", leavingKnownWithin, 5*time.Second, takesNot("app1"))
+	})
+}
+
+// TestRestoredStoreIsAskedInALoop: a watch from a revision that the copy lacks gets 410.
+func TestRestoredStoreIsAskedInALoop(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		for range 10 {
+			from := time.Now()
+			time.Sleep(time.Second)
+			for host, calls := range d.store.callsIn(from, time.Now()) {
+				if calls > hostCallsPerSecond {
+					d.finding("%s called %d times in a second", host, calls)
+				}
+			}
+		}
+	})
+}
+
+// TestConfigurationAtARevisionGivenOutAgain: a configuration must come into force at all hosts.
+func TestConfigurationAtARevisionGivenOutAgain(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		time.Sleep(3 * time.Second)
+		d.store.configure(2)
+		d.hold("version 2 is in force", configInForceWithin, time.Second, func(f *Forwarder) bool { return f.versionInForce() == 2 })
+	})
+}
+
+// TestZoneOrderAtARevisionGivenOutAgain: an order about a zone must be kept to by all hosts.
+func TestZoneOrderAtARevisionGivenOutAgain(t *testing.T) {
+	before := func(d *drill) {
+		d.store.order("z1", true)
+		d.store.order("z1", false)
+	}
+	playDrill(t, 3, 3, before, func(d *drill) {
+		time.Sleep(3 * time.Second)
+		d.store.order("z1", true)
+		d.hold("z1 is out of service", zoneOrderWithin, 3*time.Second, func(f *Forwarder) bool { return !f.fleet.InService("z1") })
+		d.store.order("z1", false)
+		d.hold("z1 is back in service", zoneOrderWithin, 3*time.Second, func(f *Forwarder) bool { return f.fleet.InService("z1") })
+	})
+}
+
+// TestLeavingThatTheCopyLost: what has said that it leaves leaves, whatever the copy says.
+func TestLeavingThatTheCopyLost(t *testing.T) {
+	before := func(d *drill) { d.store.list(leavingUp("app1")) }
+	playDrill(t, 3, 3, before, func(d *drill) {
+		d.hold("app1 gets nothing", 0, 4*time.Second, takesNot("app1"))
+		d.store.list(leavingUp("app1"))
+		d.hold("app1 gets nothing", 0, 4*time.Second, takesNot("app1"))
+	})
+}
+
+// TestUpstreamThatTheCopyLacks: what lives and isn't listed yet gets work, and stays.
+func TestUpstreamThatTheCopyLacks(t *testing.T) {
+	before := func(d *drill) { d.store.list(plainUp("app5")) }
+	playDrill(t, 3, 3, before, func(d *drill) {
+		d.hold("app5 gets work", 0, 2*time.Second, takes("app5"))
+		d.store.list(plainUp("app5"))
+		d.hold("app5 gets work", 0, 8*time.Second, takes("app5"))
+	})
+}
+
+// TestUpstreamThatEndedAndTheCopyHas: it gets nothing, and its entry lapses.
+func TestUpstreamThatEndedAndTheCopyHas(t *testing.T) {
+	before := func(d *drill) { d.store.drop("app4") }
+	playDrill(t, 3, 3, before, func(d *drill) {
+		d.hold("app4 gets nothing", 0, 3600*time.Millisecond, takesNot("app4"))
+		d.store.drop("app4")
+		d.hold("app4 gets nothing", 0, 8*time.Second, takesNot("app4"))
+	})
+}
+
+// TestZoneOrderThatTheCopyLost: the newest order that was acknowledged binds until it is given again.
+func TestZoneOrderThatTheCopyLost(t *testing.T) {
+	before := func(d *drill) { d.store.order("z1", true) }
+	playDrill(t, 3, 3, before, func(d *drill) {
+		isOut := func(f *Forwarder) bool { return !f.fleet.InService("z1") }
+		d.hold("z1 is out of service", 0, 4*time.Second, isOut)
+		d.store.order("z1", true)
+		d.hold("z1 is out of service", 0, 4*time.Second, isOut)
+		d.store.order("z1", false)
+		d.hold("z1 is back in service", zoneOrderWithin, 4*time.Second, func(f *Forwarder) bool { return !isOut(f) })
+	})
+}
+
+// TestConfigurationThatTheCopyLost: the newest that was acknowledged stays in force.
+func TestConfigurationThatTheCopyLost(t *testing.T) {
+	before := func(d *drill) { d.store.configure(2) }
+	playDrill(t, 3, 3, before, func(d *drill) {
+		d.hold("version 2 is in force", 0, 4*time.Second, func(f *Forwarder) bool { return f.versionInForce() == 2 })
+		d.store.configure(2)
+		d.store.configure(3)
+		d.hold("version 3 is in force", configInForceWithin, time.Second, func(f *Forwarder) bool { return f.versionInForce() == 3 })
+	})
+}
+
+// TestStoreRestoredTwice: the era goes up again before all hosts have seen it.
+func TestStoreRestoredTwice(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		copied := d.store.revision()
+		d.store.list(leavingUp("app2"))
+		time.Sleep(300 * time.Millisecond)
+		d.store.restore(copied)
+		d.store.list(leavingUp("app1"))
+		d.hold("app1 gets nothing", leavingKnownWithin, 3*time.Second, takesNot("app1"))
+		d.store.list(leavingUp("app2"))
+		d.hold("app2 gets nothing", leavingKnownWithin, 3*time.Second, takesNot("app2"))
+	})
+}
+
+// TestHostBehindTellsTheEraBefore: a host that was cut off over the restore comes back.
+func TestHostBehindTellsTheEraBefore(t *testing.T) {
+	const cut = "10.1.0.2:1"
+	before := func(d *drill) {
+		d.store.order("z2", true)
+		time.Sleep(time.Second)
+		d.cutOff(cut)
+		d.withoutStore(true, "z1-h02")
+	}
+	playDrill(t, 3, 3, before, func(d *drill) {
+		time.Sleep(time.Second)
+		d.store.order("z2", false)
+		d.store.list(leavingUp("app1"))
+		time.Sleep(3 * time.Second)
+		d.regain(cut)
+		time.Sleep(time.Second)
+		d.withoutStore(false, "z1-h02")
+		d.hold("app1 gets nothing", leavingKnownWithin, 3*time.Second, takesNot("app1"))
+		d.hold("z2 is in service", 0, 3*time.Second, func(f *Forwarder) bool { return f.fleet.InService("z2") })
+	})
+}
+
+// TestHostStartsOverARestore: what it takes from a peer and from the store are of two eras.
+func TestHostStartsOverARestore(t *testing.T) {
+	before := func(d *drill) {
+		d.store.list(leavingUp("app1"))
+		d.store.list(plainUp("app5"))
+	}
+	playDrill(t, 3, 3, before, func(d *drill) {
+		old := d.hosts["10.2.0.1:1"]
+		d.lose("10.2.0.1:1")
+		settings := old.settings
+		settings.FirstStart = false
+		fresh := New(settings, &fakeTransport{}, silentJournal{}, silentObserver{})
+		d.replace(fresh)
+		d.regain("10.2.0.1:1")
+		d.startHost(fresh)
+		d.hold("app1 gets nothing", time.Second, 2*time.Second, takesNot("app1"))
+		d.store.list(leavingUp("app1"))
+		d.store.list(plainUp("app5"))
+		d.store.list(leavingUp("app2"))
+		d.hold("app2 gets nothing, app5 gets work", leavingKnownWithin, 3*time.Second, func(f *Forwarder) bool {
+			return takesNot("app2")(f) && takesNot("app1")(f) && takes("app5")(f)
+		})
+	})
+}
