--- a/forward/asking_test.go
+++ b/forward/asking_test.go
@@ -43,13 +43,13 @@
 	t.Helper()
 	now := time.Now()
 	list := []Upstream{
-		{ID: "near", Service: "llm", Address: "10.0.0.1:1", Zone: "z1", Slots: 24, Revision: 2},
-		{ID: "far1", Service: "llm", Address: "10.0.0.2:1", Zone: "z2", Slots: 24, Revision: 2},
-		{ID: "far2", Service: "llm", Address: "10.0.0.3:1", Zone: "z2", Slots: 24, Revision: 2},
+		{ID: "near", Service: "llm", Address: "10.0.0.1:1", Zone: "z1", Slots: 24, Revision: rev(2)},
+		{ID: "far1", Service: "llm", Address: "10.0.0.2:1", Zone: "z2", Slots: 24, Revision: rev(2)},
+		{ID: "far2", Service: "llm", Address: "10.0.0.3:1", Zone: "z2", Slots: 24, Revision: rev(2)},
 	}
 	host := func(id member.HostID, zone member.Zone) *Forwarder {
 		f := New(Settings{Self: Peer{ID: id, Zone: zone, PeerAddress: "10.9.0.1:1"}}, &fakeTransport{}, silentJournal{}, silentObserver{})
-		f.fleet.Replace(now, list, 2)
+		f.fleet.Replace(now, list, rev(2))
 		f.Configure(now, testConfig(1))
 		return f
 	}
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -59,12 +59,12 @@
 					var changes []Change
 					for _, id := range ids {
 						u, _ := f.fleet.Upstream(member.UpstreamID(id))
-						u.Revision++
+						u.Revision = rev(u.Revision.Revision() + 1)
 						// Hosts of its zone would know of each other's runs there.
 						u.Zone = "z2"
 						changes = append(changes, Change{Upstream: u, ColdUntil: time.Now().Add(10 * time.Second)})
 					}
-					f.fleet.Apply(time.Now(), changes, 2)
+					f.fleet.Apply(time.Now(), changes, rev(2))
 				}
 				small := func() *Call {
 					c := call(path)
@@ -125,7 +125,7 @@
 				s := newNeedySite(fleet, 1, 10, 2)
 				config := testConfig(2)
 				config.Services[1].ColdRate = bears
-				s.origin.configure(2, 20)
+				s.origin.configure(2, rev(20))
 				s.origin.config.Services = config.Services
 				s.serveAll(ctx)
 				time.Sleep(2 * time.Second)
--- a/forward/crashday_test.go
+++ b/forward/crashday_test.go
@@ -137,7 +137,7 @@
 			return 1 / d.Seconds()
 		}
 		engine := func() member.UpstreamID { return member.UpstreamID(fmt.Sprintf("llm%02d", draw(l.engines))) }
-		revision := Revision(100)
+		revision := rev(100)
 		every(per(l.crashesEvery), func(int) { fleet.end(engine()) })
 		every(per(l.flapsEvery), func(n int) { fleet.end(member.UpstreamID(fmt.Sprintf("llm%02d", n%2))) })
 		every(per(l.reclaimsEvery), func(int) {
@@ -147,7 +147,7 @@
 				return
 			}
 			mu.Lock()
-			revision++
+			revision = rev(revision.Revision() + 1)
 			u.Leaving, u.Revision = true, revision
 			mu.Unlock()
 			s.origin.publish(Change{Upstream: u})
@@ -155,7 +155,7 @@
 			fleet.end(id)
 			time.Sleep(4 * time.Second)
 			mu.Lock()
-			revision++
+			revision = rev(revision.Revision() + 1)
 			u.ID, u.Leaving, u.Revision = u.ID+"x", false, revision
 			mu.Unlock()
 			s.origin.publish(Change{Upstream: u})
--- a/forward/crashing_test.go
+++ b/forward/crashing_test.go
@@ -43,7 +43,7 @@
 		for n := range engines {
 			s.origin.list = append(s.origin.list, Upstream{
 				ID: member.UpstreamID(fmt.Sprintf("%s%02d", service, n)), Service: service, Address: fmt.Sprintf("10.9.%d.1:80", n),
-				Zone: member.Zone(fmt.Sprint("z", n%zones+1)), Slots: 6, Revision: 3,
+				Zone: member.Zone(fmt.Sprint("z", n%zones+1)), Slots: 6, Revision: rev(3),
 			})
 		}
 	}
--- a/forward/drillstore_test.go
+++ b/forward/drillstore_test.go
@@ -20,7 +20,7 @@
 type drillStore struct {
 	mu  sync.Mutex
 	era history.Era
-	at  Revision
+	at  history.Revision
 	// events are all changes of the present era, with those that its copy had.
 	events []drillEvent
 	away   bool
@@ -32,7 +32,7 @@
 // drillEvent is one change of a key; exactly one of the values is set, unless it is gone.
 type drillEvent struct {
 	key      string
-	revision Revision
+	revision history.Revision
 	upstream *Change
 	zone     *ZoneOrder
 	config   *Config
@@ -48,7 +48,7 @@
 func newDrillStore() *drillStore { return &drillStore{era: 1, changed: make(chan struct{})} }
 
 // write makes one change, and returns its revision.
-func (s *drillStore) write(e drillEvent) Revision {
+func (s *drillStore) write(e drillEvent) history.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.at++
@@ -63,28 +63,28 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *drillStore) list(u Upstream) Revision {
+func (s *drillStore) list(u Upstream) history.Revision {
 	return s.write(drillEvent{key: "upstream/" + string(u.ID), upstream: &Change{Upstream: u}})
 }
 
-func (s *drillStore) drop(id member.UpstreamID) Revision {
+func (s *drillStore) drop(id member.UpstreamID) history.Revision {
 	return s.write(drillEvent{key: "upstream/" + string(id), upstream: &Change{Upstream: Upstream{ID: id}, Gone: true}})
 }
 
-func (s *drillStore) order(zone member.Zone, out bool) Revision {
+func (s *drillStore) order(zone member.Zone, out bool) history.Revision {
 	return s.write(drillEvent{key: "zone/" + string(zone), zone: &ZoneOrder{Zone: zone, Out: out}})
 }
 
-func (s *drillStore) configure(v Version) Revision {
+func (s *drillStore) configure(v Version) history.Revision {
 	c := testConfig(v)
 	return s.write(drillEvent{key: "config", config: &c})
 }
 
 // touch makes a change that concerns no host.
-func (s *drillStore) touch() Revision { return s.write(drillEvent{key: "other"}) }
+func (s *drillStore) touch() history.Revision { return s.write(drillEvent{key: "other"}) }
 
 // revision is the store's present one.
-func (s *drillStore) revision() Revision {
+func (s *drillStore) revision() history.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.at
@@ -99,7 +99,7 @@
 }
 
 // restore has the store come back from the copy of a revision.
-func (s *drillStore) restore(copied Revision) {
+func (s *drillStore) restore(copied history.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.away = false
@@ -141,11 +141,11 @@
 }
 
 // newest are the events after a revision, the newest of each key if only that is wanted.
-func (s *drillStore) newest(after Revision, whole bool) (News, bool, <-chan struct{}) {
+func (s *drillStore) newest(after history.Revision, whole bool) (News, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	news := News{At: s.at, Era: s.era}
-	last := map[string]Revision{}
+	news := News{At: history.At(s.era, s.at)}
+	last := map[string]history.Revision{}
 	for _, e := range s.events {
 		last[e.key] = e.revision
 	}
@@ -158,15 +158,15 @@
 }
 
 // tell puts an event among news; a reading doesn't have what is gone.
-func (e drillEvent) tell(news *News, _ history.Era, whole bool) {
+func (e drillEvent) tell(news *News, era history.Era, whole bool) {
 	switch {
 	case e.upstream != nil && !(whole && e.upstream.Gone):
 		c := *e.upstream
-		c.Revision = e.revision
+		c.Revision = history.At(era, e.revision)
 		news.Changes = append(news.Changes, c)
 	case e.zone != nil && !(whole && !e.zone.Out):
 		o := *e.zone
-		o.Revision = e.revision
+		o.Revision = history.At(era, e.revision)
 		news.Zones = append(news.Zones, o)
 	case e.config != nil:
 		news.Config = e.config
@@ -182,7 +182,7 @@
 // drillAnswers is how long the store takes for an answer.
 const drillAnswers = 4 * time.Millisecond
 
-func (l drillLink) Read(ctx context.Context) (News, error) {
+func (l drillLink) Read(ctx context.Context, known history.Era) (News, error) {
 	PauseFor(ctx, drillAnswers)
 	if !l.call() {
 		return News{}, errGone
@@ -191,7 +191,7 @@
 	return news, nil
 }
 
-func (l drillLink) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+func (l drillLink) Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error) {
 	PauseFor(ctx, drillAnswers)
 	if !l.call() {
 		return News{}, errGone
@@ -199,7 +199,7 @@
 	over := time.NewTimer(wait)
 	defer over.Stop()
 	for {
-		news, had, changed := l.newest(after, false)
+		news, had, changed := l.newest(after.Revision(), false)
 		if !had {
 			return News{}, ErrHistoryGone
 		}
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -71,8 +71,8 @@
 	f := newForwarder(t, &fakeTransport{})
 	now := time.Now()
 	f.fleet.Replace(now, []Upstream{
-		{ID: "near", Service: "llm", Zone: "z1", Revision: 2}, {ID: "far", Service: "llm", Zone: "z2", Revision: 2},
-	}, 2)
+		{ID: "near", Service: "llm", Zone: "z1", Revision: rev(2)}, {ID: "far", Service: "llm", Zone: "z2", Revision: rev(2)},
+	}, rev(2))
 	f.listEngines(now, f.Table())
 	for _, id := range []member.HostID{"a", "b"} {
 		f.peers.hear(now, Share{From: Peer{ID: id, Zone: "z2"}})
--- a/forward/failing_test.go
+++ b/forward/failing_test.go
@@ -133,9 +133,9 @@
 		f := newForwarder(t, transport)
 		var list []Upstream
 		for n, zone := range []member.Zone{"z2", "z2", "z2", "z1", "z3"} {
-			list = append(list, Upstream{ID: member.UpstreamID(fmt.Sprint("e", n)), Service: "llm", Zone: zone, Slots: 24, Revision: 2})
+			list = append(list, Upstream{ID: member.UpstreamID(fmt.Sprint("e", n)), Service: "llm", Zone: zone, Slots: 24, Revision: rev(2)})
 		}
-		f.fleet.Replace(time.Now(), list, 2)
+		f.fleet.Replace(time.Now(), list, rev(2))
 		f.fleet.Suspect(time.Now(), "e3") // the own zone's engine is tried last
 		f.fleet.Suspect(time.Now(), "e4")
 		ctx, cancel := context.WithCancel(t.Context())
@@ -144,7 +144,7 @@
 		f.Serve(ctx, call("/llm/"), &fakeSink{})
 		is.Equal(len(f.fleet.FailingMarks(time.Now())), 3)
 		peer := newForwarder(t, transport)
-		peer.fleet.Replace(time.Now(), list, 2)
+		peer.fleet.Replace(time.Now(), list, rev(2))
 		peer.hear(f.share(time.Now()))
 		is.Equal(len(peer.fleet.Takers(time.Now(), "llm")), 2) // e3 and e4
 		cancel()
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -15,7 +15,6 @@
 	"time"
 
 	"github.com/shedpath/shedpath/eligibility"
-	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 )
@@ -140,7 +139,6 @@
 func (silentObserver) Gap(time.Duration)                    {}
 func (silentObserver) Repeated(string)                      {}
 func (silentObserver) Unread(int)                           {}
-func (silentObserver) OriginEra(history.Era)                {}
 func (silentObserver) Broken(bool)                          {}
 func (silentObserver) Suspended(time.Duration)              {}
 func (silentObserver) Permit(permit.Outcome)                {}
@@ -189,11 +187,11 @@
 		for n := 1; n <= 3; n++ {
 			id := fmt.Sprintf("%s%d", service, n)
 			list = append(list, Upstream{
-				ID: member.UpstreamID(id), Service: service, Address: "10.1.0.1:" + id, Zone: "z1", Slots: 6, Revision: 1,
+				ID: member.UpstreamID(id), Service: service, Address: "10.1.0.1:" + id, Zone: "z1", Slots: 6, Revision: rev(1),
 			})
 		}
 	}
-	f.fleet.Replace(now, list, 1)
+	f.fleet.Replace(now, list, rev(1))
 	f.Configure(now, testConfig(1))
 	f.ContactProved(now)
 	f.originContact.raise(now)
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -7,12 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
-// Revision numbers the changes of what the platform holds.
-type Revision uint64
-
 // Upstream is one engine or plain service instance as the host list has it.
 type Upstream struct {
 	ID      member.UpstreamID
@@ -25,8 +23,8 @@
 	Leaving bool
 	// Life tells this start of the upstream from others under the same id.
 	Life Life
-	// Revision is the list's when this was written.
-	Revision Revision
+	// Revision is where in the list's history this was written.
+	Revision history.Point
 }
 
 // Change is one change of the host list: an upstream as it now is, or, with
@@ -54,10 +52,15 @@
 	upstreams map[member.UpstreamID]*known
 	// revision is the one up to which every change is known. A single upstream may be
 	// known as of a newer one: a list that is read in pages isn't of one moment.
-	revision Revision
+	revision history.Point
+	// restore tells what the origin wrote in the present era; restored counts what came of
+	// the last restore, and relistedBy is when upstreams have written their entries again.
+	restore    history.Restore
+	restored   *restoreCounts
+	relistedBy time.Time
 	// forgotten is the newest revision at which something was dropped that isn't
 	// remembered any more.
-	forgotten Revision
+	forgotten history.Point
 	// coldUntil is when the last upstream will be warm that was ever cold.
 	coldUntil time.Time
 	// failedUntil and tellUntil are the latest of all upstreams', so that hosts which have
@@ -67,7 +70,7 @@
 	renewed []member.UpstreamID
 	// skippedFrom and skippedTo bound the revisions that were passed over by the last
 	// reading of the whole list: what came and went between them was never known here.
-	skippedFrom, skippedTo Revision
+	skippedFrom, skippedTo history.Point
 	// trustGoneFrom is when a missing upstream is believed to be gone: during
 	// and shortly after an outage the list may lack upstreams that live.
 	trustGoneFrom time.Time
@@ -83,6 +86,13 @@
 	// gone says that the list no longer has it; missing, that the list lacks
 	// it but isn't believed yet.
 	gone, missing bool
+	// unlisted says that it is missing because the copy that the list was restored from lacks
+	// it: it takes work until relistedBy.
+	unlisted bool
+	// pending is what the copy says of an upstream that was gone, which is believed from
+	// pendingFrom on; nil for none.
+	pending     *Change
+	pendingFrom time.Time
 	// droppedAt is when it was dropped last.
 	droppedAt time.Time
 	// declared says that the list told that it leaves, and didn't just drop it.
@@ -131,10 +141,10 @@
 // Apply takes changes of the list in, which are all that there were since the revision
 // that was known up to another. Older ones than what is known of the same upstream change
 // nothing. It returns those that made a difference.
-func (f *Fleet) Apply(now time.Time, changes []Change, at Revision) []Change {
+func (f *Fleet) Apply(now time.Time, changes []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = max(f.revision, at)
+	f.revision = history.Latest(f.revision, at)
 	var news []Change
 	for _, c := range changes {
 		if f.apply(now, c) {
@@ -146,7 +156,7 @@
 }
 
 // Replace takes in the whole list of upstreams as of a revision: what it lacks is gone.
-func (f *Fleet) Replace(now time.Time, list []Upstream, at Revision) []Change {
+func (f *Fleet) Replace(now time.Time, list []Upstream, at history.Point) []Change {
 	changes := make([]Change, len(list))
 	for i, u := range list {
 		changes[i].Upstream = u
@@ -155,7 +165,7 @@
 }
 
 // ReplaceAll is Replace for a list of which not every entry can be used.
-func (f *Fleet) ReplaceAll(now time.Time, list []Change, at Revision) []Change {
+func (f *Fleet) ReplaceAll(now time.Time, list []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.revision
@@ -168,7 +178,10 @@
 		}
 	}
 	for id, k := range f.upstreams {
-		if listed[id] || k.gone || k.Revision > at {
+		if listed[id] || k.gone || k.Revision.After(at) {
+			continue
+		}
+		if f.unlist(now, k, at) {
 			continue
 		}
 		gone := Change{Upstream: k.Upstream, Gone: true}
@@ -184,9 +197,9 @@
 
 // skipped takes in that the list is known as of a revision, but not each change since
 // the one that was known before.
-func (f *Fleet) skipped(before, at Revision) {
-	f.revision = max(f.revision, at)
-	if at > before {
+func (f *Fleet) skipped(before, at history.Point) {
+	f.revision = history.Latest(f.revision, at)
+	if at.After(before) {
 		f.skippedFrom, f.skippedTo = before, at
 	}
 }
@@ -202,9 +215,20 @@
 		}
 		k = newKnown(c.Upstream)
 		f.upstreams[c.ID] = k
-	} else if c.Revision < k.Revision || k.isOver(c.Life) {
+	}
+	switch {
+	case k.isOver(c.Life):
 		return false
+	case !f.restore.Supersedes(c.Revision, k.Revision):
+		return f.reconcile(now, k, c)
+	default:
+		return f.set(now, k, c)
 	}
+}
+
+// set takes in what is the newest known of an upstream.
+func (f *Fleet) set(now time.Time, k *known, c Change) bool {
+	k.pending = nil
 	switch {
 	case c.Gone:
 		return f.drop(now, k, c.Revision)
@@ -220,7 +244,7 @@
 		f.renew(k, c.Life)
 	}
 	same := !k.gone && !k.missing && !k.unusable && k.Upstream == c.Upstream
-	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision > k.Revision) {
+	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision.After(k.Revision)) {
 		// The list knows better than other signs; and an entry that ran out
 		// while its upstream was cut off comes back.
 		k.Leaving, k.hinted, k.leftAt, k.leaving, k.source = false, false, time.Time{}, make(chan struct{}), ""
@@ -230,7 +254,7 @@
 	k.declared = k.declared || c.Leaving
 	c.Leaving = c.Leaving || k.Leaving
 	k.gone = k.gone && c.Revision == k.Revision
-	k.Upstream, k.missing, k.unusable, k.coldUntil = c.Upstream, false, false, c.ColdUntil
+	k.Upstream, k.missing, k.unlisted, k.unusable, k.coldUntil = c.Upstream, false, false, false, c.ColdUntil
 	f.coldUntil = later(f.coldUntil, c.ColdUntil)
 	if c.Leaving {
 		k.leave(now, SourceList)
@@ -244,7 +268,7 @@
 
 // markUnusable takes in that the upstream's entry can't be used as of a revision. What runs
 // there goes on, and an entry that can be used gives it work again.
-func (k *known) markUnusable(at Revision) bool {
+func (k *known) markUnusable(at history.Point) bool {
 	k.Revision = at
 	if k.unusable || k.gone {
 		return false
@@ -255,7 +279,10 @@
 
 // miss takes in that whom this host follows doesn't find an upstream on the list,
 // and doesn't believe yet that it is gone.
-func (f *Fleet) miss(now time.Time, k *known, at Revision) bool {
+func (f *Fleet) miss(now time.Time, k *known, at history.Point) bool {
+	if f.unlist(now, k, at) {
+		return false
+	}
 	if k.gone || k.Leaving || at == k.Revision && !k.missing {
 		return false
 	}
@@ -264,18 +291,18 @@
 	return false
 }
 
-func (f *Fleet) drop(now time.Time, k *known, at Revision) bool {
+func (f *Fleet) drop(now time.Time, k *known, at history.Point) bool {
 	// Also of one that is gone already: those who follow this host may know it as it
 	// was before this revision, and are told what is newer than theirs.
-	k.Revision = max(k.Revision, at)
+	k.Revision = history.Latest(k.Revision, at)
 	if k.gone {
 		return false
 	}
-	if now.Before(f.trustGoneFrom) && !k.Leaving {
+	if now.Before(f.trustGoneFrom) && !k.Leaving || k.unlisted && now.Before(f.relistedBy) {
 		k.missing = true
 		return false
 	}
-	k.gone, k.missing, k.hinted = true, false, false
+	k.gone, k.missing, k.unlisted, k.hinted = true, false, false, false
 	k.droppedAt = now
 	k.leave(now, SourceList)
 	return true
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -9,11 +9,12 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
-func up(id member.UpstreamID, at Revision, leaving bool) Upstream {
-	return Upstream{ID: id, Service: "llm", Address: "10.0.0.9:1", Revision: at, Leaving: leaving}
+func up(id member.UpstreamID, at history.Revision, leaving bool) Upstream {
+	return Upstream{ID: id, Service: "llm", Address: "10.0.0.9:1", Revision: rev(at), Leaving: leaving}
 }
 
 func takers(f *Fleet, now time.Time) map[member.UpstreamID]bool {
@@ -29,24 +30,24 @@
 	is := is.New(t)
 	now := time.Now()
 	var f Fleet
-	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, 5)
+	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, rev(5))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
-	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, 7)
+	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, rev(7))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true})
-	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}}, 7)), 0) // older
-	f.Apply(now, []Change{{Upstream: up("a", 8, false)}}, 8)
+	is.Equal(len(f.Apply(now, []Change{{Upstream: up("a", 6, false)}}, rev(7))), 0) // older
+	f.Apply(now, []Change{{Upstream: up("a", 8, false)}}, rev(8))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"b": true}) // leaving is for good
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 9}, Gone: true}}, 9)
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: rev(9)}, Gone: true}}, rev(9))
 	is.Equal(len(takers(&f, now)), 0)
 	select {
 	case <-f.Leaving("b"): // dropped without a notice: it leaves now
 	default:
 		t.Fatal("b should be leaving")
 	}
-	f.Replace(now, []Upstream{up("c", 10, false)}, 11)
+	f.Replace(now, []Upstream{up("c", 10, false)}, rev(11))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"c": true})
-	changes, at, _ := f.Since(9)
-	is.Equal(at, Revision(11))
+	changes, at, _ := f.Since(rev(9))
+	is.Equal(at, rev(11))
 	is.Equal(len(changes), 2) // c, and a, which this list lacks
 }
 
@@ -56,18 +57,18 @@
 	is := is.New(t)
 	now := time.Now()
 	f := Fleet{}
-	f.Replace(now, []Upstream{up("a", 1, false), up("b", 1, false)}, 1)
+	f.Replace(now, []Upstream{up("a", 1, false), up("b", 1, false)}, rev(1))
 	f.ListLost(now)
 	now = now.Add(5 * time.Second)
-	f.Replace(now, []Upstream{up("a", 1, false)}, 9)
+	f.Replace(now, []Upstream{up("a", 1, false)}, rev(9))
 	f.ListRegained(now, 5*time.Second)
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true}) // no new work
 	is.Equal(f.Missing(), []member.UpstreamID{"b"})
-	changes, at, _ := f.Since(1)
+	changes, at, _ := f.Since(rev(1))
 	is.Equal(len(changes), 1)
 	is.True(changes[0].Missing && !changes[0].Gone)
 	follower := Fleet{}
-	follower.Replace(now, []Upstream{up("a", 1, false), up("b", 1, false)}, 1)
+	follower.Replace(now, []Upstream{up("a", 1, false), up("b", 1, false)}, rev(1))
 	follower.Apply(now, changes, at)
 	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"a": true})
 	is.Equal(len(follower.Settle(now.Add(time.Second))), 0)
@@ -78,9 +79,9 @@
 		t.Fatal("b may come back")
 	default:
 	}
-	f.Apply(now, []Change{{Upstream: up("b", 10, false)}}, 0)
+	f.Apply(now, []Change{{Upstream: up("b", 10, false)}}, rev(0))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true, "b": true})
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 12}, Gone: true}}, 0)
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: rev(12)}, Gone: true}}, rev(0))
 	is.Equal(len(f.Settle(now.Add(3*time.Second))), 1) // still missing: gone
 	<-f.Leaving("b")
 }
@@ -90,10 +91,10 @@
 	is := is.New(t)
 	now := time.Now()
 	f := Fleet{}
-	f.Replace(now, []Upstream{up("a", 1, false)}, 1)
+	f.Replace(now, []Upstream{up("a", 1, false)}, rev(1))
 	f.ListLost(now)
 	f.ListRegained(now, 80*time.Millisecond)
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: 2}, Gone: true}}, 0)
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: rev(2)}, Gone: true}}, rev(0))
 	<-f.Leaving("a")
 	is.Equal(len(takers(&f, now)), 0)
 }
@@ -105,18 +106,18 @@
 	now := time.Now()
 	f, follower := Fleet{}, Fleet{}
 	list := []Upstream{up("a", 1, false), up("b", 1, true)}
-	f.Replace(now, list, 1)
-	follower.Replace(now, list, 1)
-	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: 2}, Gone: true}, {Upstream: Upstream{ID: "b", Revision: 3}, Gone: true}}, 3)
+	f.Replace(now, list, rev(1))
+	follower.Replace(now, list, rev(1))
+	f.Apply(now, []Change{{Upstream: Upstream{ID: "a", Revision: rev(2)}, Gone: true}, {Upstream: Upstream{ID: "b", Revision: rev(3)}, Gone: true}}, rev(3))
 	<-f.Leaving("a")
-	changes, at, _ := f.Since(1)
+	changes, at, _ := f.Since(rev(1))
 	follower.Apply(now, changes, at)
 	is.Equal(len(takers(&follower, now)), 0)
-	f.Apply(now, []Change{{Upstream: up("a", 2, false)}}, 3)
+	f.Apply(now, []Change{{Upstream: up("a", 2, false)}}, rev(3))
 	is.Equal(len(takers(&f, now)), 0) // no newer than its end
-	f.Apply(now, []Change{{Upstream: up("a", 5, false)}, {Upstream: up("b", 6, false)}}, 6)
+	f.Apply(now, []Change{{Upstream: up("a", 5, false)}, {Upstream: up("b", 6, false)}}, rev(6))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true})
-	changes, at, _ = f.Since(3)
+	changes, at, _ = f.Since(rev(3))
 	follower.Apply(now, changes, at)
 	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"a": true})
 	select {
@@ -124,7 +125,7 @@
 		t.Fatal("it doesn't leave any more")
 	default:
 	}
-	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, 7)
+	f.Apply(now, []Change{{Upstream: up("a", 7, true)}}, rev(7))
 	<-f.Leaving("a")
 }
 
@@ -134,13 +135,13 @@
 	is := is.New(t)
 	now := time.Now()
 	f := Fleet{}
-	f.Replace(now, []Upstream{up("a", 1, false)}, 1)
+	f.Replace(now, []Upstream{up("a", 1, false)}, rev(1))
 	f.MarkLeaving(now, "a", 900*time.Millisecond, true)
 	is.Equal(len(takers(&f, now)), 0)
 	is.Equal(f.GoneAt("a", now, 2*time.Second), now.Add(900*time.Millisecond))
 	is.Equal(f.Marks(now), []LeavingMark{{Engine: "a", In: 900 * time.Millisecond}})
 	is.Equal(len(f.Marks(now.Add(time.Minute))), 0)
-	f.Replace(now, []Upstream{up("a", 1, false)}, 4)
+	f.Replace(now, []Upstream{up("a", 1, false)}, rev(4))
 	is.Equal(takers(&f, now), map[member.UpstreamID]bool{"a": true})
 }
 
@@ -151,13 +152,13 @@
 	is := is.New(t)
 	now := time.Now()
 	var f, follower Fleet
-	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, 2)
+	f.Replace(now, []Upstream{up("a", 1, false), up("b", 2, false)}, rev(2))
 	f.MarkLeaving(now, "a", 0, true)
 	f.MarkLeaving(now, "b", 0, true)
-	f.Apply(now, []Change{{Upstream: up("b", 3, true)}}, 3)
-	changes, at, _ := f.Since(0)
+	f.Apply(now, []Change{{Upstream: up("b", 3, true)}}, rev(3))
+	changes, at, _ := f.Since(rev(0))
 	follower.Apply(now, changes, at)
 	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"a": true})
-	follower.Apply(now, []Change{{Upstream: up("a", 4, true)}}, 4)
+	follower.Apply(now, []Change{{Upstream: up("a", 4, true)}}, rev(4))
 	is.Equal(len(takers(&follower, now)), 0)
 }
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -24,7 +25,7 @@
 }
 
 // Revision is the newest revision of the list that was taken in.
-func (f *Fleet) Revision() Revision {
+func (f *Fleet) Revision() history.Point {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.revision
@@ -50,7 +51,7 @@
 	for _, k := range f.upstreams {
 		switch {
 		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out || but(k.ID):
-		case k.missing || now.Before(k.suspectUntil):
+		case k.missing && !k.unlisted || now.Before(k.suspectUntil):
 			suspected = append(suspected, k.Upstream)
 		default:
 			takers = append(takers, k.Upstream)
@@ -65,13 +66,14 @@
 
 // Since returns what changed after a revision, for a peer that follows this host,
 // and this host's own revision. It is the whole list where this host doesn't remember
-// all that was dropped since.
-func (f *Fleet) Since(after Revision) (changes []Change, at Revision, whole bool) {
+// all that was dropped since, and where the peer knows another era.
+func (f *Fleet) Since(after history.Point) (changes []Change, at history.Point, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	whole = after < f.forgotten || f.skippedFrom < after && after < f.skippedTo
+	whole = after.Before(f.forgotten) || f.skippedFrom.Before(after) && after.Before(f.skippedTo) ||
+		!after.IsZero() && !after.SameEra(f.revision)
 	for _, k := range f.upstreams {
-		if whole || k.Revision > after {
+		if whole || k.Revision.After(after) {
 			changes = append(changes, k.change())
 		}
 	}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,9 +28,8 @@
 	Crashes []quarantine.Mark
 	// Hosts are hosts of the site that were put on its directory.
 	Hosts []Peer
-	At    Revision
-	// Era is the origin's when it answered; zero when it didn't tell.
-	Era history.Era
+	// At is where in the origin's history it answered.
+	At history.Point
 	// Unread says of some entries why they couldn't be read or used; nil when all
 	// could. UnreadCount is how many there were.
 	Unread      error
@@ -39,11 +39,11 @@
 // Origin is where the configuration and the list of upstreams are kept.
 type Origin interface {
 	// Read returns everything: the configuration, and each upstream as a
-	// change.
-	Read(ctx context.Context) (News, error)
-	// Watch returns the next news after a revision, or none when the wait is
-	// over.
-	Watch(ctx context.Context, after Revision, wait time.Duration) (News, error)
+	// change. An answer that doesn't tell its era is taken to be of the known one.
+	Read(ctx context.Context, known history.Era) (News, error)
+	// Watch returns the next news after a point, or none when the wait is
+	// over. They may be of a later era than that point, and are then not all.
+	Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error)
 }
 
 // ErrHistoryGone is an Origin's word that it no longer has the changes after a
@@ -110,12 +110,12 @@
 	*Forwarder
 	from Origin
 	dep  dependency
-	// read says that everything has to be read; at is the revision that a watch
+	// read says that everything has to be read; at is the point that a watch
 	// goes on from.
 	read bool
-	at   Revision
-	// era is the origin's as it last told.
-	era history.Era
+	at   history.Point
+	// refusals are the watches in a row whose point the origin didn't have.
+	refusals int
 	// configRead is when everything was last read because a newer configuration is
 	// known of than the one in force.
 	configRead time.Time
@@ -231,7 +231,7 @@
 // upToDate takes in that a peer has told all that it knows: nothing has to be read
 // again, and a watch goes on from there.
 func (w *follower) upToDate() {
-	w.read, w.at = false, max(w.at, w.fleet.Revision())
+	w.read, w.at = false, history.Latest(w.at, w.fleet.Revision())
 }
 
 // followLeader takes over what a peer has that is newer. It reports false when
@@ -299,25 +299,33 @@
 		w.read, w.configRead = true, proved
 	}
 	if w.read {
-		news, err = w.from.Read(ctx)
+		news, err = w.from.Read(ctx, w.fleet.Revision().Era())
 	} else {
 		news, err = w.from.Watch(ctx, w.at, watchWait)
 	}
 	switch {
 	case errors.Is(err, ErrHistoryGone):
-		w.journal.Belief("history gone", "after", w.at, "era", w.era)
-		w.read = true
+		w.historyGone(ctx)
 		return
 	case err != nil:
 		w.lost(ctx, err)
 		return
+	case news.At.Era() < w.fleet.Revision().Era():
+		w.lost(ctx, &EraFellError{Known: w.fleet.Revision(), Told: news.At})
+		return
+	case !w.read && !news.At.SameEra(w.at):
+		// What came between the watch's point and the restore isn't among the news.
+		w.read = true
+		return
 	case !w.read && w.settings.Clock.Slept() == slept:
 		// Otherwise the answer may have waited here while this machine was suspended.
 		proved = w.now()
 	}
-	w.noteEra(news)
+	if !w.read {
+		w.refusals = 0
+	}
 	w.take(proved, news)
-	w.read, w.at = false, max(w.at, news.At)
+	w.read, w.at = false, news.At
 	if proved.Sub(w.began) < aloneLasts && w.peers.live(proved) == 1 {
 		// Hosts that start together don't know each other yet, and each change
 		// would be told to every one of them.
@@ -325,14 +333,23 @@
 	}
 }
 
-// noteEra logs that the origin was restored from a copy.
-func (w *follower) noteEra(news News) {
-	if news.Era == w.era {
-		return
+// historyGone takes in that the origin doesn't have the point that a watch goes on from, or was
+// restored during a reading: everything has to be read again.
+func (w *follower) historyGone(ctx context.Context) {
+	w.journal.Belief("history gone", "after", w.at)
+	w.read = true
+	w.refusals++
+	if w.refusals > 1 {
+		PauseFor(ctx, failPause(w.refusals))
 	}
-	w.journal.Belief("origin in another era", "era", news.Era, "era_before", w.era, "revision", news.At, "revision_before", w.at)
-	w.era = news.Era
-	w.observer.OriginEra(news.Era)
+}
+
+// EraFellError says that the origin told an era before one that is known. Such an answer was
+// under way since before a restore, or comes from another store.
+type EraFellError struct{ Known, Told history.Point }
+
+func (e *EraFellError) Error() string {
+	return fmt.Sprintf("the origin is at %v, which is before the era of %v", e.Told, e.Known)
 }
 
 // take takes in what the origin told, which was up to date at a time.
@@ -343,8 +360,9 @@
 	}
 	w.peers.list(now, news.Hosts)
 	w.hearCrashes(now, news.Crashes)
+	w.fleet.EnterEra(now, news.At, news.At)
 	if w.read {
-		w.journal.Belief("list read", "era", news.Era, "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
+		w.journal.Belief("list read", "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
 		w.noteZones(w.fleet.ReplaceZones(now, news.Zones, news.At))
 		w.noteList(w.fleet.ReplaceAll(now, news.Changes, news.At))
 	} else {
@@ -399,11 +417,11 @@
 // origin is back. It claims no proof by that, and goes on asking the origin.
 func (w *follower) takeStale(ctx context.Context) {
 	now := w.now()
-	if w.fleet.Revision() > 0 {
+	if !w.fleet.Revision().IsZero() {
 		return
 	}
 	for _, peer := range w.peers.anyLive(now) {
-		if !w.followPeer(ctx, peer, staleBounds) || w.fleet.Revision() == 0 {
+		if !w.followPeer(ctx, peer, staleBounds) || w.fleet.Revision().IsZero() {
 			continue
 		}
 		w.joinConfig(ctx, peer)
@@ -433,6 +451,7 @@
 // over.
 func (f *Forwarder) noteList(news []Change) {
 	f.dropOldLives()
+	f.noteRestore()
 	for _, n := range news {
 		f.journal.Belief("upstream listed", "upstream", n.ID, "service", n.Service, "zone", n.Zone,
 			"leaving", n.Leaving, "gone", n.Gone, "unusable", n.Unusable, "cold", !n.ColdUntil.IsZero(), "revision", n.Revision)
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 )
@@ -62,15 +63,15 @@
 	reads atomic.Int32
 }
 
-func (o *failingOrigin) Read(context.Context) (News, error) {
+func (o *failingOrigin) Read(context.Context, history.Era) (News, error) {
 	o.reads.Add(1)
 	if o.lost.Load() {
 		return News{}, errGone
 	}
-	return News{Changes: []Change{{Upstream: up("llm1", 1, false)}}, At: 1}, nil
+	return News{Changes: []Change{{Upstream: up("llm1", 1, false)}}, At: rev(1)}, nil
 }
 
-func (o *failingOrigin) Watch(ctx context.Context, after Revision, _ time.Duration) (News, error) {
+func (o *failingOrigin) Watch(ctx context.Context, after history.Point, _ time.Duration) (News, error) {
 	PauseFor(ctx, 100*time.Millisecond)
 	if o.lost.Load() {
 		return News{}, errGone
@@ -116,9 +117,11 @@
 // countingOrigin can always be read, and counts its watches.
 type countingOrigin struct{ watches atomic.Int32 }
 
-func (o *countingOrigin) Read(context.Context) (News, error) { return News{At: 1}, nil }
+func (o *countingOrigin) Read(context.Context, history.Era) (News, error) {
+	return News{At: rev(1)}, nil
+}
 
-func (o *countingOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+func (o *countingOrigin) Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error) {
 	o.watches.Add(1)
 	PauseFor(ctx, wait)
 	return News{At: after}, nil
@@ -153,7 +156,7 @@
 		return FollowReply{}, ctx.Err()
 	}
 	PauseFor(ctx, r.Wait)
-	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []Peer{{ID: "h7", Zone: "z1"}}, List: 7, Changes: p.changes}, nil
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []Peer{{ID: "h7", Zone: "z1"}}, List: rev(7), Changes: p.changes}, nil
 }
 
 // TestFollowZone has one host watch the origin for several zones, and a zone turn
@@ -177,9 +180,9 @@
 				is.Equal(origin.watches.Load(), int32(0)) // another host watches
 				is.True(f.peers.isKnown("h7"))            // and tells of hosts that it has found
 				// Those that this host has heard itself are passed on, once.
-				told := f.OnFollow(ctx, FollowRequest{List: 6})
+				told := f.OnFollow(ctx, FollowRequest{List: rev(6)})
 				is.Equal(told.Hosts, []Peer{{ID: "h9", Zone: "z0"}})
-				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: 6, Hosts: told.HostsAt}).Hosts), 0)
+				is.Equal(len(f.OnFollow(ctx, FollowRequest{List: rev(6), Hosts: told.HostsAt}).Hosts), 0)
 				is.True(f.OriginAge(time.Now()) < time.Second)
 				fail(peers)
 				calls := peers.calls.Load()
@@ -200,7 +203,7 @@
 func TestFollowAfterCut(t *testing.T) {
 	is := is.New(t)
 	f := newForwarder(t, &fakeTransport{})
-	f.peerPort = &followedPeers{changes: []Change{{Upstream: Upstream{ID: "llm1", Revision: 5}, Gone: true}}}
+	f.peerPort = &followedPeers{changes: []Change{{Upstream: Upstream{ID: "llm1", Revision: rev(5)}, Gone: true}}}
 	f.fleet.ListRegained(time.Now(), 10*time.Second)
 	is.True(f.followPeer(t.Context(), Peer{ID: "h0"}, zoneBounds))
 	select {
@@ -208,7 +211,7 @@
 	default:
 		t.Error("llm1 is gone")
 	}
-	changes, _, _ := f.fleet.Since(4)
+	changes, _, _ := f.fleet.Since(rev(4))
 	is.Equal(len(changes), 1) // and those that follow this host are told
 }
 
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/shedpath/shedpath/history"
 )
 
 // FollowRequest asks a peer for what is newer than what the asker has. Zero
@@ -13,7 +15,7 @@
 type FollowRequest struct {
 	// Version is the newest configuration that the asker knows of.
 	Version Version
-	List    Revision
+	List    history.Point
 	// Hosts is the cursor of the peer's last reply.
 	Hosts HostCursor
 	// Wait is how long the peer may wait for something newer.
@@ -31,9 +33,11 @@
 	Changes []Change
 	Zones   []ZoneOrder
 	// Whole says that Changes and Zones are all that there are: the peer doesn't
-	// remember all that was dropped since the asker's revision.
+	// remember all that was dropped since the asker's revision, or knows another era.
 	Whole bool
-	List  Revision
+	List  history.Point
+	// EraFrom is the lowest revision at which the era of List was seen.
+	EraFrom history.Point
 	// Hosts are those that the peer has found since, up to HostsAt.
 	Hosts   []Peer
 	HostsAt HostCursor
@@ -73,7 +77,7 @@
 // younger than its own telling.
 func (b followBounds) accept(r FollowReply) bool {
 	if b.stale {
-		return r.List > 0
+		return !r.List.IsZero()
 	}
 	return 0 <= r.OriginAge && r.OriginAge <= b.fresh && 0 <= r.ConfigAge && r.ConfigAge <= b.fresh+configLate
 }
@@ -102,7 +106,7 @@
 		// the third host in a row: a watch, and the waits of a zone's leader and of its
 		// followers. originFresh is 1.6 s.
 		changed, proved := f.fleet.Changed(), f.originProved.waiting()
-		if f.fleet.Revision() <= r.List && f.versionInForce() <= r.Version {
+		if !f.fleet.Revision().After(r.List) && f.versionInForce() <= r.Version {
 			timer := time.NewTimer(r.Wait)
 			defer timer.Stop()
 			select {
@@ -118,6 +122,7 @@
 	// meanwhile.
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
 	reply.Changes, reply.List, reply.Whole = f.fleet.Since(r.List)
+	reply.EraFrom = f.fleet.EraFrom()
 	reply.Zones = f.fleet.ZonesSince(r.List, reply.Whole)
 	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
 	reply.Version = f.versionInForce()
@@ -139,7 +144,7 @@
 	})
 	late := f.settings.Clock.Slept() - slept
 	reply.ConfigAge, reply.OriginAge = older(reply.ConfigAge, late), older(reply.OriginAge, late)
-	if err != nil || !bounds.accept(reply) {
+	if err != nil || !bounds.accept(reply) || reply.List.Era() < f.fleet.Revision().Era() {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge,
 			"list", reply.List, "own_list", f.fleet.Revision(), "err", err)
 		f.peers.distrust(leader.ID)
@@ -166,6 +171,7 @@
 		f.followed.raise(now)
 		f.fleet.ListTrusted()
 	}
+	f.fleet.EnterEra(now, reply.List, reply.EraFrom)
 	if reply.Whole {
 		f.noteZones(f.fleet.ReplaceZones(now, reply.Zones, reply.List))
 		f.noteList(f.fleet.TakeOver(now, reply.Changes, reply.List))
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -13,7 +13,6 @@
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
-	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -56,8 +55,6 @@
 	Moved(outcome string, pause time.Duration)
 	// Unread counts entries of the origin that couldn't be read or used.
 	Unread(entries int)
-	// OriginEra takes the origin's era.
-	OriginEra(history.Era)
 	// Broken counts a connection that an upstream ended before its answer, and whether
 	// the upstream itself had ended.
 	Broken(ended bool)
@@ -218,8 +215,13 @@
 			f.forgetLimits(f.now())
 			f.backoffs.Forget(f.now())
 			for _, c := range f.fleet.Settle(f.now()) {
+				if !c.Gone {
+					f.journal.Belief("upstream back", "upstream", c.ID, "why", "still on the restored list")
+					continue
+				}
 				f.journal.Belief("upstream dropped", "upstream", c.ID, "why", "still missing after the list settled")
 			}
+			f.noteZones(f.fleet.SettleZones(f.now()))
 		}
 	}
 }
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -195,30 +195,30 @@
 	now := time.Now()
 	var leader, late Fleet
 	list := []Upstream{up("a", 1, false), up("b", 2, false), up("c", 3, false)}
-	leader.Replace(now, list, 3)
-	late.Replace(now, list, 3)
-	leader.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: 4}, Gone: true}, {Upstream: up("c", 5, true)}}, 5)
-	_, _, whole := leader.Since(3)
+	leader.Replace(now, list, rev(3))
+	late.Replace(now, list, rev(3))
+	leader.Apply(now, []Change{{Upstream: Upstream{ID: "b", Revision: rev(4)}, Gone: true}, {Upstream: up("c", 5, true)}}, rev(5))
+	_, _, whole := leader.Since(rev(3))
 	is.True(!whole) // all is remembered
 	leader.Settle(now.Add(forgetGone + time.Second))
-	_, _, whole = leader.Since(4)
+	_, _, whole = leader.Since(rev(4))
 	is.True(!whole)
-	changes, at, whole := leader.Since(3)
+	changes, at, whole := leader.Since(rev(3))
 	is.True(whole)
 	late.TakeOver(now, changes, at)
 	is.Equal(takers(&late, now), map[member.UpstreamID]bool{"a": true})
 	is.Equal(late.Missing(), []member.UpstreamID{"b"}) // its entry may just have run out
 	late.Settle(now.Add(listSettles + time.Second))
 	<-late.Leaving("b")
-	is.Equal(late.Revision(), Revision(5))
+	is.Equal(late.Revision(), rev(5))
 
 	// A host that read the list anew never knew what came and went in between.
-	leader.Replace(now, list[:1], 9)
-	_, _, whole = leader.Since(7)
+	leader.Replace(now, list[:1], rev(9))
+	_, _, whole = leader.Since(rev(7))
 	is.True(whole)
-	_, _, whole = leader.Since(5)
+	_, _, whole = leader.Since(rev(5))
 	is.True(!whole)
-	_, _, whole = leader.Since(9)
+	_, _, whole = leader.Since(rev(9))
 	is.True(!whole)
 }
 
@@ -293,7 +293,7 @@
 		}
 		time.Sleep(3 * time.Second)
 		leaving := Change{Upstream: upIn("llm3", "z2")}
-		leaving.Leaving, leaving.Revision = true, 20
+		leaving.Leaving, leaving.Revision = true, rev(20)
 		s.origin.publish(leaving)
 		s.origin.order(out("z1", 21))
 		time.Sleep(time.Second)
@@ -324,6 +324,6 @@
 	f := New(Settings{}, &fakeTransport{}, silentJournal{}, silentObserver{})
 	f.Configure(time.Now(), testConfig(1))
 	is.True(!f.Ready())
-	f.fleet.Replace(time.Now(), []Upstream{up("llm1", 1, false)}, 1)
+	f.fleet.Replace(time.Now(), []Upstream{up("llm1", 1, false)}, rev(1))
 	is.True(f.Ready())
 }
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -78,7 +78,7 @@
 		if !now.Before(k.tellUntil) || k.gone {
 			continue
 		}
-		mark := LeavingMark{Engine: id, Life: k.Life, Said: k.said}
+		mark := LeavingMark{Engine: id, Life: k.Life, Said: k.said || k.declared}
 		if !k.goneAt.IsZero() {
 			mark.In = max(k.goneAt.Sub(now), time.Millisecond)
 		}
--- a/forward/leaving_test.go
+++ b/forward/leaving_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -44,7 +45,7 @@
 				time.Sleep(4 * time.Second)
 				s.narrow(takes)
 				for n := range 60 {
-					s.origin.configure(Version(2+n), Revision(20+n))
+					s.origin.configure(Version(2+n), rev(20+n))
 					if n == 30 {
 						s.origin.publish(Change{Upstream: up("llm1", 20+30, true)})
 					}
@@ -111,8 +112,8 @@
 func TestListReadInPages(t *testing.T) {
 	now := time.Now()
 	list := []Upstream{up("a", 1, false), up("b", 2, false), up("c", 3, false)}
-	gone := func(id member.UpstreamID, at Revision) Change {
-		return Change{Upstream: Upstream{ID: id, Revision: at}, Gone: true}
+	gone := func(id member.UpstreamID, at history.Revision) Change {
+		return Change{Upstream: Upstream{ID: id, Revision: rev(at)}, Gone: true}
 	}
 	for name, c := range map[string]struct {
 		// read is what the reading brought, whose first page is of revision 10, and
@@ -120,32 +121,32 @@
 		read    []Upstream
 		watched []Change
 		// followedTo is up to where the follower knew the list before the reading.
-		followedTo Revision
+		followedTo history.Point
 		want       map[member.UpstreamID]bool
 	}{
 		"left after its page was read": {
 			[]Upstream{up("a", 1, false), up("b", 14, false), up("c", 3, false)},
 			[]Change{{Upstream: up("a", 12, true)}, {Upstream: up("b", 14, false)}},
-			3,
+			rev(3),
 			map[member.UpstreamID]bool{"b": true, "c": true},
 		},
 		"dropped after its page was read": {
 			[]Upstream{up("a", 1, false), up("b", 14, false), up("c", 3, false)},
 			[]Change{gone("a", 12), {Upstream: up("b", 14, false)}},
-			3,
+			rev(3),
 			map[member.UpstreamID]bool{"b": true, "c": true},
 		},
 		"dropped before its page was read": {
 			[]Upstream{up("a", 1, false), up("b", 2, false)},
 			[]Change{gone("c", 11)},
-			10,
+			rev(10),
 			map[member.UpstreamID]bool{"a": true, "b": true},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var reader, follower Fleet
-			reader.Replace(now, list, 3)
+			reader.Replace(now, list, rev(3))
 			follower.Replace(now, list, c.followedTo)
 			catchUp := func() {
 				changes, at, whole := reader.Since(follower.Revision())
@@ -155,7 +156,7 @@
 				}
 				follower.Apply(now, changes, at)
 			}
-			reader.Replace(now, c.read, 10)
+			reader.Replace(now, c.read, rev(10))
 			catchUp()
 			reader.Apply(now, c.watched, c.watched[len(c.watched)-1].Revision)
 			catchUp()
--- a/forward/limitfaults_test.go
+++ b/forward/limitfaults_test.go
@@ -126,14 +126,14 @@
 		"another upstream leaves": {func(_ context.Context, s *site, _ *needyFleet) {
 			time.Sleep(12 * time.Second)
 			u, _ := s.first().fleet.Upstream("app02")
-			u.Leaving, u.Revision = true, 50
+			u.Leaving, u.Revision = true, rev(50)
 			s.origin.publish(Change{Upstream: u})
 		}, 0.8, nil},
 		"it starts again under its id, in need": {func(_ context.Context, s *site, _ *needyFleet) {
 			for n := range 5 {
 				time.Sleep(5 * time.Second)
 				u, _ := s.first().fleet.Upstream(id)
-				u.Life, u.Revision = Life(n+1), Revision(50+n)
+				u.Life, u.Revision = Life(n+1), rev(50+n)
 				s.origin.publish(Change{Upstream: u})
 			}
 		}, 0.8, nil},
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -70,7 +71,7 @@
 // remembers of upstreams that were dropped. One that it lacks may have run out of its
 // entry while the platform was away, before the peer had read anything: it counts as
 // missing first.
-func (f *Fleet) TakeOver(now time.Time, list []Change, at Revision) []Change {
+func (f *Fleet) TakeOver(now time.Time, list []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.revision
@@ -84,7 +85,8 @@
 	}
 	for id, k := range f.upstreams {
 		switch {
-		case listed[id] || k.gone || k.Revision > at:
+		case listed[id] || k.gone || k.Revision.After(at):
+		case f.unlist(now, k, at):
 		case !k.Leaving:
 			f.miss(now, k, at)
 		case f.drop(now, k, at):
@@ -96,20 +98,27 @@
 	return news
 }
 
-// Settle drops what was missing when the list settled after an outage, and
-// forgets what is long gone. It is to be called from time to time.
+// Settle drops what was missing when the list settled after an outage, believes what a
+// restored list has said for long enough, and forgets what is long gone. It is to be called
+// from time to time.
 func (f *Fleet) Settle(now time.Time) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var news []Change
 	for id, k := range f.upstreams {
-		if k.missing && !now.Before(f.trustGoneFrom) {
-			k.gone, k.missing, k.droppedAt = true, false, now
+		if k.pending != nil && !now.Before(k.pendingFrom) {
+			c := *k.pending
+			if f.set(now, k, c) {
+				news = append(news, c)
+			}
+		}
+		if k.missing && !now.Before(f.trustGoneFrom) && !(k.unlisted && now.Before(f.relistedBy)) {
+			k.gone, k.missing, k.unlisted, k.droppedAt = true, false, false, now
 			k.leave(now, SourceList)
 			news = append(news, Change{Upstream: k.Upstream, Gone: true})
 		}
 		if k.gone && now.Sub(k.leftAt) > forgetGone && (!k.said || now.Sub(k.droppedAt) > forgetSaid) {
-			f.forgotten = max(f.forgotten, k.Revision)
+			f.forgotten = history.Latest(f.forgotten, k.Revision)
 			delete(f.upstreams, id)
 		}
 	}
--- a/forward/lives_test.go
+++ b/forward/lives_test.go
@@ -13,12 +13,13 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
 
 // born is an entry of an upstream in one of its lives.
-func born(id member.UpstreamID, life Life, at Revision, leaving bool) Change {
+func born(id member.UpstreamID, life Life, at history.Revision, leaving bool) Change {
 	c := Change{Upstream: up(id, at, leaving)}
 	c.Life = life
 	return c
@@ -52,7 +53,7 @@
 		life  Life
 	}{
 		"it had said that it leaves":           {[]step{apply(born("llm1", 100, 5, true)), apply(born("llm1", 200, 6, false))}, true, 200},
-		"its entry had gone":                   {[]step{apply(Change{Upstream: Upstream{ID: "llm1", Revision: 5}, Gone: true}), apply(born("llm1", 200, 6, false))}, true, 200},
+		"its entry had gone":                   {[]step{apply(Change{Upstream: Upstream{ID: "llm1", Revision: rev(5)}, Gone: true}), apply(born("llm1", 200, 6, false))}, true, 200},
 		"it was seen to fail":                  {[]step{failing(100), apply(born("llm1", 200, 6, false))}, true, 200},
 		"late word that it fails":              {[]step{apply(born("llm1", 200, 6, false)), failing(100)}, true, 200},
 		"late word that it leaves":             {[]step{apply(born("llm1", 200, 6, false)), leaving(100)}, true, 200},
@@ -92,7 +93,7 @@
 	for _, id := range []member.UpstreamID{"llm2", "llm3"} {
 		f.fleet.MarkLeaving(now, id, 0, true)
 	}
-	f.noteList(f.fleet.Apply(now, []Change{born("llm1", 100, 2, false)}, 2))
+	f.noteList(f.fleet.Apply(now, []Change{born("llm1", 100, 2, false)}, rev(2)))
 	f.listEngines(now, f.Table())
 	place := func(run policy.RunID) (Upstream, *ownRun, policy.Decision) {
 		r := policy.Request{Run: run, Prompt: 15000, Arrived: now, Deadline: now.Add(time.Minute), Objective: time.Minute}
@@ -106,7 +107,7 @@
 	f.engines.adopt(now, "h2", theirs, nil)
 	_, _, d = place("full")
 	is.Equal(d.Verdict, policy.Refused) // no room beside the two
-	f.noteList(f.fleet.Apply(now, []Change{born("llm1", 200, 3, false)}, 3))
+	f.noteList(f.fleet.Apply(now, []Change{born("llm1", 200, 3, false)}, rev(3)))
 	f.listEngines(now, f.Table())
 	f.engines.adopt(now, "h2", theirs, nil) // it doesn't know yet
 	for _, id := range []policy.RunID{"new1", "new2"} {
@@ -144,7 +145,7 @@
 			old = append(old, born(id, 100, 2, false))
 			reborn = append(reborn, born(id, 200, 3, false))
 		}
-		f.noteList(f.fleet.Apply(now, old, 2))
+		f.noteList(f.fleet.Apply(now, old, rev(2)))
 		f.listEngines(now, f.Table())
 		sink := &fakeSink{}
 		served := make(chan struct{})
@@ -153,7 +154,7 @@
 			f.Serve(t.Context(), call("/llm/"), sink)
 		}()
 		time.Sleep(time.Second)
-		f.noteList(f.fleet.Apply(time.Now(), reborn, 3))
+		f.noteList(f.fleet.Apply(time.Now(), reborn, rev(3)))
 		began := time.Now()
 		<-served
 		is.Equal(time.Since(began), time.Duration(0))
--- a/forward/outerbound_test.go
+++ b/forward/outerbound_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/quarantine"
 )
 
@@ -45,14 +46,14 @@
 	return errTurnedAway
 }
 
-func (o choosyOrigin) Read(ctx context.Context) (News, error) {
+func (o choosyOrigin) Read(ctx context.Context, known history.Era) (News, error) {
 	if o.turnsAway() {
 		return News{}, o.refuse(ctx, readWait)
 	}
-	return o.siteOrigin.Read(ctx)
+	return o.siteOrigin.Read(ctx, known)
 }
 
-func (o choosyOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+func (o choosyOrigin) Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error) {
 	if o.turnsAway() {
 		return News{}, o.refuse(ctx, wait+watchOver)
 	}
@@ -125,10 +126,10 @@
 					turn(away)
 					var latest time.Duration
 					for n := range 5 {
-						version, revision := Version(n+2), Revision(20+2*n)
-						order := out("z1", revision+1)
+						version, revision := Version(n+2), rev(20+2*n)
+						order := out("z1", revision.Revision()+1)
 						if n%2 == 1 {
-							order = back("z1", revision+1)
+							order = back("z1", revision.Revision()+1)
 						}
 						s.origin.configure(version, revision)
 						s.origin.order(order)
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
@@ -39,6 +40,8 @@
 	Failing []FailingMark
 	// Cold are the upstreams that it knows to be cold.
 	Cold []ColdMark
+	// List is up to where it knows the list of upstreams.
+	List history.Point
 	// Zones are the orders about zones that it knows.
 	Zones []ZoneOrder
 	// Epoch tells this process of the host from an earlier one, which knew other things.
@@ -190,7 +193,7 @@
 	return Share{
 		From: f.peers.self, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Leaving: f.fleet.Marks(now),
-		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), Zones: f.fleet.ZonesSince(0, true), Epoch: f.peers.epoch,
+		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), List: f.fleet.Revision(), Zones: f.fleet.ZonesSince(history.Point{}, true), Epoch: f.peers.epoch,
 		Limits: f.limiter.Words.Marks(now), Backoffs: f.backoffs.Marks(now),
 	}
 }
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -43,7 +44,9 @@
 	heard     time.Time
 	tried     time.Time
 	originAge time.Duration
-	stopping  bool
+	// list is up to where it knows the list of upstreams.
+	list     history.Point
+	stopping bool
 	// sending says that a share to it is under way.
 	sending bool
 	// foundAt is the count of found when it was heard first; zero for one that others
@@ -103,7 +106,7 @@
 		state.foundAt = p.found
 	}
 	state.Peer, state.heard, state.stopping, state.failed = s.From, now, s.Stopping, false
-	state.originAge, state.distrusted = s.OriginAge, false
+	state.originAge, state.distrusted, state.list = s.OriginAge, false, s.List
 	return isNew
 }
 
@@ -164,19 +167,24 @@
 	}
 }
 
-// live counts this host and the peers that were heard lately.
-func (p *peerSet) live(now time.Time) int {
+// count counts the peers for which something holds.
+func (p *peerSet) count(holds func(*peerState) bool) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 1
+	n := 0
 	for _, s := range p.known {
-		if s.live(now, p.self.Zone) {
+		if holds(s) {
 			n++
 		}
 	}
 	return n
 }
 
+// live counts this host and the peers that were heard lately.
+func (p *peerSet) live(now time.Time) int {
+	return 1 + p.count(func(s *peerState) bool { return s.live(now, p.self.Zone) })
+}
+
 // LivePeers counts the other hosts that were heard lately.
 func (f *Forwarder) LivePeers() int { return f.peers.live(f.now()) - 1 }
 
@@ -193,15 +201,7 @@
 
 // liveInZone counts this host and the peers of its zone that were heard lately.
 func (p *peerSet) liveInZone(now time.Time) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 1
-	for _, s := range p.known {
-		if s.Zone == p.self.Zone && s.live(now, p.self.Zone) {
-			n++
-		}
-	}
-	return n
+	return 1 + p.count(func(s *peerState) bool { return s.Zone == p.self.Zone && s.live(now, p.self.Zone) })
 }
 
 // first names the live host that has a duty of which there is one for the whole site.
--- a/forward/plain_test.go
+++ b/forward/plain_test.go
@@ -45,7 +45,7 @@
 			next.Routes = next.Routes[1:]
 			f.Configure(time.Now(), next)
 		}, CodeNoRoute},
-		"no upstream": {func(f *Forwarder, _ *Call) { f.fleet.Replace(time.Now(), nil, 2) }, CodeNoUpstream},
+		"no upstream": {func(f *Forwarder, _ *Call) { f.fleet.Replace(time.Now(), nil, rev(2)) }, CodeNoUpstream},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- /dev/null
+++ b/forward/point_test.go
@@ -0,0 +1,9 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import "github.com/shedpath/shedpath/history"
+
+// rev is a revision of an origin that tells no era.
+func rev[N ~int | ~uint64](n N) history.Point { return history.At(0, history.Revision(n)) }
--- /dev/null
+++ b/forward/restore.go
@@ -0,0 +1,173 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"time"
+
+	"github.com/shedpath/shedpath/history"
+)
+
+// The origin may come back from a copy that lacks what it had acknowledged last. What follows
+// says what then becomes of what is known. What was written in the new era binds; of the rest,
+// what the copy lacks is believed for a while, until it has been written again.
+
+const (
+	// relistWithin is how long after a restore the list may lack upstreams that live.
+	relistWithin = listSettles
+	// lapseWithin is how long after a restore the list may have upstreams that have ended:
+	// their entries lapse after three heartbeats of 1.2 s.
+	lapseWithin = 5 * time.Second
+	// reorderWithin is how long an order about a zone that the copy lacks, or has and was taken
+	// back, is kept as it was known unless it is given again.
+	reorderWithin = 30 * time.Second
+)
+
+// restoreCounts are what came of a restore.
+type restoreCounts struct {
+	from, to history.Point
+	// leaving are the upstreams that leave though the copy doesn't say so, unlisted those that
+	// it lacks, ended those that it has although they were gone, and zones the zones whose
+	// orders it tells otherwise.
+	leaving, unlisted, ended, zones int
+}
+
+// EnterEra takes in that the origin is at a point, whose era was first seen at another. It is to
+// be called before what was read there is taken in.
+func (f *Fleet) EnterEra(now time.Time, at, first history.Point) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.restore.Saw(first)
+	if f.revision.IsZero() || at.Era() <= f.revision.Era() {
+		return
+	}
+	f.restored = &restoreCounts{from: f.revision, to: at}
+	f.relistedBy = now.Add(relistWithin)
+}
+
+// EraFrom is the lowest point at which the present era was seen.
+func (f *Fleet) EraFrom() history.Point {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.restore.First()
+}
+
+// OriginEra is the origin's era as this host knows it.
+func (f *Forwarder) OriginEra() history.Era { return f.fleet.Revision().Era() }
+
+// PeersInOtherEra counts the other hosts, heard lately, that know another era.
+func (f *Forwarder) PeersInOtherEra() int {
+	now, era := f.now(), f.OriginEra()
+	return f.peers.count(func(s *peerState) bool { return s.live(now, f.peers.self.Zone) && s.list.Era() != era })
+}
+
+// ofEarlierEra reports whether something was known before the era of what is read now.
+func ofEarlierEra(known, read history.Point) bool { return known.Era() < read.Era() }
+
+// reconcile takes in what a list says that may be older than what is known of the upstream.
+func (f *Fleet) reconcile(now time.Time, k *known, c Change) bool {
+	restored := ofEarlierEra(k.Revision, c.Revision)
+	switch {
+	case restored && (c.Gone || c.Missing):
+		f.unlist(now, k, c.Revision)
+		return false
+	case k.Revision.SameEra(c.Revision), c.Gone, c.Missing, c.Unusable:
+		return false
+	}
+	sameLife := c.Life == 0 || k.Life == 0 || c.Life == k.Life
+	if c.Leaving && sameLife && !k.Leaving {
+		// Nothing takes that back in one life, so it holds in whatever order it is heard.
+		k.declared = true
+		k.leave(now, SourceList)
+		return true
+	}
+	if !restored {
+		return false
+	}
+	switch {
+	case c.Life.newerThan(k.Life):
+		return f.set(now, k, c)
+	case k.gone && k.pending == nil:
+		k.pending, k.pendingFrom = &c, now.Add(lapseWithin)
+		f.restored.count(func(r *restoreCounts) { r.ended++ })
+	case k.missing:
+		k.missing, k.unlisted = false, false
+	case k.declared && !c.Leaving:
+		f.tellPeers(k, now.Add(saidShared))
+		f.restored.count(func(r *restoreCounts) { r.leaving++ })
+	}
+	return false
+}
+
+// unlist takes in that a list of a new era lacks an upstream. It reports false for one that was
+// known in that era already.
+func (f *Fleet) unlist(now time.Time, k *known, at history.Point) bool {
+	if k.gone || !ofEarlierEra(k.Revision, at) {
+		return false
+	}
+	k.Revision, k.missing, k.unlisted = at, true, true
+	f.restored.count(func(r *restoreCounts) { r.unlisted++ })
+	if k.declared {
+		f.tellPeers(k, now.Add(saidShared))
+	}
+	return true
+}
+
+// suspendOrder keeps a zone's order as it was known before a restore, until what the copy has is
+// believed.
+func (f *Fleet) suspendOrder(now time.Time, o ZoneOrder) {
+	known := f.zones[o.Zone]
+	if known.pending == nil {
+		known.pendingFrom = now.Add(reorderWithin)
+		f.restored.count(func(r *restoreCounts) { r.zones++ })
+	}
+	known.pending = &o
+	f.zones[o.Zone] = known
+}
+
+// SettleZones believes what a restored list has said of zones for long enough. It returns the
+// orders that made a difference.
+func (f *Fleet) SettleZones(now time.Time) []ZoneOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var news []ZoneOrder
+	for zone, known := range f.zones {
+		if known.pending == nil || now.Before(known.pendingFrom) {
+			continue
+		}
+		o := *known.pending
+		f.zones[zone] = zoneState{ZoneOrder: o, heard: now}
+		if known.Out != o.Out {
+			news = append(news, o)
+		}
+	}
+	f.notify(len(news) > 0)
+	return news
+}
+
+// count adds to what came of a restore; there is none for a list of an era that is known.
+func (r *restoreCounts) count(add func(*restoreCounts)) {
+	if r != nil {
+		add(r)
+	}
+}
+
+// takeRestored returns what came of a restore since the last call; nil when there was none.
+func (f *Fleet) takeRestored() *restoreCounts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.restored
+	f.restored = nil
+	return r
+}
+
+// noteRestore logs that the origin was restored.
+func (f *Forwarder) noteRestore() {
+	r := f.fleet.takeRestored()
+	if r == nil {
+		return
+	}
+	f.journal.Belief("origin restored from a copy", "from", r.from, "to", r.to, "still_leaving", r.leaving,
+		"not_listed", r.unlisted, "listed_but_ended", r.ended, "zone_orders_kept", r.zones)
+}
--- a/forward/share_bench_test.go
+++ b/forward/share_bench_test.go
@@ -23,7 +23,7 @@
 	for n := range 120 {
 		list = append(list, up(member.UpstreamID(fmt.Sprint("llm", n)), 1, false))
 	}
-	f.fleet.Replace(now, list, 1)
+	f.fleet.Replace(now, list, rev(1))
 	f.Configure(now, testConfig(1))
 	for n := range 20 {
 		f.engines.pools["llm"].carry(policy.Request{Run: policy.RunID(fmt.Sprint("r", n)), Prompt: 3000}, list[n].ID)
--- a/forward/signalday_test.go
+++ b/forward/signalday_test.go
@@ -189,7 +189,7 @@
 			if !known {
 				continue
 			}
-			u.Leaving, u.Revision = false, Revision(50+n)
+			u.Leaving, u.Revision = false, rev(50+n)
 			s.origin.publish(Change{Upstream: u})
 		}
 	}
--- a/forward/signalfaults_test.go
+++ b/forward/signalfaults_test.go
@@ -37,10 +37,10 @@
 		return func(_ context.Context, s *site, _ *signalFleet) {
 			time.Sleep(6 * time.Second)
 			u, _ := s.first().fleet.Upstream(id)
-			u.Leaving, u.Revision = false, 50
+			u.Leaving, u.Revision = false, rev(50)
 			s.origin.publish(Change{Upstream: u, Gone: true})
 			time.Sleep(back)
-			u.Revision = 60
+			u.Revision = rev(60)
 			s.origin.publish(Change{Upstream: u})
 		}
 	}
@@ -48,14 +48,14 @@
 		return func(_ context.Context, s *site, fleet *signalFleet) {
 			time.Sleep(3 * time.Second)
 			u, _ := s.first().fleet.Upstream(id)
-			u.Life, u.Revision = before, 40
+			u.Life, u.Revision = before, rev(40)
 			s.origin.publish(Change{Upstream: u})
 			time.Sleep(5 * time.Second)
 			fleet.mu.Lock()
 			fleet.spells = nil
 			fleet.told = map[member.UpstreamID]map[member.HostID][]toldSignal{}
 			fleet.mu.Unlock()
-			u.Life, u.Revision, u.Address = after, 50, address
+			u.Life, u.Revision, u.Address = after, rev(50), address
 			s.origin.publish(Change{Upstream: u})
 		}
 	}
@@ -187,7 +187,7 @@
 				f.fleet.Suspect(time.Now(), "llm3")
 				f.listEngines(time.Now(), f.Table()) // the first engine gets the run
 				time.AfterFunc(100*time.Millisecond, func() {
-					f.fleet.Replace(time.Now(), leaving(f, "llm1"), 2)
+					f.fleet.Replace(time.Now(), leaving(f, "llm1"), rev(2))
 					f.listEngines(time.Now(), f.Table())
 				})
 				f.Serve(t.Context(), call("/llm/"), sink)
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
@@ -31,7 +32,7 @@
 	// configuration was.
 	news     []Change
 	orders   []ZoneOrder
-	configAt Revision
+	configAt history.Point
 	// published closes at the next news and is made anew.
 	published chan struct{}
 	// kept are the requests that are held, each as it was kept last.
@@ -56,7 +57,7 @@
 }
 
 // originAt is the revision of the origin before any news.
-const originAt Revision = 10
+var originAt = rev(10)
 
 // publish changes the list; the revisions of changes rise.
 func (o *siteOrigin) publish(c Change) {
@@ -75,7 +76,7 @@
 }
 
 // configure changes the configuration.
-func (o *siteOrigin) configure(v Version, at Revision) {
+func (o *siteOrigin) configure(v Version, at history.Point) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.config, o.configAt = testConfig(v), at
@@ -92,22 +93,22 @@
 
 // since returns what was published after a revision, and a channel that closes when
 // there is more.
-func (o *siteOrigin) since(after Revision) (News, <-chan struct{}) {
+func (o *siteOrigin) since(after history.Point) (News, <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	news := News{At: max(originAt, o.configAt)}
-	if c := o.config; o.configAt > after {
+	news := News{At: history.Latest(originAt, o.configAt)}
+	if c := o.config; o.configAt.After(after) {
 		news.Config = &c
 	}
 	for _, c := range o.news {
-		news.At = max(news.At, c.Revision)
-		if c.Revision > after {
+		news.At = history.Latest(news.At, c.Revision)
+		if c.Revision.After(after) {
 			news.Changes = append(news.Changes, c)
 		}
 	}
 	for _, order := range o.orders {
-		news.At = max(news.At, order.Revision)
-		if order.Revision > after {
+		news.At = history.Latest(news.At, order.Revision)
+		if order.Revision.After(after) {
 			news.Zones = append(news.Zones, order)
 		}
 	}
@@ -117,12 +118,12 @@
 	return news, o.published
 }
 
-func (o *siteOrigin) Read(context.Context) (News, error) {
+func (o *siteOrigin) Read(context.Context, history.Era) (News, error) {
 	o.reads.Add(1)
 	if o.lost.Load() {
 		return News{}, errGone
 	}
-	news, _ := o.since(0)
+	news, _ := o.since(history.Point{})
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	config := o.config
@@ -149,7 +150,7 @@
 	return whole, nil
 }
 
-func (o *siteOrigin) Watch(ctx context.Context, after Revision, wait time.Duration) (News, error) {
+func (o *siteOrigin) Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error) {
 	o.watches.Add(1)
 	news, more := o.since(after)
 	if len(news.Changes) == 0 && len(news.Zones) == 0 && news.Config == nil {
@@ -165,7 +166,7 @@
 	if o.lost.Load() {
 		return News{}, errGone
 	}
-	news.At = max(news.At, after)
+	news.At = history.Latest(news.At, after)
 	return news, nil
 }
 
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -12,7 +12,7 @@
 // Ready reports whether this host should get new connections: not before it knows a
 // configuration and upstreams to send to.
 func (f *Forwarder) Ready() bool {
-	return f.table.Load() != nil && f.fleet.Revision() > 0 && !f.Stopping()
+	return f.table.Load() != nil && !f.fleet.Revision().IsZero() && !f.Stopping()
 }
 
 // Stopping reports whether the host is about to stop.
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -132,9 +132,9 @@
 			var list []Upstream
 			for n, zone := range c.zones {
 				id := member.UpstreamID(fmt.Sprintf("e%d", n))
-				list = append(list, Upstream{ID: id, Service: "llm", Address: "10.1.0.1:1", Zone: zone, Slots: 24, Revision: 2})
+				list = append(list, Upstream{ID: id, Service: "llm", Address: "10.1.0.1:1", Zone: zone, Slots: 24, Revision: rev(2)})
 			}
-			f.fleet.Replace(time.Now(), list, 2)
+			f.fleet.Replace(time.Now(), list, rev(2))
 			f.listEngines(time.Now(), f.Table())
 			f.Serve(t.Context(), call("/llm/"), sink)
 			sent := transport.sentTo()
@@ -295,7 +295,7 @@
 				f.fleet.Suspect(time.Now(), "llm3")
 				f.listEngines(time.Now(), f.Table()) // the first engine gets the run
 				time.AfterFunc(100*time.Millisecond, func() {
-					f.fleet.Replace(time.Now(), leaving(f, "llm1"), 2)
+					f.fleet.Replace(time.Now(), leaving(f, "llm1"), rev(2))
 					f.listEngines(time.Now(), f.Table())
 				})
 				f.Serve(t.Context(), call("/llm/"), sink)
@@ -330,7 +330,7 @@
 		f.fleet.Suspect(time.Now(), "llm3")
 		f.listEngines(time.Now(), f.Table())
 		time.AfterFunc(100*time.Millisecond, func() {
-			f.fleet.Replace(time.Now(), leaving(f, "llm1"), 2)
+			f.fleet.Replace(time.Now(), leaving(f, "llm1"), rev(2))
 			f.listEngines(time.Now(), f.Table())
 		})
 		f.Serve(t.Context(), call("/llm/"), sink)
@@ -343,7 +343,7 @@
 
 // leaving lists a forwarder's upstreams with some of them leaving.
 func leaving(f *Forwarder, ids ...member.UpstreamID) []Upstream {
-	changes, _, _ := f.fleet.Since(0)
+	changes, _, _ := f.fleet.Since(rev(0))
 	var list []Upstream
 	for _, c := range changes {
 		for _, id := range ids {
@@ -351,7 +351,7 @@
 				c.Leaving = true
 			}
 		}
-		c.Revision = 2
+		c.Revision = rev(2)
 		list = append(list, c.Upstream)
 	}
 	return list
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -15,6 +15,7 @@
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/clock/clocktest"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/quarantine"
 )
@@ -216,7 +217,7 @@
 
 func (p sleepyPeers) Follow(context.Context, Peer, FollowRequest) (FollowReply, error) {
 	p.s.Suspend(p.d)
-	return FollowReply{Version: 1, List: 1}, nil
+	return FollowReply{Version: 1, List: rev(1)}, nil
 }
 
 // sleepyOrigin answers a watch while the host is suspended.
@@ -226,9 +227,9 @@
 	d time.Duration
 }
 
-func (o sleepyOrigin) Watch(context.Context, Revision, time.Duration) (News, error) {
+func (o sleepyOrigin) Watch(context.Context, history.Point, time.Duration) (News, error) {
 	o.s.Suspend(o.d)
-	return News{At: 1}, nil
+	return News{At: rev(1)}, nil
 }
 
 // TestRequestThatWaitedMeanwhile has a request that is read just after the machine went on
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -19,8 +20,9 @@
 	Out bool
 	// Unread says that there is an order that can't be read: nothing changes by it.
 	Unread bool
-	// Revision is the list's when the order was given, or was found to be taken back.
-	Revision Revision
+	// Revision is where in the list's history the order was given, or was found to be taken
+	// back.
+	Revision history.Point
 }
 
 // zoneState is the newest order about a zone that this host knows.
@@ -28,6 +30,10 @@
 	ZoneOrder
 	// heard is when this host heard of it.
 	heard time.Time
+	// pending is what the copy says that the list was restored from, which is believed from
+	// pendingFrom on; nil for nothing else.
+	pending     *ZoneOrder
+	pendingFrom time.Time
 }
 
 // ApplyZones takes in orders that the list told, which are all that there were since
@@ -48,7 +54,7 @@
 
 // ReplaceZones takes in every order that the whole list has as of a revision: a zone
 // without one is back in service. It is to be called before Replace or TakeOver.
-func (f *Fleet) ReplaceZones(now time.Time, orders []ZoneOrder, at Revision) []ZoneOrder {
+func (f *Fleet) ReplaceZones(now time.Time, orders []ZoneOrder, at history.Point) []ZoneOrder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var news []ZoneOrder
@@ -61,7 +67,11 @@
 	}
 	for zone, known := range f.zones {
 		back := ZoneOrder{Zone: zone, Revision: at}
-		if !listed[zone] && known.Out && f.order(now, back) {
+		switch {
+		case listed[zone] || !known.Out:
+		case ofEarlierEra(known.Revision, at):
+			f.suspendOrder(now, back)
+		case f.order(now, back):
 			news = append(news, back)
 		}
 	}
@@ -76,7 +86,8 @@
 	defer f.mu.Unlock()
 	var news []ZoneOrder
 	for _, o := range orders {
-		if o.Revision > f.revision && f.order(now, o) {
+		onTrial := f.zones[o.Zone].pending != nil
+		if (o.Revision.After(f.revision) || onTrial) && f.order(now, o) {
 			news = append(news, o)
 		}
 	}
@@ -87,7 +98,13 @@
 // order takes in one order, unless it is no newer than what is known of its zone.
 func (f *Fleet) order(now time.Time, o ZoneOrder) bool {
 	known, any := f.zones[o.Zone]
-	if o.Unread || o.Zone == "" || any && o.Revision <= known.Revision {
+	switch {
+	case o.Unread || o.Zone == "" || any && o.Revision == known.Revision:
+		return false
+	case any && !f.restore.Supersedes(o.Revision, known.Revision):
+		if o.Out != known.Out && ofEarlierEra(known.Revision, o.Revision) {
+			f.suspendOrder(now, o)
+		}
 		return false
 	}
 	if f.zones == nil {
@@ -98,12 +115,12 @@
 }
 
 // ZonesSince returns the orders after a revision, or all of them, in the zones' order.
-func (f *Fleet) ZonesSince(after Revision, whole bool) []ZoneOrder {
+func (f *Fleet) ZonesSince(after history.Point, whole bool) []ZoneOrder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var orders []ZoneOrder
 	for _, z := range f.zones {
-		if whole || z.Revision > after {
+		if whole || z.Revision.After(after) {
 			orders = append(orders, z.ZoneOrder)
 		}
 	}
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -24,26 +25,28 @@
 	return u
 }
 
-func out(zone member.Zone, at Revision) ZoneOrder {
-	return ZoneOrder{Zone: zone, Out: true, Revision: at}
+func out(zone member.Zone, at history.Revision) ZoneOrder {
+	return ZoneOrder{Zone: zone, Out: true, Revision: rev(at)}
+}
+func back(zone member.Zone, at history.Revision) ZoneOrder {
+	return ZoneOrder{Zone: zone, Revision: rev(at)}
 }
-func back(zone member.Zone, at Revision) ZoneOrder { return ZoneOrder{Zone: zone, Revision: at} }
 
 // TestZoneOrders has orders taken in by their revision, from the list and from peers, in
 // whatever order they come.
 func TestZoneOrders(t *testing.T) {
-	unread := ZoneOrder{Zone: "a", Out: true, Unread: true, Revision: 30}
+	unread := ZoneOrder{Zone: "a", Out: true, Unread: true, Revision: rev(30)}
 	type step = func(f *Fleet, now time.Time)
-	apply := func(at Revision, orders ...ZoneOrder) step {
+	apply := func(at history.Revision, orders ...ZoneOrder) step {
 		return func(f *Fleet, now time.Time) {
 			f.ApplyZones(now, orders)
-			f.Apply(now, nil, at)
+			f.Apply(now, nil, rev(at))
 		}
 	}
-	read := func(at Revision, orders ...ZoneOrder) step {
+	read := func(at history.Revision, orders ...ZoneOrder) step {
 		return func(f *Fleet, now time.Time) {
-			f.ReplaceZones(now, orders, at)
-			f.Replace(now, []Upstream{upIn("ua", "a"), upIn("ub", "b")}, at)
+			f.ReplaceZones(now, orders, rev(at))
+			f.Replace(now, []Upstream{upIn("ua", "a"), upIn("ub", "b")}, rev(at))
 		}
 	}
 	hear := func(orders ...ZoneOrder) step {
@@ -75,7 +78,7 @@
 			is := is.New(t)
 			now := time.Now()
 			var f Fleet
-			f.Replace(now, []Upstream{upIn("ua", "a"), upIn("ub", "b")}, 10)
+			f.Replace(now, []Upstream{upIn("ua", "a"), upIn("ub", "b")}, rev(10))
 			for _, s := range c.steps {
 				s(&f, now)
 			}
@@ -102,15 +105,15 @@
 		follower.ApplyZones(now, orders)
 		follower.Apply(now, changes, at)
 	}
-	leader.Replace(now, list, 10)
+	leader.Replace(now, list, rev(10))
 	catchUp()
 	leader.ApplyZones(now, []ZoneOrder{out("a", 12)})
-	leader.Apply(now, nil, 12)
+	leader.Apply(now, nil, rev(12))
 	catchUp()
 	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"ub": true})
 	// A new leader has read the list after the order was taken back, and never knew it.
 	leader = Fleet{}
-	leader.Replace(now, list, 20)
+	leader.Replace(now, list, rev(20))
 	catchUp()
 	is.Equal(takers(&follower, now), map[member.UpstreamID]bool{"ua": true, "ub": true})
 }
@@ -122,10 +125,10 @@
 	var changes []Change
 	for _, id := range []member.UpstreamID{"app2", "app3", "llm2", "llm3"} {
 		u, _ := f.fleet.Upstream(id)
-		u.Zone, u.Revision = "z2", 2
+		u.Zone, u.Revision = "z2", rev(2)
 		changes = append(changes, Change{Upstream: u})
 	}
-	f.fleet.Apply(now, changes, 2)
+	f.fleet.Apply(now, changes, rev(2))
 	return f
 }
 
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
@@ -32,6 +33,8 @@
 	Leaving           []wireLeaving
 	Failing           []wireFailing
 	Cold              []wireCold
+	List              uint64
+	ListEra           uint64 `msgpack:",omitempty"`
 	Zones             []wireZoneOrder
 	Epoch             uint64
 	Crashes           []wireCrashes
@@ -56,12 +59,23 @@
 	Zone     string
 	Out      bool
 	Revision uint64
+	Era      uint64 `msgpack:",omitempty"`
 }
 
+// point is a point as two numbers of a message.
+func point(era, revision uint64) history.Point {
+	return history.At(history.Era(era), history.Revision(revision))
+}
+
+// numbers are a point's, for a message.
+func numbers(p history.Point) (era, revision uint64) { return uint64(p.Era()), uint64(p.Revision()) }
+
 func toWireZones(orders []forward.ZoneOrder) []wireZoneOrder {
 	var w []wireZoneOrder
 	for _, o := range orders {
-		w = append(w, wireZoneOrder{Zone: string(o.Zone), Out: o.Out, Revision: uint64(o.Revision)})
+		order := wireZoneOrder{Zone: string(o.Zone), Out: o.Out}
+		order.Era, order.Revision = numbers(o.Revision)
+		w = append(w, order)
 	}
 	return w
 }
@@ -69,7 +83,7 @@
 func zoneOrders(w []wireZoneOrder) []forward.ZoneOrder {
 	var orders []forward.ZoneOrder
 	for _, o := range w {
-		orders = append(orders, forward.ZoneOrder{Zone: member.Zone(o.Zone), Out: o.Out, Revision: forward.Revision(o.Revision)})
+		orders = append(orders, forward.ZoneOrder{Zone: member.Zone(o.Zone), Out: o.Out, Revision: point(o.Era, o.Revision)})
 	}
 	return orders
 }
@@ -108,6 +122,7 @@
 		Zones: toWireZones(s.Zones), Epoch: s.Epoch, Crashes: toWireCrashes(s.Crashes),
 		Limits: toWireLimits(s.Limits),
 	}
+	w.ListEra, w.List = numbers(s.List)
 	for _, r := range s.Runs {
 		w.Runs = append(w.Runs, wireRunState{
 			Run: string(r.Run), Service: string(r.Service), Engine: string(r.Engine), Life: int64(r.Life), Route: string(r.Route), Account: string(r.Account),
@@ -137,7 +152,7 @@
 		From:    forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
-		Zones: zoneOrders(w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
+		List: point(w.ListEra, w.List), Zones: zoneOrders(w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
 		Limits: limitMarks(w.Limits),
 	}
 	for _, r := range w.Runs {
@@ -177,6 +192,7 @@
 // wireFollow is forward.FollowRequest; the wait is in milliseconds.
 type wireFollow struct {
 	Version, List uint64
+	ListEra       uint64 `msgpack:",omitempty"`
 	Epoch, Found  uint64
 	Wait          int64
 }
@@ -188,6 +204,8 @@
 	Zones                []wireZoneOrder
 	Whole                bool
 	List                 uint64
+	ListEra              uint64 `msgpack:",omitempty"`
+	EraFrom              uint64
 	Hosts                []wireHost
 	Epoch, Found         uint64
 	ConfigAge, OriginAge int64
@@ -202,22 +220,26 @@
 	// Cold is how much longer it is cold, in milliseconds.
 	Cold     int64
 	Revision uint64
+	Era      uint64 `msgpack:",omitempty"`
 }
 
 type wireHost struct{ ID, Zone, Address string }
 
 func toWireFollowed(now time.Time, r forward.FollowReply) wireFollowed {
 	w := wireFollowed{
-		Version: uint64(r.Version), Whole: r.Whole, List: uint64(r.List), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
+		Version: uint64(r.Version), Whole: r.Whole, EraFrom: uint64(r.EraFrom.Revision()), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
 		Zones: toWireZones(r.Zones),
 	}
+	w.ListEra, w.List = numbers(r.List)
 	for _, c := range r.Changes {
-		w.Changes = append(w.Changes, wireChange{
+		change := wireChange{
 			ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
-			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing, Revision: uint64(c.Revision),
+			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing,
 			Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
-		})
+		}
+		change.Era, change.Revision = numbers(c.Revision)
+		w.Changes = append(w.Changes, change)
 	}
 	for _, h := range r.Hosts {
 		w.Hosts = append(w.Hosts, wireHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress})
@@ -227,7 +249,7 @@
 
 func (w wireFollowed) reply(now time.Time) forward.FollowReply {
 	r := forward.FollowReply{
-		Version: forward.Version(w.Version), Whole: w.Whole, List: forward.Revision(w.List), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
+		Version: forward.Version(w.Version), Whole: w.Whole, List: point(w.ListEra, w.List), EraFrom: point(w.ListEra, w.EraFrom), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 		Zones: zoneOrders(w.Zones),
 	}
@@ -244,7 +266,7 @@
 	c := forward.Change{
 		Upstream: forward.Upstream{
 			ID: member.UpstreamID(w.ID), Service: forward.ServiceName(w.Service), Address: w.Address,
-			Zone: member.Zone(w.Zone), Slots: w.Slots, Leaving: w.Leaving, Life: forward.Life(w.Life), Revision: forward.Revision(w.Revision),
+			Zone: member.Zone(w.Zone), Slots: w.Slots, Leaving: w.Leaving, Life: forward.Life(w.Life), Revision: point(w.Era, w.Revision),
 		},
 		Gone: w.Gone, Missing: w.Missing, Unusable: w.Unusable,
 	}
@@ -267,8 +289,9 @@
 func (m *Mesh) Follow(ctx context.Context, to forward.Peer, r forward.FollowRequest) (forward.FollowReply, error) {
 	var answer wireFollowed
 	request := wireFollow{
-		Version: uint64(r.Version), List: uint64(r.List), Epoch: r.Hosts.Epoch, Found: r.Hosts.Found, Wait: r.Wait.Milliseconds(),
+		Version: uint64(r.Version), Epoch: r.Hosts.Epoch, Found: r.Hosts.Found, Wait: r.Wait.Milliseconds(),
 	}
+	request.ListEra, request.List = numbers(r.List)
 	if err := m.call(ctx, to.PeerAddress, kindFollow, request, &answer); err != nil {
 		return forward.FollowReply{}, err
 	}
@@ -390,7 +413,7 @@
 			return nil, trace.Wrap(err)
 		}
 		r := forward.FollowRequest{
-			Version: forward.Version(w.Version), List: forward.Revision(w.List),
+			Version: forward.Version(w.Version), List: point(w.ListEra, w.List),
 			Hosts: forward.HostCursor{Epoch: w.Epoch, Found: w.Found}, Wait: time.Duration(w.Wait) * time.Millisecond,
 		}
 		reply := f.OnFollow(ctx, r)
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -52,7 +52,7 @@
 		b.Fatal(err)
 	}
 	asked := forward.New(forward.Settings{Self: forward.Peer{ID: "g", Zone: "z"}}, nil, nothingNoted{}, nothingCounted{})
-	asked.Fleet().Replace(time.Now(), []forward.Upstream{{ID: "u", Service: "app", Zone: "z", Revision: 1}}, 1)
+	asked.Fleet().Replace(time.Now(), []forward.Upstream{{ID: "u", Service: "app", Zone: "z", Revision: history.At(0, 1)}}, history.At(0, 1))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	server, caller := NewMesh("g", key), NewMesh("h", key)
@@ -80,7 +80,6 @@
 func (nothingCounted) Repeated(string)                              {}
 func (nothingCounted) Moved(string, time.Duration)                  {}
 func (nothingCounted) Unread(int)                                   {}
-func (nothingCounted) OriginEra(history.Era)                        {}
 func (nothingCounted) Broken(bool)                                  {}
 func (nothingCounted) Permit(permit.Outcome)                        {}
 func (nothingCounted) Send(eligibility.Verdict)                     {}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -36,7 +36,6 @@
 	movePause  prometheus.Observer
 	store      *prometheus.CounterVec
 	unread     prometheus.Counter
-	era        prometheus.Gauge
 	broken     *prometheus.CounterVec
 	suspended  prometheus.Counter
 	permits    *prometheus.CounterVec
@@ -64,7 +63,6 @@
 	f.movePause = f.histogram("move_pause_seconds", "How long a moved run stood still.", pauseBuckets).WithLabelValues()
 	f.store = f.counter("store_calls_total", "Calls to the platform's store.", "call", "outcome")
 	f.unread = f.counter("unread_entries_total", "Entries of the platform's store that couldn't be read or used.").WithLabelValues()
-	f.era = f.gauge("store_era", "Era of the platform's store, which rises when it is restored from a copy; zero while it isn't known.").WithLabelValues()
 	f.broken = f.counter("broken_connections_total", "Connections that an upstream ended before its answer, by whether it had ended itself.", "upstream")
 	f.suspended = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
 	f.permits = f.counter("permits_total", "Answers to whether something may be sent to an upstream that is bounded.", "outcome")
@@ -129,9 +127,6 @@
 // Unread counts entries that couldn't be read or used.
 func (f *Forward) Unread(entries int) { f.unread.Add(float64(entries)) }
 
-// OriginEra takes the store's era.
-func (f *Forward) OriginEra(e history.Era) { f.era.Set(float64(e)) }
-
 // Broken counts a connection that an upstream ended before its answer.
 func (f *Forward) Broken(ended bool) {
 	upstream := "there"
@@ -205,6 +200,13 @@
 	f.Gauge("peers", "Other hosts that were heard lately.", func() float64 { return float64(read()) })
 }
 
+// WatchEra has the metrics tell the era of the platform's store as this host knows it, and how
+// many hosts that were heard lately know another.
+func (f *Forward) WatchEra(era func() history.Era, disagreeing func() int) {
+	f.Gauge("store_era", "Era of the platform's store, which rises when it is restored from a copy; zero while it isn't known.", func() float64 { return float64(era()) })
+	f.Gauge("peers_in_other_era", "Other hosts, heard lately, that know another era of the platform's store.", func() float64 { return float64(disagreeing()) })
+}
+
 // StoreCall counts a call to the platform's store.
 func (f *Forward) StoreCall(call, outcome string) { f.store.WithLabelValues(call, outcome).Inc() }
 
