forward: a configuration older than a known one isn't taken for the newest

Callers of a host that starts on a copy's older configuration could be told 404 or 401 for routes and keys that a newer, acknowledged one has. Cause: each answer of the store counted as proof that the configuration in force is the newest; of a restored store it isn't. ContactProved, through which all such proofs go, now ignores them while a newer version is known of; such callers get 503 and go to another host.

--- a/forward/drill_test.go
+++ b/forward/drill_test.go
@@ -218,14 +218,7 @@
 		d.store.list(plainUp("app5"))
 	}
 	playDrill(t, 3, 3, before, func(d *drill) {
-		old := d.hosts["10.2.0.1:1"]
-		d.lose("10.2.0.1:1")
-		settings := old.settings
-		settings.FirstStart = false
-		fresh := New(settings, &fakeTransport{}, silentJournal{}, silentObserver{})
-		d.replace(fresh)
-		d.regain("10.2.0.1:1")
-		d.startHost(fresh)
+		d.restart("10.2.0.1:1")
 		d.hold("app1 gets nothing", time.Second, 2*time.Second, takesNot("app1"))
 		d.store.list(leavingUp("app1"))
 		d.store.list(plainUp("app5"))
@@ -235,3 +228,18 @@
 		})
 	})
 }
+
+// TestOlderConfigurationTakenForTheNewest: a copy may lack the newest, and a host that knows of it says of no route that it doesn't exist.
+func TestOlderConfigurationTakenForTheNewest(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		fresh := d.restart("10.1.0.1:1")
+		fresh.offers.raise(2) // by a host that has ended since
+		d.hold("version 1 isn't taken for the newest", 0, 3*time.Second, func(f *Forwarder) bool {
+			return f != fresh || f.ContactAge(f.now()) > f.settings.ContactBound
+		})
+		d.store.configure(2)
+		d.hold("version 2 is", configInForceWithin, time.Second, func(f *Forwarder) bool {
+			return f.versionInForce() == 2 && f.ContactAge(f.now()) <= f.settings.ContactBound
+		})
+	})
+}
--- a/forward/drillstore_test.go
+++ b/forward/drillstore_test.go
@@ -242,13 +242,15 @@
 	// noStore are the hosts that don't reach the store.
 	noStore map[member.HostID]bool
 	ctx     context.Context
+	// ends end the process at each address.
+	ends map[string]context.CancelFunc
 
 	found    sync.Mutex
 	findings []string
 }
 
 func newDrill(ctx context.Context, zones, hostsPerZone int) *drill {
-	d := &drill{site: newSite(zones, hostsPerZone, true), store: newDrillStore(), start: time.Now(), noStore: map[member.HostID]bool{}, ctx: ctx}
+	d := &drill{site: newSite(zones, hostsPerZone, true), store: newDrillStore(), start: time.Now(), noStore: map[member.HostID]bool{}, ctx: ctx, ends: map[string]context.CancelFunc{}}
 	for _, id := range []member.UpstreamID{"app1", "app2", "app3", "app4"} {
 		d.store.list(plainUp(id))
 	}
@@ -261,8 +263,26 @@
 
 // startHost runs a host's duties.
 func (d *drill) startHost(f *Forwarder) {
-	d.startBy(d.ctx, f, drillLink{d.store, f.settings.Self.ID, &d.cutMu, d.noStore})
-	go f.Run(d.ctx)
+	ctx, end := context.WithCancel(d.ctx)
+	d.mu.Lock()
+	d.ends[f.settings.Self.PeerAddress] = end
+	d.mu.Unlock()
+	d.startBy(ctx, f, drillLink{d.store, f.settings.Self.ID, &d.cutMu, d.noStore})
+	go f.Run(ctx)
+}
+
+// restart has a host's process end at once, and a new one start that knows nothing.
+func (d *drill) restart(address string) *Forwarder {
+	d.mu.Lock()
+	settings := d.hosts[address].settings
+	end := d.ends[address]
+	d.mu.Unlock()
+	end()
+	settings.FirstStart = false
+	fresh := New(settings, &fakeTransport{}, silentJournal{}, silentObserver{})
+	d.replace(fresh)
+	d.startHost(fresh)
+	return fresh
 }
 
 // withoutStore has hosts not reach the store, or reach it again.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -184,8 +184,14 @@
 	return true
 }
 
-// ContactProved takes in that the configuration was the newest at a time.
-func (f *Forwarder) ContactProved(at time.Time) { f.contact.raise(at) }
+// ContactProved takes in that the configuration was the newest at a time. A restored origin has
+// an older one than the newest that it acknowledged, so that isn't believed of one that is older
+// than what is known.
+func (f *Forwarder) ContactProved(at time.Time) {
+	if f.versionInForce() >= f.knownVersion() {
+		f.contact.raise(at)
+	}
+}
 
 // ContactAge is how long ago the configuration was last proved to be the newest;
 // neverProved when it wasn't.
