forward: a configuration that nobody has any more isn't looked for each second

Found while looking for calls with nothing new to hear: a host that knows of a configuration which the copy lacks read everything once a second, for as long as it wasn't written again. The pause now doubles, up to 32 s; the watch, which goes on meanwhile, tells of it the moment it is written.

--- a/forward/follow.go
+++ b/forward/follow.go
@@ -117,8 +117,9 @@
 	// refusals are the watches in a row whose point the origin didn't have.
 	refusals int
 	// configRead is when everything was last read because a newer configuration is
-	// known of than the one in force.
-	configRead time.Time
+	// known of than the one in force, and configReads how often in a row.
+	configRead  time.Time
+	configReads int
 	// began is when this host started to follow.
 	began time.Time
 	// nextTry is when an origin that failed is asked again although a peer can be
@@ -293,10 +294,11 @@
 	proved, slept := w.now(), w.settings.Clock.Slept()
 	var news News
 	var err error
-	if w.versionInForce() < w.knownVersion() && proved.Sub(w.configRead) >= watchWait {
+	if w.configReadDue(proved) {
 		// A watch goes on from the revision of the list, by which the configuration
 		// had been changed already.
 		w.read, w.configRead = true, proved
+		w.configReads++
 	}
 	if w.read {
 		news, err = w.from.Read(ctx, w.fleet.Revision().Era())
@@ -333,6 +335,20 @@
 	}
 }
 
+// mostConfigReads bounds how often the pause between two such readings doubles: a restored origin
+// may lack a configuration that is known of until it is written again.
+const mostConfigReads = 5
+
+// configReadDue reports whether everything is to be read because a newer configuration is known of
+// than the one in force.
+func (w *follower) configReadDue(now time.Time) bool {
+	if w.versionInForce() >= w.knownVersion() {
+		w.configReads = 0
+		return false
+	}
+	return now.Sub(w.configRead) >= watchWait<<min(w.configReads, mostConfigReads)
+}
+
 // historyGone takes in that the origin doesn't have the point that a watch goes on from, or was
 // restored during a reading: everything has to be read again.
 func (w *follower) historyGone(ctx context.Context) {
