forward: an ended upstream is remembered from its end on, not from when it began to leave

Found by reading what is remembered of the dropped: an upstream that a host had found leaving for over 30 s was forgotten the moment its entry went, and a copy that still has the entry made it a new upstream that takes work.

TestUpstreamOfLongDrainComesBack failed before (one taker), and passes.

--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -117,7 +117,7 @@
 			k.leave(now, SourceList)
 			news = append(news, Change{Upstream: k.Upstream, Gone: true})
 		}
-		if k.gone && now.Sub(k.leftAt) > forgetGone && (!k.said || now.Sub(k.droppedAt) > forgetSaid) {
+		if k.gone && now.Sub(k.droppedAt) > forgetGone && (!k.said || now.Sub(k.droppedAt) > forgetSaid) {
 			f.forgotten = history.Latest(f.forgotten, k.Revision)
 			delete(f.upstreams, id)
 		}
--- /dev/null
+++ b/forward/restore_test.go
@@ -0,0 +1,31 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/history"
+)
+
+// TestUpstreamOfLongDrainComesBack: one that had left for long before it ended is remembered as ended.
+func TestUpstreamOfLongDrainComesBack(t *testing.T) {
+	is := is.New(t)
+	var f Fleet
+	now := time.Now()
+	f.Replace(now, []Upstream{up("app4", 3, false)}, rev(3))
+	f.MarkLeaving(now, "app4", 0, true)
+	now = now.Add(forgetGone + time.Second)
+	f.Apply(now, []Change{{Upstream: up("app4", 5, false), Gone: true}}, rev(5))
+	f.Settle(now.Add(time.Second))
+	restored := history.At(1, 4)
+	f.EnterEra(now.Add(2*time.Second), restored, restored)
+	copied := up("app4", 0, false)
+	copied.Revision = history.At(1, 3)
+	f.ReplaceAll(now.Add(2*time.Second), []Change{{Upstream: copied}}, restored)
+	is.Equal(len(f.Takers(now.Add(2*time.Second), copied.Service)), 0)
+}
