--- a/forward/directory.go
+++ b/forward/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -35,6 +36,9 @@
 	// directoryTTL how long an entry stays without that.
 	directoryEvery = 20 * time.Second
 	directoryTTL   = 60 * time.Second
+	// directoryAgain is within what time after a restore of the origin this host's entry is
+	// written again, which a copy may lack.
+	directoryAgain = 2 * time.Second
 	// directoryRetry is the pause after a failed call. Refused calls have a
 	// price, too.
 	directoryRetry = 2 * time.Second
@@ -46,8 +50,15 @@
 	dep := dependency{name: "directory", journal: f.journal, now: f.now}
 	PauseFor(ctx, directoryDelay)
 	var renewAt time.Time
+	era := f.OriginEra()
 	for ctx.Err() == nil {
 		now := f.now()
+		if known := f.OriginEra(); known != era {
+			era = known
+			if again := now.Add(rand.N(directoryAgain)); again.Before(renewAt) {
+				renewAt = again
+			}
+		}
 		if now.Before(renewAt) || f.Stopping() || !f.peers.firstOfZone(now, listedPerZone) {
 			PauseFor(ctx, directoryCheck)
 			continue
--- a/forward/drill_test.go
+++ b/forward/drill_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // Bounds of the stated rules.
@@ -243,3 +245,19 @@
 		})
 	})
 }
+
+// TestDirectoryEntryThatTheCopyLost: hosts on the directory write their entries again, and no others do.
+func TestDirectoryEntryThatTheCopyLost(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		before := map[member.HostID]int32{}
+		for host, n := range d.entries {
+			before[host] = n.Load()
+		}
+		time.Sleep(3 * time.Second)
+		for host, n := range d.entries {
+			if wrote, listed := n.Load()-before[host], before[host] > 0; wrote > 1 || (wrote == 1) != listed {
+				d.finding("%s, listed %v, wrote its entry %d times", host, listed, wrote)
+			}
+		}
+	})
+}
