forward: requests that are held are kept again after a restore

A host that started with all others gone, after a restore, gave upstreams a request that had crashed three of them. Cause: what is kept of such requests is written once, when they are held; the copy may lack it. The host that is first for a request writes it again when the origin was restored.

TestHeldRequestThatTheCopyLost failed before (the store keeps nothing), and passes.

--- a/forward/drill_test.go
+++ b/forward/drill_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/quarantine"
 )
 
 // Bounds of the stated rules.
@@ -261,3 +262,23 @@
 		}
 	})
 }
+
+// TestHeldRequestThatTheCopyLost: it is kept again, for hosts that start when all have ended.
+func TestHeldRequestThatTheCopyLost(t *testing.T) {
+	asked := quarantine.Asked{Caller: "counter", Target: "/llm/x", Body: []byte("b")}
+	mark := quarantine.Mark{Request: asked.Fingerprint()}
+	for _, id := range []member.UpstreamID{"i-1", "i-2", "i-3"} {
+		mark.Crashes = append(mark.Crashes, quarantine.CrashAge{Upstream: quarantine.Upstream{ID: id}})
+	}
+	before := func(d *drill) {
+		f := d.each()[4]
+		f.hearCrashes(f.now(), []quarantine.Mark{mark})
+	}
+	playDrill(t, 3, 3, before, func(d *drill) {
+		time.Sleep(3 * time.Second)
+		news, err := drillLink{d.store, "", &d.cutMu, d.noStore}.Read(d.ctx, 0)
+		if err != nil || len(news.Crashes) != 1 || news.Crashes[0].Request != mark.Request {
+			d.finding("the store keeps %v, err %v", news.Crashes, err)
+		}
+	})
+}
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -170,4 +170,5 @@
 	}
 	f.journal.Belief("origin restored from a copy", "from", r.from, "to", r.to, "still_leaving", r.leaving,
 		"not_listed", r.unlisted, "listed_but_ended", r.ended, "zone_orders_kept", r.zones)
+	f.keepAgain(f.now())
 }
