forward: a host that is behind is told what its leader never knew

A host that follows one which itself knows only a part of the history kept sending to upstreams that had ended, or kept a zone out of service, until an attempt failed: the leader told what changed after the follower's revision, and what it had never known wasn't among that.

Four ways, each a case of the tests, which failed before: the leader had begun by following; a second reading of the list was followed across, which put the first gap out of mind; the leader was told the end of an upstream that it hadn't known, and dropped that; an order that it knew as taken back stood for the newer one that was taken back since.

Now gaps in what a host knows are remembered each by itself, whoever left them; a host that knows nothing is told the whole list; the end of an unknown upstream is remembered; an entry that is told as ended, or an order as taken back, is no entry of the list. The list is taken in at two places, one for the origin and one for a peer, in place of four calls in each.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -68,9 +69,9 @@
 	failedUntil, tellUntil time.Time
 	// renewed are upstreams that have begun a new life since TakeRenewed.
 	renewed []member.UpstreamID
-	// skippedFrom and skippedTo bound the revisions that were passed over by the last
-	// reading of the whole list: what came and went between them was never known here.
-	skippedFrom, skippedTo history.Point
+	// gaps are passed over by readings of the whole list: what came and went in them was never
+	// known here.
+	gaps []gap
 	// trustGoneFrom is when a missing upstream is believed to be gone: during
 	// and shortly after an outage the list may lack upstreams that live.
 	trustGoneFrom time.Time
@@ -195,12 +196,25 @@
 	return news
 }
 
+// gap is a part of the list's history, without its ends.
+type gap struct{ from, to history.Point }
+
+// mostGaps bounds how many are remembered; the oldest are joined.
+const mostGaps = 8
+
+func (g gap) has(p history.Point) bool { return g.from.Before(p) && p.Before(g.to) }
+
 // skipped takes in that the list is known as of a revision, but not each change since
 // the one that was known before.
 func (f *Fleet) skipped(before, at history.Point) {
 	f.revision = history.Latest(f.revision, at)
-	if at.After(before) {
-		f.skippedFrom, f.skippedTo = before, at
+	if !at.After(before) {
+		return
+	}
+	f.gaps = append(slices.DeleteFunc(f.gaps, func(g gap) bool { return !g.to.SameEra(at) }), gap{before, at})
+	if len(f.gaps) > mostGaps {
+		f.gaps[1].from = f.gaps[0].from
+		f.gaps = f.gaps[1:]
 	}
 }
 
@@ -210,7 +224,7 @@
 	}
 	k := f.upstreams[c.ID]
 	if k == nil {
-		if c.Gone || c.Missing || c.Unusable {
+		if c.Missing || c.Unusable {
 			return false
 		}
 		k = newKnown(c.Upstream)
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -66,12 +66,12 @@
 
 // Since returns what changed after a revision, for a peer that follows this host,
 // and this host's own revision. It is the whole list where this host doesn't remember
-// all that was dropped since, and where the peer knows another era.
+// all that was dropped since, and where the peer knows another era or nothing.
 func (f *Fleet) Since(after history.Point) (changes []Change, at history.Point, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	whole = after.Before(f.forgotten) || f.skippedFrom.Before(after) && after.Before(f.skippedTo) ||
-		!after.IsZero() && !after.SameEra(f.revision)
+	whole = after.IsZero() || after.Before(f.forgotten) || slices.ContainsFunc(f.gaps, func(g gap) bool { return g.has(after) }) ||
+		!after.SameEra(f.revision)
 	for _, k := range f.upstreams {
 		if whole || k.Revision.After(after) {
 			changes = append(changes, k.change())
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -376,15 +376,12 @@
 	}
 	w.peers.list(now, news.Hosts)
 	w.hearCrashes(now, news.Crashes)
-	w.fleet.EnterEra(now, news.At, news.At)
 	if w.read {
 		w.journal.Belief("list read", "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
-		w.noteZones(w.fleet.ReplaceZones(now, news.Zones, news.At))
-		w.noteList(w.fleet.ReplaceAll(now, news.Changes, news.At))
-	} else {
-		w.noteZones(w.fleet.ApplyZones(now, news.Zones))
-		w.noteList(w.fleet.Apply(now, news.Changes, news.At))
 	}
+	zones, changes := w.fleet.TakeNews(now, news, w.read)
+	w.noteZones(zones)
+	w.noteList(changes)
 	if lostFor := w.dep.ok(now); lostFor > 0 {
 		w.fleet.ListRegained(now, lostFor)
 	}
@@ -396,6 +393,16 @@
 	w.proofInherited.Store(false)
 }
 
+// TakeNews takes the origin's list in, the whole of it or what is new. It returns what made a
+// difference.
+func (f *Fleet) TakeNews(now time.Time, news News, whole bool) ([]ZoneOrder, []Change) {
+	f.enterEra(now, news.At, news.At)
+	if whole {
+		return f.ReplaceZones(now, news.Zones, news.At), f.ReplaceAll(now, news.Changes, news.At)
+	}
+	return f.ApplyZones(now, news.Zones), f.Apply(now, news.Changes, news.At)
+}
+
 // unreadPause is the least time between two lines about entries that can't be read: they
 // may be written anew several times a second.
 const unreadPause = time.Second
--- /dev/null
+++ b/forward/followgaps_test.go
@@ -0,0 +1,74 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/history"
+)
+
+// follows has a fleet take in what another has that is newer.
+func follows(now time.Time, f, leader *Fleet) {
+	r := FollowReply{}
+	after := f.Revision()
+	r.Changes, r.List, r.Whole = leader.Since(after)
+	r.Zones = leader.ZonesSince(after, r.Whole)
+	f.TakeReply(now, r)
+}
+
+// TestFollowerIsNotToldWhatItsLeaderNeverKnew: a host that knows only a part of the history is followed by one that is behind.
+func TestFollowerIsNotToldWhatItsLeaderNeverKnew(t *testing.T) {
+	now := time.Now()
+	listed := Change{Upstream: up("app1", 3, false)}
+	ended := Change{Upstream: up("app1", 4, false), Gone: true}
+	read := func(at history.Revision, changes ...Change) *Fleet {
+		f := &Fleet{}
+		f.TakeNews(now, News{Changes: changes, At: rev(at)}, true)
+		return f
+	}
+	for name, leader := range map[string]func() *Fleet{
+		"it began by following a host that had read the list": func() *Fleet {
+			f := &Fleet{}
+			follows(now, f, read(5))
+			return f
+		},
+		"it followed on across another's reading": func() *Fleet {
+			f := read(4)
+			follows(now, f, read(5))
+			return f
+		},
+		"it was told the end of what it hadn't known": func() *Fleet {
+			f := read(2)
+			f.TakeNews(now, News{Changes: []Change{ended}, At: rev(5)}, false)
+			return f
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			behind := read(3, listed)
+			is.Equal(len(behind.Takers(now, listed.Service)), 1)
+			follows(now, behind, leader())
+			now := now.Add(listSettles + time.Second)
+			behind.Settle(now)
+			is.Equal(len(behind.Takers(now, listed.Service)), 0)
+		})
+	}
+}
+
+// TestZoneStaysOutAtAFollower: its leader knows an older order to be taken back, and reads that there is none.
+func TestZoneStaysOutAtAFollower(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var leader, behind Fleet
+	leader.HearZones(now, []ZoneOrder{back("z2", 5)})
+	leader.TakeNews(now, News{At: rev(7)}, true)
+	behind.TakeNews(now, News{Zones: []ZoneOrder{out("z2", 6)}, At: rev(6)}, true)
+	is.True(!behind.InService("z2"))
+	follows(now, &behind, &leader)
+	is.True(behind.InService("z2"))
+}
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -171,17 +171,21 @@
 		f.followed.raise(now)
 		f.fleet.ListTrusted()
 	}
-	f.fleet.EnterEra(now, reply.List, reply.EraFrom)
-	if reply.Whole {
-		f.noteZones(f.fleet.ReplaceZones(now, reply.Zones, reply.List))
-		f.noteList(f.fleet.TakeOver(now, reply.Changes, reply.List))
-		return true
-	}
-	f.noteZones(f.fleet.ApplyZones(now, reply.Zones))
-	f.noteList(f.fleet.Apply(now, reply.Changes, reply.List))
+	zones, changes := f.fleet.TakeReply(now, reply)
+	f.noteZones(zones)
+	f.noteList(changes)
 	return true
 }
 
+// TakeReply takes a peer's list in. It returns what made a difference.
+func (f *Fleet) TakeReply(now time.Time, r FollowReply) ([]ZoneOrder, []Change) {
+	f.enterEra(now, r.List, r.EraFrom)
+	if r.Whole {
+		return f.ReplaceZones(now, r.Zones, r.List), f.TakeOver(now, r.Changes, r.List)
+	}
+	return f.ApplyZones(now, r.Zones), f.Apply(now, r.Changes, r.List)
+}
+
 func (f *Forwarder) versionInForce() Version {
 	if t := f.table.Load(); t != nil {
 		return t.Version
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -78,7 +78,7 @@
 	var news []Change
 	listed := make(map[member.UpstreamID]bool, len(list))
 	for _, c := range list {
-		listed[c.ID] = true
+		listed[c.ID] = !c.Gone
 		if f.apply(now, c) {
 			news = append(news, c)
 		}
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -33,9 +33,9 @@
 	leaving, unlisted, ended, zones int
 }
 
-// EnterEra takes in that the origin is at a point, whose era was first seen at another. It is to
+// enterEra takes in that the origin is at a point, whose era was first seen at another. It is to
 // be called before what was read there is taken in.
-func (f *Fleet) EnterEra(now time.Time, at, first history.Point) {
+func (f *Fleet) enterEra(now time.Time, at, first history.Point) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.restore.Saw(first)
--- a/forward/restore_test.go
+++ b/forward/restore_test.go
@@ -23,9 +23,8 @@
 	f.Apply(now, []Change{{Upstream: up("app4", 5, false), Gone: true}}, rev(5))
 	f.Settle(now.Add(time.Second))
 	restored := history.At(1, 4)
-	f.EnterEra(now.Add(2*time.Second), restored, restored)
 	copied := up("app4", 0, false)
 	copied.Revision = history.At(1, 3)
-	f.ReplaceAll(now.Add(2*time.Second), []Change{{Upstream: copied}}, restored)
+	f.TakeNews(now.Add(2*time.Second), News{Changes: []Change{{Upstream: copied}}, At: restored}, true)
 	is.Equal(len(f.Takers(now.Add(2*time.Second), copied.Service)), 0)
 }
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -60,7 +60,7 @@
 	var news []ZoneOrder
 	listed := make(map[member.Zone]bool, len(orders))
 	for _, o := range orders {
-		listed[o.Zone] = true
+		listed[o.Zone] = o.Out
 		if f.order(now, o) {
 			news = append(news, o)
 		}
