forward: what hosts keep over a restore, and tell each other of it, by a state machine

What callers would have seen: a zone left out of service for good, an ended upstream that gets requests again, a living one that gets none, at hosts that followed one which was in doubt itself. Cause: what a copy tells otherwise than was known is believed after a while (pending); that was kept when the list spoke of the key again, and peers were told what stood meanwhile as if it were new.

Now each word of the list about a key ends what was pending of it; peers are told what is pending, with when it is believed, and decide by what they know: a host that knows the present era takes it at once. Orders no newer than what is pending change nothing.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -41,6 +41,9 @@
 	Unusable bool
 	// ColdUntil is when it will be warm; zero for one that isn't cold.
 	ColdUntil time.Time
+	// BelievedFrom is when this is believed of an upstream that had ended before the list was
+	// restored from a copy, which still has it; zero for others.
+	BelievedFrom time.Time
 }
 
 // Fleet is what this host believes about the upstreams. The zero value knows
@@ -90,10 +93,9 @@
 	// unlisted says that it is missing because the copy that the list was restored from lacks
 	// it: it takes work until relistedBy.
 	unlisted bool
-	// pending is what the copy says of an upstream that was gone, which is believed from
-	// pendingFrom on; nil for none.
-	pending     *Change
-	pendingFrom time.Time
+	// pending is what the copy says of an upstream that was gone, which is believed from its
+	// BelievedFrom on; nil for none.
+	pending *Change
 	// droppedAt is when it was dropped last.
 	droppedAt time.Time
 	// declared says that the list told that it leaves, and didn't just drop it.
@@ -179,10 +181,11 @@
 		}
 	}
 	for id, k := range f.upstreams {
-		if listed[id] || k.gone || k.Revision.After(at) {
+		if listed[id] || k.Revision.After(at) {
 			continue
 		}
-		if f.unlist(now, k, at) {
+		k.pending = nil
+		if k.gone || f.unlist(now, k, at) {
 			continue
 		}
 		gone := Change{Upstream: k.Upstream, Gone: true}
@@ -233,6 +236,8 @@
 	switch {
 	case k.isOver(c.Life):
 		return false
+	case !c.BelievedFrom.IsZero():
+		return f.doubt(now, k, c)
 	case !f.restore.Supersedes(c.Revision, k.Revision):
 		return f.reconcile(now, k, c)
 	default:
@@ -327,6 +332,9 @@
 func (k *known) change() Change {
 	c := Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing, Unusable: k.unusable, ColdUntil: k.coldUntil}
 	c.Leaving = k.Leaving && (k.declared || !k.hinted)
+	if k.pending != nil {
+		return *k.pending
+	}
 	return c
 }
 
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -85,7 +85,9 @@
 	}
 	for id, k := range f.upstreams {
 		switch {
-		case listed[id] || k.gone || k.Revision.After(at):
+		case listed[id] || k.Revision.After(at):
+		case k.gone:
+			k.pending = nil
 		case f.unlist(now, k, at):
 		case !k.Leaving:
 			f.miss(now, k, at)
@@ -106,8 +108,9 @@
 	defer f.mu.Unlock()
 	var news []Change
 	for id, k := range f.upstreams {
-		if k.pending != nil && !now.Before(k.pendingFrom) {
+		if k.pending != nil && !now.Before(k.pending.BelievedFrom) {
 			c := *k.pending
+			c.BelievedFrom = time.Time{}
 			if f.set(now, k, c) {
 				news = append(news, c)
 			}
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -70,6 +70,7 @@
 	restored := ofEarlierEra(k.Revision, c.Revision)
 	switch {
 	case restored && (c.Gone || c.Missing):
+		k.pending = nil
 		f.unlist(now, k, c.Revision)
 		return false
 	case k.Revision.SameEra(c.Revision), c.Gone, c.Missing, c.Unusable:
@@ -89,17 +90,36 @@
 	case c.Life.newerThan(k.Life):
 		return f.set(now, k, c)
 	case k.gone && k.pending == nil:
-		k.pending, k.pendingFrom = &c, now.Add(lapseWithin)
+		c.BelievedFrom = now.Add(lapseWithin)
+		k.pending = &c
 		f.restored.count(func(r *restoreCounts) { r.ended++ })
 	case k.missing:
 		k.missing, k.unlisted = false, false
 	case k.declared && !c.Leaving:
 		f.tellPeers(k, now.Add(saidShared))
 		f.restored.count(func(r *restoreCounts) { r.leaving++ })
+	case !k.gone:
+		k.Revision = c.Revision
 	}
 	return false
 }
 
+// doubt takes in what a peer doesn't believe yet of an upstream that it knew to have ended. A host
+// that knows no more of it than the copy doesn't, either.
+func (f *Fleet) doubt(now time.Time, k *known, c Change) bool {
+	switch {
+	case k.gone:
+		k.pending = &c
+		return false
+	case k.Revision.After(c.Revision):
+		return false
+	}
+	k.gone, k.missing, k.unlisted, k.droppedAt, k.pending = true, false, false, now, &c
+	k.Revision = history.Point{}
+	k.leave(now, SourcePeer)
+	return true
+}
+
 // unlist takes in that a list of a new era lacks an upstream. It reports false for one that was
 // known in that era already.
 func (f *Fleet) unlist(now time.Time, k *known, at history.Point) bool {
@@ -118,12 +138,14 @@
 // believed.
 func (f *Fleet) suspendOrder(now time.Time, o ZoneOrder) {
 	known := f.zones[o.Zone]
-	if known.pending == nil {
-		known.pendingFrom = now.Add(reorderWithin)
+	o.BelievedFrom = now.Add(reorderWithin)
+	if known.pending != nil {
+		o.BelievedFrom = known.pending.BelievedFrom
+	} else {
 		f.restored.count(func(r *restoreCounts) { r.zones++ })
 	}
 	known.pending = &o
-	f.zones[o.Zone] = known
+	f.setZone(known)
 }
 
 // SettleZones believes what a restored list has said of zones for long enough. It returns the
@@ -133,10 +155,11 @@
 	defer f.mu.Unlock()
 	var news []ZoneOrder
 	for zone, known := range f.zones {
-		if known.pending == nil || now.Before(known.pendingFrom) {
+		if known.pending == nil || now.Before(known.pending.BelievedFrom) {
 			continue
 		}
 		o := *known.pending
+		o.BelievedFrom = time.Time{}
 		f.zones[zone] = zoneState{ZoneOrder: o, heard: now}
 		if known.Out != o.Out {
 			news = append(news, o)
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -23,6 +23,9 @@
 	// Revision is where in the list's history the order was given, or was found to be taken
 	// back.
 	Revision history.Point
+	// BelievedFrom is when an order that a restored list tells otherwise than before the restore
+	// is believed; zero for others.
+	BelievedFrom time.Time
 }
 
 // zoneState is the newest order about a zone that this host knows.
@@ -30,10 +33,9 @@
 	ZoneOrder
 	// heard is when this host heard of it.
 	heard time.Time
-	// pending is what the copy says that the list was restored from, which is believed from
-	// pendingFrom on; nil for nothing else.
-	pending     *ZoneOrder
-	pendingFrom time.Time
+	// pending is what the copy says that the list was restored from, which is believed from its
+	// BelievedFrom on; nil for nothing else.
+	pending *ZoneOrder
 }
 
 // ApplyZones takes in orders that the list told, which are all that there were since
@@ -68,7 +70,10 @@
 	for zone, known := range f.zones {
 		back := ZoneOrder{Zone: zone, Revision: at}
 		switch {
-		case listed[zone] || !known.Out:
+		case listed[zone]:
+		case !known.Out:
+			known.pending = nil
+			f.zones[zone] = known
 		case ofEarlierEra(known.Revision, at):
 			f.suspendOrder(now, back)
 		case f.order(now, back):
@@ -101,17 +106,33 @@
 	switch {
 	case o.Unread || o.Zone == "" || any && o.Revision == known.Revision:
 		return false
+	case known.pending != nil && !o.Revision.After(known.pending.Revision):
+		return false
+	case !o.BelievedFrom.IsZero() && (!any || ofEarlierEra(known.Revision, o.Revision) && known.Out != o.Out):
+		was := known.Out
+		known.Zone, known.Out, known.pending = o.Zone, !o.Out, &o
+		f.setZone(known)
+		return was != known.Out
 	case any && !f.restore.Supersedes(o.Revision, known.Revision):
-		if o.Out != known.Out && ofEarlierEra(known.Revision, o.Revision) {
+		switch {
+		case !ofEarlierEra(known.Revision, o.Revision):
+		case o.Out != known.Out:
 			f.suspendOrder(now, o)
+		default:
+			f.setZone(zoneState{ZoneOrder: o, heard: known.heard})
 		}
 		return false
 	}
+	o.BelievedFrom = time.Time{}
+	f.setZone(zoneState{ZoneOrder: o, heard: now})
+	return known.Out != o.Out
+}
+
+func (f *Fleet) setZone(z zoneState) {
 	if f.zones == nil {
 		f.zones = map[member.Zone]zoneState{}
 	}
-	f.zones[o.Zone] = zoneState{ZoneOrder: o, heard: now}
-	return known.Out != o.Out
+	f.zones[z.Zone] = z
 }
 
 // ZonesSince returns the orders after a revision, or all of them, in the zones' order.
@@ -120,8 +141,12 @@
 	defer f.mu.Unlock()
 	var orders []ZoneOrder
 	for _, z := range f.zones {
-		if whole || z.Revision.After(after) {
-			orders = append(orders, z.ZoneOrder)
+		o := z.ZoneOrder
+		if z.pending != nil {
+			o = *z.pending
+		}
+		if whole || o.Revision.After(after) {
+			orders = append(orders, o)
 		}
 	}
 	slices.SortFunc(orders, func(a, b ZoneOrder) int { return strings.Compare(string(a.Zone), string(b.Zone)) })
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -60,6 +60,23 @@
 	Out      bool
 	Revision uint64
 	Era      uint64 `msgpack:",omitempty"`
+	// Believed is in how many milliseconds this is believed; zero for now.
+	Believed int64 `msgpack:",omitempty"`
+}
+
+// believedIn is in how many milliseconds something is believed; zero for now.
+func believedIn(now, from time.Time) int64 {
+	if from.IsZero() {
+		return 0
+	}
+	return max(from.Sub(now).Milliseconds(), 1)
+}
+
+func believedFrom(now time.Time, in int64) time.Time {
+	if in <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(in) * time.Millisecond)
 }
 
 // point is a point as two numbers of a message.
@@ -70,20 +87,22 @@
 // numbers are a point's, for a message.
 func numbers(p history.Point) (era, revision uint64) { return uint64(p.Era()), uint64(p.Revision()) }
 
-func toWireZones(orders []forward.ZoneOrder) []wireZoneOrder {
+func toWireZones(now time.Time, orders []forward.ZoneOrder) []wireZoneOrder {
 	var w []wireZoneOrder
 	for _, o := range orders {
-		order := wireZoneOrder{Zone: string(o.Zone), Out: o.Out}
+		order := wireZoneOrder{Zone: string(o.Zone), Out: o.Out, Believed: believedIn(now, o.BelievedFrom)}
 		order.Era, order.Revision = numbers(o.Revision)
 		w = append(w, order)
 	}
 	return w
 }
 
-func zoneOrders(w []wireZoneOrder) []forward.ZoneOrder {
+func zoneOrders(now time.Time, w []wireZoneOrder) []forward.ZoneOrder {
 	var orders []forward.ZoneOrder
 	for _, o := range w {
-		orders = append(orders, forward.ZoneOrder{Zone: member.Zone(o.Zone), Out: o.Out, Revision: point(o.Era, o.Revision)})
+		orders = append(orders, forward.ZoneOrder{
+			Zone: member.Zone(o.Zone), Out: o.Out, Revision: point(o.Era, o.Revision), BelievedFrom: believedFrom(now, o.Believed),
+		})
 	}
 	return orders
 }
@@ -115,11 +134,11 @@
 	Begun int64
 }
 
-func toWireShare(s forward.Share) wireShare {
+func toWireShare(now time.Time, s forward.Share) wireShare {
 	w := wireShare{
 		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Version: uint64(s.Version),
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
-		Zones: toWireZones(s.Zones), Epoch: s.Epoch, Crashes: toWireCrashes(s.Crashes),
+		Zones: toWireZones(now, s.Zones), Epoch: s.Epoch, Crashes: toWireCrashes(s.Crashes),
 		Limits: toWireLimits(s.Limits),
 	}
 	w.ListEra, w.List = numbers(s.List)
@@ -147,12 +166,12 @@
 	return w
 }
 
-func (w wireShare) share() forward.Share {
+func (w wireShare) share(now time.Time) forward.Share {
 	s := forward.Share{
 		From:    forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
-		List: point(w.ListEra, w.List), Zones: zoneOrders(w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
+		List: point(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
 		Limits: limitMarks(w.Limits),
 	}
 	for _, r := range w.Runs {
@@ -218,7 +237,9 @@
 	Unusable                   bool
 	Life                       int64
 	// Cold is how much longer it is cold, in milliseconds.
-	Cold     int64
+	Cold int64
+	// Believed is in how many milliseconds this is believed; zero for now.
+	Believed int64 `msgpack:",omitempty"`
 	Revision uint64
 	Era      uint64 `msgpack:",omitempty"`
 }
@@ -229,7 +250,7 @@
 	w := wireFollowed{
 		Version: uint64(r.Version), Whole: r.Whole, EraFrom: uint64(r.EraFrom.Revision()), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
-		Zones: toWireZones(r.Zones),
+		Zones: toWireZones(now, r.Zones),
 	}
 	w.ListEra, w.List = numbers(r.List)
 	for _, c := range r.Changes {
@@ -239,6 +260,7 @@
 			Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
 		}
 		change.Era, change.Revision = numbers(c.Revision)
+		change.Believed = believedIn(now, c.BelievedFrom)
 		w.Changes = append(w.Changes, change)
 	}
 	for _, h := range r.Hosts {
@@ -251,7 +273,7 @@
 	r := forward.FollowReply{
 		Version: forward.Version(w.Version), Whole: w.Whole, List: point(w.ListEra, w.List), EraFrom: point(w.ListEra, w.EraFrom), HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
-		Zones: zoneOrders(w.Zones),
+		Zones: zoneOrders(now, w.Zones),
 	}
 	for _, c := range w.Changes {
 		r.Changes = append(r.Changes, c.change(now))
@@ -273,16 +295,17 @@
 	if w.Cold > 0 {
 		c.ColdUntil = now.Add(time.Duration(w.Cold) * time.Millisecond)
 	}
+	c.BelievedFrom = believedFrom(now, w.Believed)
 	return c
 }
 
 // Share tells a peer about this host.
 func (m *Mesh) Share(ctx context.Context, to forward.Peer, s forward.Share) (forward.Share, error) {
 	var answer wireShare
-	if err := m.call(ctx, to.PeerAddress, kindShare, toWireShare(s), &answer); err != nil {
+	if err := m.call(ctx, to.PeerAddress, kindShare, toWireShare(m.clock.Now(), s), &answer); err != nil {
 		return forward.Share{}, err
 	}
-	return answer.share(), nil
+	return answer.share(m.clock.Now()), nil
 }
 
 // Follow asks a peer for what is newer there.
@@ -406,7 +429,7 @@
 		if err := msgpack.Unmarshal(body, &w); err != nil {
 			return nil, trace.Wrap(err)
 		}
-		return toWireShare(f.OnShare(w.share())), nil
+		return toWireShare(m.clock.Now(), f.OnShare(w.share(m.clock.Now()))), nil
 	case kindFollow:
 		var w wireFollow
 		if err := msgpack.Unmarshal(body, &w); err != nil {
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -35,7 +35,7 @@
 	}
 	is.Equal(toWirePermitted(reply).reply(), reply)
 	share := forward.Share{Limits: []ratelimit.Mark{mark}}
-	is.Equal(toWireShare(share).share().Limits, share.Limits)
+	is.Equal(toWireShare(time.Now(), share).share(time.Now()).Limits, share.Limits)
 	for _, bad := range []float64{-1, math.NaN(), math.Inf(-1)} {
 		is.Equal(wireLimit{Rate: bad}.mark().Rate, ratelimit.Rate(0))
 		is.Equal(wirePermit{Rate: bad}.ask().Rate, ratelimit.Rate(0))
--- /dev/null
+++ b/internal/peer/points_test.go
@@ -0,0 +1,39 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package peer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/history"
+)
+
+// TestEraIsLostOnTheWire: a revision without its era is taken for one of another history.
+func TestEraIsLostOnTheWire(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	orders := []forward.ZoneOrder{
+		{Zone: "z1", Out: true, Revision: history.At(3, 5)}, {Zone: "z2", Revision: history.At(4, 6), BelievedFrom: now.Add(30 * time.Second)},
+	}
+	sent := forward.FollowReply{
+		Whole: true, List: history.At(4, 9), EraFrom: history.At(4, 7), Zones: orders,
+		Changes: []forward.Change{{Upstream: forward.Upstream{ID: "u", Revision: history.At(3, 8)}, BelievedFrom: now.Add(5 * time.Second)}},
+	}
+	text, err := msgpack.Marshal(toWireFollowed(now, sent))
+	is.NoErr(err)
+	var got wireFollowed
+	is.NoErr(msgpack.Unmarshal(text, &got))
+	reply := got.reply(now)
+	is.Equal([]history.Point{reply.List, reply.EraFrom, reply.Changes[0].Revision}, []history.Point{sent.List, sent.EraFrom, sent.Changes[0].Revision})
+	is.Equal(reply.Changes[0].BelievedFrom, sent.Changes[0].BelievedFrom)
+	is.Equal(reply.Zones, orders)
+	share := toWireShare(now, forward.Share{List: history.At(4, 9), Zones: orders}).share(now)
+	is.Equal(share.List, history.At(4, 9))
+	is.Equal(share.Zones, orders)
+}
--- a/internal/peer/quarantine_test.go
+++ b/internal/peer/quarantine_test.go
@@ -67,9 +67,9 @@
 		Crashes: []quarantine.CrashAge{{Upstream: quarantine.Upstream{ID: "e1", Life: 7}, Ago: 250 * time.Millisecond}},
 		Cleared: []quarantine.Upstream{{ID: "e2", Life: 9}},
 	}}
-	share := toWireShare(forward.Share{Crashes: marks, Epoch: 5})
-	is.Equal(share.share().Crashes, marks)
-	is.Equal(share.share().Epoch, uint64(5))
+	share := toWireShare(time.Now(), forward.Share{Crashes: marks, Epoch: 5})
+	is.Equal(share.share(time.Now()).Crashes, marks)
+	is.Equal(share.share(time.Now()).Epoch, uint64(5))
 	share.Crashes[0].Head = nil
-	is.Equal(len(share.share().Crashes), 0)
+	is.Equal(len(share.share(time.Now()).Crashes), 0)
 }
