forward: a configuration counts as the newest until a newer one was known

A fault of 'a configuration older than a known one isn't taken for the newest': while configurations come faster than they can be fetched, hosts always know of a newer one, took no proof any more, and were followed by nobody after 3.6 s; one of their followers heard late that an upstream leaves.

A proof is now ignored only if it is of a time at which a newer version was known; so what was fetched is proved by its peer's word of when it asked. TestProofBeforeANewerConfigurationIsLost failed before.

--- a/forward/configfetch.go
+++ b/forward/configfetch.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -38,18 +39,54 @@
 	next chan configOffer
 
 	mu sync.Mutex
-	// newest is the newest version that was ever offered.
-	newest Version
+	// known are the versions that were offered, each newer than the one before.
+	known []knownVersion
 }
 
+// knownVersion is a version that was offered, and when that was first.
+type knownVersion struct {
+	version Version
+	since   time.Time
+}
+
+// mostKnownVersions bounds how many are remembered.
+const mostKnownVersions = 64
+
 func newConfigOffers() *configOffers { return &configOffers{next: make(chan configOffer, 1)} }
 
-// raise takes in that a version was offered, and returns the newest that was.
-func (o *configOffers) raise(v Version) Version {
+// raise takes in that a version was offered.
+func (o *configOffers) raise(now time.Time, v Version) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if n := len(o.known); n > 0 && o.known[n-1].version >= v {
+		return
+	}
+	o.known = append(o.known, knownVersion{v, now})
+	if len(o.known) > mostKnownVersions {
+		o.known = slices.Delete(o.known, 0, 1)
+	}
+}
+
+// newest is the newest version that was ever offered.
+func (o *configOffers) newest() Version {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.newest = max(o.newest, v)
-	return o.newest
+	if n := len(o.known); n > 0 {
+		return o.known[n-1].version
+	}
+	return 0
+}
+
+// newerSince tells since when a version is known that is newer than another, if one is.
+func (o *configOffers) newerSince(v Version) (time.Time, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, k := range o.known {
+		if k.version > v {
+			return k.since, true
+		}
+	}
+	return time.Time{}, false
 }
 
 // offerConfig takes in that a peer has a configuration of a version, which is fetched if
@@ -58,7 +95,7 @@
 	if v <= f.versionInForce() {
 		return
 	}
-	f.offers.raise(v)
+	f.offers.raise(f.now(), v)
 	offer := configOffer{from: from, version: v}
 	for {
 		select {
@@ -83,7 +120,7 @@
 
 // knownVersion is the newest version that this host has or was offered.
 func (f *Forwarder) knownVersion() Version {
-	return f.offers.raise(f.versionInForce())
+	return max(f.offers.newest(), f.versionInForce())
 }
 
 // fetchConfigs takes up what peers offer, one after another, until the context ends.
--- a/forward/drill_test.go
+++ b/forward/drill_test.go
@@ -236,7 +236,7 @@
 func TestOlderConfigurationTakenForTheNewest(t *testing.T) {
 	playDrill(t, 3, 3, nil, func(d *drill) {
 		fresh := d.restart("10.1.0.1:1")
-		fresh.offers.raise(2) // by a host that has ended since
+		fresh.offers.raise(fresh.now(), 2) // by a host that has ended since
 		d.hold("version 1 isn't taken for the newest", 0, 3*time.Second, func(f *Forwarder) bool {
 			return f != fresh || f.ContactAge(f.now()) > f.settings.ContactBound
 		})
@@ -254,7 +254,7 @@
 		for host, n := range d.entries {
 			before[host] = n.Load()
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(leavingKnownWithin + directoryAgain + directoryCheck)
 		for host, n := range d.entries {
 			if wrote, listed := n.Load()-before[host], before[host] > 0; wrote > 1 || (wrote == 1) != listed {
 				d.finding("%s, listed %v, wrote its entry %d times", host, listed, wrote)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -185,10 +185,10 @@
 }
 
 // ContactProved takes in that the configuration was the newest at a time. A restored origin has
-// an older one than the newest that it acknowledged, so that isn't believed of one that is older
-// than what is known.
+// an older one than the newest that it acknowledged, so that isn't believed where a newer one was
+// known by then.
 func (f *Forwarder) ContactProved(at time.Time) {
-	if f.versionInForce() >= f.knownVersion() {
+	if since, newer := f.offers.newerSince(f.versionInForce()); !newer || at.Before(since) {
 		f.contact.raise(at)
 	}
 }
--- a/forward/restore_test.go
+++ b/forward/restore_test.go
@@ -28,3 +28,19 @@
 	f.TakeNews(now.Add(2*time.Second), News{Changes: []Change{{Upstream: copied}}, At: restored}, true)
 	is.Equal(len(f.Takers(now.Add(2*time.Second), copied.Service)), 0)
 }
+
+// TestProofBeforeANewerConfigurationIsLost: a configuration was the newest until a newer one was offered.
+func TestProofBeforeANewerConfigurationIsLost(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(t, &fakeTransport{})
+	now := f.now().Add(time.Minute)
+	f.offers.raise(now, 2)
+	f.offers.raise(now.Add(time.Second), 3)
+	f.ContactProved(now.Add(-time.Second))
+	is.Equal(f.ContactAge(now), time.Second)
+	f.ContactProved(now)
+	is.Equal(f.ContactAge(now), time.Second)
+	f.Configure(now, testConfig(2))
+	f.ContactProved(now.Add(time.Second / 2))
+	is.Equal(f.ContactAge(now.Add(time.Second)), time.Second/2)
+}
