--- a/forward/drillstore_test.go
+++ b/forward/drillstore_test.go
@@ -37,6 +37,7 @@
 	zone     *ZoneOrder
 	config   *Config
 	crash    *quarantine.Mark
+	at       time.Time
 }
 
 // drillCall is one call that a host made.
@@ -52,12 +53,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.at++
-	e.revision = s.at
+	e.revision, e.at = s.at, time.Now()
 	s.events = append(s.events, e)
 	s.wake()
 	return s.at
 }
 
+// writeUnlessThere makes a change again unless the store has it.
+func (s *drillStore) writeUnlessThere(e drillEvent) {
+	s.mu.Lock()
+	var newest drillEvent
+	for _, there := range s.events {
+		if there.key == e.key {
+			newest = there
+		}
+	}
+	s.mu.Unlock()
+	same := newest.upstream == e.upstream && newest.config == e.config && newest.zone == e.zone
+	if !same {
+		s.write(e)
+	}
+}
+
 func (s *drillStore) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -57,11 +57,11 @@
 	// revision is the one up to which every change is known. A single upstream may be
 	// known as of a newer one: a list that is read in pages isn't of one moment.
 	revision history.Point
-	// restore tells what the origin wrote in the present era; restored counts what came of
-	// the last restore, and relistedBy is when upstreams have written their entries again.
-	restore    history.Restore
-	restored   *restoreCounts
-	relistedBy time.Time
+	// restore tells what the origin wrote in the present era, which was first seen at eraSince by
+	// this host or who told it; restored counts what came of the last restore.
+	restore  history.Restore
+	eraSince time.Time
+	restored *restoreCounts
 	// forgotten is the newest revision at which something was dropped that isn't
 	// remembered any more.
 	forgotten history.Point
@@ -184,8 +184,7 @@
 		if listed[id] || k.Revision.After(at) {
 			continue
 		}
-		k.pending = nil
-		if k.gone || f.unlist(now, k, at) {
+		if k.staysEnded(at) || f.unlist(now, k, at) {
 			continue
 		}
 		gone := Change{Upstream: k.Upstream, Gone: true}
@@ -247,6 +246,9 @@
 
 // set takes in what is the newest known of an upstream.
 func (f *Fleet) set(now time.Time, k *known, c Change) bool {
+	if c.Missing && k.staysEnded(c.Revision) {
+		return false
+	}
 	k.pending = nil
 	switch {
 	case c.Gone:
@@ -262,7 +264,11 @@
 		// order of the list's entries decides, not that of births.
 		f.renew(k, c.Life)
 	}
-	same := !k.gone && !k.missing && !k.unusable && k.Upstream == c.Upstream
+	before := k.Upstream
+	if !c.Revision.SameEra(before.Revision) {
+		before.Revision = c.Revision
+	}
+	same := !k.gone && !k.missing && !k.unusable && before == c.Upstream
 	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision.After(k.Revision)) {
 		// The list knows better than other signs; and an entry that ran out
 		// while its upstream was cut off comes back.
@@ -317,7 +323,7 @@
 	if k.gone {
 		return false
 	}
-	if now.Before(f.trustGoneFrom) && !k.Leaving || k.unlisted && now.Before(f.relistedBy) {
+	if now.Before(f.trustGoneFrom) && !k.Leaving || f.awaited(now, k) {
 		k.missing = true
 		return false
 	}
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -396,7 +396,7 @@
 // TakeNews takes the origin's list in, the whole of it or what is new. It returns what made a
 // difference.
 func (f *Fleet) TakeNews(now time.Time, news News, whole bool) ([]ZoneOrder, []Change) {
-	f.enterEra(now, news.At, news.At)
+	f.enterEra(now, news.At, news.At, 0)
 	if whole {
 		return f.ReplaceZones(now, news.Zones, news.At), f.ReplaceAll(now, news.Changes, news.At)
 	}
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -36,8 +36,10 @@
 	// remember all that was dropped since the asker's revision, or knows another era.
 	Whole bool
 	List  history.Point
-	// EraFrom is the lowest revision at which the era of List was seen.
+	// EraFrom is the lowest revision at which the era of List was seen, and EraAge how long ago
+	// the peer learned of the era first.
 	EraFrom history.Point
+	EraAge  time.Duration
 	// Hosts are those that the peer has found since, up to HostsAt.
 	Hosts   []Peer
 	HostsAt HostCursor
@@ -122,7 +124,7 @@
 	// meanwhile.
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
 	reply.Changes, reply.List, reply.Whole = f.fleet.Since(r.List)
-	reply.EraFrom = f.fleet.EraFrom()
+	reply.EraFrom, reply.EraAge = f.fleet.EraFrom(now)
 	reply.Zones = f.fleet.ZonesSince(r.List, reply.Whole)
 	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
 	reply.Version = f.versionInForce()
@@ -144,6 +146,7 @@
 	})
 	late := f.settings.Clock.Slept() - slept
 	reply.ConfigAge, reply.OriginAge = older(reply.ConfigAge, late), older(reply.OriginAge, late)
+	reply.EraAge = older(reply.EraAge, late)
 	if err != nil || !bounds.accept(reply) || reply.List.Era() < f.fleet.Revision().Era() {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge,
 			"list", reply.List, "own_list", f.fleet.Revision(), "err", err)
@@ -179,7 +182,7 @@
 
 // TakeReply takes a peer's list in. It returns what made a difference.
 func (f *Fleet) TakeReply(now time.Time, r FollowReply) ([]ZoneOrder, []Change) {
-	f.enterEra(now, r.List, r.EraFrom)
+	f.enterEra(now, r.List, r.EraFrom, r.EraAge)
 	if r.Whole {
 		return f.ReplaceZones(now, r.Zones, r.List), f.TakeOver(now, r.Changes, r.List)
 	}
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -33,24 +33,31 @@
 	leaving, unlisted, ended, zones int
 }
 
-// enterEra takes in that the origin is at a point, whose era was first seen at another. It is to
-// be called before what was read there is taken in.
-func (f *Fleet) enterEra(now time.Time, at, first history.Point) {
+// enterEra takes in that the origin is at a point, whose era was first seen at another some time
+// ago. It is to be called before what was read there is taken in.
+func (f *Fleet) enterEra(now time.Time, at, first history.Point, ago time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.restore.Saw(first)
-	if f.revision.IsZero() || at.Era() <= f.revision.Era() {
+	if !f.revision.IsZero() && at.Era() <= f.revision.Era() {
+		return
+	}
+	f.eraSince = now.Add(-max(ago, 0))
+	if f.revision.IsZero() {
 		return
 	}
 	f.restored = &restoreCounts{from: f.revision, to: at}
-	f.relistedBy = now.Add(relistWithin)
+	f.notify(true)
 }
 
-// EraFrom is the lowest point at which the present era was seen.
-func (f *Fleet) EraFrom() history.Point {
+// EraFrom is the lowest point at which the present era was seen, and how long ago that was.
+func (f *Fleet) EraFrom(now time.Time) (history.Point, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.restore.First()
+	if f.eraSince.IsZero() {
+		return f.restore.First(), 0
+	}
+	return f.restore.First(), now.Sub(f.eraSince)
 }
 
 // OriginEra is the origin's era as this host knows it.
@@ -69,8 +76,10 @@
 func (f *Fleet) reconcile(now time.Time, k *known, c Change) bool {
 	restored := ofEarlierEra(k.Revision, c.Revision)
 	switch {
-	case restored && (c.Gone || c.Missing):
-		k.pending = nil
+	case restored && c.Gone:
+		// Whoever tells so has waited for it to be listed again.
+		return f.set(now, k, c)
+	case restored && c.Missing:
 		f.unlist(now, k, c.Revision)
 		return false
 	case k.Revision.SameEra(c.Revision), c.Gone, c.Missing, c.Unusable:
@@ -90,11 +99,11 @@
 	case c.Life.newerThan(k.Life):
 		return f.set(now, k, c)
 	case k.gone && k.pending == nil:
-		c.BelievedFrom = now.Add(lapseWithin)
+		c.BelievedFrom = f.eraSince.Add(lapseWithin)
 		k.pending = &c
 		f.restored.count(func(r *restoreCounts) { r.ended++ })
 	case k.missing:
-		k.missing, k.unlisted = false, false
+		return f.set(now, k, c)
 	case k.declared && !c.Leaving:
 		f.tellPeers(k, now.Add(saidShared))
 		f.restored.count(func(r *restoreCounts) { r.leaving++ })
@@ -134,11 +143,24 @@
 	return true
 }
 
+// staysEnded takes in that a list lacks an upstream, and reports whether it is known to have ended.
+func (k *known) staysEnded(at history.Point) bool {
+	if k.pending != nil {
+		k.pending, k.Revision = nil, at
+	}
+	return k.gone
+}
+
+// awaited reports whether an upstream that a restored list lacks may still be written again.
+func (f *Fleet) awaited(now time.Time, k *known) bool {
+	return k.unlisted && now.Before(f.eraSince.Add(relistWithin))
+}
+
 // suspendOrder keeps a zone's order as it was known before a restore, until what the copy has is
 // believed.
-func (f *Fleet) suspendOrder(now time.Time, o ZoneOrder) {
+func (f *Fleet) suspendOrder(o ZoneOrder) {
 	known := f.zones[o.Zone]
-	o.BelievedFrom = now.Add(reorderWithin)
+	o.BelievedFrom = f.eraSince.Add(reorderWithin)
 	if known.pending != nil {
 		o.BelievedFrom = known.pending.BelievedFrom
 	} else {
--- a/forward/restoremodel_test.go
+++ b/forward/restoremodel_test.go
@@ -40,6 +40,8 @@
 	// read says that all has to be read.
 	read bool
 	cut  bool
+	// lostAt is since when the store's calls fail; zero while they don't.
+	lostAt time.Time
 	// left are the upstreams that it has known to leave.
 	left map[member.UpstreamID]bool
 }
@@ -109,6 +111,10 @@
 	if h.read {
 		news, _, _ := m.store.newest(0, true)
 		h.fleet.TakeNews(m.now, news, true)
+		if !h.lostAt.IsZero() {
+			h.fleet.ListRegained(m.now, m.now.Sub(h.lostAt))
+			h.lostAt = time.Time{}
+		}
 		h.read, h.at = false, news.At
 		return
 	}
@@ -121,6 +127,15 @@
 	h.at = news.At
 }
 
+// fail has a host's call to the store fail.
+func (m *drillModel) fail(h *modelHost) {
+	h.read = true
+	h.fleet.ListLost(m.now)
+	if h.lostAt.IsZero() {
+		h.lostAt = m.now
+	}
+}
+
 // follow has a host take what another has that is newer.
 func (m *drillModel) follow(h, leader *modelHost) {
 	if h == leader || h.cut || leader.cut || leader.fleet.Revision().Era() < h.fleet.Revision().Era() {
@@ -129,11 +144,12 @@
 	var r FollowReply
 	after := h.fleet.Revision()
 	r.Changes, r.List, r.Whole = leader.fleet.Since(after)
-	r.EraFrom = leader.fleet.EraFrom()
+	r.EraFrom, r.EraAge = leader.fleet.EraFrom(m.now)
 	r.Zones = leader.fleet.ZonesSince(after, r.Whole)
 	if r.List.IsZero() {
 		return
 	}
+	h.fleet.ListTrusted()
 	h.fleet.TakeReply(m.now, r)
 	h.read, h.at = false, history.Latest(h.at, h.fleet.Revision())
 }
@@ -184,6 +200,7 @@
 		for _, h := range m.hosts {
 			h.cut = false
 			m.ask(h)
+			m.ask(h)
 		}
 		m.pass(max(lapseWithin, relistWithin) + time.Second)
 	}
@@ -242,13 +259,14 @@
 				m.zoneOut = !m.zoneOut
 				m.rewrite("zone/z2", func() { m.store.order("z2", m.zoneOut) })
 			},
-			"other write":   func(*rapid.T) { m.store.touch() },
-			"restore":       func(t *rapid.T) { m.restore(rapid.IntRange(0, 4).Draw(t, "lost")) },
-			"written again": func(*rapid.T) { m.writeAgain() },
-			"host asks":     func(t *rapid.T) { m.ask(host(t)) },
-			"host follows":  func(t *rapid.T) { m.follow(host(t), host(t)) },
-			"host is told":  func(t *rapid.T) { m.tell(host(t), host(t)) },
-			"host is cut":   func(t *rapid.T) { h := host(t); h.cut = !h.cut },
+			"other write":       func(*rapid.T) { m.store.touch() },
+			"restore":           func(t *rapid.T) { m.restore(rapid.IntRange(0, 4).Draw(t, "lost")) },
+			"written again":     func(*rapid.T) { m.writeAgain() },
+			"host asks":         func(t *rapid.T) { m.ask(host(t)) },
+			"host's call fails": func(t *rapid.T) { m.fail(host(t)) },
+			"host follows":      func(t *rapid.T) { m.follow(host(t), host(t)) },
+			"host is told":      func(t *rapid.T) { m.tell(host(t), host(t)) },
+			"host is cut":       func(t *rapid.T) { h := host(t); h.cut = !h.cut },
 			"host starts": func(t *rapid.T) {
 				n := rapid.IntRange(0, len(m.hosts)-1).Draw(t, "host")
 				m.hosts[n] = newModelHost()
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -72,10 +72,9 @@
 		switch {
 		case listed[zone]:
 		case !known.Out:
-			known.pending = nil
-			f.zones[zone] = known
+			f.setZone(zoneState{ZoneOrder: back, heard: known.heard})
 		case ofEarlierEra(known.Revision, at):
-			f.suspendOrder(now, back)
+			f.suspendOrder(back)
 		case f.order(now, back):
 			news = append(news, back)
 		}
@@ -117,7 +116,7 @@
 		switch {
 		case !ofEarlierEra(known.Revision, o.Revision):
 		case o.Out != known.Out:
-			f.suspendOrder(now, o)
+			f.suspendOrder(o)
 		default:
 			f.setZone(zoneState{ZoneOrder: o, heard: known.heard})
 		}
