forward: gaps in what a host knows pass on to who follows it

A host that was told what is new by one that had itself passed over a part of the history took its own knowledge for whole, and told a third nothing of an upstream that had ended or a zone that was back. What a peer tells is now taken to have gaps; a third that stands within one is told the whole list.

Also: a word of an earlier era, or that the list lacks an ended upstream, no longer puts an end to what the copy says of it unheard by followers; that an upstream leaves is passed on where the copy's revision is lower than the known.

--- a/forward/drill_test.go
+++ b/forward/drill_test.go
@@ -237,7 +237,7 @@
 	playDrill(t, 3, 3, nil, func(d *drill) {
 		fresh := d.restart("10.1.0.1:1")
 		fresh.offers.raise(fresh.now(), 2) // by a host that has ended since
-		d.hold("version 1 isn't taken for the newest", 0, 3*time.Second, func(f *Forwarder) bool {
+		d.hold("version 1 isn't taken for the newest", fresh.settings.ContactBound, 3*time.Second, func(f *Forwarder) bool {
 			return f != fresh || f.ContactAge(f.now()) > f.settings.ContactBound
 		})
 		d.store.configure(2)
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -72,8 +72,8 @@
 	failedUntil, tellUntil time.Time
 	// renewed are upstreams that have begun a new life since TakeRenewed.
 	renewed []member.UpstreamID
-	// gaps are passed over by readings of the whole list: what came and went in them was never
-	// known here.
+	// gaps are passed over by readings of the whole list, and maybe by who told what is new: what
+	// came and went in them was never known here.
 	gaps []gap
 	// trustGoneFrom is when a missing upstream is believed to be gone: during
 	// and shortly after an outage the list may lack upstreams that live.
@@ -147,6 +147,18 @@
 func (f *Fleet) Apply(now time.Time, changes []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.applyAll(now, changes, at)
+}
+
+// applyFollowed is Apply for what a peer tells, which has gaps where the peer's knowledge has.
+func (f *Fleet) applyFollowed(now time.Time, changes []Change, at history.Point) []Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.skipped(f.revision, at)
+	return f.applyAll(now, changes, at)
+}
+
+func (f *Fleet) applyAll(now time.Time, changes []Change, at history.Point) []Change {
 	f.revision = history.Latest(f.revision, at)
 	var news []Change
 	for _, c := range changes {
@@ -202,7 +214,7 @@
 type gap struct{ from, to history.Point }
 
 // mostGaps bounds how many are remembered; the oldest are joined.
-const mostGaps = 8
+const mostGaps = 32
 
 func (g gap) has(p history.Point) bool { return g.from.Before(p) && p.Before(g.to) }
 
@@ -237,6 +249,8 @@
 		return false
 	case !c.BelievedFrom.IsZero():
 		return f.doubt(now, k, c)
+	case k.pending != nil && ofEarlierEra(c.Revision, k.pending.Revision):
+		return false
 	case !f.restore.Supersedes(c.Revision, k.Revision):
 		return f.reconcile(now, k, c)
 	default:
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -186,7 +186,8 @@
 	if r.Whole {
 		return f.ReplaceZones(now, r.Zones, r.List), f.TakeOver(now, r.Changes, r.List)
 	}
-	return f.ApplyZones(now, r.Zones), f.Apply(now, r.Changes, r.List)
+	zones := f.ApplyZones(now, r.Zones)
+	return zones, f.applyFollowed(now, r.Changes, r.List)
 }
 
 func (f *Forwarder) versionInForce() Version {
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -80,7 +80,9 @@
 		// Whoever tells so has waited for it to be listed again.
 		return f.set(now, k, c)
 	case restored && c.Missing:
-		f.unlist(now, k, c.Revision)
+		if !k.staysEnded(c.Revision) {
+			f.unlist(now, k, c.Revision)
+		}
 		return false
 	case k.Revision.SameEra(c.Revision), c.Gone, c.Missing, c.Unusable:
 		return false
@@ -90,6 +92,11 @@
 		// Nothing takes that back in one life, so it holds in whatever order it is heard.
 		k.declared = true
 		k.leave(now, SourceList)
+		if restored {
+			k.Revision = c.Revision
+		} else {
+			f.tellPeers(k, now.Add(saidShared))
+		}
 		return true
 	}
 	if !restored {
--- a/forward/restoremodel_test.go
+++ b/forward/restoremodel_test.go
@@ -193,12 +193,18 @@
 	}
 }
 
-// settled has everything be written again and heard, and then all hosts agree with what is so.
-func (m *drillModel) settled() error {
+// settled has everything be written again and heard, of the store or of the host before, and then
+// all hosts agree with what is so.
+func (m *drillModel) settled(inRow bool) error {
 	m.writeAgain()
 	for range 3 {
-		for _, h := range m.hosts {
+		for n, h := range m.hosts {
 			h.cut = false
+			if n > 0 && inRow {
+				m.follow(h, m.hosts[n-1])
+				m.tell(h, m.hosts[n-1])
+				continue
+			}
 			m.ask(h)
 			m.ask(h)
 		}
@@ -277,7 +283,7 @@
 			},
 			"": m.check,
 		})
-		if err := m.settled(); err != nil {
+		if err := m.settled(rapid.Bool().Draw(t, "in a row")); err != nil {
 			t.Fatal(err)
 		}
 	})
