forward: a follower is told whether its leader has gaps; unknown missing entries are passed on

Found by the state machine with hosts in a row, in runs that need no restore: a host that is told the end of what it never knew, that it is missing or can't be used, dropped that, and who followed it was told nothing; an order about a zone that a host had heard of in advance stood although its leader's list had none.

A reply says whether the leader itself has gaps in what it tells; only then the follower remembers one. What was listed and isn't is remembered whether it was known or not, and an order that a reply should have and hasn't is taken back.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -150,8 +150,8 @@
 	return f.applyAll(now, changes, at)
 }
 
-// applyFollowed is Apply for what a peer tells, which has gaps where the peer's knowledge has.
-func (f *Fleet) applyFollowed(now time.Time, changes []Change, at history.Point) []Change {
+// applyWithGaps is Apply for what may lack some of the changes.
+func (f *Fleet) applyWithGaps(now time.Time, changes []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.skipped(f.revision, at)
@@ -238,10 +238,11 @@
 	}
 	k := f.upstreams[c.ID]
 	if k == nil {
-		if c.Missing || c.Unusable {
-			return false
-		}
+		// Also one that isn't there any more: those who follow this host may know it.
 		k = newKnown(c.Upstream)
+		if c.Missing {
+			k.Revision = history.Point{}
+		}
 		f.upstreams[c.ID] = k
 	}
 	switch {
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -70,11 +70,15 @@
 func (f *Fleet) Since(after history.Point) (changes []Change, at history.Point, whole bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.since(after)
+}
+
+func (f *Fleet) since(after history.Point) (changes []Change, at history.Point, whole bool) {
 	whole = after.IsZero() || after.Before(f.forgotten) || slices.ContainsFunc(f.gaps, func(g gap) bool { return g.has(after) }) ||
 		!after.SameEra(f.revision)
 	for _, k := range f.upstreams {
-		if whole || k.Revision.After(after) {
-			changes = append(changes, k.change())
+		if c := k.change(); whole || c.Revision.After(after) {
+			changes = append(changes, c)
 		}
 	}
 	return changes, f.revision, whole
--- a/forward/followgaps_test.go
+++ b/forward/followgaps_test.go
@@ -14,10 +14,8 @@
 
 // follows has a fleet take in what another has that is newer.
 func follows(now time.Time, f, leader *Fleet) {
-	r := FollowReply{}
-	after := f.Revision()
-	r.Changes, r.List, r.Whole = leader.Since(after)
-	r.Zones = leader.ZonesSince(after, r.Whole)
+	var r FollowReply
+	leader.tell(now, f.Revision(), &r)
 	f.TakeReply(now, r)
 }
 
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/history"
@@ -35,7 +36,10 @@
 	// Whole says that Changes and Zones are all that there are: the peer doesn't
 	// remember all that was dropped since the asker's revision, or knows another era.
 	Whole bool
-	List  history.Point
+	// Gaps says that the peer itself has passed over a part of what came since the asker's
+	// revision.
+	Gaps bool
+	List history.Point
 	// EraFrom is the lowest revision at which the era of List was seen, and EraAge how long ago
 	// the peer learned of the era first.
 	EraFrom history.Point
@@ -123,9 +127,7 @@
 	// Ages first: nothing in the reply is then older than its proof, whatever comes in
 	// meanwhile.
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
-	reply.Changes, reply.List, reply.Whole = f.fleet.Since(r.List)
-	reply.EraFrom, reply.EraAge = f.fleet.EraFrom(now)
-	reply.Zones = f.fleet.ZonesSince(r.List, reply.Whole)
+	f.fleet.tell(now, r.List, &reply)
 	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
 	reply.Version = f.versionInForce()
 	return reply
@@ -180,14 +182,30 @@
 	return true
 }
 
+// tell puts what changed after a point into a reply.
+func (f *Fleet) tell(now time.Time, after history.Point, r *FollowReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.Changes, r.List, r.Whole = f.since(after)
+	r.Zones = f.zonesSince(after, r.Whole)
+	r.Gaps = slices.ContainsFunc(f.gaps, func(g gap) bool { return g.from.Before(r.List) && after.Before(g.to) })
+	r.EraFrom = f.restore.First()
+	if !f.eraSince.IsZero() {
+		r.EraAge = now.Sub(f.eraSince)
+	}
+}
+
 // TakeReply takes a peer's list in. It returns what made a difference.
 func (f *Fleet) TakeReply(now time.Time, r FollowReply) ([]ZoneOrder, []Change) {
 	f.enterEra(now, r.List, r.EraFrom, r.EraAge)
 	if r.Whole {
 		return f.ReplaceZones(now, r.Zones, r.List), f.TakeOver(now, r.Changes, r.List)
 	}
-	zones := f.ApplyZones(now, r.Zones)
-	return zones, f.applyFollowed(now, r.Changes, r.List)
+	zones := f.ApplyZones(now, f.withoutOrder(r))
+	if r.Gaps {
+		return zones, f.applyWithGaps(now, r.Changes, r.List)
+	}
+	return zones, f.Apply(now, r.Changes, r.List)
 }
 
 func (f *Forwarder) versionInForce() Version {
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -50,16 +50,6 @@
 	f.notify(true)
 }
 
-// EraFrom is the lowest point at which the present era was seen, and how long ago that was.
-func (f *Fleet) EraFrom(now time.Time) (history.Point, time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.eraSince.IsZero() {
-		return f.restore.First(), 0
-	}
-	return f.restore.First(), now.Sub(f.eraSince)
-}
-
 // OriginEra is the origin's era as this host knows it.
 func (f *Forwarder) OriginEra() history.Era { return f.fleet.Revision().Era() }
 
--- a/forward/restoremodel_test.go
+++ b/forward/restoremodel_test.go
@@ -142,10 +142,7 @@
 		return
 	}
 	var r FollowReply
-	after := h.fleet.Revision()
-	r.Changes, r.List, r.Whole = leader.fleet.Since(after)
-	r.EraFrom, r.EraAge = leader.fleet.EraFrom(m.now)
-	r.Zones = leader.fleet.ZonesSince(after, r.Whole)
+	leader.fleet.tell(m.now, h.fleet.Revision(), &r)
 	if r.List.IsZero() {
 		return
 	}
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -83,6 +83,21 @@
 	return news
 }
 
+// withoutOrder are a reply's orders, and that there is none for zones of which this host has heard
+// in advance: an order that still held would be among them.
+func (f *Fleet) withoutOrder(r FollowReply) []ZoneOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	orders := r.Zones
+	for zone, known := range f.zones {
+		told := slices.ContainsFunc(r.Zones, func(o ZoneOrder) bool { return o.Zone == zone })
+		if known.Out && !told && known.Revision.After(f.revision) && known.Revision.Before(r.List) {
+			orders = append(orders, ZoneOrder{Zone: zone, Revision: r.List})
+		}
+	}
+	return orders
+}
+
 // HearZones takes in what a peer says of its own accord, which may be older than what
 // this host has: orders up to the revision that is known here are known as they are.
 func (f *Fleet) HearZones(now time.Time, orders []ZoneOrder) []ZoneOrder {
@@ -138,6 +153,10 @@
 func (f *Fleet) ZonesSince(after history.Point, whole bool) []ZoneOrder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.zonesSince(after, whole)
+}
+
+func (f *Fleet) zonesSince(after history.Point, whole bool) []ZoneOrder {
 	var orders []ZoneOrder
 	for _, z := range f.zones {
 		o := z.ZoneOrder
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -221,7 +221,7 @@
 	Version              uint64
 	Changes              []wireChange
 	Zones                []wireZoneOrder
-	Whole                bool
+	Whole, Gaps          bool
 	List                 uint64
 	ListEra              uint64 `msgpack:",omitempty"`
 	EraFrom              uint64
@@ -249,7 +249,7 @@
 
 func toWireFollowed(now time.Time, r forward.FollowReply) wireFollowed {
 	w := wireFollowed{
-		Version: uint64(r.Version), Whole: r.Whole, EraFrom: uint64(r.EraFrom.Revision()), EraAge: r.EraAge.Milliseconds(), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
+		Version: uint64(r.Version), Whole: r.Whole, Gaps: r.Gaps, EraFrom: uint64(r.EraFrom.Revision()), EraAge: r.EraAge.Milliseconds(), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
 		Zones: toWireZones(now, r.Zones),
 	}
@@ -272,7 +272,7 @@
 
 func (w wireFollowed) reply(now time.Time) forward.FollowReply {
 	r := forward.FollowReply{
-		Version: forward.Version(w.Version), Whole: w.Whole, List: point(w.ListEra, w.List), EraFrom: point(w.ListEra, w.EraFrom), EraAge: time.Duration(w.EraAge) * time.Millisecond, HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
+		Version: forward.Version(w.Version), Whole: w.Whole, Gaps: w.Gaps, List: point(w.ListEra, w.List), EraFrom: point(w.ListEra, w.EraFrom), EraAge: time.Duration(w.EraAge) * time.Millisecond, HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 		Zones: zoneOrders(now, w.Zones),
 	}
