entry, consul: a change that the platform has lost in a restore is written again

Operators saw (by reading, then by test): a change that was accepted is gone from the log of a platform that came back from a copy. Entries that had it kept it, entries that start didn't have it, and the next change made a hole in the log behind which nobody who starts reads. Cause: the log rests on a platform that loses nothing it has acknowledged.

An entry that reads the log's end in another era, or at a lower index than before, looks for its newest entries there and writes those that are missing, under their own revisions and operations; all entries write the same. Where another change took such a revision meanwhile, the log decides, the configuration is read anew, and a line says so: the promise of an accepted change doesn't hold there.

Failed before: TestChangeThatTheCopyLost (5 entries in the log in place of 6, with the index fallen and with it caught up), TestLogDivergesAfterARestore.

The adapter reads Store-Era; the stand-in platform can be copied and restored, and ends watches from an index that it doesn't have.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/gravitational/trace"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/resource"
 )
@@ -26,8 +27,11 @@
 
 	// mu guards the fold; readers use the catalog alone.
 	mu sync.Mutex
-	// recent are the last entries applied, in order, for peers that are behind.
+	// recent are the last entries applied, in order, for peers that are behind and for a platform
+	// that has lost them.
 	recent []resource.LogEntry
+	// at is where the platform's history was read last. It is for the goroutine that follows.
+	at history.Point
 	// changed is closed and replaced at every new revision.
 	changed chan struct{}
 
@@ -207,7 +211,14 @@
 		if err != nil {
 			return 0, err
 		}
+		if c.wasRestored(item) {
+			if err := c.restoreLog(ctx, item.at()); err != nil {
+				return 0, err
+			}
+			continue
+		}
 		if !item.Found() {
+			c.at = item.at()
 			return item.Index, nil
 		}
 		if err := c.takeItem(next, item); err != nil {
--- a/entry/configuration_test.go
+++ b/entry/configuration_test.go
@@ -330,3 +330,65 @@
 		is.True(s.store.reads.Load()-before < 40)
 	})
 }
+
+// TestChangeThatTheCopyLost: what was accepted is written again, and stays in force at all entries.
+func TestChangeThatTheCopyLost(t *testing.T) {
+	for name, c := range map[string]struct {
+		// overtaken has other writes catch up with the index; era has the platform tell it.
+		overtaken, era bool
+	}{
+		"the index falls": {}, "the index has caught up, the era tells": {overtaken: true, era: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inZones(t, func(t *testing.T, s *fakeSite, entries []*Entry) {
+				is := is.New(t)
+				if c.era {
+					s.store.mu.Lock()
+					s.store.era = 1
+					s.store.mu.Unlock()
+					time.Sleep(time.Minute)
+				}
+				items, index := s.store.copy()
+				accepted, err := entries[0].Propose(t.Context(), poolChange("lost", 3), nil)
+				is.NoErr(err)
+				time.Sleep(2 * time.Second)
+				if c.overtaken {
+					index += 10
+				}
+				s.store.restore(items, index)
+				time.Sleep(time.Minute)
+				is.Equal(len(s.store.log()), int(accepted))
+				next, err := entries[1].Propose(t.Context(), poolChange("next", 4), nil)
+				is.NoErr(err)
+				is.Equal(next, accepted+1)
+				time.Sleep(2 * time.Second)
+				for _, e := range entries {
+					is.Equal(e.Catalog().Revision(), next)
+					_, found := e.Catalog().Get(resource.EnginePools, "lost")
+					is.True(found)
+				}
+			})
+		})
+	}
+}
+
+// TestLogDivergesAfterARestore: where another change has taken a lost one's revision, all entries follow the log.
+func TestLogDivergesAfterARestore(t *testing.T) {
+	inZones(t, func(t *testing.T, s *fakeSite, entries []*Entry) {
+		is := is.New(t)
+		items, index := s.store.copy()
+		accepted, err := entries[0].Propose(t.Context(), poolChange("lost", 3), nil)
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		text, err := json.Marshal(resource.LogEntry{Revision: accepted, Operation: "another", Changes: []resource.Change{poolChange("other", 5)}})
+		is.NoErr(err)
+		items[logKey(accepted)] = Item{Value: text, Version: Version(index + 1)}
+		s.store.restore(items, index)
+		time.Sleep(time.Minute)
+		for _, e := range entries {
+			is.Equal(e.Catalog().Revision(), accepted)
+			_, found := e.Catalog().Get(resource.EnginePools, "other")
+			is.True(found)
+		}
+	})
+}
--- a/entry/fakestore_test.go
+++ b/entry/fakestore_test.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -31,6 +33,9 @@
 	slow time.Duration
 	// changed is closed and replaced at every write.
 	changed chan struct{}
+	// era rises with each restore; zero tells none. restored breaks the watches that wait.
+	era      history.Era
+	restored bool
 }
 
 // writeFault is what happens to one write.
@@ -58,10 +63,30 @@
 		return Item{}, errLost
 	}
 	item := s.items[key]
-	item.Index = s.index
+	item.Index, item.Era = s.index, s.era
 	return item, nil
 }
 
+// copy returns the store as it is, for restore.
+func (s *fakeStore) copy() (map[string]Item, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.items), s.index
+}
+
+// restore has the store come back from a copy; it tells eras if it did before.
+func (s *fakeStore) restore(items map[string]Item, index uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.index = maps.Clone(items), index
+	if s.era != 0 {
+		s.era++
+	}
+	s.restored = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *fakeStore) Swap(_ context.Context, key string, value []byte, v Version) (bool, error) {
 	wrote, slow, err := s.swap(key, value, v)
 	time.Sleep(slow)
@@ -122,6 +147,12 @@
 		}
 		select {
 		case <-changed:
+			s.mu.Lock()
+			restored := s.restored
+			s.mu.Unlock()
+			if restored {
+				return Item{}, errLost
+			}
 		case <-timeout.C:
 			return item, nil
 		case <-ctx.Done():
--- a/entry/store.go
+++ b/entry/store.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/shedpath/shedpath/history"
 )
 
 // Version numbers the writes of one key in the platform's service. The zero
@@ -21,8 +23,13 @@
 	// Index is the service's own position when it answered; a watch goes on
 	// from it.
 	Index uint64
+	// Era rises when the service comes back from an older copy; zero where it doesn't tell.
+	Era history.Era
 }
 
+// at is where in the service's history it answered.
+func (i Item) at() history.Point { return history.At(i.Era, history.Revision(i.Index)) }
+
 // Found reports whether the key was there.
 func (i Item) Found() bool { return i.Version != 0 }
 
--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -23,6 +23,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -98,8 +99,12 @@
 	status int
 	body   []byte
 	index  uint64
+	era    history.Era
 }
 
+// headerEra rises by one each time the service comes back from an older copy.
+const headerEra = "Store-Era"
+
 // call sends one request. Its error wraps entry.ErrNotSent when the budget or
 // the breaker held the call back, when no connection could be had, or when the
 // service refused it for its rate.
@@ -178,6 +183,8 @@
 	}
 	got := response{status: answer.StatusCode, body: body}
 	got.index, _ = strconv.ParseUint(answer.Header.Get("X-Consul-Index"), 10, 64)
+	// A service that doesn't tell its era is noticed by its index alone.
+	got.era, _ = history.ParseEra(answer.Header.Get(headerEra))
 	switch answer.StatusCode {
 	case http.StatusOK, http.StatusNotFound:
 		return got, nil
@@ -216,13 +223,13 @@
 		return entry.Item{}, err
 	}
 	if got.status == http.StatusNotFound {
-		return entry.Item{Index: got.index}, nil
+		return entry.Item{Index: got.index, Era: got.era}, nil
 	}
 	var keys []keyAnswer
 	if err := json.Unmarshal(got.body, &keys); err != nil || len(keys) != 1 {
 		return entry.Item{}, trace.BadParameter("the platform's answer to %s can't be read: %v", r.name, err)
 	}
-	return entry.Item{Value: keys[0].Value, Version: entry.Version(keys[0].ModifyIndex), Index: got.index}, nil
+	return entry.Item{Value: keys[0].Value, Version: entry.Version(keys[0].ModifyIndex), Index: got.index, Era: got.era}, nil
 }
 
 // Swap writes the key if it still has the version.
@@ -274,7 +281,11 @@
 	return lease, err
 }
 
-// lockIndex reads the fencing token: the count of the key's acquisitions.
+// eraShift is where a fencing token has the era, above the count of acquisitions.
+const eraShift = 40
+
+// lockIndex reads the fencing token: the count of the key's acquisitions, above which is the era,
+// for a service that comes back from a copy counts from an earlier number.
 func (c *Client) lockIndex(ctx context.Context, key, session string) (uint64, error) {
 	got, err := c.call(ctx, request{name: "get", read: true, method: http.MethodGet, path: "/v1/kv/" + key})
 	if err != nil {
@@ -287,7 +298,7 @@
 	if keys[0].Session != session {
 		return 0, nil
 	}
-	return keys[0].LockIndex, nil
+	return uint64(got.era)<<eraShift | keys[0].LockIndex, nil
 }
 
 // Renew keeps the lease for another ttl.
--- a/internal/consul/contract_test.go
+++ b/internal/consul/contract_test.go
@@ -222,3 +222,33 @@
 	b.report(now, true)
 	is.True(b.allow(now))
 }
+
+// TestTokenGoesBackAfterARestore: the holder after a restore must fence the one before.
+func TestTokenGoesBackAfterARestore(t *testing.T) {
+	is := is.New(t)
+	client, server := newContract(t)
+	copied := server.Copy()
+	first, err := client.Acquire(t.Context(), "k", "e1", time.Minute)
+	is.NoErr(err)
+	server.Restore(copied)
+	second, err := client.Acquire(t.Context(), "k", "e2", time.Minute)
+	is.NoErr(err)
+	is.True(second.Token > first.Token)
+	is.True(client.Renew(t.Context(), first) != nil) // its session is lost, too
+}
+
+// TestWatchOverARestore: a watch from an index that the copy lacks ends, and tells the era.
+func TestWatchOverARestore(t *testing.T) {
+	is := is.New(t)
+	client, server := newContract(t)
+	copied := server.Copy()
+	_, err := client.Swap(t.Context(), "k", []byte("v"), 0)
+	is.NoErr(err)
+	before, err := client.Get(t.Context(), "other")
+	is.NoErr(err)
+	server.Restore(copied)
+	item, err := client.Watch(t.Context(), "k", before.Index, time.Minute)
+	is.NoErr(err)
+	is.True(!item.Found())
+	is.Equal(item.Era, before.Era+1)
+}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -37,8 +37,10 @@
 
 // Server serves the stand-in over HTTP. Use New.
 type Server struct {
-	mu     sync.Mutex
-	store  *store
+	mu    sync.Mutex
+	store *store
+	// era rises with each restore.
+	era    uint64
 	faults Faults
 	counts Counts
 	// changed is closed and replaced at every write, to wake the watches.
@@ -68,7 +70,7 @@
 
 // New returns an empty, healthy stand-in without rate limits.
 func New(opts ...Option) *Server {
-	s := &Server{store: newStore(), changed: make(chan struct{}), mux: http.NewServeMux()}
+	s := &Server{store: newStore(), era: 1, changed: make(chan struct{}), mux: http.NewServeMux()}
 	WithRates(0, 0)(s)
 	for _, opt := range opts {
 		opt(s)
@@ -98,6 +100,30 @@
 	s.wake()
 }
 
+// headerEra tells the era in all answers.
+const headerEra = "Store-Era"
+
+// Copy is the service's state at a time.
+type Copy struct{ store store }
+
+// Copy returns a copy of the present state, for Restore.
+func (s *Server) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.store.copy()}
+}
+
+// Restore has the service come back from a copy: what it has acknowledged since is lost, and its
+// index goes back.
+func (s *Server) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	restored := c.store.copy()
+	s.store = &restored
+	s.era++
+	s.wake()
+}
+
 // Counts returns the calls served so far.
 func (s *Server) Counts() Counts {
 	s.mu.Lock()
@@ -149,6 +175,7 @@
 	s.mu.Lock()
 	count(&s.counts)
 	faults := s.faults
+	w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if faults.DelayMillis > 0 {
 		select {
@@ -201,12 +228,13 @@
 		s.mu.Lock()
 		it, found := s.store.get(time.Now(), key)
 		index, changed, outage := s.store.index, s.changed, s.faults.Outage
+		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
 		s.mu.Unlock()
 		if outage {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
-		if after == 0 || it.modifyIndex > after {
+		if after == 0 || it.modifyIndex > after || after > index {
 			answerKey(w, key, it, found, index)
 			return
 		}
--- a/standin/platform/store.go
+++ b/standin/platform/store.go
@@ -66,6 +66,10 @@
 	return &store{items: map[string]item{}, sessions: map[string]session{}}
 }
 
+func (s *store) copy() store {
+	return store{index: s.index, items: maps.Clone(s.items), sessions: maps.Clone(s.sessions), listings: slices.Clone(s.listings)}
+}
+
 func (s *store) get(now time.Time, key string) (item, bool) {
 	s.expire(now)
 	it, ok := s.items[key]
