entry: a claim that the platform has lost in a restore isn't made again

Callers could have seen a call with an Idempotency-Key run twice: once before the platform came back from an older copy, which lacks the claim, and once when the caller asked again. Cause: whoever creates the claim's key may send, and the copy doesn't have it. DESIGN.md rests that promise on a platform that loses nothing it has acknowledged.

Each entry remembers its claims for a minute. The platform's era, told by any of its answers and by heartbeats, has an entry write its claims again; for 5 s no claim is made anywhere, such calls get 503 claim_unavailable, not run, with the time that is left. A claim whose answer tells a new era is given up.

What remains: a claim whose entry ended before it could write it again; an entry that starts within these seconds and hasn't seen the era before; a platform that tells no era.

--- a/entry/claims.go
+++ b/entry/claims.go
@@ -37,12 +37,19 @@
 		Request:  claim.RequestHash(r.Method, r.Path, r.Body), At: now.UTC(),
 	}, now.Add(claimTimeout))
 	for {
-		switch attempt.Next(e.now()) {
+		e.sawEra(e.claims.Era())
+		step := attempt.Next(e.now())
+		if held := e.claimed.heldFor(e.now()); held > 0 && step != claim.Tell {
+			e.abandon(key, attempt)
+			return nil, fail(CodeNoClaim, NotRun, "the call could not be claimed: the platform was restored, and may lack claims").retryAfter(held)
+		}
+		switch step {
 		case claim.Create:
 			e.createClaim(ctx, key, attempt)
 		case claim.Read:
 			e.readClaim(ctx, key, attempt)
 		case claim.Send:
+			e.claimed.remember(e.now(), key, attempt.Record())
 			return &heldClaim{key: key, record: attempt.Record()}, nil
 		case claim.Tell:
 			return nil, duplicate(attempt.Record(), attempt.Other())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -84,15 +84,17 @@
 	generationKey []byte
 
 	store, claims, outcomes Store
-	hosts                   Hosts
-	peers                   Peers
-	engines                 Engines
-	services                Services
-	leases                  LeaseStore
-	upstreams               Upstreams
-	observer                Observer
-	logger                  log.Logger
-	tracer                  trace.Tracer
+	// claimed remembers the claims of calls that were made here.
+	claimed   claimKeeper
+	hosts     Hosts
+	peers     Peers
+	engines   Engines
+	services  Services
+	leases    LeaseStore
+	upstreams Upstreams
+	observer  Observer
+	logger    log.Logger
+	tracer    trace.Tracer
 
 	config    *configuration
 	members   *members
--- a/entry/fakestore_test.go
+++ b/entry/fakestore_test.go
@@ -34,8 +34,8 @@
 	// changed is closed and replaced at every write.
 	changed chan struct{}
 	// era rises with each restore; zero tells none. restored breaks the watches that wait.
-	era      history.Era
-	restored bool
+	era, toldEra history.Era
+	restored     bool
 }
 
 // writeFault is what happens to one write.
@@ -64,9 +64,17 @@
 	}
 	item := s.items[key]
 	item.Index, item.Era = s.index, s.era
+	s.toldEra = s.era
 	return item, nil
 }
 
+// Era is the present one: each call tells it.
+func (s *fakeStore) Era() history.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.toldEra
+}
+
 // copy returns the store as it is, for restore.
 func (s *fakeStore) copy() (map[string]Item, uint64) {
 	s.mu.Lock()
@@ -97,6 +105,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fault, down := faultNone, s.down
+	s.toldEra = s.era
 	if s.fault != nil {
 		fault = s.fault(key)
 	}
--- a/entry/members.go
+++ b/entry/members.go
@@ -164,7 +164,7 @@
 	defer m.mu.Unlock()
 	h := Heartbeat{
 		From: m.entry.self, Revision: revision, Leaving: m.leaving, LeavingUpstreams: m.view.Leaving(),
-		Epoch: m.entry.crashes.epoch, Crashes: crashes,
+		Epoch: m.entry.crashes.epoch, Crashes: crashes, Era: m.entry.store.Era(),
 	}
 	h.Zones = m.zonesFor(now, to, revision)
 	for _, status := range pools {
@@ -222,6 +222,7 @@
 func (m *members) hear(now time.Time, h Heartbeat) {
 	m.entry.crashes.Met(h.From.ID, h.Epoch)
 	m.entry.crashes.Hear(now, h.Crashes)
+	m.entry.sawEra(h.Era)
 	m.mu.Lock()
 	m.view.Heard(now, h.From, uint64(h.Revision), h.Leaving)
 	for _, id := range h.LeavingUpstreams {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -30,6 +31,8 @@
 	// receiver may not know.
 	Epoch   uint64
 	Crashes []quarantine.Mark
+	// Era is the platform's as the sender knows it.
+	Era history.Era
 }
 
 // age has what it tells be older: its word was late by that.
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -189,3 +189,32 @@
 		is.Equal(s.services.count("k"), 0)
 	})
 }
+
+// TestCallRunsTwiceAfterARestore: a claim that the platform has lost must not be made again.
+func TestCallRunsTwiceAfterARestore(t *testing.T) {
+	for name, second := range map[string]int{"at the same entry": 0, "at another": 1, "in another zone": 2} {
+		t.Run(name, func(t *testing.T) {
+			inZones(t, func(t *testing.T, s *fakeSite, entries []*Entry) {
+				is := is.New(t)
+				s.store.mu.Lock()
+				s.store.era = 1
+				s.store.mu.Unlock()
+				s.addService("s2", "az2")
+				time.Sleep(time.Minute)
+				items, index := s.store.copy()
+				_, err := entries[0].CallService(t.Context(), call("orders", "k"))
+				is.NoErr(err)
+				is.Equal(s.services.count("k"), 1)
+				s.store.restore(items, index)
+				for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
+					_, err = entries[second].CallService(t.Context(), call("orders", "k"))
+					is.True(err != nil)
+				}
+				is.Equal(s.services.count("k"), 1)
+				var failure *Failure
+				is.True(errors.As(err, &failure))
+				is.Equal(failure.Code, CodeDuplicate)
+			})
+		})
+	}
+}
--- a/entry/store.go
+++ b/entry/store.go
@@ -47,6 +47,8 @@
 	// Watch answers when the key was written after index, or with what is
 	// there when wait has passed.
 	Watch(ctx context.Context, key string, index uint64, wait time.Duration) (Item, error)
+	// Era is the newest that the service has told in any answer; zero where it tells none.
+	Era() history.Era
 }
 
 // LeaseStore is the part of the platform's service that gives leases.
--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -37,6 +37,8 @@
 	class   Class
 	// observe is told of each call: its name and how it ended.
 	observe func(call, outcome string)
+	// era is the newest that was told, shared by all classes.
+	era *atomic.Uint64
 }
 
 // Option changes how a Client is built.
@@ -63,6 +65,7 @@
 		budget:  NewBudget(PlatformWrites, PlatformReads),
 		breaker: &breaker{},
 		observe: func(string, string) {},
+		era:     &atomic.Uint64{},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -173,7 +176,20 @@
 		return response{}, trace.Wrap(err, r.name)
 	}
 	defer answer.Body.Close()
-	return readResponse(answer)
+	got, err := readResponse(answer)
+	c.sawEra(got.era)
+	return got, err
+}
+
+// Era is the newest that the service has told.
+func (c *Client) Era() history.Era { return history.Era(c.era.Load()) }
+
+func (c *Client) sawEra(era history.Era) {
+	for known := c.era.Load(); uint64(era) > known; known = c.era.Load() {
+		if c.era.CompareAndSwap(known, uint64(era)) {
+			return
+		}
+	}
 }
 
 func readResponse(answer *http.Response) (response, error) {
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/resource"
@@ -44,6 +45,7 @@
 	Pools    []wirePool
 	Epoch    uint64
 	Crashes  []wireCrashes
+	Era      uint64
 }
 
 type wireZone struct {
@@ -74,7 +76,7 @@
 func toWireHeartbeat(h entry.Heartbeat) wireHeartbeat {
 	w := wireHeartbeat{
 		ID: string(h.From.ID), Zone: string(h.From.Zone), Address: h.From.PeerAddress,
-		Revision: uint64(h.Revision), Leaving: h.Leaving, Epoch: h.Epoch, Crashes: toWireCrashes(h.Crashes),
+		Revision: uint64(h.Revision), Leaving: h.Leaving, Epoch: h.Epoch, Crashes: toWireCrashes(h.Crashes), Era: uint64(h.Era),
 	}
 	for _, id := range h.LeavingUpstreams {
 		w.Gone = append(w.Gone, string(id))
@@ -102,7 +104,7 @@
 func (w wireHeartbeat) heartbeat() entry.Heartbeat {
 	h := entry.Heartbeat{
 		From:     member.Entry{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
-		Revision: resource.Revision(w.Revision), Leaving: w.Leaving, Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
+		Revision: resource.Revision(w.Revision), Leaving: w.Leaving, Epoch: w.Epoch, Crashes: crashMarks(w.Crashes), Era: history.Era(w.Era),
 	}
 	for _, id := range w.Gone {
 		h.LeavingUpstreams = append(h.LeavingUpstreams, member.UpstreamID(id))
