--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -96,7 +96,6 @@
 	}
 	_ = level.Warn(e.logger).Log("msg", "the platform was restored from a copy", "era", era, "claims_written_again", len(lost))
 	e.spawn(func(ctx context.Context) { e.claimAgain(ctx, lost) })
-
 }
 
 // claimAgain writes claims that the platform may have lost.
