entry, cli: status and a metric show the platform's era

For an operator after a drill: 'shedpath status' has it in its first line and as platformEra in its JSON, the metric is platform_era; an entry that lags behind shows an earlier one.

--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -64,6 +64,12 @@
 	return append([]madeClaim(nil), k.made...)
 }
 
+func (k *claimKeeper) knownEra() history.Era {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.era
+}
+
 // heldFor is how much longer no claim may be made.
 func (k *claimKeeper) heldFor(now time.Time) time.Duration {
 	k.mu.Lock()
@@ -88,6 +94,9 @@
 	k.made = k.made[drop:]
 }
 
+// Era is the platform's as this entry knows it; zero where it isn't told.
+func (e *Entry) Era() history.Era { return max(e.store.Era(), e.claimed.knownEra()) }
+
 // sawEra takes in the platform's era as the platform or a peer told it.
 func (e *Entry) sawEra(era history.Era) {
 	lost := e.claimed.sawEra(e.now(), era)
--- a/entry/members.go
+++ b/entry/members.go
@@ -164,7 +164,7 @@
 	defer m.mu.Unlock()
 	h := Heartbeat{
 		From: m.entry.self, Revision: revision, Leaving: m.leaving, LeavingUpstreams: m.view.Leaving(),
-		Epoch: m.entry.crashes.epoch, Crashes: crashes, Era: m.entry.store.Era(),
+		Epoch: m.entry.crashes.epoch, Crashes: crashes, Era: m.entry.Era(),
 	}
 	h.Zones = m.zonesFor(now, to, revision)
 	for _, status := range pools {
--- a/entry/status.go
+++ b/entry/status.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/resource"
 )
@@ -52,6 +53,8 @@
 type Status struct {
 	Self     member.Entry
 	Revision resource.Revision
+	// Era is the platform's, which rises when it comes back from a copy.
+	Era      history.Era
 	Ready    bool
 	Leaving  bool
 	InFlight int
@@ -68,7 +71,7 @@
 // Status describes the entry as of now.
 func (e *Entry) Status(ctx context.Context, now time.Time) Status {
 	s := Status{
-		Self: e.self, Revision: e.config.Catalog().Revision(), Ready: e.Ready(), Leaving: e.Leaving(),
+		Self: e.self, Revision: e.config.Catalog().Revision(), Era: e.Era(), Ready: e.Ready(), Leaving: e.Leaving(),
 		Zones: e.ZoneStates(now), Pools: e.placement.status(ctx), Coordinators: map[resource.Name]member.HostID{},
 	}
 	for _, name := range e.config.Catalog().PoolNames() {
--- a/internal/cli/operator.go
+++ b/internal/cli/operator.go
@@ -242,6 +242,7 @@
 	Ready    bool                  `json:"ready"`
 	Leaving  bool                  `json:"leaving"`
 	InFlight int                   `json:"inFlight"`
+	Era      uint64                `json:"platformEra"`
 	Zones    map[string]zoneStatus `json:"zones"`
 	// OutOfService are the zones whose upstreams get no new work.
 	OutOfService []string `json:"outOfService"`
@@ -295,7 +296,7 @@
 	case !s.Ready:
 		state = "not ready"
 	}
-	fmt.Fprintf(out, "%s in %s: %s, revision %d, %d calls in flight\n\n", s.Host, s.Zone, state, s.Revision, s.InFlight)
+	fmt.Fprintf(out, "%s in %s: %s, revision %d, platform era %d, %d calls in flight\n\n", s.Host, s.Zone, state, s.Revision, s.Era, s.InFlight)
 	table := tabwriter.NewWriter(out, 0, 8, 2, ' ', 0)
 	fmt.Fprintln(table, "ZONE\tENTRIES\tREVISION\tUP TO DATE\tIN SERVICE")
 	for _, zone := range sortedKeys(s.Zones) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -201,6 +201,9 @@
 	d.metrics.Gauge("config_revision", "Configuration revision in force.", func() float64 {
 		return float64(d.entry.Catalog().Revision())
 	})
+	d.metrics.Gauge("platform_era", "Era of the platform, which rises when it comes back from a copy; zero while it isn't known.", func() float64 {
+		return float64(d.entry.Era())
+	})
 	d.metrics.Gauge("peer_sent_bytes", "Bytes sent to peers.", func() float64 {
 		sent, _ := d.mesh.Bytes()
 		return float64(sent)
--- a/internal/web/watch.go
+++ b/internal/web/watch.go
@@ -110,6 +110,7 @@
 	Ready        bool                  `json:"ready"`
 	Leaving      bool                  `json:"leaving"`
 	InFlight     int                   `json:"inFlight"`
+	Era          uint64                `json:"platformEra"`
 	Zones        map[string]zoneAnswer `json:"zones"`
 	OutOfService []string              `json:"outOfService"`
 	Entries      []hostAnswer          `json:"entries"`
@@ -147,7 +148,7 @@
 
 func entryAnswerOf(s entry.Status, at time.Time) entryAnswer {
 	answer := entryAnswer{
-		Host: string(s.Self.ID), Zone: string(s.Self.Zone), Revision: s.Revision, Ready: s.Ready,
+		Host: string(s.Self.ID), Zone: string(s.Self.Zone), Revision: s.Revision, Era: uint64(s.Era), Ready: s.Ready,
 		Leaving: s.Leaving, InFlight: s.InFlight, Zones: statusAnswerOf(s.Zones, at, s.Revision).Zones,
 		OutOfService: s.OutOfService,
 		Entries:      []hostAnswer{}, Upstreams: []upstreamAnswer{}, Pools: []poolAnswer{}, Coordinators: map[string]string{},
