--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -46,9 +46,9 @@
 	at     time.Time
 }
 
-// sawEra takes in that an era was told, and returns the claims that have to be written again because
+// observeEra takes in that an era was told, and returns the claims that have to be written again because
 // it is a new one.
-func (k *claimKeeper) sawEra(now time.Time, era history.Era) []madeClaim {
+func (k *claimKeeper) observeEra(now time.Time, era history.Era) []madeClaim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if era <= k.era {
@@ -97,18 +97,18 @@
 // Era is the platform's as this entry knows it; zero where it isn't told.
 func (e *Entry) Era() history.Era { return max(e.store.Era(), e.claimed.knownEra()) }
 
-// sawEra takes in the platform's era as the platform or a peer told it.
-func (e *Entry) sawEra(era history.Era) {
-	lost := e.claimed.sawEra(e.now(), era)
+// observeEra takes in the platform's era as the platform or a peer told it.
+func (e *Entry) observeEra(era history.Era) {
+	lost := e.claimed.observeEra(e.now(), era)
 	if len(lost) == 0 {
 		return
 	}
 	_ = level.Warn(e.logger).Log("msg", "the platform was restored from a copy", "era", era, "claims_written_again", len(lost))
-	e.spawn(func(ctx context.Context) { e.claimAgain(ctx, lost) })
+	e.spawn(func(ctx context.Context) { e.rewriteClaims(ctx, lost) })
 }
 
-// claimAgain writes claims that the platform may have lost.
-func (e *Entry) claimAgain(ctx context.Context, lost []madeClaim) {
+// rewriteClaims writes claims that the platform may have lost.
+func (e *Entry) rewriteClaims(ctx context.Context, lost []madeClaim) {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
 	for _, c := range lost {
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -37,7 +37,7 @@
 		Request:  claim.RequestHash(r.Method, r.Path, r.Body), At: now.UTC(),
 	}, now.Add(claimTimeout))
 	for {
-		e.sawEra(e.claims.Era())
+		e.observeEra(e.claims.Era())
 		step := attempt.Next(e.now())
 		if held := e.claimed.heldFor(e.now()); held > 0 && step != claim.Tell {
 			e.abandon(key, attempt)
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -211,7 +211,7 @@
 		if err != nil {
 			return 0, err
 		}
-		c.entry.sawEra(item.Era)
+		c.entry.observeEra(item.Era)
 		if c.wasRestored(item) {
 			if err := c.restoreLog(ctx, item.at()); err != nil {
 				return 0, err
--- a/entry/members.go
+++ b/entry/members.go
@@ -222,7 +222,7 @@
 func (m *members) hear(now time.Time, h Heartbeat) {
 	m.entry.crashes.Met(h.From.ID, h.Epoch)
 	m.entry.crashes.Hear(now, h.Crashes)
-	m.entry.sawEra(h.Era)
+	m.entry.observeEra(h.Era)
 	m.mu.Lock()
 	m.view.Heard(now, h.From, uint64(h.Revision), h.Leaving)
 	for _, id := range h.LeavingUpstreams {
--- a/entry/restorelog.go
+++ b/entry/restorelog.go
@@ -55,7 +55,7 @@
 		diverged = found && !same
 	}
 	if diverged {
-		if err := c.readAnew(ctx); err != nil {
+		if err := c.reload(ctx); err != nil {
 			return err
 		}
 	}
@@ -98,8 +98,8 @@
 	return there.Operation == e.Operation, true, nil
 }
 
-// readAnew replaces the configuration by what the platform has, once that is read to its end.
-func (c *configuration) readAnew(ctx context.Context) error {
+// reload replaces the configuration by what the platform has, once that is read to its end.
+func (c *configuration) reload(ctx context.Context) error {
 	catalog := &resource.Catalog{}
 	item, err := c.entry.store.Get(ctx, snapshotKey)
 	if err != nil {
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -196,7 +196,7 @@
 		if listed[id] || k.Revision.After(at) {
 			continue
 		}
-		if k.staysEnded(at) || f.unlist(now, k, at) {
+		if k.confirmEnded(at) || f.unlist(now, k, at) {
 			continue
 		}
 		gone := Change{Upstream: k.Upstream, Gone: true}
@@ -249,7 +249,7 @@
 	case k.isOver(c.Life):
 		return false
 	case !c.BelievedFrom.IsZero():
-		return f.doubt(now, k, c)
+		return f.deferRelisting(now, k, c)
 	case k.pending != nil && ofEarlierEra(c.Revision, k.pending.Revision):
 		return false
 	case !f.restore.Supersedes(c.Revision, k.Revision):
@@ -261,7 +261,7 @@
 
 // set takes in what is the newest known of an upstream.
 func (f *Fleet) set(now time.Time, k *known, c Change) bool {
-	if c.Missing && k.staysEnded(c.Revision) {
+	if c.Missing && k.confirmEnded(c.Revision) {
 		return false
 	}
 	k.pending = nil
@@ -338,7 +338,7 @@
 	if k.gone {
 		return false
 	}
-	if now.Before(f.trustGoneFrom) && !k.Leaving || f.awaited(now, k) {
+	if now.Before(f.trustGoneFrom) && !k.Leaving || f.mayBeRelisted(now, k) {
 		k.missing = true
 		return false
 	}
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -51,7 +51,7 @@
 	for _, k := range f.upstreams {
 		switch {
 		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out || but(k.ID):
-		case k.missing && !f.awaited(now, k) || now.Before(k.suspectUntil):
+		case k.missing && !f.mayBeRelisted(now, k) || now.Before(k.suspectUntil):
 			suspected = append(suspected, k.Upstream)
 		default:
 			takers = append(takers, k.Upstream)
--- a/forward/followgaps_test.go
+++ b/forward/followgaps_test.go
@@ -15,7 +15,7 @@
 // follows has a fleet take in what another has that is newer.
 func follows(now time.Time, f, leader *Fleet) {
 	var r FollowReply
-	leader.tell(now, f.Revision(), &r)
+	leader.fillReply(now, f.Revision(), &r)
 	f.TakeReply(now, r)
 }
 
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -127,7 +127,7 @@
 	// Ages first: nothing in the reply is then older than its proof, whatever comes in
 	// meanwhile.
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
-	f.fleet.tell(now, r.List, &reply)
+	f.fleet.fillReply(now, r.List, &reply)
 	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
 	reply.Version = f.versionInForce()
 	return reply
@@ -182,8 +182,8 @@
 	return true
 }
 
-// tell puts what changed after a point into a reply.
-func (f *Fleet) tell(now time.Time, after history.Point, r *FollowReply) {
+// fillReply puts what changed after a point into a reply.
+func (f *Fleet) fillReply(now time.Time, after history.Point, r *FollowReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.Changes, r.List, r.Whole = f.since(after)
@@ -201,7 +201,7 @@
 	if r.Whole {
 		return f.ReplaceZones(now, r.Zones, r.List), f.TakeOver(now, r.Changes, r.List)
 	}
-	zones := f.ApplyZones(now, f.withoutOrder(r))
+	zones := f.ApplyZones(now, f.impliedOrders(r))
 	if r.Gaps {
 		return zones, f.applyWithGaps(now, r.Changes, r.List)
 	}
--- a/forward/keeper.go
+++ b/forward/keeper.go
@@ -38,9 +38,9 @@
 	}
 }
 
-// keepAgain has the requests that are held be kept again, which a restored origin may lack. One
+// rekeepHeld has the requests that are held be kept again, which a restored origin may lack. One
 // host does that for all.
-func (f *Forwarder) keepAgain(now time.Time) {
+func (f *Forwarder) rekeepHeld(now time.Time) {
 	for _, e := range f.crashes.Entries(now) {
 		if e.Standing == quarantine.Held && f.peers.first(now, e.Request.String()) == f.peers.self.ID {
 			f.keep(e.Request)
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -86,7 +86,7 @@
 	for id, k := range f.upstreams {
 		switch {
 		case listed[id] || k.Revision.After(at):
-		case k.staysEnded(at):
+		case k.confirmEnded(at):
 		case f.unlist(now, k, at):
 		case !k.Leaving:
 			f.miss(now, k, at)
@@ -114,7 +114,7 @@
 				news = append(news, c)
 			}
 		}
-		if k.missing && !now.Before(f.trustGoneFrom) && !f.awaited(now, k) {
+		if k.missing && !now.Before(f.trustGoneFrom) && !f.mayBeRelisted(now, k) {
 			k.gone, k.missing, k.unlisted, k.droppedAt = true, false, false, now
 			k.leave(now, SourceList)
 			news = append(news, Change{Upstream: k.Upstream, Gone: true})
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -9,9 +9,9 @@
 	"github.com/shedpath/shedpath/history"
 )
 
-// The origin may come back from a copy that lacks what it had acknowledged last. What follows
-// says what then becomes of what is known. What was written in the new era binds; of the rest,
-// what the copy lacks is believed for a while, until it has been written again.
+// A restored origin lacks what it acknowledged after the copy was made. What was written since the
+// restore is authoritative; otherwise what this host knew stands for a while, in which upstreams
+// and operators write it again.
 
 const (
 	// relistWithin is how long after a restore the list may lack upstreams that live.
@@ -34,11 +34,11 @@
 }
 
 // enterEra takes in that the origin is at a point, whose era was first seen at another some time
-// ago. It is to be called before what was read there is taken in.
+// ago. It is to be called before any change that was read there is applied.
 func (f *Fleet) enterEra(now time.Time, at, first history.Point, ago time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.restore.Saw(first)
+	f.restore.Observe(first)
 	if !f.revision.IsZero() && at.Era() <= f.revision.Era() {
 		return
 	}
@@ -70,7 +70,7 @@
 		// Whoever tells so has waited for it to be listed again.
 		return f.set(now, k, c)
 	case restored && c.Missing:
-		if !k.staysEnded(c.Revision) {
+		if !k.confirmEnded(c.Revision) {
 			f.unlist(now, k, c.Revision)
 		}
 		return false
@@ -110,9 +110,9 @@
 	return false
 }
 
-// doubt takes in what a peer doesn't believe yet of an upstream that it knew to have ended. A host
-// that knows no more of it than the copy doesn't, either.
-func (f *Fleet) doubt(now time.Time, k *known, c Change) bool {
+// deferRelisting takes in an entry of the copy that a peer doesn't believe yet, for it knew the
+// upstream to have ended. A host that has only the copy's word doesn't believe it, either.
+func (f *Fleet) deferRelisting(now time.Time, k *known, c Change) bool {
 	switch {
 	case k.gone:
 		k.pending = &c
@@ -140,22 +140,23 @@
 	return true
 }
 
-// staysEnded takes in that a list lacks an upstream, and reports whether it is known to have ended.
-func (k *known) staysEnded(at history.Point) bool {
+// confirmEnded takes in that a list lacks an upstream, and reports whether it is known to have
+// ended. Those who follow this host are told, if they may hold the copy's entry.
+func (k *known) confirmEnded(at history.Point) bool {
 	if k.pending != nil {
 		k.pending, k.Revision = nil, at
 	}
 	return k.gone
 }
 
-// awaited reports whether an upstream that a restored list lacks may still be written again.
-func (f *Fleet) awaited(now time.Time, k *known) bool {
+// mayBeRelisted reports whether an upstream that a restored list lacks may still be written again.
+func (f *Fleet) mayBeRelisted(now time.Time, k *known) bool {
 	return k.unlisted && now.Before(f.eraSince.Add(relistWithin))
 }
 
-// suspendOrder keeps a zone's order as it was known before a restore, until what the copy has is
+// deferOrder keeps a zone's order as it was known before a restore, until what the copy has is
 // believed.
-func (f *Fleet) suspendOrder(o ZoneOrder) {
+func (f *Fleet) deferOrder(o ZoneOrder) {
 	known := f.zones[o.Zone]
 	o.BelievedFrom = f.eraSince.Add(reorderWithin)
 	if known.pending != nil {
@@ -212,5 +213,5 @@
 	}
 	f.journal.Belief("origin restored from a copy", "from", r.from, "to", r.to, "still_leaving", r.leaving,
 		"not_listed", r.unlisted, "listed_but_ended", r.ended, "zone_orders_kept", r.zones)
-	f.keepAgain(f.now())
+	f.rekeepHeld(f.now())
 }
--- a/forward/restoremodel_test.go
+++ b/forward/restoremodel_test.go
@@ -142,7 +142,7 @@
 		return
 	}
 	var r FollowReply
-	leader.fleet.tell(m.now, h.fleet.Revision(), &r)
+	leader.fleet.fillReply(m.now, h.fleet.Revision(), &r)
 	if r.List.IsZero() {
 		return
 	}
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -74,7 +74,7 @@
 		case !known.Out:
 			f.setZone(zoneState{ZoneOrder: back, heard: known.heard})
 		case ofEarlierEra(known.Revision, at):
-			f.suspendOrder(back)
+			f.deferOrder(back)
 		case f.order(now, back):
 			news = append(news, back)
 		}
@@ -83,9 +83,9 @@
 	return news
 }
 
-// withoutOrder are a reply's orders, and that there is none for zones of which this host has heard
+// impliedOrders are a reply's orders, and that there is none for zones of which this host has heard
 // in advance: an order that still held would be among them.
-func (f *Fleet) withoutOrder(r FollowReply) []ZoneOrder {
+func (f *Fleet) impliedOrders(r FollowReply) []ZoneOrder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	orders := r.Zones
@@ -131,7 +131,7 @@
 		switch {
 		case !ofEarlierEra(known.Revision, o.Revision):
 		case o.Out != known.Out:
-			f.suspendOrder(o)
+			f.deferOrder(o)
 		default:
 			f.setZone(zoneState{ZoneOrder: o, heard: known.heard})
 		}
--- a/history/history.go
+++ b/history/history.go
@@ -85,8 +85,8 @@
 	first Point
 }
 
-// Saw takes in that a store was at a point. Only points of the latest era count.
-func (r *Restore) Saw(p Point) {
+// Observe takes in that a store was at a point. Only points of the latest era count.
+func (r *Restore) Observe(p Point) {
 	if p.era > r.first.era || p.era == r.first.era && p.Before(r.first) {
 		r.first = p
 	}
--- a/history/history_test.go
+++ b/history/history_test.go
@@ -53,7 +53,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var r Restore
-			r.Saw(c.first)
+			r.Observe(c.first)
 			is.Equal(r.Supersedes(c.read, c.known), c.want)
 		})
 	}
@@ -63,7 +63,7 @@
 	is := is.New(t)
 	var r Restore
 	for _, p := range []Point{At(1, 9), At(2, 7), At(2, 5), At(2, 6), At(1, 2)} {
-		r.Saw(p)
+		r.Observe(p)
 	}
 	is.Equal(r.First(), At(2, 5))
 }
@@ -86,7 +86,7 @@
 }
 
 func (m *storeModel) read(t *rapid.T) {
-	m.restore.Saw(At(m.era, Revision(m.revision)))
+	m.restore.Observe(At(m.era, Revision(m.revision)))
 	if len(m.writes) == 0 {
 		return
 	}
--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -177,14 +177,14 @@
 	}
 	defer answer.Body.Close()
 	got, err := readResponse(answer)
-	c.sawEra(got.era)
+	c.observeEra(got.era)
 	return got, err
 }
 
 // Era is the newest that the service has told.
 func (c *Client) Era() history.Era { return history.Era(c.era.Load()) }
 
-func (c *Client) sawEra(era history.Era) {
+func (c *Client) observeEra(era history.Era) {
 	for known := c.era.Load(); uint64(era) > known; known = c.era.Load() {
 		if c.era.CompareAndSwap(known, uint64(era)) {
 			return
