--- a/backoff/table.go
+++ b/backoff/table.go
@@ -85,9 +85,9 @@
 	return again
 }
 
-// Hear takes in that an upstream asked a peer for backoff. spread is Ask's. It reports
+// Receive takes in that an upstream asked a peer for backoff. spread is Ask's. It reports
 // whether the upstream gets nothing from this host for a longer time because of it.
-func (t *Table) Hear(now time.Time, from member.HostID, m Mark, spread time.Duration) (longer bool) {
+func (t *Table) Receive(now time.Time, from member.HostID, m Mark, spread time.Duration) (longer bool) {
 	if m.For <= 0 {
 		return false
 	}
--- a/backoff/table_test.go
+++ b/backoff/table_test.go
@@ -73,11 +73,11 @@
 	var table Table
 	now := time.Now()
 	mark := func(d time.Duration) Mark { return Mark{Upstream: up, Life: 1, For: d} }
-	is.True(!table.Hear(now, "h2", mark(3*time.Second), time.Millisecond))
+	is.True(!table.Receive(now, "h2", mark(3*time.Second), time.Millisecond))
 	is.Equal(table.Wait(now, up), time.Duration(0)) // only h2 may have sent too much
-	is.True(table.Hear(now, "h3", mark(2*time.Second), time.Second))
+	is.True(table.Receive(now, "h3", mark(2*time.Second), time.Second))
 	is.Equal(table.Wait(now, up), 2*time.Second+time.Millisecond) // until one is left
-	is.True(!table.Hear(now, "h3", mark(2*time.Second), 0))
+	is.True(!table.Receive(now, "h3", mark(2*time.Second), 0))
 	is.Equal(len(table.Marks(now)), 0) // nothing asked this host itself
 	is.True(!table.Alone(now, up))
 	table.Ask(now, up, 1, time.Second, 0)
@@ -92,7 +92,7 @@
 	now := time.Now()
 	table.Ask(now, up, 1, time.Second, 0)
 	is.True(table.Alone(now, up))
-	table.Hear(now, "h2", Mark{Upstream: up, Life: 1, For: 3 * time.Second}, 0)
+	table.Receive(now, "h2", Mark{Upstream: up, Life: 1, For: 3 * time.Second}, 0)
 	is.True(!table.Alone(now, up))
 	is.Equal(table.Wait(now, up), time.Second)
 	is.Equal(table.Entries(now), []Entry{{Upstream: up, Left: time.Second, Hosts: 2, Window: 1}})
@@ -129,7 +129,7 @@
 				}
 			case 1:
 				host := member.HostID(rapid.SampledFrom([]string{"h2", "h3", "h4"}).Draw(t, "host"))
-				table.Hear(now, host, Mark{Upstream: up, Life: 1, For: d}, 0)
+				table.Receive(now, host, Mark{Upstream: up, Life: 1, For: d}, 0)
 			case 2:
 				table.Forget(now)
 			case 3:
--- a/entry/members.go
+++ b/entry/members.go
@@ -133,7 +133,7 @@
 		return
 	}
 	answer.age(m.entry.settings.Clock.Slept() - slept)
-	m.hear(m.entry.now(), answer)
+	m.receive(m.entry.now(), answer)
 	m.entry.crashes.Told(answer.From.ID, answer.Epoch, upTo)
 	if answer.Revision > m.entry.config.Catalog().Revision() {
 		m.entry.config.pull(ctx, to)
@@ -207,7 +207,7 @@
 func (m *members) OnHeartbeat(now time.Time, h Heartbeat) Heartbeat {
 	// It may have waited here while this machine was suspended.
 	h.age(m.entry.settings.Clock.Late(now))
-	m.hear(now, h)
+	m.receive(now, h)
 	m.mu.Lock()
 	pools := m.pools
 	m.mu.Unlock()
@@ -218,10 +218,10 @@
 	return answer
 }
 
-// hear takes in what a peer told.
-func (m *members) hear(now time.Time, h Heartbeat) {
+// receive takes in what a peer told.
+func (m *members) receive(now time.Time, h Heartbeat) {
 	m.entry.crashes.Met(h.From.ID, h.Epoch)
-	m.entry.crashes.Hear(now, h.Crashes)
+	m.entry.crashes.Receive(now, h.Crashes)
 	m.entry.observeEra(h.Era)
 	m.mu.Lock()
 	m.view.Heard(now, h.From, uint64(h.Revision), h.Leaving)
--- a/forward/clock_test.go
+++ b/forward/clock_test.go
@@ -120,7 +120,7 @@
 	is := is.New(t)
 	f := newForwarder(t, &fakeTransport{})
 	f.contact.clear()
-	f.hear(Share{From: Peer{ID: "h9", Zone: "z1"}, Version: 1, ConfigAge: -time.Hour, OriginAge: -time.Hour})
+	f.receive(Share{From: Peer{ID: "h9", Zone: "z1"}, Version: 1, ConfigAge: -time.Hour, OriginAge: -time.Hour})
 	is.Equal(f.ContactAge(time.Now()), neverProved)
 	_, found := f.peers.leader(time.Now(), true)
 	is.True(!found)
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -22,7 +22,7 @@
 	p := newPeerSet(Peer{ID: "h0", Zone: "z1"}, nil)
 	now := time.Now()
 	for n := range 65 {
-		p.hear(now, Share{From: Peer{ID: member.HostID(fmt.Sprint("h", n+1)), Zone: "z1"}})
+		p.receive(now, Share{From: Peer{ID: member.HostID(fmt.Sprint("h", n+1)), Zone: "z1"}})
 	}
 	is.Equal(p.mostKnown(now), 66)
 	now = now.Add(30 * time.Second)
@@ -53,7 +53,7 @@
 				// One of the cold upstreams' zone gives out what they take, and can't be asked
 				// here: this host has its own turns, and never the place of who gives out.
 				for n := range 9 {
-					f.peers.hear(now, Share{From: Peer{ID: member.HostID(fmt.Sprint("p", n)), Zone: "z2"}})
+					f.peers.receive(now, Share{From: Peer{ID: member.HostID(fmt.Sprint("p", n)), Zone: "z2"}})
 				}
 				cold := func(ids ...string) {
 					var changes []Change
--- a/forward/drill_test.go
+++ b/forward/drill_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/quarantine"
 )
@@ -53,13 +54,7 @@
 		after(d)
 		cancel()
 		synctest.Wait()
-		for i, finding := range d.findings {
-			if i == 5 {
-				t.Errorf("%d findings in all", len(d.findings))
-				break
-			}
-			t.Error(finding)
-		}
+		d.report(t)
 	})
 }
 
@@ -313,7 +308,7 @@
 	}
 	before := func(d *drill) {
 		f := d.each()[4]
-		f.hearCrashes(f.now(), []quarantine.Mark{mark})
+		f.receiveCrashes(f.now(), []quarantine.Mark{mark})
 	}
 	playDrill(t, 3, 3, before, func(d *drill) {
 		time.Sleep(3 * time.Second)
@@ -323,3 +318,29 @@
 		}
 	})
 }
+
+// TestEraFalls: answers of an era before the known one change nothing, and aren't asked for in a loop.
+func TestEraFalls(t *testing.T) {
+	playDrill(t, 3, 3, nil, func(d *drill) {
+		d.store.list(leavingUp("app1"))
+		time.Sleep(leavingKnownWithin)
+		setEra := func(by int) {
+			d.store.mu.Lock()
+			defer d.store.mu.Unlock()
+			d.store.era += history.Era(by)
+			d.store.wake()
+		}
+		setEra(-1)
+		d.store.list(plainUp("app1"))
+		d.store.list(leavingUp("app2"))
+		from := time.Now()
+		d.hold("app1 leaves, app2 takes work", 0, 5*time.Second, func(f *Forwarder) bool { return takesNot("app1")(f) && takes("app2")(f) })
+		for host, n := range d.store.callsIn(from, time.Now()) {
+			if n > 5*hostCallsPerSecond {
+				d.finding("%s called the store %d times in 5 s", host, n)
+			}
+		}
+		setEra(1)
+		d.hold("app2 leaves", leavingKnownWithin+failMost, 3*time.Second, takesNot("app2"))
+	})
+}
--- a/forward/drillday_test.go
+++ b/forward/drillday_test.go
@@ -242,13 +242,7 @@
 				d.calls(t)
 				cancel()
 				synctest.Wait()
-				for i, finding := range d.findings {
-					if i == 8 {
-						t.Errorf("%d findings in all", len(d.findings))
-						break
-					}
-					t.Error(finding)
-				}
+				d.report(t)
 			})
 		})
 	}
--- a/forward/drillstore_test.go
+++ b/forward/drillstore_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/shedpath/shedpath/history"
@@ -317,6 +318,18 @@
 	d.findings = append(d.findings, fmt.Sprintf("%5.2f s ", time.Since(d.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// report fails the test with the first findings.
+func (d *drill) report(t *testing.T) {
+	t.Helper()
+	for i, finding := range d.findings {
+		if i == 8 {
+			t.Errorf("%d findings in all", len(d.findings))
+			break
+		}
+		t.Error(finding)
+	}
+}
+
 // each are the hosts, in the order of their names.
 func (d *drill) each() []*Forwarder {
 	d.mu.Lock()
--- a/forward/engines_test.go
+++ b/forward/engines_test.go
@@ -75,7 +75,7 @@
 	}, rev(2))
 	f.listEngines(now, f.Table())
 	for _, id := range []member.HostID{"a", "b"} {
-		f.peers.hear(now, Share{From: Peer{ID: id, Zone: "z2"}})
+		f.peers.receive(now, Share{From: Peer{ID: id, Zone: "z2"}})
 	}
 	busy := policy.Request{Run: "busy", Route: "/llm/", Prompt: 6000, Objective: 1800 * time.Millisecond, Arrived: now}
 	_, first, _ := f.engines.place(t.Context(), now, "llm", busy)
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -100,8 +100,8 @@
 	return marks
 }
 
-// HearFailing takes in what a peer of the zone found.
-func (f *Fleet) HearFailing(now time.Time, marks []FailingMark) {
+// ReceiveFailing takes in what a peer of the zone found.
+func (f *Fleet) ReceiveFailing(now time.Time, marks []FailingMark) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	changed := false
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -6,103 +6,17 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
-	"github.com/shedpath/shedpath/quarantine"
 )
 
-// News is what an Origin has that is new, as of a revision.
-type News struct {
-	// Config is nil when the configuration isn't new, or isn't there yet.
-	Config *Config
-	// Changes are those of the list of upstreams.
-	Changes []Change
-	// Zones are orders about zones: with Read, every one that holds.
-	Zones []ZoneOrder
-	// Crashes are requests that are held, as they were kept.
-	Crashes []quarantine.Mark
-	// Hosts are hosts of the site that were put on its directory.
-	Hosts []Peer
-	// At is where in the origin's history it answered.
-	At history.Point
-	// Unread says of some entries why they couldn't be read or used; nil when all
-	// could. UnreadCount is how many there were.
-	Unread      error
-	UnreadCount int
-}
-
-// Origin is where the configuration and the list of upstreams are kept.
-type Origin interface {
-	// Read returns everything: the configuration, and each upstream as a
-	// change. An answer that doesn't tell its era is taken to be of the known one.
-	Read(ctx context.Context, known history.Era) (News, error)
-	// Watch returns the next news after a point, or none when the wait is
-	// over. They may be of a later era than that point, and are then not all.
-	Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error)
-}
-
-// ErrHistoryGone is an Origin's word that it no longer has the changes after a
-// revision: all has to be read again.
-var ErrHistoryGone = errors.New("the history is gone")
-
-const (
-	// watchWait is how long a watch waits. Changes end it at once, but a watch
-	// may miss them, so its silence is believed no longer than this: half of
-	// the time in which a configuration has to be in force.
-	watchWait = time.Second
-	// failLeast and failMost bound the pause after a failed call; it doubles
-	// with each failure in a row.
-	failLeast = 50 * time.Millisecond
-	failMost  = 800 * time.Millisecond
-)
-
-// failPause is the pause after so many failures in a row, half of it jitter.
-func failPause(failures int) time.Duration {
-	pause := min(failLeast<<min(failures, 8), failMost)
-	return pause/2 + rand.N(pause)
-}
-
-// dependency notes when something that this host depends on is lost and
-// regained. It is for one goroutine.
-type dependency struct {
-	name     string
-	journal  Journal
-	lost     time.Time
-	failures int
-	// now tells the present time.
-	now func() time.Time
-}
-
-// failed notes a failure and returns the pause before the next try.
-func (d *dependency) failed(ctx context.Context, err error) time.Duration {
-	if ctx.Err() != nil {
-		return 0
-	}
-	if d.lost.IsZero() {
-		d.lost = d.now()
-		d.journal.Belief("dependency lost", "what", d.name, "err", err)
-	}
-	d.failures++
-	return failPause(d.failures)
-}
-
-// ok notes a success and returns how long the outage was that it ended; zero
-// when there was none.
-func (d *dependency) ok(now time.Time) time.Duration {
-	d.failures = 0
-	if d.lost.IsZero() {
-		return 0
-	}
-	lostFor := now.Sub(d.lost)
-	d.journal.Belief("dependency regained", "what", d.name, "lost_for", lostFor)
-	d.lost = time.Time{}
-	return lostFor
-}
+// watchWait is how long a watch waits. Changes end it at once, but a watch
+// may miss them, so its silence is believed no longer than this: half of
+// the time in which a configuration has to be in force.
+const watchWait = time.Second
 
 // follower keeps the configuration and the list of upstreams up to date, from
 // the origin or from a peer that watches the origin.
@@ -129,8 +43,8 @@
 	// unreadNoted.
 	unread      int
 	unreadNoted time.Time
-	// shunned are the zones whose hosts couldn't be followed, until when.
-	shunned map[member.Zone]time.Time
+	// avoided are the zones whose hosts couldn't be followed, until when.
+	avoided map[member.Zone]time.Time
 }
 
 // While no peer is known, alonePause is waited between two watches, but not for
@@ -149,8 +63,8 @@
 	// usual pace; with more of them each pauses longer. The first that regains
 	// it is followed by the others.
 	hostsAtOnce = 4
-	// ledCheck is how often a host that pauses looks for such a peer.
-	ledCheck = 100 * time.Millisecond
+	// followableCheck is how often a host that pauses looks for such a peer.
+	followableCheck = 100 * time.Millisecond
 )
 
 // A host that starts takes everything over from a peer, if it finds one in time: a
@@ -274,18 +188,18 @@
 // so that one host watches the origin for all of them. It reports whether that
 // host could be followed; if not, its zone is left alone for a while.
 func (w *follower) followZone(ctx context.Context, now time.Time) bool {
-	far, found := w.peers.ofEarlierZone(func(z member.Zone) bool { return now.Before(w.shunned[z]) }, now)
+	far, found := w.peers.ofEarlierZone(func(z member.Zone) bool { return now.Before(w.avoided[z]) }, now)
 	if !found {
 		return false
 	}
 	if w.followPeer(ctx, far, zoneBounds) {
 		return true
 	}
-	if w.shunned == nil {
-		w.shunned = map[member.Zone]time.Time{}
+	if w.avoided == nil {
+		w.avoided = map[member.Zone]time.Time{}
 	}
 	// The hosts of a site that has just started are up to date a moment later.
-	w.shunned[far.Zone] = now.Add(min(shunZoneFor, now.Sub(w.began)))
+	w.avoided[far.Zone] = now.Add(min(avoidZoneFor, now.Sub(w.began)))
 	return false
 }
 
@@ -360,14 +274,6 @@
 	}
 }
 
-// EraFellError says that the origin told an era before one that is known. Such an answer was
-// under way since before a restore, or comes from another store.
-type EraFellError struct{ Known, Told history.Point }
-
-func (e *EraFellError) Error() string {
-	return fmt.Sprintf("the origin is at %v, which is before the era of %v", e.Told, e.Known)
-}
-
 // take takes in what the origin told, which was up to date at a time.
 func (w *follower) take(proved time.Time, news News) {
 	now := w.now()
@@ -375,7 +281,7 @@
 		w.noteUnread(now, news)
 	}
 	w.peers.list(now, news.Hosts)
-	w.hearCrashes(now, news.Crashes)
+	w.receiveCrashes(now, news.Crashes)
 	if w.read {
 		w.journal.Belief("list read", "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
 	}
@@ -393,16 +299,6 @@
 	w.proofInherited.Store(false)
 }
 
-// TakeNews takes the origin's list in, the whole of it or what is new. It returns what made a
-// difference.
-func (f *Fleet) TakeNews(now time.Time, news News, whole bool) ([]ZoneOrder, []Change) {
-	f.enterEra(now, news.At, news.At, 0)
-	if whole {
-		return f.ReplaceZones(now, news.Zones, news.At), f.ReplaceAll(now, news.Changes, news.At)
-	}
-	return f.ApplyZones(now, news.Zones), f.Apply(now, news.Changes, news.At)
-}
-
 // unreadPause is the least time between two lines about entries that can't be read: they
 // may be written anew several times a second.
 const unreadPause = time.Second
@@ -432,7 +328,7 @@
 	more := pause * time.Duration(w.peers.liveInZone(now)/hostsAtOnce)
 	w.nextTry = now.Add(pause + more + originPause)
 	PauseFor(ctx, pause)
-	w.pauseUntilLed(ctx, more)
+	w.pauseUntilFollowable(ctx, more)
 }
 
 // takeStale has a host that has started while the origin is away, and knows no upstream,
@@ -453,15 +349,15 @@
 	}
 }
 
-// pauseUntilLed waits, but not on while a peer has regained the origin.
-func (w *follower) pauseUntilLed(ctx context.Context, pause time.Duration) {
+// pauseUntilFollowable waits, but not on while a peer has regained the origin.
+func (w *follower) pauseUntilFollowable(ctx context.Context, pause time.Duration) {
 	until := w.now().Add(pause)
 	for ctx.Err() == nil {
 		now := w.now()
 		if _, found := w.peers.leader(now, true); found || !now.Before(until) {
 			return
 		}
-		PauseFor(ctx, min(until.Sub(now), ledCheck))
+		PauseFor(ctx, min(until.Sub(now), followableCheck))
 	}
 }
 
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -46,7 +46,7 @@
 			is := is.New(t)
 			p := newPeerSet(Peer{ID: "h5", Zone: "z1"}, nil)
 			for _, s := range c.peers {
-				p.hear(now, s)
+				p.receive(now, s)
 			}
 			leader, found := p.leader(now.Add(time.Second), c.needed)
 			is.Equal(leader.ID, c.want)
@@ -89,7 +89,7 @@
 	for name, c := range map[string]struct {
 		peers      []Share
 		distrusted member.HostID
-		shunned    member.Zone
+		avoided    member.Zone
 		want       member.HostID
 	}{
 		"alone":                  {nil, "", "", ""},
@@ -98,16 +98,16 @@
 		"own zone doesn't count": {[]Share{peer("h1", "z3", false)}, "", "", ""},
 		"the first is stopping":  {[]Share{peer("h1", "z1", true), peer("h2", "z1", false)}, "", "", "h2"},
 		"the first failed":       {[]Share{peer("h1", "z1", false), peer("h2", "z1", false)}, "h1", "", "h2"},
-		"the zone is shunned":    {[]Share{peer("h1", "z1", false), peer("h2", "z2", false)}, "", "z1", "h2"},
+		"the zone is avoided":    {[]Share{peer("h1", "z1", false), peer("h2", "z2", false)}, "", "z1", "h2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			p := newPeerSet(Peer{ID: "h5", Zone: "z3"}, nil)
 			for _, s := range c.peers {
-				p.hear(now, s)
+				p.receive(now, s)
 			}
 			p.distrust(c.distrusted)
-			got, found := p.ofEarlierZone(func(z member.Zone) bool { return z == c.shunned }, now.Add(time.Second))
+			got, found := p.ofEarlierZone(func(z member.Zone) bool { return z == c.avoided }, now.Add(time.Second))
 			is.Equal(got.ID, c.want)
 			is.Equal(found, c.want != "")
 		})
@@ -173,7 +173,7 @@
 				f := newForwarder(t, &fakeTransport{})
 				peers, origin := &followedPeers{}, &countingOrigin{}
 				f.peerPort = peers
-				f.peers.hear(time.Now(), Share{From: Peer{ID: "h9", Zone: "z0"}})
+				f.peers.receive(time.Now(), Share{From: Peer{ID: "h9", Zone: "z0"}})
 				ctx, cancel := context.WithCancel(t.Context())
 				go f.Follow(ctx, origin)
 				time.Sleep(2 * time.Second)
@@ -227,7 +227,7 @@
 		go f.Follow(ctx, origin)
 		synctest.Wait()
 		origin.lost.Store(true)
-		f.peers.hear(time.Now(), Share{From: Peer{ID: "h9", Zone: "z1"}})
+		f.peers.receive(time.Now(), Share{From: Peer{ID: "h9", Zone: "z1"}})
 		time.Sleep(2 * time.Second)
 		is.True(f.listKnown(time.Now()))
 		is.True(f.OriginAge(time.Now()) > originFresh)
@@ -250,7 +250,7 @@
 		origin.lost.Store(true)
 		hear := func(originAge time.Duration) {
 			for n := range 20 {
-				f.peers.hear(time.Now(), Share{From: Peer{ID: member.HostID(fmt.Sprint("h", 10+n)), Zone: "z1"}, OriginAge: originAge})
+				f.peers.receive(time.Now(), Share{From: Peer{ID: member.HostID(fmt.Sprint("h", 10+n)), Zone: "z1"}, OriginAge: originAge})
 			}
 		}
 		hear(time.Minute)
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -55,8 +55,8 @@
 	// followTimeout is how long after a peer's answer this host counts as
 	// following it.
 	followTimeout = 1100 * time.Millisecond
-	// shunZoneFor is how long a zone isn't followed after that has failed.
-	shunZoneFor = 5 * time.Second
+	// avoidZoneFor is how long a zone isn't followed after that has failed.
+	avoidZoneFor = 5 * time.Second
 	// originFresh is how recent a peer's proof by the origin must be to follow it:
 	// its watch returns every watchWait at least.
 	originFresh = watchWait + 600*time.Millisecond
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -149,12 +149,12 @@
 	f := New(Settings{Self: Peer{ID: "h5", Zone: "z1"}}, &fakeTransport{}, silentJournal{}, silentObserver{})
 	is.True(f.peers.firstOfZone(now, listedPerZone)) // as far as it knows
 	for _, id := range []member.HostID{"h1", "h2", "h3"} {
-		f.peers.hear(now, Share{From: Peer{ID: id, Zone: "z1"}})
+		f.peers.receive(now, Share{From: Peer{ID: id, Zone: "z1"}})
 	}
-	f.peers.hear(now, Share{From: Peer{ID: "a", Zone: "z2"}})
+	f.peers.receive(now, Share{From: Peer{ID: "a", Zone: "z2"}})
 	is.True(!f.peers.firstOfZone(now, listedPerZone))
-	f.peers.hear(now, Share{From: Peer{ID: "h1", Zone: "z1"}, Stopping: true})
-	f.peers.hear(now, Share{From: Peer{ID: "h2", Zone: "z1"}, Stopping: true})
+	f.peers.receive(now, Share{From: Peer{ID: "h1", Zone: "z1"}, Stopping: true})
+	f.peers.receive(now, Share{From: Peer{ID: "h2", Zone: "z1"}, Stopping: true})
 	is.True(f.peers.firstOfZone(now, listedPerZone))
 	is.True(f.peers.firstOfZone(now.Add(peerSilent+time.Second), listedPerZone)) // they went silent
 }
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -87,9 +87,9 @@
 	return marks
 }
 
-// hearLeaving takes in a peer's word that an upstream leaves.
-func (f *Forwarder) hearLeaving(now time.Time, from member.HostID, mark LeavingMark) {
-	if !f.fleet.HearLife(mark.Engine, mark.Life) {
+// receiveLeaving takes in a peer's word that an upstream leaves.
+func (f *Forwarder) receiveLeaving(now time.Time, from member.HostID, mark LeavingMark) {
+	if !f.fleet.ReceiveLife(mark.Engine, mark.Life) {
 		return
 	}
 	isNew := false
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -19,9 +19,9 @@
 	Err error
 }
 
-// hearLimit takes in what an answer says of its upstream's limit. sent is when its request
+// receiveLimit takes in what an answer says of its upstream's limit. sent is when its request
 // was.
-func (f *Forwarder) hearLimit(sent time.Time, u Upstream, l NamedLimit) {
+func (f *Forwarder) receiveLimit(sent time.Time, u Upstream, l NamedLimit) {
 	now := f.now()
 	if l.Err != nil {
 		if f.limitLines.allow(now, u.ID) {
@@ -33,15 +33,15 @@
 		return
 	}
 	word := ratelimit.Word{Named: l.Named, Rate: l.Rate, Since: sent, At: now}
-	f.noteLimit(now, u.ID, f.peers.self.ID, l.Rate, 0, f.limiter.Words.Hear(now, u.ID, int64(u.Life), f.peers.self.ID, word))
+	f.noteLimit(now, u.ID, f.peers.self.ID, l.Rate, 0, f.limiter.Words.Receive(now, u.ID, int64(u.Life), f.peers.self.ID, word))
 }
 
-// hearLimitMark takes in a peer's word of an upstream's limit.
-func (f *Forwarder) hearLimitMark(now time.Time, from member.HostID, m ratelimit.Mark) {
-	if !f.fleet.HearLife(m.Upstream, Life(m.Life)) {
+// receiveLimitMark takes in a peer's word of an upstream's limit.
+func (f *Forwarder) receiveLimitMark(now time.Time, from member.HostID, m ratelimit.Mark) {
+	if !f.fleet.ReceiveLife(m.Upstream, Life(m.Life)) {
 		return
 	}
-	f.noteLimit(now, m.Upstream, from, m.Rate, m.Age, f.limiter.Words.HearMark(now, from, m))
+	f.noteLimit(now, m.Upstream, from, m.Rate, m.Age, f.limiter.Words.ReceiveMark(now, from, m))
 }
 
 // noteLimit tells of a change of an upstream's limit.
--- a/forward/lives.go
+++ b/forward/lives.go
@@ -40,10 +40,10 @@
 	f.renewed = append(f.renewed, k.ID)
 }
 
-// HearLife takes in from another than the list which life an upstream is in. It reports
+// ReceiveLife takes in from another than the list which life an upstream is in. It reports
 // whether what was told with it is of the life that is known here. Births decide between
 // such news: one that was born earlier is believed when the list tells of it.
-func (f *Fleet) HearLife(id member.UpstreamID, life Life) bool {
+func (f *Fleet) ReceiveLife(id member.UpstreamID, life Life) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.upstreams[id]
--- /dev/null
+++ b/forward/origin.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/shedpath/shedpath/history"
+	"github.com/shedpath/shedpath/quarantine"
+)
+
+// News is what an Origin has that is new, as of a revision.
+type News struct {
+	// Config is nil when the configuration isn't new, or isn't there yet.
+	Config *Config
+	// Changes are those of the list of upstreams.
+	Changes []Change
+	// Zones are orders about zones: with Read, every one that holds.
+	Zones []ZoneOrder
+	// Crashes are requests that are held, as they were kept.
+	Crashes []quarantine.Mark
+	// Hosts are hosts of the site that were put on its directory.
+	Hosts []Peer
+	// At is where in the origin's history it answered.
+	At history.Point
+	// Unread says of some entries why they couldn't be read or used; nil when all
+	// could. UnreadCount is how many there were.
+	Unread      error
+	UnreadCount int
+}
+
+// Origin is where the configuration and the list of upstreams are kept.
+type Origin interface {
+	// Read returns everything: the configuration, and each upstream as a
+	// change. An answer that doesn't tell its era is taken to be of the known one.
+	Read(ctx context.Context, known history.Era) (News, error)
+	// Watch returns the next news after a point, or none when the wait is
+	// over. They may be of a later era than that point, and are then not all.
+	Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error)
+}
+
+// ErrHistoryGone is an Origin's word that it no longer has the changes after a
+// revision: all has to be read again.
+var ErrHistoryGone = errors.New("the history is gone")
+
+// EraFellError says that the origin told an era before one that is known. Such an answer was
+// under way since before a restore, or comes from another store.
+type EraFellError struct{ Known, Told history.Point }
+
+func (e *EraFellError) Error() string {
+	return fmt.Sprintf("the origin is at %v, which is before the era of %v", e.Told, e.Known)
+}
+
+// TakeNews takes the origin's list in, the whole of it or what is new. It returns what made a
+// difference.
+func (f *Fleet) TakeNews(now time.Time, news News, whole bool) ([]ZoneOrder, []Change) {
+	f.enterEra(now, news.At, news.At, 0)
+	if whole {
+		return f.ReplaceZones(now, news.Zones, news.At), f.ReplaceAll(now, news.Changes, news.At)
+	}
+	return f.ApplyZones(now, news.Zones), f.Apply(now, news.Changes, news.At)
+}
--- a/forward/peerchoice.go
+++ b/forward/peerchoice.go
@@ -97,13 +97,13 @@
 }
 
 // ofEarlierZone returns the first live host, by zone and name, of a zone that
-// comes before this host's and isn't shunned.
-func (p *peerSet) ofEarlierZone(shunned func(member.Zone) bool, now time.Time) (Peer, bool) {
+// comes before this host's and isn't avoided.
+func (p *peerSet) ofEarlierZone(avoided func(member.Zone) bool, now time.Time) (Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var first *peerState
 	for _, s := range p.known {
-		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now, p.self.Zone) || shunned(s.Zone) {
+		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now, p.self.Zone) || avoided(s.Zone) {
 			continue
 		}
 		if first == nil || s.Zone < first.Zone || s.Zone == first.Zone && s.ID < first.ID {
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -209,40 +209,40 @@
 	if err == nil {
 		late := f.settings.Clock.Slept() - slept
 		reply.ConfigAge, reply.OriginAge = older(reply.ConfigAge, late), older(reply.OriginAge, late)
-		f.hear(reply)
+		f.receive(reply)
 		f.crashes.Told(reply.From.ID, reply.Epoch, upTo)
 	}
 }
 
-// hear takes in what a peer says of itself.
-func (f *Forwarder) hear(s Share) {
+// receive takes in what a peer says of itself.
+func (f *Forwarder) receive(s Share) {
 	now := f.now()
 	if s.ConfigAge < 0 || s.OriginAge < 0 {
 		f.journal.Belief("peer told an age below zero", "peer", s.From.ID, "config_age", s.ConfigAge, "origin_age", s.OriginAge)
 		s.ConfigAge, s.OriginAge = neverProved, neverProved
 	}
-	f.noteZones(f.fleet.HearZones(now, s.Zones))
+	f.noteZones(f.fleet.ReceiveZones(now, s.Zones))
 	for _, mark := range s.Leaving {
-		f.hearLeaving(now, s.From.ID, mark)
+		f.receiveLeaving(now, s.From.ID, mark)
 	}
 	if s.From.Zone == f.peers.self.Zone {
-		f.fleet.HearFailing(now, s.Failing)
+		f.fleet.ReceiveFailing(now, s.Failing)
 	}
 	for _, mark := range s.Cold {
-		if f.fleet.HearLife(mark.Upstream, mark.Life) {
+		if f.fleet.ReceiveLife(mark.Upstream, mark.Life) {
 			f.fleet.MarkCold(mark.Upstream, now.Add(mark.For))
 		}
 	}
 	for _, mark := range s.Limits {
-		f.hearLimitMark(now, s.From.ID, mark)
+		f.receiveLimitMark(now, s.From.ID, mark)
 	}
 	for _, mark := range s.Backoffs {
-		f.hearBackoff(now, s.From.ID, mark)
+		f.receiveBackoff(now, s.From.ID, mark)
 	}
 	f.dropOldLives()
 	f.crashes.Met(s.From.ID, s.Epoch)
-	f.hearCrashes(now, s.Crashes)
-	if f.peers.hear(now, s) {
+	f.receiveCrashes(now, s.Crashes)
+	if f.peers.receive(now, s) {
 		f.journal.Belief("peer found", "peer", s.From.ID, "zone", s.From.Zone)
 	}
 	if version := f.versionInForce(); s.Version == version && version > 0 {
@@ -266,7 +266,7 @@
 	late := f.settings.Clock.Late(f.now())
 	s.ConfigAge, s.OriginAge = older(s.ConfigAge, late), older(s.OriginAge, late)
 	f.engines.adopt(f.now(), s.From.ID, s.Runs, s.Ended)
-	f.hear(s)
+	f.receive(s)
 	now := f.now()
 	reply := f.shareWithoutRuns(now)
 	reply.Crashes, _ = f.crashes.Tell(now, s.From.ID)
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// hear takes in what a peer said.
-func (p *peerSet) hear(now time.Time, s Share) (isNew bool) {
+// receive takes in what a peer said.
+func (p *peerSet) receive(now time.Time, s Share) (isNew bool) {
 	if s.From.ID == p.self.ID || s.From.ID == "" {
 		return false
 	}
--- a/forward/permits.go
+++ b/forward/permits.go
@@ -96,8 +96,8 @@
 	return u.Zone, known
 }
 
-func (p permitSite) HearWord(now time.Time, from member.HostID, m ratelimit.Mark) {
-	p.hearLimitMark(now, from, m)
+func (p permitSite) ReceiveWord(now time.Time, from member.HostID, m ratelimit.Mark) {
+	p.receiveLimitMark(now, from, m)
 }
 
 // errNoPeers says that this host has no way to the others yet.
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -59,7 +59,7 @@
 // notice.
 func (f *Forwarder) suspectList(now time.Time) {
 	if !f.listSuspected(now) {
-		f.journal.Belief("list listSuspect", "for", suspectListFor, "list_revision", f.fleet.Revision())
+		f.journal.Belief("list suspect", "for", suspectListFor, "list_revision", f.fleet.Revision())
 	}
 	f.listSuspect.raise(now)
 }
@@ -108,7 +108,7 @@
 	defer cancel()
 	health, err := f.checkHealth(ctx, s, u)
 	now := f.now()
-	if err != nil || !f.fleet.HearLife(u.ID, health.Life) {
+	if err != nil || !f.fleet.ReceiveLife(u.ID, health.Life) {
 		return
 	}
 	f.dropOldLives()
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -97,9 +97,9 @@
 	}
 }
 
-// hearCrashes takes in what a peer tells.
-func (f *Forwarder) hearCrashes(now time.Time, marks []quarantine.Mark) {
-	if held := f.crashes.Hear(now, marks); len(held) > 0 {
+// receiveCrashes takes in what a peer tells.
+func (f *Forwarder) receiveCrashes(now time.Time, marks []quarantine.Mark) {
+	if held := f.crashes.Receive(now, marks); len(held) > 0 {
 		f.journal.Belief("requests held back", "number", len(held), "one_asks", held[0])
 		f.endHeld(held)
 		for _, print := range held {
--- a/forward/send.go
+++ b/forward/send.go
@@ -195,9 +195,9 @@
 	return true
 }
 
-// hearBackoff takes in that an upstream wants nothing from a peer for a while.
-func (f *Forwarder) hearBackoff(now time.Time, from member.HostID, mark backoff.Mark) {
-	if !f.fleet.HearLife(mark.Upstream, Life(mark.Life)) || !f.backoffs.Hear(now, from, mark, spreadOf(mark.For)) {
+// receiveBackoff takes in that an upstream wants nothing from a peer for a while.
+func (f *Forwarder) receiveBackoff(now time.Time, from member.HostID, mark backoff.Mark) {
+	if !f.fleet.ReceiveLife(mark.Upstream, Life(mark.Life)) || !f.backoffs.Receive(now, from, mark, spreadOf(mark.For)) {
 		return
 	}
 	f.relistEngines()
--- a/forward/signalfleet_test.go
+++ b/forward/signalfleet_test.go
@@ -112,7 +112,7 @@
 }
 
 // hear notes what a host's answer tells, as it comes.
-func (f *signalFleet) hear(id member.UpstreamID, host member.HostID, s Signals) {
+func (f *signalFleet) receive(id member.UpstreamID, host member.HostID, s Signals) {
 	if !s.Leaving && s.RetryAfter == 0 {
 		return
 	}
@@ -136,7 +136,7 @@
 	if s.RetryAfter > 0 {
 		// A refusal comes back in two milliseconds.
 		time.Sleep(2 * time.Millisecond)
-		t.hear(u.ID, t.host, s)
+		t.receive(u.ID, t.host, s)
 		t.mu.Lock()
 		t.rejected[u.ID]++
 		t.mu.Unlock()
@@ -144,7 +144,7 @@
 	}
 	if fails {
 		time.Sleep(fakeCallTakes)
-		t.hear(u.ID, t.host, s)
+		t.receive(u.ID, t.host, s)
 		a := answer(http.StatusInternalServerError, "sorry")
 		a.Signals = s
 		return a, nil
@@ -154,7 +154,7 @@
 		return nil, err
 	}
 	a.Signals = s
-	t.hear(u.ID, t.host, s)
+	t.receive(u.ID, t.host, s)
 	return a, nil
 }
 
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -73,7 +73,7 @@
 	}
 	// Only its own answer to a request that names no limit ends one.
 	if s.Limit.Named || s.Limit.Err != nil || s.Own && to == answerToRequest {
-		f.hearLimit(sent, u, s.Limit)
+		f.receiveLimit(sent, u, s.Limit)
 	}
 }
 
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -89,7 +89,7 @@
 				f.Stop(ctx)
 				time.Sleep(c.after)
 				for _, s := range c.peers {
-					f.peers.hear(time.Now(), s)
+					f.peers.receive(time.Now(), s)
 				}
 				told := map[time.Duration]bool{}
 				for range 20 {
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -45,7 +45,7 @@
 			"configuration":      func(f *Forwarder) time.Duration { return f.ContactAge(f.now()) },
 			"list":               func(f *Forwarder) time.Duration { return f.OriginAge(f.now()) },
 			"followed":           func(f *Forwarder) time.Duration { return f.followed.age(f.now()) },
-			"doubt":              func(f *Forwarder) time.Duration { return f.listSuspect.age(f.now()) },
+			"list suspect":       func(f *Forwarder) time.Duration { return f.listSuspect.age(f.now()) },
 			"told to peers":      func(f *Forwarder) time.Duration { return f.share(f.now()).ConfigAge },
 			"told to followers":  func(f *Forwarder) time.Duration { return f.OnFollow(context.Background(), FollowRequest{}).OriginAge },
 			"told with a config": func(f *Forwarder) time.Duration { return f.OnConfig(0).Age },
@@ -106,11 +106,11 @@
 				func(f *Forwarder) bool { return f.fleet.AnyCold(f.now()) }, 10 * time.Second,
 			},
 			"a peer of the zone is there": {
-				func(f *Forwarder) { f.hear(Share{From: Peer{ID: "h2", Zone: "z1"}}) },
+				func(f *Forwarder) { f.receive(Share{From: Peer{ID: "h2", Zone: "z1"}}) },
 				func(f *Forwarder) bool { return f.peers.live(f.now()) == 2 }, peerSilent,
 			},
 			"a peer of another zone is there": {
-				func(f *Forwarder) { f.hear(Share{From: Peer{ID: "h2", Zone: "z2"}}) },
+				func(f *Forwarder) { f.receive(Share{From: Peer{ID: "h2", Zone: "z2"}}) },
 				func(f *Forwarder) bool { return f.peers.live(f.now()) == 2 }, farSilent,
 			},
 			"the list is up to date": {
@@ -135,7 +135,7 @@
 			"an upstream wants nothing from two others": {
 				func(f *Forwarder) {
 					for _, peer := range []member.HostID{"h2", "h3"} {
-						f.backoffs.Hear(f.now(), peer, backoff.Mark{Upstream: engine, For: 10 * time.Second}, 0)
+						f.backoffs.Receive(f.now(), peer, backoff.Mark{Upstream: engine, For: 10 * time.Second}, 0)
 					}
 				},
 				func(f *Forwarder) bool { return f.backoffs.Remaining(f.now(), engine) > 0 }, 10 * time.Second,
--- a/forward/zones.go
+++ b/forward/zones.go
@@ -98,9 +98,9 @@
 	return orders
 }
 
-// HearZones takes in what a peer says of its own accord, which may be older than what
+// ReceiveZones takes in what a peer says of its own accord, which may be older than what
 // this host has: orders up to the revision that is known here are known as they are.
-func (f *Fleet) HearZones(now time.Time, orders []ZoneOrder) []ZoneOrder {
+func (f *Fleet) ReceiveZones(now time.Time, orders []ZoneOrder) []ZoneOrder {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var news []ZoneOrder
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -50,7 +50,7 @@
 		}
 	}
 	hear := func(orders ...ZoneOrder) step {
-		return func(f *Fleet, now time.Time) { f.HearZones(now, orders) }
+		return func(f *Fleet, now time.Time) { f.ReceiveZones(now, orders) }
 	}
 	for name, c := range map[string]struct {
 		steps []step
--- a/permit/limiter.go
+++ b/permit/limiter.go
@@ -38,8 +38,8 @@
 	Zone(id member.UpstreamID) (member.Zone, bool)
 	// AskPeer asks another host. It waits for an answer for a bounded time.
 	AskPeer(ctx context.Context, to member.Entry, a Ask) (Reply, error)
-	// HearWord takes in another host's word of an upstream's limit.
-	HearWord(now time.Time, from member.HostID, m ratelimit.Mark)
+	// ReceiveWord takes in another host's word of an upstream's limit.
+	ReceiveWord(now time.Time, from member.HostID, m ratelimit.Mark)
 }
 
 // Request is something that is to be sent to a bounded upstream.
@@ -166,7 +166,7 @@
 		return Reply{}, err
 	}
 	if reply.HasWord {
-		l.site.HearWord(l.now(), to.ID, reply.Word)
+		l.site.ReceiveWord(l.now(), to.ID, reply.Word)
 	}
 	if reply.Unknown {
 		return Reply{}, errNoGranter
@@ -178,7 +178,7 @@
 func (l *Limiter) OnAsk(a Ask) Reply {
 	now := l.now()
 	if a.HasWord {
-		l.site.HearWord(now, a.From, a.Word)
+		l.site.ReceiveWord(now, a.From, a.Word)
 	}
 	if _, known := l.site.Zone(a.Upstream); !known {
 		return Reply{Unknown: true}
--- a/permit/limiter_test.go
+++ b/permit/limiter_test.go
@@ -42,7 +42,7 @@
 	return s.answer(a)
 }
 
-func (s *fakeSite) HearWord(_ time.Time, _ member.HostID, m ratelimit.Mark) {
+func (s *fakeSite) ReceiveWord(_ time.Time, _ member.HostID, m ratelimit.Mark) {
 	s.heardOf = append(s.heardOf, m)
 }
 
--- a/policy/load_test.go
+++ b/policy/load_test.go
@@ -447,7 +447,7 @@
 	far := s.zoneOf[on] != h.zone
 	for _, other := range s.hosts {
 		if other != h && (far || other.zone == h.zone) {
-			s.after(toldNear, func() { s.hear(other, h) })
+			s.after(toldNear, func() { s.receive(other, h) })
 		}
 	}
 }
@@ -460,18 +460,18 @@
 		case other.zone != h.zone:
 			far = append(far, other)
 		case other != h:
-			s.hear(other, h)
+			s.receive(other, h)
 		}
 	}
 	for range min(tellFar, len(far)) {
-		s.hear(far[h.turn%len(far)], h)
+		s.receive(far[h.turn%len(far)], h)
 		h.turn++
 	}
 	s.after(tellEvery, func() { s.tell(h) })
 }
 
 // hear replaces what a host knows of another's runs.
-func (s *loadSite) hear(to, from *loadHost) {
+func (s *loadSite) receive(to, from *loadHost) {
 	known := to.theirs[from]
 	if known == nil {
 		known = map[RunID]bool{}
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -278,19 +278,19 @@
 	return m
 }
 
-// Hear takes in what another host tells, and returns the requests that are held since.
-func (l *List) Hear(now time.Time, marks []Mark) []Fingerprint {
+// Receive takes in what another host tells, and returns the requests that are held since.
+func (l *List) Receive(now time.Time, marks []Mark) []Fingerprint {
 	var held []Fingerprint
 	for _, m := range marks {
-		if l.hear(now, m) {
+		if l.receive(now, m) {
 			held = append(held, m.Request)
 		}
 	}
 	return held
 }
 
-// hear takes in one mark, and reports whether the request is held since.
-func (l *List) hear(now time.Time, m Mark) bool {
+// receive takes in one mark, and reports whether the request is held since.
+func (l *List) receive(now time.Time, m Mark) bool {
 	if l.records[m.Request] == nil && len(l.records) >= mostRequests && len(m.Crashes) < l.heldAfter() {
 		// Full hosts would push out each other's suspects for ever.
 		return false
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -135,7 +135,7 @@
 		now := start
 		tell := func(from, to int) {
 			marks, upTo := hosts[from].Since(now, told[[2]int{from, to}], 2)
-			hosts[to].Hear(now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms"))*time.Millisecond), marks)
+			hosts[to].Receive(now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms"))*time.Millisecond), marks)
 			told[[2]int{from, to}] = upTo
 		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
@@ -208,7 +208,7 @@
 	for range 4 {
 		marks, upTo := l.Since(start, after, 3)
 		is.True(len(marks) <= 3)
-		other.Hear(start, marks)
+		other.Receive(start, marks)
 		after = upTo
 	}
 	is.Equal(other.Len(), 10)
@@ -230,7 +230,7 @@
 		b.Crashed(start, print(-1), Origin{Caller: "busy"}, upstream(n+mostRequests))
 	}
 	marks, _ := b.Since(start, 0, math.MaxInt)
-	is.Equal(a.Hear(start, marks), []Fingerprint{print(-1)})
+	is.Equal(a.Receive(start, marks), []Fingerprint{print(-1)})
 	last, _ := a.Changes()
 	is.Equal(last, uint64(mostRequests+1))
 }
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -85,15 +85,15 @@
 	return r.list.RanWell(now, f)
 }
 
-// Hear is List.Hear.
-func (r *Register) Hear(now time.Time, marks []Mark) []Fingerprint {
+// Receive is List.Receive.
+func (r *Register) Receive(now time.Time, marks []Mark) []Fingerprint {
 	if len(marks) == 0 {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.some.Store(true)
-	return r.list.Hear(now, marks)
+	return r.list.Receive(now, marks)
 }
 
 // Entries is List.Entries.
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -34,7 +34,7 @@
 	marks, _ = r.Tell(start, "h2")
 	is.Equal(len(marks), 1)
 	var other Register
-	other.Hear(start, marks)
+	other.Receive(start, marks)
 	other.Met("h1", 1)
 	is.True(!other.Behind("h1")) // what was only heard goes with the usual shares
 	marks, _ = other.Tell(start, "h1")
--- a/ratelimit/words.go
+++ b/ratelimit/words.go
@@ -107,8 +107,8 @@
 	endedAt time.Time
 }
 
-// Hear takes in an answer's word, heard by a host. Life is the upstream's at that time.
-func (w *Words) Hear(now time.Time, id member.UpstreamID, life int64, from member.HostID, word Word) Change {
+// Receive takes in an answer's word, heard by a host. Life is the upstream's at that time.
+func (w *Words) Receive(now time.Time, id member.UpstreamID, life int64, from member.HostID, word Word) Change {
 	if !word.Named && !w.some.Load() {
 		return Unchanged
 	}
@@ -119,8 +119,8 @@
 	return w.take(now, id, life, from, word.Named, word.Rate, at)
 }
 
-// HearMark takes in a peer's word.
-func (w *Words) HearMark(now time.Time, from member.HostID, m Mark) Change {
+// ReceiveMark takes in a peer's word.
+func (w *Words) ReceiveMark(now time.Time, from member.HostID, m Mark) Change {
 	if !m.Named && !w.some.Load() {
 		return Unchanged
 	}
--- a/ratelimit/words_test.go
+++ b/ratelimit/words_test.go
@@ -56,9 +56,9 @@
 				now := start.Add(h.at)
 				var got Change
 				if h.age > 0 {
-					got = w.HearMark(now, "peer", Mark{Upstream: "u", Life: 1, Named: h.named, Rate: h.rate, Age: h.age})
+					got = w.ReceiveMark(now, "peer", Mark{Upstream: "u", Life: 1, Named: h.named, Rate: h.rate, Age: h.age})
 				} else {
-					got = w.Hear(now, "u", 1, "self", Word{Named: h.named, Rate: h.rate, Since: start.Add(h.sent), At: now})
+					got = w.Receive(now, "u", 1, "self", Word{Named: h.named, Rate: h.rate, Since: start.Add(h.sent), At: now})
 				}
 				is.Equal(got, h.want)
 			}
@@ -74,18 +74,18 @@
 	is := is.New(t)
 	var w Words
 	now := time.Now()
-	is.Equal(w.Hear(now, "u", 1, "h", Word{Named: true, Rate: 1, At: now}), Named)
-	is.Equal(w.Hear(now.Add(1), "u", 2, "h", Word{Since: now.Add(1), At: now.Add(1)}), Unchanged) // another start, without need
+	is.Equal(w.Receive(now, "u", 1, "h", Word{Named: true, Rate: 1, At: now}), Named)
+	is.Equal(w.Receive(now.Add(1), "u", 2, "h", Word{Since: now.Add(1), At: now.Add(1)}), Unchanged) // another start, without need
 	w.Renew("u")
 	_, bounded := w.Bound(now, "u")
 	is.True(!bounded && !w.Any())
-	w.Hear(now, "u", 2, "h", Word{Named: true, Rate: 1, At: now})
+	w.Receive(now, "u", 2, "h", Word{Named: true, Rate: 1, At: now})
 	w.Renew("u")
-	w.Hear(now, "u", 0, "h", Word{Named: true, Rate: 1, At: now}) // its life isn't known yet
+	w.Receive(now, "u", 0, "h", Word{Named: true, Rate: 1, At: now}) // its life isn't known yet
 	later := now.Add(time.Millisecond)
-	is.Equal(w.Hear(later, "u", 2, "h", Word{Since: later, At: later}), Ended)
+	is.Equal(w.Receive(later, "u", 2, "h", Word{Since: later, At: later}), Ended)
 	w.Renew("u")
-	w.Hear(now, "u", 2, "h", Word{Named: true, Rate: 1, At: now})
+	w.Receive(now, "u", 2, "h", Word{Named: true, Rate: 1, At: now})
 	is.Equal(len(w.Forget(now, func(member.UpstreamID) bool { return false })), 0)
 	is.True(!w.Any())
 }
