--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -28,6 +28,7 @@
 func out(zone member.Zone, at history.Revision) ZoneOrder {
 	return ZoneOrder{Zone: zone, Out: true, Revision: rev(at)}
 }
+
 func back(zone member.Zone, at history.Revision) ZoneOrder {
 	return ZoneOrder{Zone: zone, Revision: rev(at)}
 }
