forward: an order about a zone that was received in advance isn't taken back by an older list

Found by reading the diff: since orders are stamped by each reading of the list, one that a peer had told in advance as taken back was put back to the list's revision, and a third host that was behind could give it again: a zone out of service that was given back.

TestZoneGoesOutByAnOrderThatWasTakenBack failed before.

--- a/forward/zones.go
+++ b/forward/zones.go
@@ -72,7 +72,9 @@
 		switch {
 		case listed[zone]:
 		case !known.Out:
-			f.setZone(zoneState{ZoneOrder: back, heard: known.heard})
+			if at.After(known.Revision) {
+				f.setZone(zoneState{ZoneOrder: back, heard: known.heard})
+			}
 		case ofEarlierEra(known.Revision, at):
 			f.deferOrder(back)
 		case f.order(now, back):
--- a/forward/zones_test.go
+++ b/forward/zones_test.go
@@ -292,3 +292,14 @@
 		})
 	}
 }
+
+// TestZoneGoesOutByAnOrderThatWasTakenBack: a list that is older than what was received in advance doesn't take that back.
+func TestZoneGoesOutByAnOrderThatWasTakenBack(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var f Fleet
+	f.ReceiveZones(now, []ZoneOrder{back("z2", 9)})
+	f.TakeNews(now, News{At: rev(7)}, true)
+	f.ReceiveZones(now, []ZoneOrder{out("z2", 8)})
+	is.True(f.InService("z2"))
+}
