--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -234,7 +234,7 @@
 			http.Error(w, "outage", http.StatusServiceUnavailable)
 			return
 		}
-		if after == 0 || it.modifyIndex > after || after > index {
+		if after == 0 || it.modifyIndex > after || after > max(index, 1) {
 			answerKey(w, key, it, found, index)
 			return
 		}
