--- a/internal/consul/contract_test.go
+++ b/internal/consul/contract_test.go
@@ -241,8 +241,10 @@
 func TestWatchOverARestore(t *testing.T) {
 	is := is.New(t)
 	client, server := newContract(t)
+	_, err := client.Swap(t.Context(), "copied", []byte("v"), 0)
+	is.NoErr(err)
 	copied := server.Copy()
-	_, err := client.Swap(t.Context(), "k", []byte("v"), 0)
+	_, err = client.Swap(t.Context(), "k", []byte("v"), 0)
 	is.NoErr(err)
 	before, err := client.Get(t.Context(), "other")
 	is.NoErr(err)
