permit: a host waits no longer by a limit that has ended

Cause of the known red TestLimitThatEnds: a host that was refused at 0.2 a second is told to ask again after up to 5 s and the spread of a second. When the limit ended, and while its bound doubled every half second, such hosts still kept away for that long, and were refused anew by the first small bounds for as long again: 5 s until an answer tells the end, and 5 s more.

Test TestHostWaitsByALimitThatEnded: failed to compile or waited 5 s before.

--- a/forward/limits.go
+++ b/forward/limits.go
@@ -49,6 +49,9 @@
 	if c == ratelimit.Unchanged {
 		return
 	}
+	if c == ratelimit.Ended {
+		f.limiter.Raised(id)
+	}
 	if f.limitLines.allow(now, id) {
 		f.journal.Belief(c.String(), "upstream", id, "per_second", rate, "from", from, "age", age)
 	}
--- a/permit/limiter.go
+++ b/permit/limiter.go
@@ -107,12 +107,21 @@
 	if outcome != NoTurn {
 		outcome = KeptBack
 	}
+	wait := grant.Wait
+	if holds, returning := l.Words.Returning(now, r.Upstream); returning {
+		// The wait follows from a bound that will have doubled by then.
+		wait = min(wait, holds)
+	}
 	if !grant.Passed {
-		l.asksAgain.extend(r.Upstream, l.now().Add(grant.Wait))
+		l.asksAgain.extend(r.Upstream, l.now().Add(wait))
 	}
-	return Verdict{Outcome: outcome, Wait: grant.Wait, Late: late}
+	return Verdict{Outcome: outcome, Wait: wait, Late: late}
 }
 
+// Raised takes in that an upstream takes more than before: how long this host was told to wait
+// follows from the lower limit.
+func (l *Limiter) Raised(id member.UpstreamID) { l.asksAgain.end(id) }
+
 // Wait is how long it is until this host asks again for leave to send to an upstream; zero
 // when it may now.
 func (l *Limiter) Wait(now time.Time, id member.UpstreamID) time.Duration {
--- a/permit/limiter_test.go
+++ b/permit/limiter_test.go
@@ -192,3 +192,23 @@
 		})
 	}
 }
+
+// TestHostWaitsByALimitThatEnded has a host that was refused at a low limit ask again as soon as
+// that has ended, and as often as the bound of an upstream that returns rises.
+func TestHostWaitsByALimitThatEnded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	site := &fakeSite{granter: other, answer: func(Ask) (Reply, error) {
+		return Reply{Grant: ratelimit.Grant{Wait: 5 * time.Second}}, nil
+	}}
+	l := New(own, site, func() time.Time { return now })
+	take := func() Verdict { return l.Take(t.Context(), Request{Upstream: "u1", Rate: ratelimit.LeastRate}) }
+	l.Words.Receive(now, "u1", 1, own.ID, ratelimit.Word{Named: true, Rate: ratelimit.LeastRate, At: now})
+	is.Equal(take().Wait, 5*time.Second)
+	now = now.Add(100 * time.Millisecond)
+	is.Equal(l.Words.Receive(now, "u1", 1, own.ID, ratelimit.Word{Since: now}), ratelimit.Ended)
+	l.Raised("u1")
+	is.Equal(l.Wait(now, "u1"), time.Duration(0))
+	is.True(take().Wait <= 500*time.Millisecond) // the bound has doubled by then
+	is.Equal(len(site.asked), 2)
+}
--- a/ratelimit/words.go
+++ b/ratelimit/words.go
@@ -215,6 +215,21 @@
 	return u.bound(now)
 }
 
+// Returning is for how long at most an upstream's present bound holds whose need is over, for it
+// rises; false for one that names a limit, or that nothing bounds.
+func (w *Words) Returning(now time.Time, id member.UpstreamID) (time.Duration, bool) {
+	if !w.some.Load() {
+		return 0, false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.upstreams[id]
+	if u == nil || u.bounded(now) {
+		return 0, false
+	}
+	return returnDoubles, true
+}
+
 // Any reports whether some upstream may be bounded.
 func (w *Words) Any() bool { return w.some.Load() }
 
