forward, platform: requests are served only in the regions that their route and account allow

Cause: nothing read allowed_regions. A request bound to a region went to the nearest upstream.

Now each request carries the zones in which it may be served; eligibility judges them at the one place through which everything is sent, and plain choice, placement, questions to other zones, moves and resumed streams choose among these only. None reachable: refused at once with no_upstream_in_region, "not run". A zone of which no region is told is in none.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -21,6 +21,8 @@
 	Unusable Reason = "unusable"
 	// ZoneOut: its zone is out of service.
 	ZoneOut Reason = "zone_out"
+	// Region: its zone is of no region in which the request may be served.
+	Region Reason = "region"
 	// Quarantined: upstreams ended under the same request.
 	Quarantined Reason = "quarantined"
 	// Backoff: it wants nothing from this host for a while.
@@ -49,6 +51,8 @@
 	// Unknown, Leaving, Unusable, ZoneOut and Quarantined are true where the reason of
 	// that name holds.
 	Unknown, Leaving, Unusable, ZoneOut, Quarantined bool
+	// RegionBarred says that the request may not be served in the upstream's region.
+	RegionBarred bool
 	// ZoneClosed says that runs on their way to the zone may no longer go on there either.
 	ZoneClosed bool
 	// Backoff and Limit are how long each still keeps requests away; zero where it doesn't.
@@ -97,6 +101,8 @@
 // judgeContinuation allows what its run would be lost without, but for what harms others.
 func (s *State) judgeContinuation() Verdict {
 	switch {
+	case s.RegionBarred:
+		return Verdict{Reason: Region}
 	case s.Quarantined:
 		return Verdict{Reason: Quarantined}
 	case s.ZoneClosed:
@@ -108,6 +114,8 @@
 // reason is the first reason that holds; empty where none does.
 func (s *State) reason() Reason {
 	switch {
+	case s.RegionBarred:
+		return Region
 	case s.Quarantined:
 		return Quarantined
 	case s.Unknown:
--- a/forward/asking.go
+++ b/forward/asking.go
@@ -135,6 +135,7 @@
 func (s *streamExchange) findPlace(ctx context.Context, now time.Time, r policy.Request, kept keptEngines) placing {
 	service := s.service.Name
 	near, far := s.engines.zonesOf(service)
+	near, far = near && s.mayServeIn(s.peers.self.Zone), s.allowed(far)
 	blind := !near || len(far) == 0
 	if !blind {
 		if u, run, d, ok := s.engines.tryNear(now, service, r); ok {
@@ -170,7 +171,8 @@
 func (x *exchange) findTarget(ctx context.Context, now time.Time, run *ownRun, avoid, kept []member.UpstreamID) (u Upstream, found bool) {
 	service, own := x.service.Name, x.peers.self.Zone
 	near, zones := x.engines.zonesOf(service)
-	if near {
+	zones = x.allowed(zones)
+	if near && x.mayServeIn(own) {
 		zones = append([]member.Zone{own}, zones...)
 	}
 	// An engine that isn't known any more is of no zone, and none goes first.
--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -21,7 +21,7 @@
 	now := x.now()
 	takers := x.candidates(now, x.service.Name)
 	if len(takers) == 0 {
-		takers = x.fleet.Takers(now, x.service.Name)
+		takers = x.takers(now)
 		return Upstream{}, x.noUpstream(now, takers, x.soonest(now, takers, nil)), false
 	}
 	kept := x.keptFrom(now, takers)
@@ -31,7 +31,7 @@
 	for {
 		u, found := x.plain.choose(now, takers, not)
 		if !found {
-			takers = x.fleet.Takers(now, x.service.Name)
+			takers = x.takers(now)
 			return u, x.noUpstream(now, takers, sooner(refused, x.soonest(now, takers, tried))), false
 		}
 		v := x.eligible(ctx, u, repeat)
@@ -115,7 +115,7 @@
 	if !x.anyBound(now, &x.service) {
 		return c
 	}
-	c.takers = x.fleet.Takers(now, x.service.Name)
+	c.takers = x.takers(now)
 	for _, u := range c.takers {
 		if wait := x.keptBack(now, &x.service, u); wait > 0 {
 			c.keep(u, x.peers.self.Zone, wait)
@@ -167,7 +167,7 @@
 	if !x.anyBound(now, &x.service) {
 		return 0
 	}
-	return len(x.keptFrom(now, x.fleet.Takers(now, x.service.Name)))
+	return len(x.keptFrom(now, x.takers(now)))
 }
 
 // soonest is how long it is until this host may send to one of some upstreams that wasn't
--- a/forward/call.go
+++ b/forward/call.go
@@ -85,6 +85,8 @@
 	CodeTooLarge    Code = "too_large"
 	CodeNoUpstream  Code = "no_upstream"
 	CodeOverloaded  Code = "overloaded"
+	// CodeRegion says that no upstream takes work in the regions where the request may be served.
+	CodeRegion Code = "no_upstream_in_region"
 	CodeLate        Code = "late"
 	CodeLost        Code = "upstream_lost"
 	CodeBadAnswer   Code = "bad_answer"
--- a/forward/config.go
+++ b/forward/config.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/resource"
 )
@@ -70,6 +71,8 @@
 	Resumable bool
 	// Public routes take requests without a key.
 	Public bool
+	// Regions are those in which requests may be served; none sets no bound.
+	Regions []member.Region
 	// Services take the route's requests by weight.
 	Services []WeightedService
 }
@@ -110,6 +113,8 @@
 	// Urgency goes before the route's when Ranked.
 	Urgency Urgency
 	Ranked  bool
+	// Regions are those in which its requests may be served; none sets no bound.
+	Regions []member.Region
 }
 
 // Limits bound what a caller may send. Zero fields set no bound.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -34,6 +35,8 @@
 	// ContactBound is how old the proof of contact with the platform may be
 	// for this host to say that a route or key doesn't exist.
 	ContactBound time.Duration
+	// Regions tells each zone's region. A zone that it lacks is of none.
+	Regions map[member.Zone]member.Region
 	// Clock counts the time for which the machine is suspended; nil counts none.
 	Clock *clock.Clock
 }
@@ -275,6 +278,8 @@
 	deadline time.Time
 	// urgency is the account's, or else the route's.
 	urgency Urgency
+	// zones are those in which the request may be served; nil for all.
+	zones []member.Zone
 	// print is what the request asks, once that has been worked out.
 	print atomic.Pointer[quarantine.Fingerprint]
 	// trying guards isTry, for sends beside each other are judged at the same time.
@@ -356,6 +361,7 @@
 		return Refusal{Code: CodeLate, RetryAfter: retryElsewhere}, false
 	}
 	x.deadline = earliest(now.Add(-late), x.call.Patience, x.route.Timeout)
+	x.zones = x.allowedZones()
 	x.service, found = t.Service(x.pickService(now))
 	if !found {
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
@@ -363,6 +369,9 @@
 	if x.held(now) {
 		return heldRefusal, false
 	}
+	if x.noneInRegion(now) {
+		return Refusal{Code: CodeRegion, RetryAfter: retryMost}, false
+	}
 	if !x.endsBeforeStop(now) {
 		x.journal.Request(x.call.ID, "would outlast the stop", "stopping_for", now.Sub(x.stopBegan()), "limit", x.call.Prompt.MostOut, "hint", x.call.Prompt.LikelyOut)
 		return Refusal{Code: CodeStopping, RetryAfter: x.retryStopping(now)}, false
@@ -411,11 +420,11 @@
 		}
 		draw -= s.Weight
 	}
-	if len(x.route.Services) == 1 || len(x.fleet.Takers(now, picked)) > 0 {
+	if len(x.route.Services) == 1 || len(x.inRegion(x.fleet.Takers(now, picked))) > 0 {
 		return picked
 	}
 	for _, s := range x.route.Services {
-		if s.Weight > 0 && len(x.fleet.Takers(now, s.Service)) > 0 {
+		if s.Weight > 0 && len(x.inRegion(x.fleet.Takers(now, s.Service))) > 0 {
 			return s.Service
 		}
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -61,7 +61,7 @@
 // judge decides whether the request may be sent to an upstream now, but for a permit.
 func (x *exchange) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
 	s := x.upstreamState(now, u)
-	s.Quarantined = x.held(now)
+	s.Quarantined, s.RegionBarred = x.held(now), !x.mayServeIn(u.Zone)
 	return eligibility.Judge(s, p)
 }
 
@@ -217,6 +217,11 @@
 
 func spreadOf(d time.Duration) time.Duration { return rand.N(min(backoffSpread, d/4) + 1) }
 
+// candidates are those of a service's upstreams that this request may go to.
+func (x *exchange) candidates(now time.Time, service ServiceName) []Upstream {
+	return x.inRegion(x.Forwarder.candidates(now, service))
+}
+
 // candidates are the upstreams of a service that a request may go to, but for limits and
 // the windows of those that return after a backoff.
 func (f *Forwarder) candidates(now time.Time, service ServiceName) []Upstream {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -121,7 +121,7 @@
 	if u.Zone == s.engines.zone {
 		return
 	}
-	for _, other := range s.fleet.Takers(now, s.service.Name) {
+	for _, other := range s.takers(now) {
 		if other.Zone == u.Zone && other.ID != u.ID {
 			s.avoid = append(s.avoid, other.ID)
 		}
@@ -136,7 +136,7 @@
 	if len(s.avoid) == 0 {
 		return true
 	}
-	takers := s.fleet.Takers(now, s.service.Name)
+	takers := s.takers(now)
 	without := func(tried []member.UpstreamID) bool {
 		return slices.ContainsFunc(takers, func(u Upstream) bool { return !slices.Contains(tried, u.ID) })
 	}
@@ -151,12 +151,12 @@
 func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
 	now := s.now()
 	if !s.untried(now) {
-		takers := s.fleet.Takers(now, s.service.Name)
+		takers := s.takers(now)
 		return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
 	}
 	if s.backoffs.Any() {
-		candidates := s.candidates(now, s.service.Name)
-		if takers := s.fleet.Takers(now, s.service.Name); len(takers) > 0 && len(candidates) == 0 {
+		candidates := s.Forwarder.candidates(now, s.service.Name)
+		if takers := s.takers(now); len(takers) > 0 && len(candidates) == 0 {
 			return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
 		}
 		// One whose backoff has just ended isn't listed until the next tick.
@@ -168,7 +168,7 @@
 		// The policy ranks upwards.
 		Priority: int(MostPatient - s.urgency),
 		Prompt:   max(p.Tokens, 1), Limit: p.MostOut, Prefix: p.Prefix, PrefixTokens: p.PrefixTokens,
-		Bytes: len(s.call.Body), Objective: s.route.Objective, AvoidAlso: s.avoid,
+		Bytes: len(s.call.Body), Objective: s.route.Objective, AvoidAlso: s.avoid, Zones: s.zones,
 		Arrived: s.call.Arrived, Deadline: s.call.Arrived.Add(s.route.Objective),
 	}
 	if s.service.Engine == nil {
@@ -249,7 +249,7 @@
 	case isKept && kept.Reason == eligibility.Quarantined:
 		return heldRefusal
 	case isKept && ctx.Err() == nil:
-		return s.noUpstream(now, s.fleet.Takers(now, s.service.Name), kept.Wait)
+		return s.noUpstream(now, s.takers(now), kept.Wait)
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
 		s.fleet.Suspect(now, u.ID)
 		s.unreachable(now, u)
--- a/forward/unserved.go
+++ b/forward/unserved.go
@@ -56,7 +56,7 @@
 
 // rejectedEverywhere refuses a request that upstreams rejected and that isn't sent on.
 func (x *exchange) rejectedEverywhere(now time.Time) Refusal {
-	takers := x.fleet.Takers(now, x.service.Name)
+	takers := x.takers(now)
 	kept := len(x.keptFrom(now, takers))
 	r := Refusal{Code: CodeOverloaded, RetryAfter: retryUnknown}
 	switch {
--- a/member/member.go
+++ b/member/member.go
@@ -17,6 +17,9 @@
 // Zone names an availability zone.
 type Zone string
 
+// Region names a group of zones that lie close together.
+type Region string
+
 // UpstreamID names a model engine or an instance of a plain service.
 type UpstreamID string
 
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -112,9 +112,20 @@
 	if e == p.kept || !e.takes(s.oldest) || e.id == s.request.Avoid || slices.Contains(s.request.AvoidAlso, e.id) {
 		return engineCost{}, false
 	}
+	if !s.request.allows(e) {
+		return engineCost{}, false
+	}
 	return p.cost(s.now, e, s.request, &s.grown, s.line)
 }
 
+// allows reports whether an engine is of the zones and groups that the request is bound to.
+func (r *Request) allows(e *engine) bool {
+	if r.Zones != nil && !slices.Contains(r.Zones, e.zone) {
+		return false
+	}
+	return (r.OnlyGroup == "" || e.group == r.OnlyGroup) && (r.ButGroup == "" || e.group != r.ButGroup)
+}
+
 // SetKnownPart says which part of another zone's hosts has told lately what it runs.
 // Zones that nothing was said of are known.
 func (p *Pool) SetKnownPart(zone member.Zone, part float64) {
@@ -146,7 +157,7 @@
 	var best *engine
 	lowest := 0.0
 	for _, e := range p.engines {
-		if !e.takes(oldest) {
+		if !e.takes(oldest) || !r.allows(e) {
 			continue
 		}
 		peak, _ := e.foresee(&grown, p.settings.Deviations, p.room(e))
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -57,6 +57,7 @@
 type engine struct {
 	id     EngineID
 	zone   member.Zone
+	group  string
 	report Report
 	// reported is when the report came; zero means never.
 	reported time.Time
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -56,6 +56,11 @@
 	FarCost float64
 	// OnlyZone has no engine of another zone than Zone considered.
 	OnlyZone bool
+	// Zones are those whose engines may take the request; nil sets no bound.
+	Zones []member.Zone
+	// OnlyGroup has engines of that group alone considered, and ButGroup none of that one;
+	// empty sets no bound.
+	OnlyGroup, ButGroup string
 	// Objective is the aimed time to the first token; zero sets none.
 	Objective time.Duration
 	// Arrived is when the objective counts from. With both, a request that no
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -130,7 +130,7 @@
 		delete(p.runs, run.Run)
 	}
 	fresh := newEngine(id)
-	fresh.zone = old.zone
+	fresh.zone, fresh.group = old.zone, old.group
 	if at := slices.Index(p.engines, old); at >= 0 {
 		p.engines[at], p.named[id] = fresh, fresh
 	} else {
--- a/policy/refusal.go
+++ b/policy/refusal.go
@@ -163,7 +163,7 @@
 func (p *Pool) backlogWait(now time.Time, r *Request) time.Duration {
 	oldest, least := now.Add(-staleAfter), time.Duration(-1)
 	for _, e := range p.engines {
-		if !e.takes(oldest) {
+		if !e.takes(oldest) || !r.allows(e) {
 			continue
 		}
 		if !p.tooLate(now, e, r) {
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -16,6 +16,14 @@
 	}
 }
 
+// SetGroup says which of several groups of the pool an engine is of, to which requests may be
+// bound.
+func (p *Pool) SetGroup(id EngineID, group string) {
+	if e := p.engine(id); e != nil {
+		e.group = group
+	}
+}
+
 // Progress takes in how many tokens a run has made, which its engine's memory
 // is foreseen from.
 func (p *Pool) Progress(now time.Time, id RunID, made Tokens) {
@@ -43,6 +51,8 @@
 	Zone member.Zone
 	// Avoid are engines that won't do.
 	Avoid []EngineID
+	// OnlyGroup and ButGroup are those of a Request.
+	OnlyGroup, ButGroup string
 }
 
 // Grown is a run as a request for another engine: with the memory that it has by now.
@@ -70,6 +80,7 @@
 	}
 	run := p.runs[id]
 	grown.Zone, grown.FarCost, grown.OnlyZone, grown.AvoidAlso = run.engine.zone, t.FarCost, t.OnlyZone, t.Avoid
+	grown.OnlyGroup, grown.ButGroup = t.OnlyGroup, t.ButGroup
 	if t.Zone != "" {
 		grown.Zone = t.Zone
 	}
