rollout, forward, platform: a service moves to another version by order, on trial first

Upstreams of the new version stood on the list like all others and got their part of the requests at once, good or bad; no status was ever written.

Now: package rollout (pure). Every host bounds by itself what it sends to a version on trial, its part rounded at random, so that all hosts together keep to exposure_share and exposure_slack whoever is cut off or starts again, without a message. The first live host adds up what all saw of both versions, by route: failures, answers 2.5 times slower than the median, first events and pauses; a sequential test (CUSUM) weighs them. Phases: trial, ramp, full, completed, rolled_back; they never go back, are recorded in the store by condition beside status/rollout, and travel with the list. Completed is not said before nothing runs on the versions that stop. `shedpath rollout`.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -23,6 +23,8 @@
 	ZoneOut Reason = "zone_out"
 	// Region: its zone is of no region in which the request may be served.
 	Region Reason = "region"
+	// Version: its version may not get the request while a rollout is decided, or any more.
+	Version Reason = "version"
 	// Quarantined: upstreams ended under the same request.
 	Quarantined Reason = "quarantined"
 	// Backoff: it wants nothing from this host for a while.
@@ -53,6 +55,8 @@
 	Unknown, Leaving, Unusable, ZoneOut, Quarantined bool
 	// RegionBarred says that the request may not be served in the upstream's region.
 	RegionBarred bool
+	// VersionBarred says that the upstream's version may not get the request.
+	VersionBarred bool
 	// ZoneClosed says that runs on their way to the zone may no longer go on there either.
 	ZoneClosed bool
 	// Backoff and Limit are how long each still keeps requests away; zero where it doesn't.
@@ -116,6 +120,8 @@
 	switch {
 	case s.RegionBarred:
 		return Region
+	case s.VersionBarred:
+		return Version
 	case s.Quarantined:
 		return Quarantined
 	case s.Unknown:
--- a/forward/asking.go
+++ b/forward/asking.go
@@ -36,6 +36,8 @@
 	Objective, Waited time.Duration
 	// Avoid are engines that won't do.
 	Avoid []member.UpstreamID
+	// OnlyGroup and ButGroup are those of a policy.Request.
+	OnlyGroup, ButGroup string
 }
 
 // PlaceGrant is the answer to a PlaceAsk.
@@ -59,6 +61,7 @@
 	a := PlaceAsk{
 		From: self, Service: service, Run: r.Run, Route: r.Route, Account: r.Account, Urgency: r.Priority,
 		Prompt: r.Prompt, Limit: r.Limit, Avoid: r.AvoidAlso,
+		OnlyGroup: r.OnlyGroup, ButGroup: r.ButGroup,
 	}
 	if !r.Arrived.IsZero() {
 		a.Objective, a.Waited = r.Objective, now.Sub(r.Arrived)
@@ -69,7 +72,7 @@
 func (a PlaceAsk) request(now time.Time) policy.Request {
 	r := policy.Request{
 		Run: a.Run, Route: a.Route, Account: a.Account, Priority: a.Urgency, Prompt: a.Prompt, Limit: a.Limit,
-		Objective: a.Objective, AvoidAlso: a.Avoid,
+		Objective: a.Objective, AvoidAlso: a.Avoid, OnlyGroup: a.OnlyGroup, ButGroup: a.ButGroup,
 	}
 	if a.Objective > 0 {
 		r.Arrived = now.Add(-a.Waited)
@@ -184,10 +187,11 @@
 	if !known {
 		return Upstream{}, false
 	}
+	r.OnlyGroup, r.ButGroup = string(x.versions.Only), string(x.versions.But)
 	someBlind := false
 	for _, zone := range zones {
 		if zone == own {
-			if u, ok := x.engines.relocate(now, service, run, policy.Target{Avoid: avoid, OnlyZone: true, Zone: own}); ok {
+			if u, ok := x.engines.relocate(now, service, run, policy.Target{Avoid: avoid, OnlyZone: true, Zone: own, OnlyGroup: r.OnlyGroup, ButGroup: r.ButGroup}); ok {
 				return u, true
 			}
 			continue
@@ -204,7 +208,7 @@
 	if !someBlind {
 		return Upstream{}, false
 	}
-	u, found = x.engines.relocate(x.now(), service, run, policy.Target{FarCost: farCostToMove, Avoid: slices.Concat(avoid, kept)})
+	u, found = x.engines.relocate(x.now(), service, run, policy.Target{FarCost: farCostToMove, Avoid: slices.Concat(avoid, kept), OnlyGroup: r.OnlyGroup, ButGroup: r.ButGroup})
 	return u, found
 }
 
--- a/forward/call.go
+++ b/forward/call.go
@@ -77,16 +77,16 @@
 // The codes. Those up to CodeLate promise that the request has not run and
 // never will.
 const (
-	CodeNotReady    Code = "not_ready"
-	CodeStopping    Code = "stopping"
-	CodeNoRoute     Code = "no_route"
-	CodeBadKey      Code = "bad_key"
-	CodeBadRequest  Code = "bad_request"
-	CodeTooLarge    Code = "too_large"
-	CodeNoUpstream  Code = "no_upstream"
-	CodeOverloaded  Code = "overloaded"
+	CodeNotReady   Code = "not_ready"
+	CodeStopping   Code = "stopping"
+	CodeNoRoute    Code = "no_route"
+	CodeBadKey     Code = "bad_key"
+	CodeBadRequest Code = "bad_request"
+	CodeTooLarge   Code = "too_large"
+	CodeNoUpstream Code = "no_upstream"
+	CodeOverloaded Code = "overloaded"
 	// CodeRegion says that no upstream takes work in the regions where the request may be served.
-	CodeRegion Code = "no_upstream_in_region"
+	CodeRegion      Code = "no_upstream_in_region"
 	CodeLate        Code = "late"
 	CodeLost        Code = "upstream_lost"
 	CodeBadAnswer   Code = "bad_answer"
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -186,6 +186,7 @@
 	p.pool.SetEngines(ids)
 	for _, u := range takers {
 		p.pool.SetZone(u.ID, u.Zone)
+		p.pool.SetGroup(u.ID, string(u.Version))
 	}
 	p.refresh(now)
 }
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // Upstream is one engine or plain service instance as the host list has it.
@@ -22,6 +23,8 @@
 	// Slots is how many requests it works on at once.
 	Slots   int
 	Leaving bool
+	// Version is of its software; empty where that isn't told.
+	Version rollout.Version
 	// Life tells this start of the upstream from others under the same id.
 	Life Life
 	// Revision is where in the list's history this was written.
@@ -120,6 +123,8 @@
 	said bool
 	// source is who told first that it leaves; empty while it doesn't.
 	source LeavingSource
+	// retired says that a rollout has it be left.
+	retired bool
 	// hinted says that only another sign than the list's tells that it leaves.
 	hinted bool
 	// leaving closes when it starts leaving.
@@ -287,7 +292,7 @@
 	if !c.Leaving && !k.declared && (k.hinted || k.gone && c.Revision.After(k.Revision)) {
 		// The list knows better than other signs; and an entry that ran out
 		// while its upstream was cut off comes back.
-		k.Leaving, k.hinted, k.leftAt, k.leaving, k.source = false, false, time.Time{}, make(chan struct{}), ""
+		k.stay()
 	}
 	// An id is of one incarnation: once it has said that it leaves, it never
 	// comes back.
@@ -359,6 +364,11 @@
 	return c
 }
 
+// stay takes back that the upstream leaves.
+func (k *known) stay() {
+	k.Leaving, k.hinted, k.retired, k.leftAt, k.leaving, k.source = false, false, false, time.Time{}, make(chan struct{}), ""
+}
+
 // leave marks the upstream as leaving, for good.
 func (k *known) leave(now time.Time, source LeavingSource) {
 	k.Leaving = true
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -285,6 +285,12 @@
 	if w.read {
 		w.journal.Belief("list read", "revision", news.At, "upstreams", len(news.Changes), "took", now.Sub(proved))
 	}
+	// Before the list's revision rises: who follows is told nothing again of what was before it.
+	if w.read {
+		w.takeRollouts(now, w.rollouts.Missing(news.Rollouts, news.At))
+	}
+	w.takeRollouts(now, news.Rollouts)
+	w.takeRolloutRecords(news.RolloutRecords)
 	zones, changes := w.fleet.TakeNews(now, news, w.read)
 	w.noteZones(zones)
 	w.noteList(changes)
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // TestLeader has a host follow the first of its zone with a fresh list, and any
@@ -137,6 +138,10 @@
 
 func (p *followedPeers) Share(context.Context, Peer, Share) (Share, error) { return Share{}, errGone }
 func (p *followedPeers) Turn(context.Context, Peer, TurnRequest) error     { return nil }
+func (p *followedPeers) Rollout(context.Context, Peer, rollout.Report) (rollout.Status, error) {
+	return rollout.Status{}, errGone
+}
+
 func (p *followedPeers) Permit(context.Context, Peer, permit.Ask) (permit.Reply, error) {
 	return permit.Reply{}, errGone
 }
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/history"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // FollowRequest asks a peer for what is newer than what the asker has. Zero
@@ -33,6 +34,8 @@
 	Version Version
 	Changes []Change
 	Zones   []ZoneOrder
+	// Rollouts are all that the peer knows.
+	Rollouts []rollout.Status
 	// Whole says that Changes and Zones are all that there are: the peer doesn't
 	// remember all that was dropped since the asker's revision, or knows another era.
 	Whole bool
@@ -129,7 +132,7 @@
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
 	f.fleet.fillReply(now, r.List, &reply)
 	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
-	reply.Version = f.versionInForce()
+	reply.Version, reply.Rollouts = f.versionInForce(), f.rollouts.Statuses(now)
 	return reply
 }
 
@@ -176,6 +179,10 @@
 		f.followed.raise(now)
 		f.fleet.ListTrusted()
 	}
+	for i := range reply.Rollouts {
+		reply.Rollouts[i].Age = older(reply.Rollouts[i].Age, late)
+	}
+	f.takeRollouts(now, reply.Rollouts)
 	zones, changes := f.fleet.TakeReply(now, reply)
 	f.noteZones(zones)
 	f.noteList(changes)
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // Settings are what a forwarder is told at its start.
@@ -37,6 +38,8 @@
 	ContactBound time.Duration
 	// Regions tells each zone's region. A zone that it lacks is of none.
 	Regions map[member.Zone]member.Region
+	// Rollouts bound what a version on trial gets.
+	Rollouts rollout.Limits
 	// Clock counts the time for which the machine is suspended; nil counts none.
 	Clock *clock.Clock
 }
@@ -119,6 +122,11 @@
 	crashes quarantine.Register
 	// toKeep are requests that the origin is to keep.
 	toKeep chan quarantine.Fingerprint
+	// rollouts are the moves of services to other versions, seen what this host has seen of
+	// these, and desk what it decides for all.
+	rollouts rollout.Book
+	seen     rollout.Observations
+	desk     rolloutDesk
 	// offers are peers' newer configurations.
 	offers *configOffers
 
@@ -211,6 +219,7 @@
 	for {
 		slept = f.noteSuspended(slept)
 		changed := f.fleet.Changed()
+		f.retireVersions(f.now())
 		if t := f.table.Load(); t != nil {
 			f.listEngines(f.now(), t)
 		}
@@ -280,6 +289,8 @@
 	urgency Urgency
 	// zones are those in which the request may be served; nil for all.
 	zones []member.Zone
+	// versions are those that may get the request.
+	versions rollout.Bound
 	// print is what the request asks, once that has been worked out.
 	print atomic.Pointer[quarantine.Fingerprint]
 	// trying guards isTry, for sends beside each other are judged at the same time.
@@ -366,6 +377,7 @@
 	if !found {
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
 	}
+	x.versions = x.drawVersions(now)
 	if x.held(now) {
 		return heldRefusal, false
 	}
@@ -420,11 +432,11 @@
 		}
 		draw -= s.Weight
 	}
-	if len(x.route.Services) == 1 || len(x.inRegion(x.fleet.Takers(now, picked))) > 0 {
+	if len(x.route.Services) == 1 || len(x.allowedOf(x.fleet.Takers(now, picked))) > 0 {
 		return picked
 	}
 	for _, s := range x.route.Services {
-		if s.Weight > 0 && len(x.inRegion(x.fleet.Takers(now, s.Service))) > 0 {
+		if s.Weight > 0 && len(x.allowedOf(x.fleet.Takers(now, s.Service))) > 0 {
 			return s.Service
 		}
 	}
--- a/forward/granting.go
+++ b/forward/granting.go
@@ -92,7 +92,7 @@
 // is to move, and stays counted where it is if there is no room.
 func (p *enginePool) placePeers(now time.Time, a PlaceAsk, zone member.Zone) (policy.Decision, bool) {
 	if _, known := p.theirs[a.Run]; known {
-		id, ok := p.pool.Relocate(now, a.Run, policy.Target{Avoid: a.Avoid, OnlyZone: true, Zone: zone})
+		id, ok := p.pool.Relocate(now, a.Run, policy.Target{Avoid: a.Avoid, OnlyZone: true, Zone: zone, OnlyGroup: a.OnlyGroup, ButGroup: a.ButGroup})
 		return policy.Decision{Run: a.Run, Verdict: policy.Granted, Engine: id}, ok
 	}
 	r := a.request(now)
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -20,6 +20,8 @@
 	// SourceHost is this host's finding, such as a failed health check.
 	SourceHost LeavingSource = "host"
 	SourcePeer LeavingSource = "peer"
+	// SourceRollout is that its version is not in service any more.
+	SourceRollout LeavingSource = "rollout"
 )
 
 // LeavingMark is a host's word that an upstream leaves, for its peers.
@@ -107,7 +109,7 @@
 func (f *Fleet) LeavingUpstreams() map[LeavingSource]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := map[LeavingSource]int{SourceList: 0, SourceUpstream: 0, SourceHost: 0, SourcePeer: 0}
+	n := map[LeavingSource]int{SourceList: 0, SourceUpstream: 0, SourceHost: 0, SourcePeer: 0, SourceRollout: 0}
 	for _, k := range f.upstreams {
 		if k.Leaving && !k.gone {
 			n[k.source]++
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -11,6 +11,7 @@
 
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/quarantine"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // News is what an Origin has that is new, as of a revision.
@@ -23,6 +24,9 @@
 	Zones []ZoneOrder
 	// Crashes are requests that are held, as they were kept.
 	Crashes []quarantine.Mark
+	// Rollouts are orders to move services to other versions, or that such an order was taken
+	// back; with Read, every one that holds. RolloutRecords are how far they are.
+	Rollouts, RolloutRecords []rollout.Status
 	// Hosts are hosts of the site that were put on its directory.
 	Hosts []Peer
 	// At is where in the origin's history it answered.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -14,6 +14,7 @@
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // Peer is another entry host.
@@ -66,6 +67,9 @@
 	Ask(ctx context.Context, to Peer, a PlaceAsk) (PlaceGrant, error)
 	// Permit asks a peer for leave to send to an upstream.
 	Permit(ctx context.Context, to Peer, a permit.Ask) (permit.Reply, error)
+	// Rollout tells the peer that decides about a rollout what was seen of it, and returns how far
+	// it is there.
+	Rollout(ctx context.Context, to Peer, r rollout.Report) (rollout.Status, error)
 	// Turn waits at an arbiter for the turn to move a run; EndTurn gives it
 	// back.
 	Turn(ctx context.Context, to Peer, r TurnRequest) error
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -139,6 +139,7 @@
 	}
 	now := p.now()
 	t.took = now.Sub(began)
+	p.noteVersion(ctx, now, u, &t)
 	switch {
 	case errors.Is(t.err, ErrNotSent), t.err == nil && (t.answer.OtherInstance || t.answer.Signals.RetryAfter > 0):
 		// What asks for backoff gets that, and counts as no worse afterwards.
--- a/forward/regions.go
+++ b/forward/regions.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // Where a request may be served, by the regions that its route and account allow.
@@ -44,17 +45,19 @@
 	return slices.DeleteFunc(zones, func(z member.Zone) bool { return !x.mayServeIn(z) })
 }
 
-// inRegion are those of some upstreams that may serve the request.
-func (x *exchange) inRegion(upstreams []Upstream) []Upstream {
-	if x.zones == nil {
+// allowedOf are those of some upstreams that may serve the request, by their zones and versions.
+func (x *exchange) allowedOf(upstreams []Upstream) []Upstream {
+	if x.zones == nil && x.versions == (rollout.Bound{}) {
 		return upstreams
 	}
-	return slices.DeleteFunc(slices.Clone(upstreams), func(u Upstream) bool { return !x.mayServeIn(u.Zone) })
+	return slices.DeleteFunc(slices.Clone(upstreams), func(u Upstream) bool {
+		return !x.mayServeIn(u.Zone) || !x.versions.Allows(u.Version)
+	})
 }
 
 // takers are the service's upstreams that take new work and may serve the request.
 func (x *exchange) takers(now time.Time) []Upstream {
-	return x.inRegion(x.fleet.Takers(now, x.service.Name))
+	return x.allowedOf(x.fleet.Takers(now, x.service.Name))
 }
 
 // noneInRegion reports whether the request is bound to regions in which no upstream takes work.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // closeBody closes the body of an answer that isn't passed on. Nothing is lost
@@ -23,6 +24,9 @@
 
 // answerFrom passes an engine's answer on.
 func (s *streamExchange) answerFrom(ctx context.Context, u Upstream, a *Answer) {
+	if a.Status != http.StatusOK || !a.Signed || a.Encoded {
+		s.noteAnswer(s.now(), u, rollout.First, true, 0)
+	}
 	if a.Status != http.StatusOK {
 		s.passFailure(ctx, u, a)
 		return
@@ -52,10 +56,14 @@
 	last, err := s.follow(ctx, u, a)
 	switch {
 	case err == nil:
+		if s.moves == 0 && s.events > 2 && last.ID == s.firstAt.ID {
+			s.noteAnswer(s.now(), last, rollout.Pace, false, (s.lastAt.Sub(s.begunThere))/time.Duration(s.events-1))
+		}
 		s.fleet.Worked(last.ID)
 		s.survived(s.now())
 	case s.callerGone == nil && ctx.Err() == nil:
 		now := s.now()
+		s.noteAnswer(now, last, rollout.First, true, 0)
 		s.brokeOff(now, last.ID)
 		s.noteBroken(ctx, now, last, s.begunThere, err)
 	}
@@ -184,6 +192,7 @@
 	s.noteBegun(now)
 	if s.events == 0 {
 		s.firstAfter = now.Sub(s.call.Arrived)
+		s.noteAnswer(now, s.firstAt, rollout.First, false, now.Sub(s.sentAt))
 		if s.run != nil {
 			s.engines.begun(now, s.service.Name, s.run)
 		}
--- a/forward/send.go
+++ b/forward/send.go
@@ -62,6 +62,7 @@
 func (x *exchange) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
 	s := x.upstreamState(now, u)
 	s.Quarantined, s.RegionBarred = x.held(now), !x.mayServeIn(u.Zone)
+	s.VersionBarred = !x.versions.Allows(u.Version) || x.rollouts.Retired(u.Service, u.Version)
 	return eligibility.Judge(s, p)
 }
 
@@ -219,7 +220,7 @@
 
 // candidates are those of a service's upstreams that this request may go to.
 func (x *exchange) candidates(now time.Time, service ServiceName) []Upstream {
-	return x.inRegion(x.Forwarder.candidates(now, service))
+	return x.allowedOf(x.Forwarder.candidates(now, service))
 }
 
 // candidates are the upstreams of a service that a request may go to, but for limits and
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -16,6 +16,7 @@
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // A site of hosts in virtual time, which the tests of what hosts tell each other share.
@@ -33,6 +34,9 @@
 	news     []Change
 	orders   []ZoneOrder
 	configAt history.Point
+	// rollouts and rolloutRecords are the orders and records of rollouts, up to rolloutsAt.
+	rollouts, rolloutRecords []rollout.Status
+	rolloutsAt               history.Point
 	// published closes at the next news and is made anew.
 	published chan struct{}
 	// kept are the requests that are held, each as it was kept last.
@@ -112,6 +116,17 @@
 			news.Zones = append(news.Zones, order)
 		}
 	}
+	news.At = history.Latest(news.At, o.rolloutsAt)
+	for _, s := range o.rollouts {
+		if s.Given.After(after) {
+			news.Rollouts = append(news.Rollouts, s)
+		}
+	}
+	for _, s := range o.rolloutRecords {
+		if s.Recorded.After(after) {
+			news.RolloutRecords = append(news.RolloutRecords, s)
+		}
+	}
 	if o.published == nil {
 		o.published = make(chan struct{})
 	}
@@ -127,7 +142,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	config := o.config
-	whole := News{Config: &config, At: news.At, Crashes: slices.Collect(maps.Values(o.kept))}
+	whole := News{Config: &config, At: news.At, Rollouts: news.Rollouts, RolloutRecords: news.RolloutRecords, Crashes: slices.Collect(maps.Values(o.kept))}
 	for _, zone := range []member.Zone{"z1", "z2", "z3"} {
 		var newest ZoneOrder
 		for _, order := range o.orders {
@@ -145,7 +160,12 @@
 		whole.Changes = append(whole.Changes, Change{Upstream: u})
 	}
 	for _, c := range news.Changes {
-		whole.Changes[listed[c.ID]] = c
+		if at, known := listed[c.ID]; known {
+			whole.Changes[at] = c
+			continue
+		}
+		listed[c.ID] = len(whole.Changes)
+		whole.Changes = append(whole.Changes, c)
 	}
 	return whole, nil
 }
@@ -153,7 +173,7 @@
 func (o *siteOrigin) Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error) {
 	o.watches.Add(1)
 	news, more := o.since(after)
-	if len(news.Changes) == 0 && len(news.Zones) == 0 && news.Config == nil {
+	if len(news.Changes) == 0 && len(news.Zones) == 0 && news.Config == nil && len(news.Rollouts)+len(news.RolloutRecords) == 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -344,6 +364,13 @@
 	return permit.Reply{}, errGone
 }
 
+func (s sitePort) Rollout(ctx context.Context, to Peer, r rollout.Report) (rollout.Status, error) {
+	if f := s.reached(ctx, s.address, to); f != nil {
+		return f.OnRollout(r), nil
+	}
+	return rollout.Status{}, errGone
+}
+
 func (s sitePort) Turn(context.Context, Peer, TurnRequest) error    { return nil }
 func (s sitePort) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -12,6 +12,7 @@
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // streamExchange passes one stream on, from one engine after another when it is
@@ -27,6 +28,9 @@
 	events    int
 	// begunThere is when the first event of the present engine came; zero before.
 	begunThere time.Time
+	// firstAt is the engine that it was sent to first, and sentAt when.
+	firstAt Upstream
+	sentAt  time.Time
 	// proven says that an engine has run it for longer than it takes to begin.
 	proven bool
 	// lastAt is when the last event was passed on; zero before the first.
@@ -72,6 +76,7 @@
 			s.refuse(s.honest(refusal), "service", x.service.Name, "avoided", len(s.avoid), "kept_back", x.keptCount(x.now()))
 			return
 		}
+		s.firstAt, s.sentAt = u, s.now()
 		stopWatch := s.watchFirstEvent(u.ID)
 		answer, err := s.sendFirst(ctx, u)
 		stopWatch()
@@ -79,6 +84,9 @@
 			s.answerFrom(ctx, u, answer)
 			return
 		}
+		if ctx.Err() == nil && err != nil && !errors.Is(err, ErrNotSent) {
+			s.noteAnswer(s.now(), u, rollout.First, true, 0)
+		}
 		s.free(false)
 		last = s.judge(ctx, u, answer, err)
 		if !s.mayTryAnother(ctx, u, last, err == nil && answer.NotRun) {
@@ -150,6 +158,9 @@
 // place finds an engine, or says why there is none.
 func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
 	now := s.now()
+	if s.sent > 0 {
+		s.versions = s.rollouts.Repeat(s.service.Name)
+	}
 	if !s.untried(now) {
 		takers := s.takers(now)
 		return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
@@ -169,6 +180,7 @@
 		Priority: int(MostPatient - s.urgency),
 		Prompt:   max(p.Tokens, 1), Limit: p.MostOut, Prefix: p.Prefix, PrefixTokens: p.PrefixTokens,
 		Bytes: len(s.call.Body), Objective: s.route.Objective, AvoidAlso: s.avoid, Zones: s.zones,
+		OnlyGroup: string(s.versions.Only), ButGroup: string(s.versions.But),
 		Arrived: s.call.Arrived, Deadline: s.call.Arrived.Add(s.route.Objective),
 	}
 	if s.service.Engine == nil {
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -99,7 +99,7 @@
 	})
 	root.AddCommand(
 		newEntryCommand(s), newServeCommand(s), newDevCommand(s), newDemoCommand(s), newApplyCommand(s), newGetCommand(s),
-		newWatchCommand(s), newDeleteCommand(s), newDrainCommand(s), newUndrainCommand(s), newStatusCommand(s), newQuarantineCommand(s), newLoadCommand(s), newExplainCommand(s),
+		newWatchCommand(s), newDeleteCommand(s), newDrainCommand(s), newUndrainCommand(s), newStatusCommand(s), newQuarantineCommand(s), newRolloutCommand(s), newLoadCommand(s), newExplainCommand(s),
 	)
 	wrapArgErrors(root)
 	return root
--- /dev/null
+++ b/internal/cli/rollout.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/platform"
+	"github.com/shedpath/shedpath/rollout"
+)
+
+// rolloutTimeout bounds a host's answer.
+const rolloutTimeout = 5 * time.Second
+
+func newRolloutCommand(system *System) *cobra.Command {
+	cmd := &cobra.Command{
+		Use: "rollout", Short: "Show the moves of services to other versions",
+		Long: `rollout lists the moves of services to upstreams of another version, as this host of shedpath
+serve knows them (SHEDPATH_NODE_FILE is set), and which host decides.`,
+		Example: "  shedpath rollout\n  shedpath rollout show orders", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			all, err := askRollouts(cmd.Context(), system)
+			if err != nil {
+				return err
+			}
+			return writeRollouts(system.Stdout, all)
+		},
+	}
+	cmd.AddCommand(&cobra.Command{
+		Use: "show SERVICE", Short: "Show what this host has seen of a service's versions",
+		Long: `show lists the answers of the versions of a service that this host has seen since the order. The
+host that decides adds up what all have seen; the evidence is shown there.`,
+		Example: "  shedpath rollout show orders", Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			all, err := askRollouts(cmd.Context(), system)
+			if err != nil {
+				return err
+			}
+			for _, r := range all {
+				if string(r.Service) == args[0] {
+					return showRollout(system.Stdout, r)
+				}
+			}
+			return fmt.Errorf("no rollout of %s is known here", args[0])
+		},
+	})
+	return cmd
+}
+
+func askRollouts(ctx context.Context, system *System) ([]forward.RolloutEntry, error) {
+	path, err := platform.SettingsPath(system.Environment)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return nil, usageError{err}
+	}
+	settings.UseEnvironment(system.Environment)
+	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
+	defer cancel()
+	all, err := platform.Rollouts(ctx, settings)
+	if err != nil {
+		return nil, fmt.Errorf("%s can't be asked: %w; is shedpath serve running here?", settings.Peers, err)
+	}
+	return all, nil
+}
+
+func writeRollouts(out io.Writer, all []forward.RolloutEntry) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SERVICE\tVERSION\tPHASE\tAGE\tOF\tEVIDENCE AGAINST\tDECIDED BY")
+	for _, r := range all {
+		phase := r.Phase.String()
+		if r.Withdrawn {
+			phase = "withdrawn"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%v\t%.1f\t%s\n", r.Service, r.Target, phase, r.Age.Round(time.Millisecond), r.Lasts, r.Against, r.Decides)
+	}
+	return w.Flush()
+}
+
+func showRollout(out io.Writer, r forward.RolloutEntry) error {
+	if err := writeRollouts(out, []forward.RolloutEntry{r}); err != nil {
+		return err
+	}
+	measures := map[rollout.Measure]string{rollout.Whole: "answer", rollout.First: "first event", rollout.Pace: "between events"}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "\nROUTE\tMEASURE\tVERSION\tGOOD\tFAILED\tMEDIAN")
+	for _, e := range r.Evidence {
+		version := "others"
+		if e.Target {
+			version = string(r.Target)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%v\n", e.Route, measures[e.Measure], version, e.Good, e.Failed, e.Median().Round(time.Millisecond))
+	}
+	return w.Flush()
+}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -19,6 +19,7 @@
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/resource"
+	"github.com/shedpath/shedpath/rollout"
 )
 
 // wireShare is forward.Share; ages are in milliseconds.
@@ -221,6 +222,7 @@
 	Version              uint64
 	Changes              []wireChange
 	Zones                []wireZoneOrder
+	Rollouts             []wireRollout
 	Whole, Gaps          bool
 	List                 uint64
 	ListEra              uint64 `msgpack:",omitempty"`
@@ -236,6 +238,7 @@
 	Slots                      int
 	Leaving, Gone, Missing     bool
 	Unusable                   bool
+	Version                    string
 	Life                       int64
 	// Cold is how much longer it is cold, in milliseconds.
 	Cold int64
@@ -251,14 +254,14 @@
 	w := wireFollowed{
 		Version: uint64(r.Version), Whole: r.Whole, Gaps: r.Gaps, EraFrom: uint64(r.EraFrom.Revision()), EraAge: r.EraAge.Milliseconds(), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
-		Zones: toWireZones(now, r.Zones),
+		Zones: toWireZones(now, r.Zones), Rollouts: toWireRollouts(r.Rollouts),
 	}
 	w.ListEra, w.List = numbers(r.List)
 	for _, c := range r.Changes {
 		change := wireChange{
 			ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
 			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing,
-			Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
+			Version: string(c.Version), Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
 		}
 		change.Era, change.Revision = numbers(c.Revision)
 		change.Believed = believedIn(now, c.BelievedFrom)
@@ -274,7 +277,7 @@
 	r := forward.FollowReply{
 		Version: forward.Version(w.Version), Whole: w.Whole, Gaps: w.Gaps, List: point(w.ListEra, w.List), EraFrom: point(w.ListEra, w.EraFrom), EraAge: time.Duration(w.EraAge) * time.Millisecond, HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
-		Zones: zoneOrders(now, w.Zones),
+		Zones: zoneOrders(now, w.Zones), Rollouts: rollouts(w.Rollouts),
 	}
 	for _, c := range w.Changes {
 		r.Changes = append(r.Changes, c.change(now))
@@ -289,7 +292,7 @@
 	c := forward.Change{
 		Upstream: forward.Upstream{
 			ID: member.UpstreamID(w.ID), Service: forward.ServiceName(w.Service), Address: w.Address,
-			Zone: member.Zone(w.Zone), Slots: w.Slots, Leaving: w.Leaving, Life: forward.Life(w.Life), Revision: point(w.Era, w.Revision),
+			Zone: member.Zone(w.Zone), Slots: w.Slots, Version: rollout.Version(w.Version), Leaving: w.Leaving, Life: forward.Life(w.Life), Revision: point(w.Era, w.Revision),
 		},
 		Gone: w.Gone, Missing: w.Missing, Unusable: w.Unusable,
 	}
@@ -361,6 +364,7 @@
 	Urgency, Prompt, Limit             int
 	Objective, Waited                  int64
 	Avoid                              []string
+	OnlyGroup, ButGroup                string
 }
 
 // wireGrant is forward.PlaceGrant; First is in milliseconds.
@@ -373,7 +377,7 @@
 	w := wireAsk{
 		From: string(a.From), Service: string(a.Service), Run: string(a.Run), Route: string(a.Route), Account: string(a.Account),
 		Urgency: a.Urgency, Prompt: int(a.Prompt), Limit: int(a.Limit),
-		Objective: a.Objective.Milliseconds(), Waited: a.Waited.Milliseconds(),
+		Objective: a.Objective.Milliseconds(), Waited: a.Waited.Milliseconds(), OnlyGroup: a.OnlyGroup, ButGroup: a.ButGroup,
 	}
 	for _, id := range a.Avoid {
 		w.Avoid = append(w.Avoid, string(id))
@@ -387,6 +391,7 @@
 		Route: resource.Name(w.Route), Account: resource.Account(w.Account),
 		Urgency: w.Urgency, Prompt: policy.Tokens(w.Prompt), Limit: policy.Tokens(w.Limit),
 		Objective: time.Duration(w.Objective) * time.Millisecond, Waited: time.Duration(w.Waited) * time.Millisecond,
+		OnlyGroup: w.OnlyGroup, ButGroup: w.ButGroup,
 	}
 	for _, id := range w.Avoid {
 		a.Avoid = append(a.Avoid, member.UpstreamID(id))
@@ -410,6 +415,8 @@
 	OnConfig(have forward.Version) forward.ConfigReply
 	OnAsk(a forward.PlaceAsk) forward.PlaceGrant
 	OnPermit(a permit.Ask) permit.Reply
+	OnRollout(r rollout.Report) rollout.Status
+	Rollouts() []forward.RolloutEntry
 	OnTurn(ctx context.Context, r forward.TurnRequest) error
 	OnEndTurn(r forward.TurnRequest)
 	OnQuarantine(release *quarantine.Fingerprint) ([]quarantine.Entry, bool)
@@ -457,6 +464,10 @@
 		return wireGrant{Engine: string(grant.Engine), First: grant.FirstAfter.Milliseconds()}, nil
 	case kindPermit:
 		return onPermit(f, body)
+	case kindRollout:
+		return onRollout(f, body)
+	case kindRollouts:
+		return onRollouts(f)
 	case kindQuarantine:
 		return onQuarantine(f, body)
 	case kindTurn, kindEndTurn:
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -29,6 +29,8 @@
 	kindAsk
 	kindQuarantine
 	kindPermit
+	kindRollout
+	kindRollouts
 )
 
 // The wire types are arrays, to keep heartbeats small. Times travel as what is
