--- a/forward/call.go
+++ b/forward/call.go
@@ -64,6 +64,8 @@
 	// written as it comes.
 	Begin(a *Answer) error
 	Write(p []byte) error
+	// Abort has a Write that is under way fail, and all later ones. It may be called beside Write.
+	Abort()
 	// Refuse is the final answer to a request that failed.
 	Refuse(r Refusal) error
 	// Cut ends an answer that has begun so that the caller sees that it isn't
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -119,6 +119,8 @@
 	return nil
 }
 
+func (s *fakeSink) Abort() {}
+
 func (s *fakeSink) Refuse(r Refusal) error {
 	s.refused = &r
 	return nil
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/rollout"
+	"github.com/shedpath/shedpath/spool"
 )
 
 // Settings are what a forwarder is told at its start.
@@ -36,6 +37,9 @@
 	// ContactBound is how old the proof of contact with the platform may be
 	// for this host to say that a route or key doesn't exist.
 	ContactBound time.Duration
+	// HeldAnswers is how many bytes of answers this host holds for callers that are slower than
+	// their upstreams; zero sets no bound.
+	HeldAnswers int64
 	// Regions tells each zone's region. A zone that it lacks is of none.
 	Regions map[member.Zone]member.Region
 	// Rollouts bound what a version on trial gets.
@@ -127,6 +131,8 @@
 	rollouts rollout.Book
 	seen     rollout.Observations
 	desk     rolloutDesk
+	// answers bounds what is held of answers.
+	answers spool.Budget
 	// offers are peers' newer configurations.
 	offers *configOffers
 
@@ -158,6 +164,7 @@
 	}
 	f.limiter = permit.New(s.Self, permitSite{f}, f.now)
 	f.retries.setLimit(s.Retries)
+	f.answers.Most = s.HeldAnswers
 	f.useClock(s.Clock)
 	return f
 }
--- a/forward/plain.go
+++ b/forward/plain.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// heldBytes is the longest answer that is read whole before it is passed
+	// mostHeld is the longest answer that is read whole before it is passed
 	// on, so that a broken one can still be replaced.
-	heldBytes = 1 << 20
+	mostHeld = 1 << 20
 	// mostDials bounds the upstreams that a request which was not sent yet is
 	// tried on.
 	mostDials = 3
@@ -68,6 +68,8 @@
 	none Refusal
 	// lastCode says what the last try failed of.
 	lastCode Code
+	// held is what the answers of its tries take in memory.
+	memory heldBytes
 }
 
 // servePlain answers a request by one upstream's whole answer.
@@ -75,6 +77,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &plainExchange{exchange: x, tries: make(chan plainTry, mostDials+max(x.route.Attempts, 1)+1)}
+	p.memory.budget = &x.answers
+	defer p.memory.end()
 	x.retries.first(x.now(), x.service.Name)
 	if !p.launch(ctx, false) {
 		x.refuse(p.none, "service", x.service.Name, "kept_back", x.keptCount(x.now()))
@@ -135,7 +139,7 @@
 	t := plainTry{upstream: u}
 	t.answer, t.err = p.sendTo(ctx, u, out)
 	if t.err == nil {
-		t.body, t.long, t.err = hold(t.answer)
+		t.body, t.long, t.err = p.memory.read(t.answer)
 	}
 	now := p.now()
 	t.took = now.Sub(began)
@@ -150,18 +154,6 @@
 	return t
 }
 
-// hold reads an answer's body, whole if it isn't too long.
-func hold(a *Answer) (body []byte, long bool, err error) {
-	body, err = io.ReadAll(io.LimitReader(a.Body, heldBytes))
-	if err == nil && len(body) == heldBytes {
-		return body, true, nil
-	}
-	if closing := a.Body.Close(); err == nil && closing != nil {
-		err = closing
-	}
-	return body, false, err
-}
-
 // ended takes in one try. It reports whether the caller has its answer.
 func (p *plainExchange) ended(ctx context.Context, t *plainTry) bool {
 	now := p.now()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -12,8 +12,28 @@
 
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/rollout"
+	"github.com/shedpath/shedpath/spool"
 )
 
+const (
+	// heldPerStream is how much of one stream is held for a caller that is slower than its
+	// engine: most answers are shorter as a whole.
+	heldPerStream = 128 << 10
+	// readerPatience is how long a caller may take nothing while its engine waits for it.
+	// Upstreams cut off answers that stay unread for a few seconds.
+	readerPatience = 2 * time.Second
+)
+
+// closeSpool waits until the caller has what was passed on, unless the context has ended.
+func (s *streamExchange) closeSpool(ctx context.Context) error {
+	if s.out == nil {
+		return nil
+	}
+	out := s.out
+	s.out = nil
+	return out.Close(ctx)
+}
+
 // closeBody closes the body of an answer that isn't passed on. Nothing is lost
 // when that fails: the connection is given up either way.
 func closeBody(a *Answer) {
@@ -74,9 +94,11 @@
 // passFailure gives the caller an engine's own failure.
 func (s *streamExchange) passFailure(ctx context.Context, u Upstream, a *Answer) {
 	t := plainTry{upstream: u, answer: a}
-	t.body, t.long, t.err = hold(a)
-	s.free(false)
 	p := &plainExchange{exchange: s.exchange}
+	p.memory.budget = &s.answers
+	defer p.memory.end()
+	t.body, t.long, t.err = p.memory.read(a)
+	s.free(false)
 	if t.err != nil || !a.Signed || promising(a.Status) {
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID, "status", a.Status, "err", t.err)
 		return
@@ -87,11 +109,17 @@
 // end closes the answer: whole, cut, or refused when nothing had come.
 func (s *streamExchange) end(ctx context.Context, u Upstream, err error) {
 	about := []any{"upstream", u.ID, "first_event", s.firstAfter, "events", s.events, "moves", s.moves, "longest_pause", s.longest, "err", err}
+	if undelivered := s.closeSpool(ctx); s.callerGone == nil && undelivered != nil && !errors.Is(undelivered, context.Cause(ctx)) {
+		s.callerGone, err = undelivered, undelivered
+	}
 	why := endingOf(ctx)
 	if s.callerGone != nil {
 		why = callerLeft
 	}
 	switch {
+	case errors.Is(s.callerGone, spool.ErrStalled):
+		s.to.Cut()
+		s.answered("reader_stalled", about...)
 	case err == nil:
 		s.answered("ok", about...)
 	case s.begun:
@@ -111,7 +139,7 @@
 	for {
 		m := s.watch(ctx, u, a)
 		s.begunThere = time.Time{}
-		err := s.relay(first, a)
+		err := s.relay(ctx, first, a)
 		closeBody(a)
 		if err == nil && (a.Framed || !m.stopped()) {
 			// A framed answer that has its end is whole, whatever became of a
@@ -154,7 +182,10 @@
 }
 
 // relay passes on what one engine sends. It returns nil at a clean end.
-func (s *streamExchange) relay(first, a *Answer) error {
+func (s *streamExchange) relay(ctx context.Context, first, a *Answer) error {
+	// A caller whose connection fails is noticed while nothing comes from the engine, too.
+	stop := context.AfterFunc(ctx, func() { closeBody(a) })
+	defer stop()
 	events := newEventReader(a.Body)
 	for {
 		event, id, err := events.next()
@@ -164,27 +195,28 @@
 		if err != nil {
 			return err
 		}
-		if err := s.pass(s.now(), first, event, id); err != nil {
+		if err := s.pass(ctx, s.now(), first, event, id); err != nil {
 			return err
 		}
 	}
 }
 
 // pass gives one event to the caller.
-func (s *streamExchange) pass(now time.Time, first *Answer, event []byte, id string) error {
+func (s *streamExchange) pass(ctx context.Context, now time.Time, first *Answer, event []byte, id string) error {
 	if !s.begun {
 		s.begun = true
 		s.observer.FirstEvent(now.Sub(s.call.Arrived))
 		if s.callerGone = s.to.Begin(first); s.callerGone != nil {
 			return s.callerGone
 		}
+		s.out = spool.New(spool.Settings{Budget: &s.answers, Most: heldPerStream, Patience: readerPatience, Failed: s.leave}, s.to.Write, s.to.Abort)
 	} else if !s.lastAt.IsZero() {
 		gap := now.Sub(s.lastAt)
 		s.longest = max(s.longest, gap)
 		s.observer.Gap(gap)
 		s.learn(now, gap)
 	}
-	if s.callerGone = s.to.Write(event); s.callerGone != nil {
+	if s.callerGone = s.out.Put(ctx, event); s.callerGone != nil {
 		return s.callerGone
 	}
 	s.lastAt = now
--- /dev/null
+++ b/forward/slowreaders_test.go
@@ -0,0 +1,211 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// slowSink is a caller that takes each part after a pause.
+type slowSink struct {
+	fakeSink
+	pause   time.Duration
+	aborted chan struct{}
+	once    sync.Once
+}
+
+func newSlowSink(pause time.Duration) *slowSink {
+	return &slowSink{pause: pause, aborted: make(chan struct{})}
+}
+
+func (s *slowSink) Write(p []byte) error {
+	timer := time.NewTimer(s.pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return s.fakeSink.Write(p)
+	case <-s.aborted:
+		return errGone
+	}
+}
+
+func (s *slowSink) Abort() { s.once.Do(func() { close(s.aborted) }) }
+
+// impatientEngines play engines whose answers must be read: one that stays unread for three
+// seconds is cut off.
+type impatientEngines struct {
+	events, bytes int
+	cutOff        atomic.Int64
+}
+
+const unreadFor = 3 * time.Second
+
+func (e *impatientEngines) send(ctx context.Context, _ Upstream, _ *Outgoing) (*Answer, error) {
+	read, write := io.Pipe()
+	go func() {
+		for n := range e.events {
+			time.Sleep(50 * time.Millisecond)
+			unread := time.AfterFunc(unreadFor, func() {
+				e.cutOff.Add(1)
+				_ = write.CloseWithError(io.ErrUnexpectedEOF)
+			})
+			_, err := fmt.Fprintf(write, "id: %d\ndata: %s\n\n", n+1, strings.Repeat("x", e.bytes))
+			unread.Stop()
+			if err != nil {
+				return
+			}
+		}
+		_ = write.Close()
+	}()
+	a := answer(http.StatusOK, "")
+	a.Length, a.Body = -1, read
+	context.AfterFunc(ctx, func() { _ = read.Close() })
+	return a, nil
+}
+
+// TestSlowReaders has a host with many callers that read slowly, or not at all, serve the others
+// as if there were none, within its memory, and have no engine wait for them.
+func TestSlowReaders(t *testing.T) {
+	for name, c := range map[string]struct {
+		slow, stalled int
+		// whole says that the slow ones get all.
+		whole bool
+	}{
+		"some that are slow":         {slow: 20, whole: true},
+		"some that take nothing":     {stalled: 20},
+		"hundreds that are slow":     {slow: 400},
+		"hundreds that take nothing": {stalled: 400},
+		"thousands of both kinds":    {slow: 1000, stalled: 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engines := &impatientEngines{events: 100, bytes: 800}
+				f := newForwarder(t, &fakeTransport{send: engines.send})
+				f.answers.Most = 14 << 20 // an eighth of 112 MB
+				config := testConfig(2)
+				config.Services[1].Engine = nil // the engines' places aren't what is tested
+				f.Configure(time.Now(), config)
+				var under sync.WaitGroup
+				serve := func(n int, sink Sink) {
+					under.Go(func() {
+						call := call("/llm/")
+						call.ID, call.Patience = RequestID(fmt.Sprint("r", n)), time.Hour
+						f.Serve(t.Context(), call, sink)
+					})
+				}
+				var slow []*slowSink
+				var fast []*fakeSink
+				var most int64
+				for n := range max(c.slow, c.stalled) {
+					if n < c.slow {
+						slow = append(slow, newSlowSink(250*time.Millisecond))
+						serve(n, slow[n])
+					}
+					if n < c.stalled {
+						serve(10000+n, newSlowSink(time.Hour))
+					}
+					if n%10 == 0 {
+						fast = append(fast, &fakeSink{})
+						serve(20000+n, fast[n/10])
+					}
+				}
+				done := make(chan struct{})
+				go func() {
+					for {
+						most = max(most, f.answers.Held())
+						select {
+						case <-done:
+							return
+						case <-time.After(100 * time.Millisecond):
+						}
+					}
+				}()
+				under.Wait()
+				close(done)
+				synctest.Wait()
+				whole := engines.events * (engines.bytes + len("id: 1\ndata: \n\n"))
+				t.Logf("held %d at most; engines cut off %d", most, engines.cutOff.Load())
+				for _, s := range fast {
+					is.True(s.body.Len() >= whole && !s.cut) // whoever reads gets all
+				}
+				for _, s := range slow {
+					is.True(!c.whole || s.body.Len() >= whole && !s.cut)
+				}
+				one := int64(engines.bytes + 32)
+				is.True(most <= f.answers.Most+one*int64(c.slow+c.stalled+len(fast))) // and one event each
+				is.Equal(engines.cutOff.Load(), int64(0))                             // no engine waited too long
+				is.Equal(f.answers.Held(), int64(0))
+			})
+		})
+	}
+}
+
+// TestStalledReaderIsTold has the answer of a caller that takes nothing be cut, not ended as whole.
+func TestStalledReaderIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		engines := &impatientEngines{events: 400, bytes: 2000}
+		f := newForwarder(t, &fakeTransport{send: engines.send})
+		sink := newSlowSink(time.Hour)
+		start := time.Now()
+		f.Serve(t.Context(), call("/llm/"), sink)
+		is.True(sink.cut)
+		is.True(time.Since(start) < 10*time.Second)
+		time.Sleep(time.Second)
+		is.Equal(f.engines.beside("llm", "llm1", "")+f.engines.beside("llm", "llm2", "")+f.engines.beside("llm", "llm3", ""), 0)
+	})
+}
+
+// TestAnswersForSlowReadersAreBounded has long answers be passed on as they come while what is
+// held has reached its bound.
+func TestAnswersForSlowReadersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		body := strings.Repeat("x", 600<<10)
+		f := newForwarder(t, &fakeTransport{send: func(context.Context, Upstream, *Outgoing) (*Answer, error) {
+			return answer(http.StatusOK, body), nil
+		}})
+		f.answers.Most = 2 << 20
+		var most int64
+		var under sync.WaitGroup
+		var sinks []*slowSink
+		for range 100 {
+			s := newSlowSink(100 * time.Millisecond)
+			sinks = append(sinks, s)
+			under.Go(func() {
+				c := call("/order/")
+				f.Serve(t.Context(), c, wholeSlowly{s})
+			})
+			most = max(most, f.answers.Held())
+		}
+		synctest.Wait()
+		most = max(most, f.answers.Held())
+		under.Wait()
+		is.True(most <= f.answers.Most)
+		is.Equal(f.answers.Held(), int64(0))
+		for _, s := range sinks {
+			is.Equal(s.body.Len(), len(body))
+		}
+	})
+}
+
+// wholeSlowly takes whole answers as slowly as parts.
+type wholeSlowly struct{ *slowSink }
+
+func (s wholeSlowly) Whole(a *Answer, body []byte) error {
+	time.Sleep(s.pause)
+	return s.fakeSink.Whole(a, body)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -13,6 +13,7 @@
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/rollout"
+	"github.com/shedpath/shedpath/spool"
 )
 
 // streamExchange passes one stream on, from one engine after another when it is
@@ -20,6 +21,10 @@
 type streamExchange struct {
 	*exchange
 	run *ownRun
+	// out holds what the caller hasn't taken yet; nil before the answer's beginning.
+	out *spool.Spool
+	// leave ends what runs for the caller.
+	leave context.CancelFunc
 	// begun says that the caller has the answer's beginning.
 	begun bool
 	// lastEvent is the id of the last event that the caller has, and events
@@ -67,7 +72,8 @@
 func (x *exchange) serveStream(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &streamExchange{exchange: x, lastEvent: x.call.LastEvent}
+	s := &streamExchange{exchange: x, lastEvent: x.call.LastEvent, leave: cancel}
+	defer s.closeSpool(ctx)
 	x.retries.first(x.now(), x.service.Name)
 	var last Refusal
 	for dials := 0; dials < mostStreamDials && (dials < mostDials || s.mayDial(x.now())); dials++ {
--- a/rollout/book.go
+++ b/rollout/book.go
@@ -39,6 +39,9 @@
 // Book is what a host knows of the rollouts. The zero value knows none and works. It is safe for
 // use by several goroutines.
 type Book struct {
+	// Draw returns a number from 0 to 1; nil draws at random.
+	Draw func() float64
+
 	// some says that there is a rollout, which is all that most requests ask.
 	some atomic.Bool
 
@@ -82,7 +85,11 @@
 			fresh.Recorded, fresh.RecordedPhase = e.Recorded, noPhase
 		}
 		// Rounded at random, so that the hosts' parts add up to the whole however small each is.
-		fresh.saved = rand.Float64() + slackPart*l.Slack/float64(max(hosts, 1))
+		draw := b.Draw
+		if draw == nil {
+			draw = rand.Float64
+		}
+		fresh.saved = draw() + slackPart*l.Slack/float64(max(hosts, 1))
 		if b.entries == nil {
 			b.entries = map[resource.Name]*entry{}
 		}
--- /dev/null
+++ b/spool/spool_test.go
@@ -0,0 +1,150 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package spool
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// reader takes a part every so often, until it is aborted.
+type reader struct {
+	mu      sync.Mutex
+	pause   time.Duration
+	got     strings.Builder
+	aborted chan struct{}
+	once    sync.Once
+}
+
+func newReader(pause time.Duration) *reader {
+	return &reader{pause: pause, aborted: make(chan struct{})}
+}
+
+var errAborted = errors.New("aborted")
+
+func (r *reader) write(p []byte) error {
+	timer := time.NewTimer(r.pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.aborted:
+		return errAborted
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.got.Write(p)
+	return nil
+}
+
+func (r *reader) abort() { r.once.Do(func() { close(r.aborted) }) }
+
+// TestSlowReaderHoldsNoSource has a source be done before its slow reader, which gets all in order.
+func TestSlowReaderHoldsNoSource(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, b := newReader(200*time.Millisecond), &Budget{Most: 1000}
+		s := New(Settings{Budget: b, Most: 500, Patience: time.Second}, r.write, r.abort)
+		start, want := time.Now(), ""
+		for n := range 40 {
+			part := fmt.Sprintf("part %02d;", n)
+			want += part
+			is.NoErr(s.Put(t.Context(), []byte(part)))
+		}
+		is.Equal(time.Since(start), time.Duration(0))
+		is.NoErr(s.Close(t.Context()))
+		is.Equal(r.got.String(), want)
+		is.Equal(time.Since(start), 40*200*time.Millisecond)
+		is.Equal(b.Held(), int64(0))
+	})
+}
+
+// TestReaderSlowerThanItsBound has the source wait for a reader that goes on reading.
+func TestReaderSlowerThanItsBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, b := newReader(800*time.Millisecond), &Budget{Most: 1000}
+		s := New(Settings{Budget: b, Most: 100, Patience: time.Second}, r.write, r.abort)
+		for range 30 {
+			is.NoErr(s.Put(t.Context(), make([]byte, 40)))
+			is.True(b.Held() <= 100)
+		}
+		is.NoErr(s.Close(t.Context()))
+		is.Equal(r.got.Len(), 1200)
+	})
+}
+
+// TestStalledReaderIsGivenUp has a reader that takes nothing be given up, and its memory be freed.
+func TestStalledReaderIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, b := newReader(time.Hour), &Budget{Most: 1000}
+		s := New(Settings{Budget: b, Most: 100, Patience: time.Second}, r.write, r.abort)
+		start := time.Now()
+		var err error
+		for err == nil {
+			err = s.Put(t.Context(), make([]byte, 40))
+		}
+		is.Equal(err, ErrStalled)
+		is.Equal(time.Since(start), time.Second)
+		is.Equal(s.Close(t.Context()), ErrStalled)
+		is.Equal(b.Held(), int64(0))
+	})
+}
+
+// TestSlowReadersCostNoOther has one that reads at once be served although slow ones hold all
+// memory that there is for them.
+func TestSlowReadersCostNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &Budget{Most: 1000}
+		var slow []*Spool
+		for range 20 {
+			r := newReader(time.Hour)
+			s := New(Settings{Budget: b, Most: 500, Patience: time.Minute}, r.write, r.abort)
+			slow = append(slow, s)
+			go func() {
+				for s.Put(t.Context(), make([]byte, 50)) == nil {
+				}
+			}()
+		}
+		synctest.Wait()
+		is.True(b.Held() <= 1000+20*50) // and one part each
+		fast := newReader(0)
+		s := New(Settings{Budget: b, Most: 500, Patience: time.Second}, fast.write, fast.abort)
+		start := time.Now()
+		for range 100 {
+			is.NoErr(s.Put(t.Context(), make([]byte, 50)))
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.NoErr(s.Close(t.Context()))
+		is.Equal(time.Since(start), time.Second)
+		for _, s := range slow {
+			is.Equal(s.Close(t.Context()), ErrStalled)
+		}
+		is.Equal(b.Held(), int64(0))
+	})
+}
+
+// TestSourceLeavesWhileItWaits has a source that waits for room end with its context.
+func TestSourceLeavesWhileItWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r, b := newReader(time.Hour), &Budget{}
+		s := New(Settings{Budget: b, Most: 10, Patience: time.Minute}, r.write, r.abort)
+		ctx, cancel := context.WithCancel(t.Context())
+		is.NoErr(s.Put(ctx, make([]byte, 10)))
+		time.AfterFunc(time.Second, cancel)
+		is.Equal(s.Put(ctx, make([]byte, 10)), context.Canceled)
+		is.Equal(s.Close(ctx), context.Canceled)
+		is.Equal(b.Held(), int64(0))
+	})
+}
