forward: the versions that a request may go to are set safely beside its other tries

Cause: a second try beside a slow first one set them while the first was being judged: a data race, found by -race in TestRequestOutsideItsRegions, second try of a slow call.

--- a/forward/asking.go
+++ b/forward/asking.go
@@ -187,7 +187,7 @@
 	if !known {
 		return Upstream{}, false
 	}
-	r.OnlyGroup, r.ButGroup = string(x.versions.Only), string(x.versions.But)
+	r.OnlyGroup, r.ButGroup = string(x.versions.get().Only), string(x.versions.get().But)
 	someBlind := false
 	for _, zone := range zones {
 		if zone == own {
--- a/forward/boundchoice.go
+++ b/forward/boundchoice.go
@@ -20,7 +20,7 @@
 func (x *exchange) choosePlain(ctx context.Context, tried []member.UpstreamID, repeat bool) (Upstream, Refusal, bool) {
 	now := x.now()
 	if repeat {
-		x.versions = x.rollouts.Repeat(x.service.Name)
+		x.versions.set(x.rollouts.Repeat(x.service.Name))
 	}
 	takers := x.candidates(now, x.service.Name)
 	if len(takers) == 0 {
@@ -91,7 +91,7 @@
 // relocate finds another engine for a run, and gets leave to send it there.
 func (x *exchange) relocate(ctx context.Context, now time.Time, run *ownRun, avoid []member.UpstreamID) (Upstream, bool) {
 	kept := x.keptEngines(now)
-	x.versions = x.rollouts.Repeat(x.service.Name)
+	x.versions.set(x.rollouts.Repeat(x.service.Name))
 	from := run.engine
 	u, found := x.findTarget(ctx, now, run, slices.Concat(avoid, kept.near), kept.far)
 	if !found {
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -297,7 +297,7 @@
 	// zones are those in which the request may be served; nil for all.
 	zones []member.Zone
 	// versions are those that may get the request.
-	versions rollout.Bound
+	versions versionBound
 	// print is what the request asks, once that has been worked out.
 	print atomic.Pointer[quarantine.Fingerprint]
 	// trying guards isTry, for sends beside each other are judged at the same time.
@@ -384,7 +384,7 @@
 	if !found {
 		return Refusal{Code: CodeNoUpstream, RetryAfter: retryUnknown}, false
 	}
-	x.versions = x.drawVersions(now)
+	x.versions.set(x.drawVersions(now))
 	if x.held(now) {
 		return heldRefusal, false
 	}
--- a/forward/regions.go
+++ b/forward/regions.go
@@ -47,11 +47,11 @@
 
 // allowedOf are those of some upstreams that may serve the request, by their zones and versions.
 func (x *exchange) allowedOf(upstreams []Upstream) []Upstream {
-	if x.zones == nil && x.versions == (rollout.Bound{}) {
+	if x.zones == nil && x.versions.get() == (rollout.Bound{}) {
 		return upstreams
 	}
 	return slices.DeleteFunc(slices.Clone(upstreams), func(u Upstream) bool {
-		return !x.mayServeIn(u.Zone) || !x.versions.Allows(u.Version)
+		return !x.mayServeIn(u.Zone) || !x.versions.get().Allows(u.Version)
 	})
 }
 
--- a/forward/regions_test.go
+++ b/forward/regions_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,16 +85,16 @@
 // play has the request come again and again at a host of another region.
 func (c regionCase) play(t *testing.T) {
 	var f *Forwarder
-	sends := 0
-	var moved []string
+	var sends atomic.Int64
+	var moved []string // one stream at a time moves
 	transport := &fakeTransport{}
 	transport.send = func(ctx context.Context, u Upstream, _ *Outgoing) (*Answer, error) {
-		sends++
+		n := int(sends.Add(1))
 		if c.while == nil {
 			if c.send == nil {
 				return answer(http.StatusOK, "id: 1\ndata: x\n\n"), nil
 			}
-			return c.send(sends, u)
+			return c.send(n, u)
 		}
 		read, write := io.Pipe()
 		go func() {
@@ -138,7 +139,7 @@
 	f.fleet.Apply(now, more, rev(2))
 	f.Configure(now, config)
 	for range 4 {
-		sends = 0
+		sends.Store(0)
 		f.Serve(t.Context(), call(c.path), &fakeSink{})
 		time.Sleep(time.Second) // what was left behind ends
 	}
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -8,6 +8,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shedpath/shedpath/history"
@@ -97,6 +98,22 @@
 	}
 }
 
+// versionBound holds which versions a request may go to. Tries of one request run beside each other.
+type versionBound struct{ bound atomic.Pointer[rollout.Bound] }
+
+func (v *versionBound) get() rollout.Bound {
+	if b := v.bound.Load(); b != nil {
+		return *b
+	}
+	return rollout.Bound{}
+}
+
+func (v *versionBound) set(b rollout.Bound) {
+	if b != (rollout.Bound{}) || v.bound.Load() != nil {
+		v.bound.Store(&b)
+	}
+}
+
 // drawVersions draws which versions a new request may go to.
 func (x *exchange) drawVersions(now time.Time) rollout.Bound {
 	return x.rollouts.Bound(x.service.Name, x.settings.Rollouts, func(target rollout.Version) (hasTarget, hasOthers bool) {
--- a/forward/send.go
+++ b/forward/send.go
@@ -62,7 +62,7 @@
 func (x *exchange) judge(now time.Time, u Upstream, p eligibility.Purpose) eligibility.Verdict {
 	s := x.upstreamState(now, u)
 	s.Quarantined, s.RegionBarred = x.held(now), !x.mayServeIn(u.Zone)
-	s.VersionBarred = !x.versions.Allows(u.Version) || x.rollouts.Retired(u.Service, u.Version)
+	s.VersionBarred = !x.versions.get().Allows(u.Version) || x.rollouts.Retired(u.Service, u.Version)
 	return eligibility.Judge(s, p)
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -165,7 +165,7 @@
 func (s *streamExchange) place(ctx context.Context) (Upstream, Refusal, bool) {
 	now := s.now()
 	if s.sent > 0 {
-		s.versions = s.rollouts.Repeat(s.service.Name)
+		s.versions.set(s.rollouts.Repeat(s.service.Name))
 	}
 	if !s.untried(now) {
 		takers := s.takers(now)
@@ -186,7 +186,7 @@
 		Priority: int(MostPatient - s.urgency),
 		Prompt:   max(p.Tokens, 1), Limit: p.MostOut, Prefix: p.Prefix, PrefixTokens: p.PrefixTokens,
 		Bytes: len(s.call.Body), Objective: s.route.Objective, AvoidAlso: s.avoid, Zones: s.zones,
-		OnlyGroup: string(s.versions.Only), ButGroup: string(s.versions.But),
+		OnlyGroup: string(s.versions.get().Only), ButGroup: string(s.versions.get().But),
 		Arrived: s.call.Arrived, Deadline: s.call.Arrived.Add(s.route.Objective),
 	}
 	if s.service.Engine == nil {
