spool: what a slow reader has taken makes room for its own stream first

Cause: while the process's bound was reached, bytes that a slow reader took were taken by other streams, and a stream that held many events could hold no further one until it had none: its engine waited for up to ten seconds and cut the answer off. TestSlowReaders, hundreds that are slow: one engine of 400 cut off, once in some 20 runs.

--- a/spool/spool.go
+++ b/spool/spool.go
@@ -63,6 +63,10 @@
 	// queue is what waits, and held its bytes with those of the write that is under way.
 	queue [][]byte
 	held  int
+	// waiting says that the source waits for room, and spare is what the reader has taken
+	// meanwhile: it is kept for the source, for other streams would take it.
+	waiting bool
+	spare   int
 	// wrote counts the writes that are done.
 	wrote uint64
 	err   error
@@ -127,9 +131,38 @@
 
 func (s *Spool) release(n int) {
 	s.held -= n
+	if s.waiting {
+		s.spare += n
+		return
+	}
 	s.settings.Budget.Free(n)
 }
 
+// take counts some bytes against the bounds, if there is room for them. The mutex is held.
+func (s *Spool) take(n int) bool {
+	// One part always fits: without that a reader who is up to date would be held up by what
+	// others hold.
+	must := s.held == 0
+	if !must && s.held+n > s.settings.Most {
+		return false
+	}
+	if missing := n - s.spare; missing > 0 && !s.settings.Budget.Take(missing) {
+		if !must {
+			return false
+		}
+		s.settings.Budget.held.Add(int64(missing))
+	}
+	s.spare = max(s.spare-n, 0)
+	s.held += n
+	return true
+}
+
+// endWait gives back what the source that has waited doesn't need. The mutex is held.
+func (s *Spool) endWait() {
+	s.settings.Budget.Free(s.spare)
+	s.waiting, s.spare = false, 0
+}
+
 func wake(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -142,15 +175,10 @@
 // that of an earlier write.
 func (s *Spool) Put(ctx context.Context, p []byte) error {
 	return s.wait(ctx, func() bool {
-		// One part always fits: without that a reader who is up to date would be held up by
-		// what others hold.
-		if s.held > 0 && (s.held+len(p) > s.settings.Most || !s.settings.Budget.Take(len(p))) {
+		if !s.take(len(p)) {
+			s.waiting = true
 			return false
 		}
-		if s.held == 0 && !s.settings.Budget.Take(len(p)) {
-			s.settings.Budget.held.Add(int64(len(p)))
-		}
-		s.held += len(p)
 		s.queue = append(s.queue, append([]byte(nil), p...))
 		wake(s.filled)
 		return true
@@ -180,6 +208,9 @@
 		if err == nil {
 			ok = try()
 		}
+		if ok || err != nil {
+			s.endWait()
+		}
 		s.mu.Unlock()
 		switch {
 		case err != nil:
@@ -213,6 +244,7 @@
 		s.err = err
 	}
 	err = s.err
+	s.endWait()
 	s.mu.Unlock()
 	s.abort()
 	wake(s.filled)
