--- /dev/null
+++ b/cell/cell_test.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+func hosts(zones, perZone int) []member.Entry {
+	var all []member.Entry
+	for z := range zones {
+		for n := range perZone {
+			all = append(all, member.Entry{ID: member.HostID(fmt.Sprintf("front-z%d-%d", z, n)), Zone: member.Zone(fmt.Sprint("z", z))})
+		}
+	}
+	return all
+}
+
+// TestCellsStayBounded has cells be of bounded size whatever the size of the fleet, and upstreams
+// be spread evenly over them.
+func TestCellsStayBounded(t *testing.T) {
+	for _, perZone := range []int{1, 20, 48, 49, 64, 100, 192, 227, 500, 1250} {
+		t.Run(fmt.Sprint(perZone), func(t *testing.T) {
+			is := is.New(t)
+			all := hosts(3, perZone)
+			l := Layout{}.Next(all)
+			sizes, upstreams := map[ID]int{}, map[ID]int{}
+			for _, h := range all {
+				sizes[l.OfHost(h)]++
+			}
+			most := 0
+			for _, n := range sizes {
+				most = max(most, n)
+			}
+			t.Logf("%d cells a zone, %d hosts in the largest", l.Count("z0"), most)
+			is.True(most <= undividedMost+8)
+			is.Equal(l.Divided(), perZone > undividedMost)
+			for n := range 10 * perZone {
+				upstreams[l.OfUpstream(member.UpstreamID(fmt.Sprintf("i-%08x", n*7919)), "z0")]++
+			}
+			for id, n := range upstreams {
+				is.True(sizes[id] > 0) // it has hosts
+				mean := float64(10*perZone) / float64(len(upstreams))
+				is.True(perZone < 48 || float64(n) < 1.6*mean)
+			}
+		})
+	}
+}
+
+// TestHostsComeAndGo has hosts keep their cells while few come or go, and upstreams of cells that
+// have lost their hosts be for others.
+func TestHostsComeAndGo(t *testing.T) {
+	is := is.New(t)
+	all := hosts(1, 200)
+	l := Layout{}.Next(all)
+	again := l.Next(all[:170])
+	is.Equal(again.Count("z0"), l.Count("z0"))
+	var left []member.Entry
+	for _, h := range all {
+		if l.OfHost(h).Number != 3 {
+			left = append(left, h)
+		}
+	}
+	without := l.Next(left)
+	for n := range 1000 {
+		id := member.UpstreamID(fmt.Sprint("i-", n))
+		before, after := l.OfUpstream(id, "z0"), without.OfUpstream(id, "z0")
+		is.True(after.Number != 3)
+		is.True(before.Number == 3 || before == after)
+	}
+}
+
+// TestDoublingCutsCellsInTwo has no host move to a cell that isn't a half of its own when the number
+// of cells doubles.
+func TestDoublingCutsCellsInTwo(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := member.Entry{ID: member.HostID(rapid.StringN(1, 20, 40).Draw(t, "name")), Zone: "z0"}
+		doublings := rapid.IntRange(0, 8).Draw(t, "doublings")
+		of := func(count int) int { return Layout{zones: map[member.Zone]zone{"z0": {count: count}}}.OfHost(h).Number }
+		if of(2<<doublings)/2 != of(1<<doublings) {
+			t.Fatalf("%d of %d, %d of %d", of(1<<doublings), 1<<doublings, of(2<<doublings), 2<<doublings)
+		}
+	})
+}
--- a/forward/asking.go
+++ b/forward/asking.go
@@ -106,7 +106,7 @@
 	peers := f.port()
 	for _, zone := range zones {
 		now := f.now()
-		to, live := f.peers.anyOf(now, zone)
+		to, live := f.peers.anyOutside(now, zone)
 		if !live || peers == nil {
 			blind = true
 			continue
@@ -137,7 +137,7 @@
 // findPlace finds an engine for a new run: in the own zone, or else by another zone's word.
 func (s *streamExchange) findPlace(ctx context.Context, now time.Time, r policy.Request, kept keptEngines) placing {
 	service := s.service.Name
-	near, far := s.engines.zonesOf(service)
+	near, far := s.zonesOf(service)
 	near, far = near && s.mayServeIn(s.peers.self.Zone), s.allowed(far)
 	blind := !near || len(far) == 0
 	if !blind {
@@ -149,6 +149,7 @@
 		elsewhere := r
 		elsewhere.AvoidAlso = slices.Concat(r.AvoidAlso, kept.far)
 		if grant, found, blind = s.askZones(ctx, far, service, elsewhere); found {
+			s.borrow(service, grant.Engine)
 			if u, run, d, ok := s.engines.placeAt(s.now(), service, r, grant); ok {
 				return placing{at: u, run: run, decision: d}
 			}
@@ -173,7 +174,7 @@
 // of other zones that this host may not send to.
 func (x *exchange) findTarget(ctx context.Context, now time.Time, run *ownRun, avoid, kept []member.UpstreamID) (u Upstream, found bool) {
 	service, own := x.service.Name, x.peers.self.Zone
-	near, zones := x.engines.zonesOf(service)
+	near, zones := x.zonesOf(service)
 	zones = x.allowed(zones)
 	if near && x.mayServeIn(own) {
 		zones = append([]member.Zone{own}, zones...)
@@ -194,13 +195,16 @@
 			if u, ok := x.engines.relocate(now, service, run, policy.Target{Avoid: avoid, OnlyZone: true, Zone: own, OnlyGroup: r.OnlyGroup, ButGroup: r.ButGroup}); ok {
 				return u, true
 			}
-			continue
+			if !x.peers.divided() {
+				continue
+			}
 		}
 		grant, found, blind := x.askZones(ctx, []member.Zone{zone}, service, r)
 		someBlind = someBlind || blind
 		if !found {
 			continue
 		}
+		x.borrow(service, grant.Engine)
 		if u, ok := x.engines.moveTo(x.now(), service, run, grant.Engine); ok {
 			return u, true
 		}
@@ -221,14 +225,35 @@
 	}
 }
 
-// anyOf draws a live host of a zone.
-func (p *peerSet) anyOf(now time.Time, zone member.Zone) (Peer, bool) {
+// zonesOf tells whether this host places on engines of its own zone, and in which zones others do;
+// where the own zone is divided, it is among them.
+func (x *exchange) zonesOf(service ServiceName) (near bool, far []member.Zone) {
+	near, far = x.engines.zonesOf(service)
+	if !x.peers.divided() {
+		return near, far
+	}
+	far = x.fleet.ZonesWith(service)
+	if i := slices.Index(far, x.peers.self.Zone); i > 0 {
+		far[0], far[i] = far[i], far[0]
+	}
+	return near, far
+}
+
+// borrow has an engine be known to the placement that another host has given a place on.
+func (x *exchange) borrow(service ServiceName, id member.UpstreamID) {
+	if u, known := x.fleet.Upstream(id); known && x.peers.divided() {
+		x.engines.borrow(service, u)
+	}
+}
+
+// anyOutside draws a live host of a zone that isn't of this host's cell.
+func (p *peerSet) anyOutside(now time.Time, zone member.Zone) (Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var chosen Peer
 	n := uint64(0)
 	for _, s := range p.known {
-		if s.Zone != zone || s.stopping || !s.live(now, p.self.Zone) {
+		if s.Zone != zone || s.near || s.stopping || !s.live(now) {
 			continue
 		}
 		n++
--- a/forward/directory.go
+++ b/forward/directory.go
@@ -80,11 +80,14 @@
 // firstOfZone reports whether this host is one of the first n of its zone by name, of
 // those that it knows to take requests.
 func (p *peerSet) firstOfZone(now time.Time, n int) bool {
+	if at, divided := p.place(now); divided {
+		return at < n
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := 0
 	for _, s := range p.known {
-		if s.Zone == p.self.Zone && s.ID < p.self.ID && !s.stopping && s.live(now, p.self.Zone) {
+		if s.Zone == p.self.Zone && s.ID < p.self.ID && !s.stopping && s.live(now) {
 			before++
 		}
 	}
--- a/forward/engines.go
+++ b/forward/engines.go
@@ -37,6 +37,10 @@
 type enginePool struct {
 	pool *policy.Pool
 	spec Engine
+	// takers are the engines that this host places on, as it was told last.
+	takers []Upstream
+	// borrowed are engines of other cells on which this host has runs.
+	borrowed map[member.UpstreamID]Upstream
 	// listed are the engines that take work, as the pool was told.
 	listed map[member.UpstreamID]Upstream
 	// waiting are the requests that wait for a place.
@@ -177,18 +181,65 @@
 	if p == nil {
 		return
 	}
-	ids := make([]member.UpstreamID, 0, len(takers))
+	same := len(takers) > 0 && len(takers) == len(p.takers) && &takers[0] == &p.takers[0]
+	if p.takers = takers; !same || p.returnBorrowed() {
+		p.relist()
+	}
+	p.refresh(now)
+}
+
+// relist tells the pool which engines there are.
+func (p *enginePool) relist() {
+	ids := make([]member.UpstreamID, 0, len(p.takers)+len(p.borrowed))
 	clear(p.listed)
-	for _, u := range takers {
+	for _, u := range p.takers {
 		ids = append(ids, u.ID)
 		p.listed[u.ID] = u
 	}
+	var lent []member.UpstreamID
+	for id, u := range p.borrowed {
+		if p.listed[id].ID == "" {
+			ids, lent = append(ids, id), append(lent, id)
+			p.listed[id] = u
+		}
+	}
 	p.pool.SetEngines(ids)
-	for _, u := range takers {
+	// Hosts of other cells place on these, and this one doesn't know what they have to do.
+	p.pool.Withhold(lent)
+	for _, u := range p.listed {
 		p.pool.SetZone(u.ID, u.Zone)
 		p.pool.SetGroup(u.ID, string(u.Version))
 	}
-	p.refresh(now)
+}
+
+// returnBorrowed drops the borrowed engines on which this host has no run any more.
+func (p *enginePool) returnBorrowed() bool {
+	if len(p.borrowed) == 0 {
+		return false
+	}
+	before := len(p.borrowed)
+	used := make(map[member.UpstreamID]bool, len(p.own))
+	for _, run := range p.own {
+		used[run.engine] = true
+	}
+	maps.DeleteFunc(p.borrowed, func(id member.UpstreamID, _ Upstream) bool { return !used[id] })
+	return len(p.borrowed) < before
+}
+
+// borrow has an engine of another cell be known, on which a host of that has given a place.
+func (e *engines) borrow(service ServiceName, u Upstream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	if p == nil || p.listed[u.ID].ID != "" {
+		return
+	}
+	if p.borrowed == nil {
+		p.borrowed = map[member.UpstreamID]Upstream{}
+	}
+	p.borrowed[u.ID] = u
+	p.relist()
+	p.pool.Report(e.now(), policy.Report{Engine: u.ID, Memory: p.spec.Memory, Step: p.step()})
 }
 
 // refresh tells the pool how its engines stand and decides what waits.
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -56,8 +56,14 @@
 func (f *Fleet) ZoneUnreachable(now time.Time, service ServiceName, zone member.Zone) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, k := range f.upstreams {
-		if k.Service == service && k.Zone == zone && !k.Leaving {
+	for of, upstreams := range f.index.services[service] {
+		if of.Zone != zone {
+			continue
+		}
+		for _, k := range upstreams {
+			if k.Leaving {
+				continue
+			}
 			k.failedUntil = later(k.failedUntil, now.Add(suspectFor))
 			f.failedUntil = later(f.failedUntil, k.failedUntil)
 			k.suspectUntil = later(k.suspectUntil, k.failedUntil)
--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -83,6 +83,10 @@
 	trustGoneFrom time.Time
 	// zones holds the newest order about each zone that there ever was one about.
 	zones map[member.Zone]zoneState
+	// generation rises with each change.
+	generation uint64
+	// index finds upstreams by service and cell.
+	index fleetIndex
 	// changed closes at the next change and is made anew.
 	changed chan struct{}
 }
@@ -109,7 +113,8 @@
 	unusable bool
 	// coldUntil is when it will be warm; zero for one that isn't cold.
 	coldUntil time.Time
-	// over closes when its life is over and another has begun under its id.
+	// over closes when its life is over and another has begun under its id; nil while nobody has
+	// asked for it.
 	over chan struct{}
 	// past are the lives before, the latest last.
 	past []Life
@@ -127,7 +132,7 @@
 	retired bool
 	// hinted says that only another sign than the list's tells that it leaves.
 	hinted bool
-	// leaving closes when it starts leaving.
+	// leaving closes when it starts leaving; nil while nobody has asked for it.
 	leaving chan struct{}
 	// suspectUntil keeps new work away after a connection failed.
 	suspectUntil time.Time
@@ -188,6 +193,7 @@
 func (f *Fleet) ReplaceAll(now time.Time, list []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.touch()
 	before := f.revision
 	var news []Change
 	listed := make(map[member.UpstreamID]bool, len(list))
@@ -238,6 +244,7 @@
 }
 
 func (f *Fleet) apply(now time.Time, c Change) bool {
+	f.touch()
 	if f.upstreams == nil {
 		f.upstreams = map[member.UpstreamID]*known{}
 	}
@@ -249,6 +256,7 @@
 			k.Revision = history.Point{}
 		}
 		f.upstreams[c.ID] = k
+		f.index.add(k)
 	}
 	switch {
 	case k.isOver(c.Life):
@@ -299,6 +307,10 @@
 	k.declared = k.declared || c.Leaving
 	c.Leaving = c.Leaving || k.Leaving
 	k.gone = k.gone && c.Revision == k.Revision
+	if k.Service != c.Service || k.Zone != c.Zone {
+		f.index.remove(k)
+		defer f.index.add(k)
+	}
 	k.Upstream, k.missing, k.unlisted, k.unusable, k.coldUntil = c.Upstream, false, false, false, c.ColdUntil
 	f.coldUntil = later(f.coldUntil, c.ColdUntil)
 	if c.Leaving {
@@ -308,7 +320,7 @@
 }
 
 func newKnown(u Upstream) *known {
-	return &known{Upstream: u, leaving: make(chan struct{}), over: make(chan struct{})}
+	return &known{Upstream: u}
 }
 
 // markUnusable takes in that the upstream's entry can't be used as of a revision. What runs
@@ -366,7 +378,7 @@
 
 // stay takes back that the upstream leaves.
 func (k *known) stay() {
-	k.Leaving, k.hinted, k.retired, k.leftAt, k.leaving, k.source = false, false, false, time.Time{}, make(chan struct{}), ""
+	k.Leaving, k.hinted, k.retired, k.leftAt, k.leaving, k.source = false, false, false, time.Time{}, nil, ""
 }
 
 // leave marks the upstream as leaving, for good.
@@ -374,10 +386,23 @@
 	k.Leaving = true
 	if k.leftAt.IsZero() {
 		k.leftAt, k.source = now, source
-		close(k.leaving)
+		if k.leaving != nil {
+			close(k.leaving)
+		}
 	}
 }
 
+// leavingChannel closes when the upstream starts leaving.
+func (k *known) leavingChannel() <-chan struct{} {
+	if k.leaving == nil {
+		k.leaving = make(chan struct{})
+		if !k.leftAt.IsZero() {
+			close(k.leaving)
+		}
+	}
+	return k.leaving
+}
+
 // MarkLeaving takes in another sign than the list's that an upstream leaves; in
 // is how long it will still serve, zero when that isn't known. Own observations
 // are told to the peers. It reports whether that is new.
@@ -412,7 +437,16 @@
 	}
 }
 
+// touch has who takes work be worked out anew.
+func (f *Fleet) touch() {
+	f.generation++
+	f.index.takers = nil
+}
+
 func (f *Fleet) notify(changed bool) {
+	if changed {
+		f.touch()
+	}
 	if changed && f.changed != nil {
 		close(f.changed)
 		f.changed = nil
--- /dev/null
+++ b/forward/fleetindex.go
@@ -0,0 +1,130 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/shedpath/shedpath/cell"
+	"github.com/shedpath/shedpath/member"
+)
+
+// fleetIndex finds the upstreams of a service and a cell, among all that a large fleet has. The
+// zero value is empty.
+type fleetIndex struct {
+	layout   cell.Layout
+	services map[ServiceName]map[cell.ID]map[member.UpstreamID]*known
+	// takers are the answers to what was asked since the last change, by service.
+	takers map[ServiceName][]Upstream
+}
+
+func (x *fleetIndex) add(k *known) {
+	if k.Service == "" {
+		return
+	}
+	if x.services == nil {
+		x.services = map[ServiceName]map[cell.ID]map[member.UpstreamID]*known{}
+	}
+	cells := x.services[k.Service]
+	if cells == nil {
+		cells = map[cell.ID]map[member.UpstreamID]*known{}
+		x.services[k.Service] = cells
+	}
+	of := x.layout.OfUpstream(k.ID, k.Zone)
+	if cells[of] == nil {
+		cells[of] = map[member.UpstreamID]*known{}
+	}
+	cells[of][k.ID] = k
+}
+
+// remove drops an upstream as it is indexed.
+func (x *fleetIndex) remove(k *known) {
+	cells, of := x.services[k.Service], x.layout.OfUpstream(k.ID, k.Zone)
+	delete(cells[of], k.ID)
+	if len(cells[of]) == 0 {
+		delete(cells, of)
+	}
+}
+
+// SetLayout has the upstreams be found by another division of the zones.
+func (f *Fleet) SetLayout(l cell.Layout) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if l.Equal(f.index.layout) {
+		return
+	}
+	f.index = fleetIndex{layout: l}
+	for _, k := range f.upstreams {
+		f.index.add(k)
+	}
+	f.notify(true)
+}
+
+// TakersIn is Takers of one cell, in no order.
+func (f *Fleet) TakersIn(now time.Time, service ServiceName, of cell.ID) []Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.takersOf(now, f.index.services[service][of])
+}
+
+// ZonesWith lists the zones in which upstreams of a service may take work, in no order.
+func (f *Fleet) ZonesWith(service ServiceName) []member.Zone {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var zones []member.Zone
+	for of, upstreams := range f.index.services[service] {
+		if f.zones[of.Zone].Out || slices.Contains(zones, of.Zone) {
+			continue
+		}
+		for _, k := range upstreams {
+			if !k.Leaving && !k.unusable {
+				zones = append(zones, of.Zone)
+				break
+			}
+		}
+	}
+	return zones
+}
+
+// takersOf are those of some upstreams that take new work.
+func (f *Fleet) takersOf(now time.Time, upstreams map[member.UpstreamID]*known) []Upstream {
+	var takers, suspected []Upstream
+	for _, k := range upstreams {
+		switch f.standing(now, k) {
+		case taking:
+			takers = append(takers, k.Upstream)
+		case suspect:
+			suspected = append(suspected, k.Upstream)
+		}
+	}
+	if len(takers) > 0 {
+		return takers
+	}
+	// With nobody else, those under suspicion are better than nothing.
+	return suspected
+}
+
+// standing says whether an upstream takes new work.
+type standing int
+
+const (
+	notTaking standing = iota
+	suspect
+	taking
+)
+
+func (f *Fleet) standing(now time.Time, k *known) standing {
+	switch {
+	case k.Leaving || k.unusable || f.zones[k.Zone].Out:
+		return notTaking
+	case k.missing && !f.mayBeRelisted(now, k) || now.Before(k.suspectUntil):
+		return suspect
+	default:
+		return taking
+	}
+}
+
+func byID(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) }
--- a/forward/fleetview.go
+++ b/forward/fleetview.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/shedpath/shedpath/history"
@@ -32,36 +31,55 @@
 }
 
 // Takers returns a service's upstreams that take new work, in the order of their
-// ids, so that decisions don't depend on the order of a map.
+// ids, so that decisions don't depend on the order of a map. They aren't to be changed.
 func (f *Fleet) Takers(now time.Time, service ServiceName) []Upstream {
-	return f.TakersBut(now, service, func(member.UpstreamID) bool { return false })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if cached, found := f.index.takers[service]; found {
+		return cached
+	}
+	takers, lasting := f.allTakers(now, service, nil)
+	if lasting {
+		if f.index.takers == nil {
+			f.index.takers = map[ServiceName][]Upstream{}
+		}
+		f.index.takers[service] = takers
+	}
+	return takers
 }
 
 // TakersBut is Takers without some upstreams.
 func (f *Fleet) TakersBut(now time.Time, service ServiceName, but func(member.UpstreamID) bool) []Upstream {
-	takers := f.takers(now, service, but)
-	slices.SortFunc(takers, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	takers, _ := f.allTakers(now, service, but)
 	return takers
 }
 
-func (f *Fleet) takers(now time.Time, service ServiceName, but func(member.UpstreamID) bool) []Upstream {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var takers, suspected []Upstream
-	for _, k := range f.upstreams {
-		switch {
-		case k.Service != service || k.Leaving || k.unusable || f.zones[k.Zone].Out || but(k.ID):
-		case k.missing && !f.mayBeRelisted(now, k) || now.Before(k.suspectUntil):
-			suspected = append(suspected, k.Upstream)
-		default:
-			takers = append(takers, k.Upstream)
+// allTakers reports besides whether they stay the same until something is learnt.
+func (f *Fleet) allTakers(now time.Time, service ServiceName, but func(member.UpstreamID) bool) (takers []Upstream, lasting bool) {
+	var suspected []Upstream
+	lasting = true
+	for _, upstreams := range f.index.services[service] {
+		for _, k := range upstreams {
+			if but != nil && but(k.ID) {
+				continue
+			}
+			lasting = lasting && !k.missing && !now.Before(k.suspectUntil)
+			switch f.standing(now, k) {
+			case taking:
+				takers = append(takers, k.Upstream)
+			case suspect:
+				suspected = append(suspected, k.Upstream)
+			}
 		}
 	}
-	if len(takers) > 0 {
-		return takers
+	if len(takers) == 0 {
+		// With nobody else, those under suspicion are better than nothing.
+		takers = suspected
 	}
-	// With nobody else, those under suspicion are better than nothing.
-	return suspected
+	slices.SortFunc(takers, byID)
+	return takers, lasting
 }
 
 // Since returns what changed after a revision, for a peer that follows this host,
@@ -116,7 +134,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if k := f.upstreams[id]; k != nil {
-		return k.leaving
+		return k.leavingChannel()
 	}
 	return nil
 }
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -76,6 +76,8 @@
 	// firstJoinWait is the same when the site starts for the first time: there are no
 	// callers, and the peers have only just begun to read.
 	firstJoinWait = time.Second
+	// joinMost is the same where many hosts take the list over one after the other.
+	joinMost = 8 * time.Second
 	// joinCheck is how often it looks.
 	joinCheck = 10 * time.Millisecond
 	// settleCheck is how often a host that has just joined looks for whom to follow.
@@ -102,8 +104,8 @@
 // join takes everything over from a peer that is up to date, unless none is found in time;
 // then what one has that isn't: the origin may be silent for seconds.
 func (w *follower) join(ctx context.Context) {
-	until := w.began.Add(w.joinWait())
-	for ctx.Err() == nil && w.now().Before(until) {
+	until, last := w.began.Add(w.joinWait()), w.began.Add(joinMost)
+	for ctx.Err() == nil && (w.now().Before(until) || w.now().Before(last) && w.peers.awaitsList(w.now())) {
 		peer, found := w.peers.joinable(w.now())
 		if found && w.followPeer(ctx, peer, neededBounds) && w.joinConfig(ctx, peer) {
 			w.upToDate()
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -9,12 +9,17 @@
 	"time"
 
 	"github.com/shedpath/shedpath/history"
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/rollout"
+	"github.com/shedpath/shedpath/roster"
 )
 
 // FollowRequest asks a peer for what is newer than what the asker has. Zero
 // values ask for everything.
 type FollowRequest struct {
+	// From is the asker, and Announced what it knows of hosts that the peer may not.
+	From      member.HostID
+	Announced []roster.Announcement
 	// Version is the newest configuration that the asker knows of.
 	Version Version
 	List    history.Point
@@ -47,11 +52,15 @@
 	// the peer learned of the era first.
 	EraFrom history.Point
 	EraAge  time.Duration
-	// Hosts are those that the peer has found since, up to HostsAt.
-	Hosts   []Peer
+	// Hosts are what the peer has heard of hosts since, up to HostsAt.
+	Hosts   []roster.Announcement
 	HostsAt HostCursor
 	// ConfigAge and OriginAge are as in Share.
 	ConfigAge, OriginAge time.Duration
+	// Busy says that the peer gives its list to others now, and that nothing else is told but Hosts.
+	Busy bool
+	// Generation rises with each change of the peer's list; it isn't told.
+	Generation uint64
 }
 
 const (
@@ -110,6 +119,7 @@
 
 // OnFollow serves a peer that follows this host.
 func (f *Forwarder) OnFollow(ctx context.Context, r FollowRequest) FollowReply {
+	f.peers.takeAnnouncements(f.now(), r.From, r.Announced)
 	if r.Wait > 0 {
 		// A proof that waited here for the end of each follower's wait would be 1.85 s old at
 		// the third host in a row: a watch, and the waits of a zone's leader and of its
@@ -127,11 +137,16 @@
 		}
 	}
 	now := f.now()
+	if f.busyWithLists(now, r.List) {
+		reply := FollowReply{Busy: true}
+		reply.Hosts, reply.HostsAt = f.peers.announcementsSince(now, r.From, r.Hosts)
+		return reply
+	}
 	// Ages first: nothing in the reply is then older than its proof, whatever comes in
 	// meanwhile.
 	reply := FollowReply{ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now)}
 	f.fleet.fillReply(now, r.List, &reply)
-	reply.Hosts, reply.HostsAt = f.peers.foundSince(now, r.Hosts)
+	reply.Hosts, reply.HostsAt = f.peers.announcementsSince(now, r.From, r.Hosts)
 	reply.Version, reply.Rollouts = f.versionInForce(), f.rollouts.Statuses(now)
 	return reply
 }
@@ -146,12 +161,21 @@
 	call, cancel := context.WithTimeout(ctx, bounds.timeout)
 	defer cancel()
 	slept := f.settings.Clock.Slept()
+	announced, upTo := f.peers.announcementsFor(f.now(), leader.ID)
 	reply, err := peers.Follow(call, leader, FollowRequest{
+		From: f.peers.self.ID, Announced: announced,
 		Version: f.knownVersion(), List: f.fleet.Revision(), Hosts: f.peers.cursorOf(leader.ID), Wait: bounds.wait,
 	})
 	late := f.settings.Clock.Slept() - slept
 	reply.ConfigAge, reply.OriginAge = older(reply.ConfigAge, late), older(reply.OriginAge, late)
 	reply.EraAge = older(reply.EraAge, late)
+	if err == nil && reply.Busy {
+		now := f.now()
+		f.peers.takeAnnouncements(now, leader.ID, reply.Hosts)
+		f.peers.gotAnnouncements(leader.ID, reply.HostsAt)
+		f.peers.busy(now, leader.ID)
+		return false
+	}
 	if err != nil || !bounds.accept(reply) || reply.List.Era() < f.fleet.Revision().Era() {
 		f.journal.Belief("leader not followed", "peer", leader.ID, "origin_age", reply.OriginAge, "config_age", reply.ConfigAge,
 			"list", reply.List, "own_list", f.fleet.Revision(), "err", err)
@@ -173,7 +197,11 @@
 		f.proveOrigin(now.Add(-reply.OriginAge))
 		f.proofInherited.Store(true)
 	}
-	f.peers.list(now, reply.Hosts)
+	f.peers.toldUp(leader.ID, upTo)
+	for i := range reply.Hosts {
+		reply.Hosts[i].Age = older(reply.Hosts[i].Age, late)
+	}
+	f.peers.takeAnnouncements(now, leader.ID, reply.Hosts)
 	f.peers.followed(now, leader.ID, reply)
 	if !bounds.stale {
 		f.followed.raise(now)
@@ -189,11 +217,42 @@
 	return true
 }
 
+const (
+	// bytesPerUpstream is about what an upstream takes in a list that is passed on.
+	bytesPerUpstream = 40
+	// listBacklog is for how long a host's link may be taken by lists that it gives to others.
+	listBacklog = 400 * time.Millisecond
+)
+
+// busyWithLists reports whether a peer that asks for the whole list has to ask again later, or
+// elsewhere: this host's link carries other things, too. Otherwise the list counts as given.
+func (f *Forwarder) busyWithLists(now time.Time, after history.Point) bool {
+	capacity := f.peers.self.Capacity
+	if capacity <= 0 || !after.IsZero() {
+		return false
+	}
+	takes := time.Duration(float64(f.fleet.count()*bytesPerUpstream*8) / (float64(capacity) * 1e6) * float64(time.Second))
+	f.givenLists.Lock()
+	defer f.givenLists.Unlock()
+	if f.givenUntil.Sub(now) > listBacklog {
+		return true
+	}
+	f.givenUntil = later(f.givenUntil, now).Add(takes)
+	return false
+}
+
+func (f *Fleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.upstreams)
+}
+
 // fillReply puts what changed after a point into a reply.
 func (f *Fleet) fillReply(now time.Time, after history.Point, r *FollowReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r.Changes, r.List, r.Whole = f.since(after)
+	r.Generation = f.generation
 	r.Zones = f.zonesSince(after, r.Whole)
 	r.Gaps = slices.ContainsFunc(f.gaps, func(g gap) bool { return g.from.Before(r.List) && after.Before(g.to) })
 	r.EraFrom = f.restore.First()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
@@ -136,6 +138,10 @@
 	// offers are peers' newer configurations.
 	offers *configOffers
 
+	// givenUntil is when this host's link will have carried the lists that it gives to others.
+	givenLists sync.Mutex
+	givenUntil time.Time
+
 	// leavingFailing lets one run of this host at a time leave a failing engine.
 	leavingFailing sync.Mutex
 
@@ -227,6 +233,9 @@
 		slept = f.noteSuspended(slept)
 		changed := f.fleet.Changed()
 		f.retireVersions(f.now())
+		if f.peers.divided() {
+			PauseFor(ctx, relistPause)
+		}
 		if t := f.table.Load(); t != nil {
 			f.listEngines(f.now(), t)
 		}
@@ -251,6 +260,10 @@
 	}
 }
 
+// relistPause gathers changes of the list: a fleet that is divided has many, and a request to an
+// upstream that has left is turned back as it is sent.
+const relistPause = 25 * time.Millisecond
+
 // noteSuspended tells of a suspension of this machine since it was suspended for so long in
 // all, and returns for how long it has been by now. Peers then learn at once that the host
 // is there again, and it learns what they know.
@@ -266,11 +279,39 @@
 
 // listEngines tells the placement which engines take work.
 func (f *Forwarder) listEngines(now time.Time, t *Table) {
+	layout, own := f.peers.cellLayout()
+	f.fleet.SetLayout(layout)
 	for name, s := range t.Services() {
 		if s.Engine != nil {
-			f.engines.list(now, name, f.candidates(now, name))
+			f.engines.list(now, name, f.placedOn(now, name, layout, own))
+		}
+	}
+}
+
+// fallbackEngines is how many engines of other cells a host places on by itself whose cell has none.
+const fallbackEngines = 64
+
+// placedOn are the engines on which this host places: all where the zones aren't divided, else those
+// of its cell.
+func (f *Forwarder) placedOn(now time.Time, service ServiceName, layout cell.Layout, own cell.ID) []Upstream {
+	if !layout.Divided() {
+		return f.candidates(now, service)
+	}
+	takers := f.fleet.TakersIn(now, service, own)
+	if f.backoffs.Any() {
+		takers = slices.DeleteFunc(takers, func(u Upstream) bool { return f.backoffs.Remaining(now, u.ID) > 0 })
+	}
+	if len(takers) == 0 {
+		all := f.candidates(now, service)
+		near := slices.DeleteFunc(slices.Clone(all), func(u Upstream) bool { return u.Zone != own.Zone })
+		if len(near) == 0 {
+			near = slices.Clone(all)
 		}
+		rand.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
+		takers = near[:min(len(near), fallbackEngines)]
 	}
+	slices.SortFunc(takers, byID)
+	return takers
 }
 
 // When refused callers are told to come back.
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -74,6 +74,7 @@
 func (f *Fleet) TakeOver(now time.Time, list []Change, at history.Point) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.touch()
 	before := f.revision
 	var news []Change
 	listed := make(map[member.UpstreamID]bool, len(list))
@@ -122,6 +123,7 @@
 		if k.gone && now.Sub(k.droppedAt) > forgetGone && (!k.said || now.Sub(k.droppedAt) > forgetSaid) {
 			f.forgotten = history.Latest(f.forgotten, k.Revision)
 			delete(f.upstreams, id)
+			f.index.remove(k)
 		}
 	}
 	f.notify(len(news) > 0)
--- a/forward/lives.go
+++ b/forward/lives.go
@@ -28,7 +28,10 @@
 // renew begins an upstream's new life: whatever was believed of the one before is
 // dropped, and what runs there is told that it is over.
 func (f *Fleet) renew(k *known, life Life) {
-	close(k.over)
+	f.touch()
+	if k.over != nil {
+		close(k.over)
+	}
 	fresh := newKnown(k.Upstream)
 	fresh.Leaving, fresh.Life = false, life
 	fresh.gone, fresh.missing = k.gone, k.missing
@@ -63,6 +66,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if k := f.upstreams[id]; k != nil {
+		if k.over == nil {
+			k.over = make(chan struct{})
+		}
 		return k.over
 	}
 	return nil
--- a/forward/peerchoice.go
+++ b/forward/peerchoice.go
@@ -5,8 +5,10 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -16,9 +18,12 @@
 func (p *peerSet) leader(now time.Time, needed bool) (Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.layout.Divided() && !needed {
+		return p.treeLeader(now)
+	}
 	var best *peerState
 	for _, s := range p.known {
-		if !s.live(now, p.self.Zone) || s.stopping || s.Zone == p.self.Zone && s.originAge+now.Sub(s.heard) > originFresh+shareEvery {
+		if !s.live(now) || s.stopping || s.near && s.originAge+now.Sub(s.heard) > originFresh+shareEvery {
 			continue
 		}
 		if s.originAge > originFresh {
@@ -39,11 +44,14 @@
 
 // hasEarlier reports whether a live host comes before this one by zone and name.
 func (p *peerSet) hasEarlier(now time.Time) bool {
+	if at, divided := p.place(now); divided {
+		return at > 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.known {
 		earlier := s.Zone < p.self.Zone || s.Zone == p.self.Zone && s.ID < p.self.ID
-		if earlier && !s.stopping && s.live(now, p.self.Zone) {
+		if earlier && !s.stopping && s.live(now) {
 			return true
 		}
 	}
@@ -60,7 +68,7 @@
 	var near, far []Peer
 	for _, s := range p.known {
 		switch {
-		case s.stopping || s.foundAt == 0 || !s.live(now, p.self.Zone):
+		case s.stopping || s.foundAt == 0 || !s.live(now):
 		case s.Zone == p.self.Zone:
 			near = append(near, s.Peer)
 		default:
@@ -80,13 +88,21 @@
 	var near, far []Peer
 	for _, s := range p.known {
 		switch {
-		case s.foundAt == 0 || s.stopping || s.distrusted || s.originAge+now.Sub(s.heard) > originFresh:
+		case s.foundAt == 0 || s.stopping || s.distrusted || now.Before(s.busyUntil) || s.originAge+now.Sub(s.heard) > originFresh:
 		case s.Zone == p.self.Zone:
 			near = append(near, s.Peer)
 		default:
 			far = append(far, s.Peer)
 		}
 	}
+	if p.layout.Divided() {
+		// Each host tells a few others only, and those before it in the tree know first.
+		for _, h := range p.ancestors(p.silent(now)) {
+			if i := slices.IndexFunc(near, func(o Peer) bool { return o.ID == h.ID }); i >= 0 {
+				return near[i], true
+			}
+		}
+	}
 	if len(near) == 0 {
 		near = far
 	}
@@ -103,10 +119,10 @@
 	defer p.mu.Unlock()
 	var first *peerState
 	for _, s := range p.known {
-		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now, p.self.Zone) || avoided(s.Zone) {
+		if s.Zone >= p.self.Zone || s.distrusted || s.stopping || !s.live(now) || avoided(s.Zone) {
 			continue
 		}
-		if first == nil || s.Zone < first.Zone || s.Zone == first.Zone && s.ID < first.ID {
+		if first == nil || s.Zone < first.Zone || s.Zone == first.Zone && p.earlier(s.Peer, first.Peer) {
 			first = s
 		}
 	}
@@ -116,6 +132,15 @@
 	return first.Peer, true
 }
 
+// earlier reports whether a host of a zone comes before another of it: those that start follow the
+// first. The mutex is held.
+func (p *peerSet) earlier(a, b Peer) bool {
+	if p.layout.Divided() {
+		return inTreeOrder(a, b) < 0
+	}
+	return a.ID < b.ID
+}
+
 // better orders the peers to follow: the own zone's first, then by name.
 func (p *peerSet) better(a, b *peerState) bool {
 	if near := a.Zone == p.self.Zone; near != (b.Zone == p.self.Zone) {
@@ -133,16 +158,16 @@
 	}
 }
 
-// ranked returns the host that ranks first for a duty about something in a zone: of the
-// zone's hosts that live and don't stop; of those of it that were heard lately, though they
-// can't be reached, for they may have the duty still; or else of all hosts.
-func (p *peerSet) ranked(now time.Time, duty string, zone member.Zone) Peer {
+// ranked returns the host that ranks first for a duty about something in a cell: of the cell's
+// hosts that live and don't stop; of those of it that were heard lately, though they can't be
+// reached, for they may have the duty still; or else of all hosts.
+func (p *peerSet) ranked(now time.Time, duty string, of cell.ID) Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var near, heard, all []Peer
 	if !p.stopping {
 		all = append(all, p.self)
-		if p.self.Zone == zone {
+		if p.own == of {
 			near = append(near, p.self)
 		}
 	}
@@ -150,12 +175,12 @@
 		if s.stopping {
 			continue
 		}
-		live := s.live(now, p.self.Zone)
+		live := s.live(now)
 		if live {
 			all = append(all, s.Peer)
 		}
 		switch {
-		case s.Zone != zone:
+		case s.of != of:
 		case live:
 			near = append(near, s.Peer)
 		case now.Sub(s.heard) <= farSilent:
--- a/forward/peerhosts.go
+++ b/forward/peerhosts.go
@@ -11,44 +11,40 @@
 
 // How hosts come to know of each other: by the directory, and by those that they follow.
 
-// list takes in what the directory or a peer told of: hosts that were not known are
+// listedMost is how many hosts are known at which none is taken from the directory any more: who
+// knows so many learns of others by them.
+const listedMost = 100
+
+// list takes in what the directory told of: hosts that were not known are
 // tried.
 func (p *peerSet) list(now time.Time, hosts []Peer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, host := range hosts {
-		if host.ID != p.self.ID && p.known[host.ID] == nil {
-			p.known[host.ID] = &peerState{Peer: host, tried: now, heard: now.Add(-peerSilent)}
+		if host.ID != p.self.ID && p.known[host.ID] == nil && len(p.known) < listedMost {
+			s := p.add(host)
+			s.tried, s.heard = now, now.Add(-peerSilent)
 		}
 	}
 }
 
-// foundSince returns the peers that this host has heard itself since an earlier
-// answer, and the cursor for the next one. Those that it only knows by others aren't
-// passed on: hosts that are gone would be told in a circle.
-func (p *peerSet) foundSince(now time.Time, c HostCursor) ([]Peer, HostCursor) {
+// cursorOf is up to where this host has a peer's peers.
+func (p *peerSet) cursorOf(id member.HostID) HostCursor {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.Epoch != p.epoch {
-		c.Found = 0
-	}
-	var hosts []Peer
-	for _, s := range p.known {
-		if s.foundAt > c.Found && now.Sub(s.heard) <= peerForgotten {
-			hosts = append(hosts, s.Peer)
-		}
+	if s := p.known[id]; s != nil {
+		return s.cursor
 	}
-	return hosts, HostCursor{Epoch: p.epoch, Found: p.found}
+	return HostCursor{}
 }
 
-// cursorOf is up to where this host has a peer's peers.
-func (p *peerSet) cursorOf(id member.HostID) HostCursor {
+// gotAnnouncements takes in up to where a peer has passed on what it knows of hosts.
+func (p *peerSet) gotAnnouncements(id member.HostID, c HostCursor) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s := p.known[id]; s != nil {
-		return s.cursor
+		s.cursor = c
 	}
-	return HostCursor{}
 }
 
 // followed takes in what a peer that is followed replied.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -15,6 +15,7 @@
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
 	"github.com/shedpath/shedpath/rollout"
+	"github.com/shedpath/shedpath/roster"
 )
 
 // Peer is another entry host.
@@ -23,6 +24,9 @@
 // Share is what a host tells its peers of itself.
 type Share struct {
 	From Peer
+	// Stamp and StampAge are of the host's last announcement.
+	Stamp    uint64
+	StampAge time.Duration
 	// Version is the configuration in force, and ConfigAge how long ago it was
 	// proved to be the newest.
 	Version   Version
@@ -53,6 +57,8 @@
 	Limits []ratelimit.Mark
 	// Backoffs are the upstreams that want nothing from the host for a while.
 	Backoffs []backoff.Mark
+	// Announced are hosts, in reply to one that has just started.
+	Announced []roster.Announcement
 }
 
 // Peers is the interface to the other hosts.
@@ -107,7 +113,7 @@
 // for all, and a run that has ended and still counts keeps another away. While such runs
 // were told of within 7 s, hosts took each engine to have 1.4 runs more than its 5.5, and
 // on a quiet day 129 requests of 2,479 were refused for want of room.
-func (f *Forwarder) tellRuns(u Upstream) { f.peers.notifyZone(u.Zone) }
+func (f *Forwarder) tellRuns(u Upstream) { f.peers.notifyCell(f.peers.upstreamCell(u)) }
 
 // RunPeers tells the peers about this host until the context ends.
 func (f *Forwarder) RunPeers(ctx context.Context, peers Peers) {
@@ -137,6 +143,9 @@
 		}
 		now := f.now()
 		shared = now
+		if period {
+			f.peers.announce(now)
+		}
 		f.shareRetries(now, now.Sub(began))
 		f.engines.forget(now, f.peers.isKnown)
 		f.engines.noteKnown(now, f.peers.zones())
@@ -194,8 +203,9 @@
 
 // shareWithoutRuns is what a peer that shares with this host is told in return.
 func (f *Forwarder) shareWithoutRuns(now time.Time) Share {
+	stamp, age := f.peers.stamp(now)
 	return Share{
-		From: f.peers.self, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
+		From: f.peers.self, Stamp: stamp, StampAge: age, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Leaving: f.fleet.Marks(now),
 		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), List: f.fleet.Revision(), Zones: f.fleet.ZonesSince(history.Point{}, true), Epoch: f.peers.epoch,
 		Limits: f.limiter.Words.Marks(now), Backoffs: f.backoffs.Marks(now),
@@ -246,6 +256,9 @@
 	f.dropOldLives()
 	f.crashes.Met(s.From.ID, s.Epoch)
 	f.receiveCrashes(now, s.Crashes)
+	if len(s.Announced) > 0 {
+		f.peers.takeAnnouncements(now, s.From.ID, s.Announced)
+	}
 	if f.peers.receive(now, s) {
 		f.journal.Belief("peer found", "peer", s.From.ID, "zone", s.From.Zone)
 	}
@@ -274,5 +287,8 @@
 	now := f.now()
 	reply := f.shareWithoutRuns(now)
 	reply.Crashes, _ = f.crashes.Tell(now, s.From.ID)
+	if s.List.IsZero() {
+		reply.Announced = f.peers.announcementsForNew(now, s.From.ID)
+	}
 	return reply
 }
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -9,8 +9,10 @@
 	"sync"
 	"time"
 
+	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/roster"
 )
 
 // peerSet is what a host knows of its peers.
@@ -33,8 +35,20 @@
 	wake chan struct{}
 	// wakeAll asks for a share to all peers at once.
 	wakeAll chan struct{}
-	// woken are other zones whose peers are to be told at once.
-	woken map[member.Zone]bool
+	// woken are other cells whose peers are to be told at once.
+	woken map[cell.ID]bool
+	// roster is which hosts there are, and layout how their zones are divided, as of layoutAt.
+	roster   *roster.Roster
+	layout   cell.Layout
+	layoutAt uint64
+	// own is this host's cell.
+	own cell.ID
+	// neighbours are the hosts that this one keeps in touch with; zoneOrder the hosts of its zone
+	// in the order in which they follow each other, where the zone is divided.
+	neighbours map[member.HostID]Peer
+	zoneOrder  []Peer
+	// dropped are when silent neighbours were forgotten.
+	dropped map[member.HostID]time.Time
 }
 
 // peerState is what a host knows of one peer.
@@ -56,6 +70,15 @@
 	cursor HostCursor
 	// failed says that the last share didn't arrive.
 	failed bool
+	// near says that it is of this host's cell, and of is its cell.
+	near bool
+	of   cell.ID
+	// toldUp is up to where it was told of this host's roster when it was followed.
+	toldUp uint64
+	// toldNew is the same for what it was told when it started, and busyUntil is until when it is
+	// not asked for its list.
+	toldNew   uint64
+	busyUntil time.Time
 	// distrusted says that it couldn't be followed; it may have spoken since
 	// only to others.
 	distrusted bool
@@ -66,7 +89,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.known {
-		if s.Zone == p.self.Zone && !s.stopping && s.live(now, p.self.Zone) {
+		if s.Zone == p.self.Zone && !s.stopping && s.live(now) {
 			return true
 		}
 	}
@@ -74,8 +97,8 @@
 }
 
 // live reports whether the peer is believed to be there.
-func (s *peerState) live(now time.Time, own member.Zone) bool {
-	if s.Zone == own {
+func (s *peerState) live(now time.Time) bool {
+	if s.near {
 		return now.Sub(s.heard) <= peerSilent
 	}
 	return !s.failed && now.Sub(s.heard) <= farSilent
@@ -85,6 +108,7 @@
 	return &peerSet{
 		self: self, known: map[member.HostID]*peerState{}, epoch: rand.Uint64(), seeds: seeds,
 		wake: make(chan struct{}, 1), wakeAll: make(chan struct{}, 1),
+		roster: roster.New(self), own: cell.ID{Zone: self.Zone}, dropped: map[member.HostID]time.Time{},
 	}
 }
 
@@ -95,10 +119,12 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s.Stamp > 0 {
+		p.roster.Receive(now, s.From.ID, roster.Announcement{Entry: s.From, Stamp: s.Stamp, Age: s.StampAge})
+	}
 	state := p.known[s.From.ID]
 	if state == nil {
-		state = &peerState{}
-		p.known[s.From.ID] = state
+		state = p.add(s.From)
 		isNew = true
 	}
 	if state.foundAt == 0 || now.Sub(state.heard) > farSilent {
@@ -128,16 +154,22 @@
 	for id, s := range p.known {
 		switch {
 		case now.Sub(s.heard) > peerForgotten:
-			p.forget(id)
+			p.forget(now, id)
 		case s.sending:
-		case every || woken[s.Zone] || period && behind(id) || s.Zone == p.self.Zone && (period || s.live(now, p.self.Zone)):
+		case every || woken[s.of] || period && behind(id) || s.near && (period || s.live(now)):
 			send(s)
-		case period && s.Zone != p.self.Zone:
+		case period && !s.near && (!p.layout.Divided() || p.neighbours[id].ID != ""):
+			// Others that chose this host call it by themselves.
 			far = append(far, s)
 		}
 	}
 	slices.SortFunc(far, func(a, b *peerState) int { return a.tried.Compare(b.tried) })
-	for _, s := range far[:min(len(far), farShares)] {
+	// As many that each is told well before it would count as silent.
+	count := max(farShares, (2*len(far)*int(shareEvery)+int(farSilent)-1)/int(farSilent))
+	if !p.layout.Divided() {
+		count = farShares
+	}
+	for _, s := range far[:min(len(far), count)] {
 		send(s)
 	}
 	return to
@@ -150,10 +182,14 @@
 	p.stopping = true
 }
 
-// forget drops a peer, and has the peers that are followed tell all of theirs again:
-// it may be there still, behind a link that was cut.
-func (p *peerSet) forget(id member.HostID) {
+// forget drops a peer. Where its zone isn't divided, the peers that are followed tell all of
+// theirs again: it may be there still, behind a link that was cut.
+func (p *peerSet) forget(now time.Time, id member.HostID) {
 	delete(p.known, id)
+	p.dropped[id] = now
+	if p.layout.Divided() {
+		return
+	}
 	for _, s := range p.known {
 		s.cursor = HostCursor{}
 	}
@@ -182,7 +218,7 @@
 
 // live counts this host and the peers that were heard lately.
 func (p *peerSet) live(now time.Time) int {
-	return 1 + p.count(func(s *peerState) bool { return s.live(now, p.self.Zone) })
+	return 1 + p.count(func(s *peerState) bool { return s.live(now) })
 }
 
 // LivePeers counts the other hosts that were heard lately.
@@ -201,16 +237,23 @@
 
 // liveInZone counts this host and the peers of its zone that were heard lately.
 func (p *peerSet) liveInZone(now time.Time) int {
-	return 1 + p.count(func(s *peerState) bool { return s.Zone == p.self.Zone && s.live(now, p.self.Zone) })
+	n := 1 + p.count(func(s *peerState) bool { return s.Zone == p.self.Zone && s.live(now) })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(n, len(p.zoneOrder))
 }
 
 // first names the live host that has a duty of which there is one for the whole site.
 func (p *peerSet) first(now time.Time, duty string) member.HostID {
+	if p.divided() {
+		// No host knows all others that live.
+		return p.firstHost(now).ID
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	among := []Peer{p.self}
 	for _, s := range p.known {
-		if s.live(now, p.self.Zone) {
+		if s.live(now) {
 			among = append(among, s.Peer)
 		}
 	}
@@ -233,16 +276,16 @@
 	}
 }
 
-// notifyZone asks for a share to the own zone and another at once.
-func (p *peerSet) notifyZone(zone member.Zone) {
-	if zone != p.self.Zone {
-		p.mu.Lock()
+// notifyCell asks for a share to the own cell and another at once.
+func (p *peerSet) notifyCell(id cell.ID) {
+	p.mu.Lock()
+	if id != p.own {
 		if p.woken == nil {
-			p.woken = map[member.Zone]bool{}
+			p.woken = map[cell.ID]bool{}
 		}
-		p.woken[zone] = true
-		p.mu.Unlock()
+		p.woken[id] = true
 	}
+	p.mu.Unlock()
 	p.notify()
 }
 
@@ -262,7 +305,7 @@
 func (p *peerSet) mostKnown(now time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.known) + 1; n >= p.most || now.Sub(p.mostAt) > mostKnownFor {
+	if n := max(len(p.known)+1, p.roster.Len()); n >= p.most || now.Sub(p.mostAt) > mostKnownFor {
 		p.most, p.mostAt = n, now
 	}
 	return p.most
--- a/forward/permits.go
+++ b/forward/permits.go
@@ -84,13 +84,22 @@
 func (p permitSite) Granter(now time.Time, id member.UpstreamID) Peer {
 	// One that isn't known is of no zone, and any host may give it out.
 	u, _ := p.fleet.Upstream(id)
-	return p.peers.ranked(now, string(id), u.Zone)
+	return p.peers.ranked(now, string(id), p.peers.upstreamCell(u))
 }
 
 func (p permitSite) Hosts(now time.Time) (heard, known int) {
 	return p.peers.live(now), p.peers.mostKnown(now)
 }
 
+// Heard counts the hosts of all zones where these aren't divided: an upstream's limit is given out by
+// a host of its cell, and the others of that are there or not.
+func (p permitSite) Heard(now time.Time) (heard, known int) {
+	if p.peers.divided() {
+		return p.peers.cellHosts(now)
+	}
+	return p.Hosts(now)
+}
+
 func (p permitSite) Zone(id member.UpstreamID) (member.Zone, bool) {
 	u, known := p.fleet.Upstream(id)
 	return u.Zone, known
--- a/forward/restore.go
+++ b/forward/restore.go
@@ -56,7 +56,7 @@
 // PeersInOtherEra counts the other hosts, heard lately, that know another era.
 func (f *Forwarder) PeersInOtherEra() int {
 	now, era := f.now(), f.OriginEra()
-	return f.peers.count(func(s *peerState) bool { return s.live(now, f.peers.self.Zone) && s.list.Era() != era })
+	return f.peers.count(func(s *peerState) bool { return s.live(now) && s.list.Era() != era })
 }
 
 // ofEarlierEra reports whether something was known before the era of what is read now.
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -365,10 +365,10 @@
 	defer p.mu.Unlock()
 	first := p.self
 	for _, s := range p.known {
-		if s.stopping || !s.live(now, p.self.Zone) {
+		if s.stopping || !s.live(now) {
 			continue
 		}
-		if s.Zone < first.Zone || s.Zone == first.Zone && (s.ID < first.ID || p.stopping && first.ID == p.self.ID) {
+		if s.Zone < first.Zone || s.Zone == first.Zone && (p.earlier(s.Peer, first) || p.stopping && first.ID == p.self.ID) {
 			first = s.Peer
 		}
 	}
@@ -381,7 +381,7 @@
 	defer p.mu.Unlock()
 	ids := []member.HostID{p.self.ID}
 	for id, s := range p.known {
-		if s.live(now, p.self.Zone) {
+		if s.live(now) {
 			ids = append(ids, id)
 		}
 	}
--- /dev/null
+++ b/forward/scale_test.go
@@ -0,0 +1,192 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/roster"
+)
+
+// What one host costs at different sizes of the fleet, counted in virtual time. What grows with the
+// fleet at one host doesn't hold at twice its size.
+
+// scaleSite is a site of which the calls are counted by host.
+type scaleSite struct {
+	*site
+	mu             sync.Mutex
+	counted        bool
+	in, out        map[member.HostID]int
+	wholes         map[member.HostID]int
+	followersOf    map[member.HostID]map[member.HostID]bool
+	sharesReceived map[member.HostID]int
+}
+
+func (s *scaleSite) note(from, to member.HostID, follow bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.counted {
+		return
+	}
+	s.out[from]++
+	s.in[to]++
+	if !follow {
+		s.sharesReceived[to]++
+		return
+	}
+	if s.followersOf[to] == nil {
+		s.followersOf[to] = map[member.HostID]bool{}
+	}
+	s.followersOf[to][from] = true
+}
+
+// scalePort counts a host's calls.
+type scalePort struct {
+	sitePort
+	counts *scaleSite
+}
+
+func (p scalePort) Share(ctx context.Context, to Peer, share Share) (Share, error) {
+	p.counts.note(p.self, to.ID, false)
+	return p.sitePort.Share(ctx, to, share)
+}
+
+func (p scalePort) Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error) {
+	p.counts.note(p.self, to.ID, true)
+	reply, err := p.sitePort.Follow(ctx, to, r)
+	if reply.Whole {
+		p.counts.mu.Lock()
+		p.counts.wholes[to.ID]++
+		p.counts.mu.Unlock()
+	}
+	return reply, err
+}
+
+// newScaleSite starts a site of five zones, with ten engines a host.
+func newScaleSite(ctx context.Context, hosts int) *scaleSite {
+	const zones = 5
+	s := &scaleSite{
+		site: newSite(zones, hosts/zones, true), in: map[member.HostID]int{}, out: map[member.HostID]int{}, wholes: map[member.HostID]int{},
+		followersOf: map[member.HostID]map[member.HostID]bool{}, sharesReceived: map[member.HostID]int{},
+	}
+	s.origin.list = nil
+	for n := range 10 * hosts {
+		s.origin.list = append(s.origin.list, Upstream{
+			ID: member.UpstreamID(fmt.Sprintf("i-%08x", n*7919)), Service: "llm", Address: fmt.Sprintf("10.9.%d.%d:80", n/250, n%250),
+			Zone: member.Zone(fmt.Sprint("z", n%zones+1)), Slots: 24, Revision: rev(3),
+		})
+	}
+	for n := range hosts {
+		f := s.nth(n)
+		self := &f.settings.Self
+		// The first ten of each zone carry ten times as much.
+		self.Capacity = 20
+		if n/zones < 10 {
+			self.Capacity = 200
+		}
+		f.peers.self, f.peers.roster = *self, roster.New(*self)
+	}
+	for _, f := range s.hosts {
+		go f.RunPeers(ctx, scalePort{sitePort{s.site, f.settings.Self.ID, f.settings.Self.PeerAddress}, s})
+		go f.Follow(ctx, s.origin)
+		go f.RunDirectory(ctx, siteDirectory{s.entries[f.settings.Self.ID]})
+		go f.Run(ctx)
+	}
+	return s
+}
+
+// perSecond is the middle and the highest of some counts, by the second.
+func perSecond(counts map[member.HostID]int, hosts int, d time.Duration) (middle, most float64) {
+	all := make([]int, 0, hosts)
+	for _, n := range counts {
+		all = append(all, n)
+	}
+	for len(all) < hosts {
+		all = append(all, 0)
+	}
+	slices.Sort(all)
+	return float64(all[len(all)/2]) / d.Seconds(), float64(all[len(all)-1]) / d.Seconds()
+}
+
+// TestMessagesAHost has the messages of a host be bounded whatever the size of the fleet.
+func TestMessagesAHost(t *testing.T) {
+	const settles, lasts = 12 * time.Second, 6 * time.Second
+	var middles []float64
+	for _, hosts := range scaleSizes() {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := newScaleSite(ctx, hosts)
+				time.Sleep(settles)
+				up := 0
+				for _, f := range s.hosts {
+					if f.versionInForce() == 1 && f.OriginAge(time.Now()) < 3*time.Second {
+						up++
+					}
+				}
+				reads := s.origin.reads.Load()
+				s.mu.Lock()
+				s.counted = true
+				s.mu.Unlock()
+				watches := s.origin.watches.Load()
+				time.Sleep(lasts)
+				watches = s.origin.watches.Load() - watches
+				// How long a change takes to all hosts.
+				published := time.Now()
+				u, _ := s.first().fleet.Upstream(s.origin.list[0].ID)
+				u.Leaving, u.Revision = true, rev(90)
+				s.origin.publish(Change{Upstream: u})
+				var reached time.Duration
+				for known := 0; known < hosts && time.Since(published) < 10*time.Second; {
+					time.Sleep(time.Millisecond)
+					known = 0
+					for _, f := range s.hosts {
+						if v, _ := f.fleet.Upstream(u.ID); v.Leaving {
+							known++
+						}
+					}
+					reached = time.Since(published)
+				}
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				in, inMost := perSecond(s.in, hosts, lasts)
+				out, outMost := perSecond(s.out, hosts, lasts)
+				followers, wholes, known, entries := 0, 0, 0, 0
+				for _, of := range s.followersOf {
+					followers = max(followers, len(of))
+				}
+				for _, n := range s.wholes {
+					wholes = max(wholes, n)
+				}
+				for _, f := range s.hosts {
+					known = max(known, f.peers.count(func(*peerState) bool { return true }))
+					entries += int(s.entries[f.settings.Self.ID].Load())
+				}
+				t.Logf("%d hosts, %d up: in %.1f, %.1f at the busiest; out %.1f, %.1f; followers %d at most; whole lists %d at most; hosts known %d; readings of the origin %d, watches %.1f a second; entries %d; a change at all after %v",
+					hosts, up, in, inMost, out, outMost, followers, wholes, known, reads, float64(watches)/lasts.Seconds(), entries, reached)
+				middles = append(middles, in)
+				if up < hosts {
+					t.Errorf("%d of %d hosts are up to date", up, hosts)
+				}
+				if reached > time.Second {
+					t.Errorf("a change reached all after %v", reached)
+				}
+				cancel()
+			})
+			synctest.Test(t, func(*testing.T) {})
+		})
+	}
+	t.Log(middles)
+}
+
+// scaleSizes are the sizes that are played.
+func scaleSizes() []int { return []int{60, 240} }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -177,7 +177,8 @@
 			return Upstream{}, s.noUpstream(now, takers, s.soonest(now, takers, nil)), false
 		}
 		// One whose backoff has just ended isn't listed until the next tick.
-		s.engines.list(now, s.service.Name, candidates)
+		layout, own := s.peers.cellLayout()
+		s.engines.list(now, s.service.Name, s.placedOn(now, s.service.Name, layout, own))
 	}
 	p := s.call.Prompt
 	r := policy.Request{
--- a/forward/turns.go
+++ b/forward/turns.go
@@ -182,17 +182,18 @@
 	})
 }
 
-// arbiter returns the live host of the engine's zone that gives out its turns;
+// arbiter returns the live host of the engine's cell that gives out its turns;
 // it is this host when the zone has no other.
 func (p *peerSet) arbiter(now time.Time, u Upstream) Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var near []Peer
-	if p.self.Zone == u.Zone {
+	of := p.layout.OfUpstream(u.ID, u.Zone)
+	if p.own == of {
 		near = append(near, p.self)
 	}
 	for _, s := range p.known {
-		if s.Zone == u.Zone && s.live(now, p.self.Zone) {
+		if s.of == of && s.live(now) {
 			near = append(near, s.Peer)
 		}
 	}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -20,11 +20,15 @@
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/resource"
 	"github.com/shedpath/shedpath/rollout"
+	"github.com/shedpath/shedpath/roster"
 )
 
 // wireShare is forward.Share; ages are in milliseconds.
 type wireShare struct {
 	ID, Zone, Address string
+	Capacity          int
+	Stamp             uint64
+	StampAge          int64
 	Version           uint64
 	ConfigAge         int64
 	OriginAge         int64
@@ -41,6 +45,7 @@
 	Crashes           []wireCrashes
 	Limits            []wireLimit
 	Backoffs          []wireBackoff
+	Announced         []wireAnnouncement `msgpack:",omitempty"`
 }
 
 // wireBackoff is backoff.Mark; For is in milliseconds.
@@ -137,10 +142,10 @@
 
 func toWireShare(now time.Time, s forward.Share) wireShare {
 	w := wireShare{
-		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Version: uint64(s.Version),
+		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Capacity: s.From.Capacity, Stamp: s.Stamp, StampAge: s.StampAge.Milliseconds(), Version: uint64(s.Version),
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
 		Zones: toWireZones(now, s.Zones), Epoch: s.Epoch, Crashes: toWireCrashes(s.Crashes),
-		Limits: toWireLimits(s.Limits),
+		Limits: toWireLimits(s.Limits), Announced: toWireAnnouncements(s.Announced),
 	}
 	w.ListEra, w.List = numbers(s.List)
 	for _, r := range s.Runs {
@@ -169,11 +174,12 @@
 
 func (w wireShare) share(now time.Time) forward.Share {
 	s := forward.Share{
-		From:    forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address},
+		From:  forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address, Capacity: w.Capacity},
+		Stamp: w.Stamp, StampAge: time.Duration(w.StampAge) * time.Millisecond,
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
 		List: point(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
-		Limits: limitMarks(w.Limits),
+		Limits: limitMarks(w.Limits), Announced: announcements(w.Announced),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
@@ -215,12 +221,17 @@
 	ListEra       uint64 `msgpack:",omitempty"`
 	Epoch, Found  uint64
 	Wait          int64
+	From          string
+	Announced     []wireAnnouncement
 }
 
 // wireFollowed is forward.FollowReply.
 type wireFollowed struct {
-	Version              uint64
-	Changes              []wireChange
+	Version uint64
+	Changes []wireChange
+	// Packed are the changes compressed, in place of Changes.
+	Packed               []byte
+	Busy                 bool
 	Zones                []wireZoneOrder
 	Rollouts             []wireRollout
 	Whole, Gaps          bool
@@ -228,7 +239,7 @@
 	ListEra              uint64 `msgpack:",omitempty"`
 	EraFrom              uint64
 	EraAge               int64
-	Hosts                []wireHost
+	Hosts                []wireAnnouncement
 	Epoch, Found         uint64
 	ConfigAge, OriginAge int64
 }
@@ -248,33 +259,66 @@
 	Era      uint64 `msgpack:",omitempty"`
 }
 
-type wireHost struct{ ID, Zone, Address string }
+// wireAnnouncement is roster.Announcement; Age is in milliseconds.
+type wireAnnouncement struct {
+	ID, Zone, Address string
+	Capacity          int
+	Stamp             uint64
+	Age               int64
+}
+
+func toWireAnnouncements(told []roster.Announcement) []wireAnnouncement {
+	var w []wireAnnouncement
+	for _, a := range told {
+		w = append(w, wireAnnouncement{string(a.ID), string(a.Zone), a.PeerAddress, a.Capacity, a.Stamp, a.Age.Milliseconds()})
+	}
+	return w
+}
 
-func toWireFollowed(now time.Time, r forward.FollowReply) wireFollowed {
+func announcements(w []wireAnnouncement) []roster.Announcement {
+	var told []roster.Announcement
+	for _, a := range w {
+		told = append(told, roster.Announcement{
+			Entry: member.Entry{ID: member.HostID(a.ID), Zone: member.Zone(a.Zone), PeerAddress: a.Address, Capacity: a.Capacity},
+			Stamp: a.Stamp, Age: time.Duration(max(a.Age, 0)) * time.Millisecond,
+		})
+	}
+	return told
+}
+
+func toWireFollowed(now time.Time, r forward.FollowReply, packer *listPacker) (wireFollowed, error) {
 	w := wireFollowed{
+		Busy:    r.Busy,
 		Version: uint64(r.Version), Whole: r.Whole, Gaps: r.Gaps, EraFrom: uint64(r.EraFrom.Revision()), EraAge: r.EraAge.Milliseconds(), Epoch: r.HostsAt.Epoch, Found: r.HostsAt.Found,
 		ConfigAge: r.ConfigAge.Milliseconds(), OriginAge: r.OriginAge.Milliseconds(),
 		Zones: toWireZones(now, r.Zones), Rollouts: toWireRollouts(r.Rollouts),
 	}
 	w.ListEra, w.List = numbers(r.List)
+	w.Hosts = toWireAnnouncements(r.Hosts)
+	var err error
+	if w.Packed, err = packer.pack(now, r); err != nil || len(w.Packed) > 0 {
+		return w, err
+	}
 	for _, c := range r.Changes {
-		change := wireChange{
-			ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
-			Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing,
-			Version: string(c.Version), Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
-		}
-		change.Era, change.Revision = numbers(c.Revision)
-		change.Believed = believedIn(now, c.BelievedFrom)
-		w.Changes = append(w.Changes, change)
+		w.Changes = append(w.Changes, toWireChange(now, c))
 	}
-	for _, h := range r.Hosts {
-		w.Hosts = append(w.Hosts, wireHost{ID: string(h.ID), Zone: string(h.Zone), Address: h.PeerAddress})
+	return w, nil
+}
+
+func toWireChange(now time.Time, c forward.Change) wireChange {
+	change := wireChange{
+		ID: string(c.ID), Service: string(c.Service), Address: c.Address, Zone: string(c.Zone),
+		Slots: c.Slots, Leaving: c.Leaving, Gone: c.Gone, Missing: c.Missing,
+		Version: string(c.Version), Unusable: c.Unusable, Life: int64(c.Life), Cold: max(c.ColdUntil.Sub(now).Milliseconds(), 0),
 	}
-	return w
+	change.Era, change.Revision = numbers(c.Revision)
+	change.Believed = believedIn(now, c.BelievedFrom)
+	return change
 }
 
-func (w wireFollowed) reply(now time.Time) forward.FollowReply {
+func (w wireFollowed) reply(now time.Time) (forward.FollowReply, error) {
 	r := forward.FollowReply{
+		Busy:    w.Busy,
 		Version: forward.Version(w.Version), Whole: w.Whole, Gaps: w.Gaps, List: point(w.ListEra, w.List), EraFrom: point(w.ListEra, w.EraFrom), EraAge: time.Duration(w.EraAge) * time.Millisecond, HostsAt: forward.HostCursor{Epoch: w.Epoch, Found: w.Found},
 		ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond, OriginAge: time.Duration(w.OriginAge) * time.Millisecond,
 		Zones: zoneOrders(now, w.Zones), Rollouts: rollouts(w.Rollouts),
@@ -282,10 +326,13 @@
 	for _, c := range w.Changes {
 		r.Changes = append(r.Changes, c.change(now))
 	}
-	for _, h := range w.Hosts {
-		r.Hosts = append(r.Hosts, forward.Peer{ID: member.HostID(h.ID), Zone: member.Zone(h.Zone), PeerAddress: h.Address})
+	r.Hosts = announcements(w.Hosts)
+	if len(w.Packed) == 0 {
+		return r, nil
 	}
-	return r
+	var err error
+	r.Changes, err = unpackChanges(now, w.Packed)
+	return r, err
 }
 
 func (w wireChange) change(now time.Time) forward.Change {
@@ -317,12 +364,13 @@
 	var answer wireFollowed
 	request := wireFollow{
 		Version: uint64(r.Version), Epoch: r.Hosts.Epoch, Found: r.Hosts.Found, Wait: r.Wait.Milliseconds(),
+		From: string(r.From), Announced: toWireAnnouncements(r.Announced),
 	}
 	request.ListEra, request.List = numbers(r.List)
 	if err := m.call(ctx, to.PeerAddress, kindFollow, request, &answer); err != nil {
 		return forward.FollowReply{}, err
 	}
-	return answer.reply(m.clock.Now()), nil
+	return answer.reply(m.clock.Now())
 }
 
 // wireTurn is forward.TurnRequest. Wait is how long the arbiter may hold it, in
@@ -444,11 +492,12 @@
 			return nil, trace.Wrap(err)
 		}
 		r := forward.FollowRequest{
+			From: member.HostID(w.From), Announced: announcements(w.Announced),
 			Version: forward.Version(w.Version), List: point(w.ListEra, w.List),
 			Hosts: forward.HostCursor{Epoch: w.Epoch, Found: w.Found}, Wait: time.Duration(w.Wait) * time.Millisecond,
 		}
 		reply := f.OnFollow(ctx, r)
-		return toWireFollowed(m.clock.Now(), reply), nil
+		return toWireFollowed(m.clock.Now(), reply, &m.lists)
 	case kindConfig:
 		var have uint64
 		if err := msgpack.Unmarshal(body, &have); err != nil {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -32,6 +32,7 @@
 	dialing map[string]chan struct{}
 	wait    conc.WaitGroup
 	packed  configPacker
+	lists   listPacker
 
 	sent, received atomic.Int64
 }
--- a/member/member.go
+++ b/member/member.go
@@ -37,6 +37,9 @@
 	ID          HostID
 	Zone        Zone
 	PeerAddress string
+	// Capacity is how much the host can carry for others, relative to them: the rate of its
+	// link in Mbit/s. Zero where that isn't known.
+	Capacity int
 }
 
 // Upstream is an upstream as the host list gives it.
--- a/permit/limiter.go
+++ b/permit/limiter.go
@@ -34,6 +34,9 @@
 	// Hosts is how many hosts are heard, and how many were known at once lately, heard or
 	// not; both with this one.
 	Hosts(now time.Time) (heard, known int)
+	// Heard is how many hosts of this one's cell are heard, and how many there are; both with this
+	// one.
+	Heard(now time.Time) (heard, known int)
 	// Zone is an upstream's; false for one that isn't known.
 	Zone(id member.UpstreamID) (member.Zone, bool)
 	// AskPeer asks another host. It waits for an answer for a bounded time.
@@ -208,7 +211,7 @@
 	if own, bounded := l.Words.Bound(now, a.Upstream); bounded {
 		a.Rate = min(a.Rate, own)
 	}
-	heard, known := l.site.Hosts(now)
+	heard, known := l.site.Heard(now)
 	part := float64(heard) / float64(known)
 	// One that isn't known is of no zone, and gets the smaller part.
 	if zone, _ := l.site.Zone(a.Upstream); zone == l.self.Zone {
--- a/permit/limiter_test.go
+++ b/permit/limiter_test.go
@@ -35,6 +35,8 @@
 
 func (s *fakeSite) Hosts(time.Time) (heard, known int) { return max(s.heard, 1), max(s.known, 1) }
 
+func (s *fakeSite) Heard(now time.Time) (heard, known int) { return s.Hosts(now) }
+
 func (s *fakeSite) Zone(member.UpstreamID) (member.Zone, bool) { return "z1", !s.unknown }
 
 func (s *fakeSite) AskPeer(_ context.Context, _ member.Entry, a Ask) (Reply, error) {
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,84 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/shedpath/shedpath/member"
+)
+
+func entry(n int) member.Entry {
+	return member.Entry{ID: member.HostID(fmt.Sprint("h", n)), Zone: "z1", PeerAddress: fmt.Sprintf("10.0.0.%d:1", n)}
+}
+
+// TestAnnouncementsReachAllOverATree has hosts that speak along the edges of a tree come to know
+// each other, and each announcement go over each edge once at most.
+func TestAnnouncementsReachAllOverATree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		n := rapid.IntRange(2, 30).Draw(t, "hosts")
+		all := make([]*Roster, n)
+		parent := make([]int, n)
+		for i := range all {
+			all[i] = New(entry(i))
+			all[i].Announce(now)
+			if i > 0 {
+				parent[i] = rapid.IntRange(0, i-1).Draw(t, "parent")
+			}
+		}
+		type edge struct{ from, to int }
+		counts, told := map[edge]uint64{}, 0
+		pass := func(e edge) {
+			news, upTo := all[e.from].Since(now, counts[e], all[e.to].self.ID, 5)
+			counts[e] = upTo
+			told += len(news)
+			for _, a := range news {
+				all[e.to].Receive(now, all[e.from].self.ID, a)
+			}
+		}
+		for range 6 * n {
+			for i := 1; i < n; i++ {
+				pass(edge{parent[i], i})
+				pass(edge{i, parent[i]})
+			}
+		}
+		for i, r := range all {
+			if r.Len() != n {
+				t.Fatalf("h%d knows %d of %d", i, r.Len(), n)
+			}
+		}
+		if told > n*(n-1) {
+			t.Fatalf("%d announcements told among %d hosts", told, n)
+		}
+	})
+}
+
+// TestHostThatIsAnnouncedNoMore is forgotten by all, however they go on telling each other.
+func TestHostThatIsAnnouncedNoMore(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a, b, gone := New(entry(1)), New(entry(2)), New(entry(3))
+	gone.Announce(now)
+	news, _ := gone.Since(now, 0, "h1", 10)
+	is.True(a.Receive(now, "h3", news[0]))
+	for range 300 {
+		now = now.Add(time.Second)
+		for _, pair := range [][2]*Roster{{a, b}, {b, a}} {
+			pair[0].Announce(now)
+			told, _ := pair[0].Since(now, 0, pair[1].self.ID, 10)
+			for _, n := range told {
+				pair[1].Receive(now, pair[0].self.ID, n)
+			}
+			pair[0].Forget(now)
+		}
+	}
+	is.Equal(a.Len(), 2)
+	is.Equal(b.Len(), 2)
+}
