--- a/forward/follow.go
+++ b/forward/follow.go
@@ -105,6 +105,12 @@
 // then what one has that isn't: the origin may be silent for seconds.
 func (w *follower) join(ctx context.Context) {
 	until, last := w.began.Add(w.joinWait()), w.began.Add(joinMost)
+	for w.now().Before(until) && !w.peers.anyFound() {
+		PauseFor(ctx, joinCheck)
+	}
+	if !w.peers.anyFound() && w.readDirectory(ctx) {
+		until = w.now().Add(w.joinWait())
+	}
 	for ctx.Err() == nil && (w.now().Before(until) || w.now().Before(last) && w.peers.awaitsList(w.now())) {
 		peer, found := w.peers.joinable(w.now())
 		if found && w.followPeer(ctx, peer, neededBounds) && w.joinConfig(ctx, peer) {
@@ -117,6 +123,23 @@
 	w.takeStale(ctx)
 }
 
+// readDirectory has the hosts on the directory be known to a host that has found none. It reports
+// whether there are any.
+func (w *follower) readDirectory(ctx context.Context) bool {
+	from, can := w.from.(HostsReader)
+	if !can || w.joinWait() == 0 {
+		return false
+	}
+	hosts, err := from.Hosts(ctx)
+	if err != nil {
+		w.journal.Belief("directory not read", "err", err)
+		return false
+	}
+	w.peers.list(w.now(), hosts)
+	w.peers.notifyAll()
+	return len(hosts) > 0
+}
+
 // joinConfig takes over the configuration that a peer has offered. It reports whether
 // this host is up to date with that.
 func (w *follower) joinConfig(ctx context.Context, from Peer) bool {
--- a/forward/origin.go
+++ b/forward/origin.go
@@ -47,6 +47,12 @@
 	Watch(ctx context.Context, after history.Point, wait time.Duration) (News, error)
 }
 
+// HostsReader is an Origin that can tell the hosts on the directory alone, which takes one call where
+// Read may take many.
+type HostsReader interface {
+	Hosts(ctx context.Context) ([]Peer, error)
+}
+
 // ErrHistoryGone is an Origin's word that it no longer has the changes after a
 // revision: all has to be read again.
 var ErrHistoryGone = errors.New("the history is gone")
--- a/forward/peerhosts.go
+++ b/forward/peerhosts.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// anyFound reports whether another host was ever heard.
+func (p *peerSet) anyFound() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.found > 0
+}
+
 // cursorOf is up to where this host has a peer's peers.
 func (p *peerSet) cursorOf(id member.HostID) HostCursor {
 	p.mu.Lock()
--- a/forward/scale_test.go
+++ b/forward/scale_test.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,6 +71,18 @@
 	return reply, err
 }
 
+// directoryOrigin is the origin with the hosts that are on the directory.
+type directoryOrigin struct {
+	*siteOrigin
+	hosts []Peer
+	asked *atomic.Int64
+}
+
+func (o directoryOrigin) Hosts(context.Context) ([]Peer, error) {
+	o.asked.Add(1)
+	return o.hosts, nil
+}
+
 // newScaleSite starts a site of five zones, with ten engines a host.
 func newScaleSite(ctx context.Context, hosts int) *scaleSite {
 	const zones = 5
@@ -190,3 +203,67 @@
 
 // scaleSizes are the sizes that are played.
 func scaleSizes() []int { return []int{60, 240} }
+
+// TestAllHostsStartAgainAtOnce has a fleet of divided zones be up again within seconds, and few of its
+// hosts read the store, whether or not the addresses that hosts are given at their start are right.
+func TestAllHostsStartAgainAtOnce(t *testing.T) {
+	for name, seedsGone := range map[string]bool{"the first hosts are there": false, "the first hosts are gone": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const hosts, within = 300, 5 * time.Second
+				first, kill := context.WithCancel(t.Context())
+				s := newScaleSite(first, hosts)
+				time.Sleep(8 * time.Second)
+				kill()
+				time.Sleep(time.Second)
+				reads := s.origin.reads.Load()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var again []*Forwarder
+				origin := directoryOrigin{siteOrigin: s.origin, asked: &atomic.Int64{}}
+				for _, f := range s.hosts {
+					if s.entries[f.settings.Self.ID].Load() > 0 {
+						origin.hosts = append(origin.hosts, f.settings.Self)
+					}
+				}
+				for n := range hosts {
+					old := s.nth(n)
+					settings := old.settings
+					settings.FirstStart = false
+					f := New(settings, old.transport, silentJournal{}, silentObserver{})
+					s.replace(f)
+					if seedsGone && n < 5 {
+						s.lose(settings.Self.PeerAddress)
+						continue
+					}
+					again = append(again, f)
+				}
+				for _, f := range again {
+					go f.RunPeers(ctx, scalePort{sitePort{s.site, f.settings.Self.ID, f.settings.Self.PeerAddress}, s})
+					go f.Follow(ctx, origin)
+					go f.RunDirectory(ctx, siteDirectory{s.entries[f.settings.Self.ID]})
+					go f.Run(ctx)
+				}
+				began, up := time.Now(), 0
+				for up < len(again) && time.Since(began) < 20*time.Second {
+					time.Sleep(50 * time.Millisecond)
+					up = 0
+					for _, f := range again {
+						if f.versionInForce() > 0 && !f.fleet.Revision().IsZero() {
+							up++
+						}
+					}
+				}
+				took, read := time.Since(began), s.origin.reads.Load()-reads
+				t.Logf("%d of %d up after %v; %d readings of the store, %d of its directory", up, len(again), took, read, origin.asked.Load())
+				if up < len(again) || took > within {
+					t.Errorf("%d of %d up after %v", up, len(again), took)
+				}
+				if read > hosts/10 {
+					t.Errorf("%d readings of the store", read)
+				}
+				cancel()
+			})
+		})
+	}
+}
