forward, platform: word of an upstream passes from cell to cell; marks are bounded; a smaller heap

Causes: with cells, an upstream's word that it leaves, heard by a host of another cell, was told to one host of each cell, which told nobody. The first host for a duty was the first of those a host knew, and no host of a divided site knows all: several would have decided about one rollout. A cell whose one known host was silent had none that speaks for it. Shares named every cold or unreachable upstream of a zone: 1,955 in each, some 60 KB sixty times a second.

--- a/forward/cold.go
+++ b/forward/cold.go
@@ -67,10 +67,11 @@
 		return nil
 	}
 	var marks []ColdMark
-	for id, k := range f.upstreams {
+	f.eachForPeers(func(k *known) bool {
 		if left := k.coldUntil.Sub(now); left > 0 {
-			marks = append(marks, ColdMark{Upstream: id, Life: k.Life, For: left})
+			marks = append(marks, ColdMark{Upstream: k.ID, Life: k.Life, For: left})
 		}
-	}
+		return len(marks) < mostMarks
+	})
 	return marks
 }
--- a/forward/failing.go
+++ b/forward/failing.go
@@ -98,11 +98,12 @@
 		return nil
 	}
 	var marks []FailingMark
-	for id, k := range f.upstreams {
+	f.eachForPeers(func(k *known) bool {
 		if left := k.failedUntil.Sub(now); left > 0 && !k.Leaving {
-			marks = append(marks, FailingMark{Upstream: id, Life: k.Life, For: left})
+			marks = append(marks, FailingMark{Upstream: k.ID, Life: k.Life, For: left})
 		}
-	}
+		return len(marks) < mostMarks
+	})
 	return marks
 }
 
--- a/forward/fleetindex.go
+++ b/forward/fleetindex.go
@@ -15,7 +15,9 @@
 // fleetIndex finds the upstreams of a service and a cell, among all that a large fleet has. The
 // zero value is empty.
 type fleetIndex struct {
-	layout   cell.Layout
+	layout cell.Layout
+	// own is this host's cell.
+	own      cell.ID
 	services map[ServiceName]map[cell.ID]map[member.UpstreamID]*known
 	// takers are the answers to what was asked since the last change, by service.
 	takers map[ServiceName][]Upstream
@@ -49,14 +51,46 @@
 	}
 }
 
-// SetLayout has the upstreams be found by another division of the zones.
-func (f *Fleet) SetLayout(l cell.Layout) {
+// mostMarks bounds how many upstreams a host tells its peers of in one message, of each kind: all of a
+// zone may be cold or out of reach at once.
+const mostMarks = 256
+
+// eachForPeers visits the upstreams of which peers are told, until told to stop: those of this host's
+// cell first. The mutex is held.
+func (f *Fleet) eachForPeers(visit func(*known) bool) {
+	if !f.index.layout.Divided() {
+		for _, k := range f.upstreams {
+			if !visit(k) {
+				return
+			}
+		}
+		return
+	}
+	for _, own := range []bool{true, false} {
+		for _, cells := range f.index.services {
+			for of, upstreams := range cells {
+				if (of == f.index.own) != own {
+					continue
+				}
+				for _, k := range upstreams {
+					if !visit(k) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
+// SetLayout has the upstreams be found by a division of the zones, of whose cells one is this host's.
+func (f *Fleet) SetLayout(l cell.Layout, own cell.ID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.index.own = own
 	if l.Equal(f.index.layout) {
 		return
 	}
-	f.index = fleetIndex{layout: l}
+	f.index = fleetIndex{layout: l, own: own}
 	for _, k := range f.upstreams {
 		f.index.add(k)
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -280,7 +280,7 @@
 // listEngines tells the placement which engines take work.
 func (f *Forwarder) listEngines(now time.Time, t *Table) {
 	layout, own := f.peers.cellLayout()
-	f.fleet.SetLayout(layout)
+	f.fleet.SetLayout(layout, own)
 	for name, s := range t.Services() {
 		if s.Engine != nil {
 			f.engines.list(now, name, f.placedOn(now, name, layout, own))
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -100,11 +100,25 @@
 	} else {
 		isNew = f.fleet.MarkLeaving(now, mark.Engine, mark.In, false)
 	}
+	if isNew && f.peers.isFar(from) {
+		// The others of this cell hear it from this host.
+		f.fleet.retell(now, mark.Engine)
+		f.peers.notify()
+	}
 	if isNew {
 		f.journal.Belief("peer says that an upstream leaves", "upstream", mark.Engine, "peer", from, "in", mark.In, "upstream_said_so", mark.Said)
 	}
 }
 
+// retell has a peer's word that an upstream leaves be told on.
+func (f *Fleet) retell(now time.Time, id member.UpstreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if k := f.upstreams[id]; k != nil {
+		f.tellPeers(k, later(k.tellUntil, now.Add(markShared)))
+	}
+}
+
 // LeavingUpstreams counts the upstreams that leave, by who told first.
 func (f *Fleet) LeavingUpstreams() map[LeavingSource]int {
 	f.mu.Lock()
--- a/forward/neighbours.go
+++ b/forward/neighbours.go
@@ -92,8 +92,15 @@
 	for _, h := range cells[p.own] {
 		p.neighbours[h.ID] = h
 	}
+	delete(cells, p.own)
+	p.cells, p.firstZone = cells, nil
+	for zone, of := range zones {
+		if len(p.firstZone) == 0 || zone < p.firstZone[0].Zone {
+			p.firstZone = of
+		}
+	}
 	for id, of := range cells {
-		if h, found := cell.Pick(p.self.ID, id.String(), of); found && id != p.own {
+		if h, found := cell.Pick(p.self.ID, id.String(), of); found {
 			p.neighbours[h.ID] = h
 		}
 	}
@@ -115,6 +122,15 @@
 // keepNeighbours has the neighbours be known. One that was silent for long is tried again now and
 // then. The mutex is held.
 func (p *peerSet) keepNeighbours(now time.Time) {
+	silent := p.silent(now)
+	for id, of := range p.cells {
+		if !slices.ContainsFunc(of, func(h Peer) bool { return p.neighbours[h.ID].ID != "" && !silent(h) }) {
+			others := slices.DeleteFunc(slices.Clone(of), silent)
+			if h, found := cell.Pick(p.self.ID, id.String(), others); found {
+				p.neighbours[h.ID] = h
+			}
+		}
+	}
 	for id, h := range p.neighbours {
 		if p.known[id] != nil || now.Sub(p.dropped[id]) < triedAgain {
 			continue
@@ -174,6 +190,14 @@
 	return Peer{}, false
 }
 
+// isFar reports whether a host is of another cell of a site whose zones are divided.
+func (p *peerSet) isFar(id member.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.known[id]
+	return p.layout.Divided() && s != nil && !s.near
+}
+
 // divided reports whether this host's zone has more than one cell.
 func (p *peerSet) divided() bool {
 	p.mu.Lock()
@@ -257,6 +281,36 @@
 	return told
 }
 
+// firstOfAll is the first host of the first zone's tree that isn't known to be away. The mutex is held.
+func (p *peerSet) firstOfAll(now time.Time) Peer {
+	silent := p.silent(now)
+	for _, h := range p.firstZone {
+		if h.ID == p.self.ID && !p.stopping || h.ID != p.self.ID && !silent(h) && !now.Before(p.unreached[h.ID]) {
+			return h
+		}
+	}
+	return p.self
+}
+
+// unreachedFor is how long a host that a call didn't reach isn't called again that no other call
+// goes to.
+const unreachedFor = 5 * time.Second
+
+// notReached takes in that a call to a host failed.
+func (p *peerSet) notReached(now time.Time, id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.unreached == nil {
+		p.unreached = map[member.HostID]time.Time{}
+	}
+	p.unreached[id] = now.Add(unreachedFor)
+	for other, until := range p.unreached {
+		if now.After(until) {
+			delete(p.unreached, other)
+		}
+	}
+}
+
 // awaitsList reports whether a host before this one in its zone's tree lives, from which it will
 // have the list.
 func (p *peerSet) awaitsList(now time.Time) bool {
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -47,6 +47,11 @@
 	// in the order in which they follow each other, where the zone is divided.
 	neighbours map[member.HostID]Peer
 	zoneOrder  []Peer
+	// cells are the hosts of the other cells, and firstZone those of the first zone in the order of
+	// its tree; unreached are hosts that a call didn't reach, until when they aren't called.
+	cells     map[cell.ID][]Peer
+	firstZone []Peer
+	unreached map[member.HostID]time.Time
 	// dropped are when silent neighbours were forgotten.
 	dropped map[member.HostID]time.Time
 }
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -254,6 +254,7 @@
 	reply, err := peers.Rollout(call, to, r)
 	if err != nil {
 		next.count, next.to = before.count, ""
+		f.peers.notReached(now, to.ID)
 		f.journal.Belief("rollout not reported", "service", s.Service, "peer", to.ID, "err", err)
 	}
 	told[s.Service] = next
@@ -279,7 +280,10 @@
 func (f *Forwarder) decideRollout(ctx context.Context, now time.Time, s rollout.Status, records RolloutRecords) {
 	r, _ := f.rolloutReport(s)
 	f.desk.take(now, r)
-	fleet := rollout.Fleet{Hosts: f.peers.liveIDs(now)}
+	fleet := rollout.Fleet{}
+	if !f.peers.divided() {
+		fleet.Hosts = f.peers.liveIDs(now)
+	}
 	fleet.HasTarget, _ = f.hasVersion(now, s.Service, s.Target)
 	phase, against := f.desk.decide(now, s, fleet)
 	if phase > s.Phase {
@@ -363,6 +367,9 @@
 func (p *peerSet) firstHost(now time.Time) Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.layout.Divided() {
+		return p.firstOfAll(now)
+	}
 	first := p.self
 	for _, s := range p.known {
 		if s.stopping || !s.live(now) {
--- a/forward/scale_test.go
+++ b/forward/scale_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/roster"
 )
@@ -267,3 +268,94 @@
 		})
 	}
 }
+
+// TestWordOfAnUpstreamReachesItsCell has an upstream's word that it leaves, which one host of another
+// zone heard, reach the hosts that place on it at once, and all within the period in which each host
+// is spoken to.
+func TestWordOfAnUpstreamReachesItsCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts = 300
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newScaleSite(ctx, hosts)
+		time.Sleep(10 * time.Second)
+		heard := s.nth(1) // of the second zone
+		u, _ := heard.fleet.Upstream(s.origin.list[0].ID)
+		of := heard.peers.upstreamCell(u)
+		s.mu.Lock()
+		s.counted = true
+		s.mu.Unlock()
+		told := time.Now()
+		heard.takeSignals(told, u, answerToRequest, Signals{Leaving: true})
+		var cellAt, allAt time.Duration
+		for allAt == 0 && time.Since(told) < 20*time.Second {
+			time.Sleep(5 * time.Millisecond)
+			inCell, all := true, true
+			for _, f := range s.hosts {
+				if v, _ := f.fleet.Upstream(u.ID); v.Leaving {
+					continue
+				}
+				all = false
+				if _, own := f.peers.cellLayout(); own == of {
+					inCell = false
+				}
+			}
+			if inCell && cellAt == 0 {
+				cellAt = time.Since(told)
+				s.mu.Lock()
+				s.counted = false
+				s.mu.Unlock()
+			}
+			if all {
+				allAt = time.Since(told)
+			}
+		}
+		s.mu.Lock()
+		_, most := perSecond(s.in, hosts, time.Second)
+		s.mu.Unlock()
+		t.Logf("its cell knows after %v, all hosts after %v; %.0f messages at the busiest host until its cell knew", cellAt, allAt, most)
+		if cellAt == 0 || cellAt > leavingKnownWithin/4 {
+			t.Errorf("its cell knows after %v", cellAt)
+		}
+		if allAt == 0 {
+			t.Error("not all hosts know")
+		}
+		cancel()
+	})
+}
+
+// TestMarksOfAZoneAreBounded has what a host tells of a zone that is cold, or that it can't reach, not
+// grow with the zone.
+func TestMarksOfAZoneAreBounded(t *testing.T) {
+	f := newForwarder(t, &fakeTransport{})
+	now := time.Now()
+	var hosts []Peer
+	for n := range 200 {
+		hosts = append(hosts, Peer{ID: member.HostID(fmt.Sprint("h", n)), Zone: "z1"})
+	}
+	layout := cell.Layout{}.Next(hosts)
+	var changes []Change
+	for n := range 3000 {
+		changes = append(changes, Change{
+			Upstream:  Upstream{ID: member.UpstreamID(fmt.Sprint("i-", n)), Service: "llm", Zone: member.Zone(fmt.Sprint("z", n%2+1)), Slots: 1, Revision: rev(2)},
+			ColdUntil: now.Add(time.Minute),
+		})
+	}
+	f.fleet.Apply(now, changes, rev(2))
+	own := layout.OfHost(f.settings.Self)
+	f.fleet.SetLayout(layout, own)
+	f.fleet.ZoneUnreachable(now, "llm", "z2")
+	cold, ownCold := f.fleet.ColdMarks(now), 0
+	for _, m := range cold {
+		if layout.OfUpstream(m.Upstream, "z1") == own {
+			ownCold++
+		}
+	}
+	if len(cold) > mostMarks || len(f.fleet.FailingMarks(now)) > mostMarks {
+		t.Errorf("%d cold, %d failing", len(cold), len(f.fleet.FailingMarks(now)))
+	}
+	inCell := slices.DeleteFunc(f.fleet.TakersIn(now, "llm", own), func(u Upstream) bool { return !f.fleet.Cold(now, u.ID) })
+	if ownCold < len(inCell) {
+		t.Errorf("%d of its own cell's, which has %d", ownCold, len(inCell))
+	}
+}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -44,6 +44,9 @@
 	return &conn{net: c, pending: map[uint64]chan *frame{}, sent: sent, received: received}
 }
 
+// readerBytes is read at once from a link. Most messages are shorter, and a host has many links.
+const readerBytes = 1024
+
 // writeTimeout is how long a peer may leave a full socket unread before the
 // connection is given up.
 const writeTimeout = 2 * time.Second
@@ -145,7 +148,7 @@
 
 // readReplies hands replies to their calls until the connection ends.
 func (c *conn) readReplies() {
-	reader := bufio.NewReader(&countingReader{from: c.net, count: c.received})
+	reader := bufio.NewReaderSize(&countingReader{from: c.net, count: c.received}, readerBytes)
 	for {
 		f, err := readFrame(reader)
 		c.mu.Lock()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -182,7 +182,7 @@
 	defer stop()
 	var writing sync.Mutex
 	slots := make(chan struct{}, maxCallsUnderWay)
-	reader := bufio.NewReader(&countingReader{from: link, count: &m.received})
+	reader := bufio.NewReaderSize(&countingReader{from: link, count: &m.received}, readerBytes)
 	for {
 		f, err := readFrame(reader)
 		if err != nil {
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -147,7 +147,8 @@
 type Fleet struct {
 	// HasTarget says that upstreams of the target version take work.
 	HasTarget bool
-	// Hosts are those that are heard, with this one.
+	// Hosts are those that are heard, with this one; nil for all that report, where no host hears
+	// all others.
 	Hosts []member.HostID
 }
 
@@ -184,18 +185,28 @@
 		if j.fullSince.IsZero() {
 			j.fullSince = now
 		}
-		if now.Sub(j.fullSince) >= fullAtLeast && part >= endFrom && j.left(s.Given, f.Hosts) {
+		if now.Sub(j.fullSince) >= fullAtLeast && part >= endFrom && j.left(now, s.Given, f.Hosts) {
 			return Completed
 		}
 	}
 	return s.Phase
 }
 
+// reportsWithin is how long a host counts that has reported.
+const reportsWithin = 15 * time.Second
+
 // left reports whether every host has said that nothing of its runs on the versions to be left.
-func (j *Judge) left(given history.Point, hosts []member.HostID) bool {
+func (j *Judge) left(now time.Time, given history.Point, hosts []member.HostID) bool {
 	if j.given != given {
 		return false
 	}
+	if hosts == nil {
+		for id, h := range j.hosts {
+			if now.Sub(h.at) <= reportsWithin {
+				hosts = append(hosts, id)
+			}
+		}
+	}
 	for _, id := range hosts {
 		if h := j.hosts[id]; h == nil || h.phase < Full || h.running > 0 {
 			return false
