forward: two hosts of a cell tell each other all in one call

Cause: each called the other twice a second, and a call's answer left the runs out: two messages where one does. In a divided site the answer has them, and a host doesn't call one with which it has just exchanged.

Sites of undivided zones are as they were.

--- a/forward/neighbours.go
+++ b/forward/neighbours.go
@@ -198,6 +198,14 @@
 	return p.layout.Divided() && s != nil && !s.near
 }
 
+// isNear reports whether a host is of this one's cell, of a site whose zones are divided.
+func (p *peerSet) isNear(id member.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.known[id]
+	return p.layout.Divided() && s != nil && s.near
+}
+
 // divided reports whether this host's zone has more than one cell.
 func (p *peerSet) divided() bool {
 	p.mu.Lock()
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -63,8 +63,8 @@
 
 // Peers is the interface to the other hosts.
 type Peers interface {
-	// Share tells a peer about this host and returns the same of the peer,
-	// without its runs.
+	// Share tells a peer about this host and returns the same of the peer, with its runs where both
+	// are of one cell of a divided site.
 	Share(ctx context.Context, to Peer, s Share) (Share, error)
 	Follow(ctx context.Context, to Peer, r FollowRequest) (FollowReply, error)
 	// Config asks a peer for its configuration, if that is newer than a version.
@@ -223,6 +223,10 @@
 	if err == nil {
 		late := f.settings.Clock.Slept() - slept
 		reply.ConfigAge, reply.OriginAge = older(reply.ConfigAge, late), older(reply.OriginAge, late)
+		if f.peers.isNear(reply.From.ID) {
+			f.engines.adopt(f.now(), reply.From.ID, reply.Runs, reply.Ended)
+			f.peers.exchangedWith(f.now(), reply.From.ID)
+		}
 		f.receive(reply)
 		f.crashes.Told(reply.From.ID, reply.Epoch, upTo)
 	}
@@ -286,6 +290,10 @@
 	f.receive(s)
 	now := f.now()
 	reply := f.shareWithoutRuns(now)
+	if f.peers.isNear(s.From.ID) {
+		reply.Runs, reply.Ended = f.engines.states(now), f.engines.endedRuns(now)
+		f.peers.exchangedWith(now, s.From.ID)
+	}
 	reply.Crashes, _ = f.crashes.Tell(now, s.From.ID)
 	if s.List.IsZero() {
 		reply.Announced = f.peers.announcementsForNew(now, s.From.ID)
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -75,6 +75,8 @@
 	cursor HostCursor
 	// failed says that the last share didn't arrive.
 	failed bool
+	// exchanged is when both last told each other all, their runs included.
+	exchanged time.Time
 	// near says that it is of this host's cell, and of is its cell.
 	near bool
 	of   cell.ID
@@ -161,7 +163,10 @@
 		case now.Sub(s.heard) > peerForgotten:
 			p.forget(now, id)
 		case s.sending:
-		case every || woken[s.of] || period && behind(id) || s.near && (period || s.live(now)):
+		case every || woken[s.of] || period && behind(id) || s.near && !period && s.live(now):
+			send(s)
+		case s.near && period && (!p.layout.Divided() || now.Sub(s.exchanged) >= shareEvery-exchangeSlack):
+			// Of two hosts the one calls whose period is over first, and the other answers.
 			send(s)
 		case period && !s.near && (!p.layout.Divided() || p.neighbours[id].ID != ""):
 			// Others that chose this host call it by themselves.
@@ -180,6 +185,18 @@
 	return to
 }
 
+// exchangeSlack keeps two hosts of about the same period from waiting for each other.
+const exchangeSlack = 50 * time.Millisecond
+
+// exchangedWith takes in that a peer and this host have told each other all.
+func (p *peerSet) exchangedWith(now time.Time, id member.HostID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.known[id]; s != nil {
+		s.exchanged = now
+	}
+}
+
 // stop has this host do nothing more for all.
 func (p *peerSet) stop() {
 	p.mu.Lock()
--- a/forward/scale_test.go
+++ b/forward/scale_test.go
@@ -5,8 +5,11 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -130,11 +133,15 @@
 	return float64(all[len(all)/2]) / d.Seconds(), float64(all[len(all)-1]) / d.Seconds()
 }
 
+// undividedMessages are what a host of the largest undivided zone gets and answers in a second: two of
+// each of the 47 others, and some of other zones.
+const undividedMessages = 2 * (47 + 8)
+
 // TestMessagesAHost has the messages of a host be bounded whatever the size of the fleet.
 func TestMessagesAHost(t *testing.T) {
 	const settles, lasts = 12 * time.Second, 6 * time.Second
 	var middles []float64
-	for _, hosts := range scaleSizes() {
+	for _, hosts := range scaleSizes(t) {
 		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
@@ -191,6 +198,9 @@
 				if up < hosts {
 					t.Errorf("%d of %d hosts are up to date", up, hosts)
 				}
+				if s.first().peers.divided() && followers > 5*followersMost {
+					t.Errorf("%d follow one host", followers)
+				}
 				if reached > time.Second {
 					t.Errorf("a change reached all after %v", reached)
 				}
@@ -199,11 +209,28 @@
 			synctest.Test(t, func(*testing.T) {})
 		})
 	}
-	t.Log(middles)
+	const mostMiddle = undividedMessages
+	for i, in := range middles {
+		if in > mostMiddle {
+			t.Errorf("%.0f messages a second at a host in the middle, %.0f allowed (size %d)", in, float64(mostMiddle), i)
+		}
+	}
 }
 
+var scaleSizesFlag = flag.String("scale.sizes", "60,300", "sizes of the fleets whose messages are counted")
+
 // scaleSizes are the sizes that are played.
-func scaleSizes() []int { return []int{60, 240} }
+func scaleSizes(t *testing.T) (sizes []int) {
+	t.Helper()
+	for _, size := range strings.Split(*scaleSizesFlag, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes
+}
 
 // TestAllHostsStartAgainAtOnce has a fleet of divided zones be up again within seconds, and few of its
 // hosts read the store, whether or not the addresses that hosts are given at their start are right.
