forward: hosts that start wait for the list of a large site

A whole reading is some 50 pages; a host that starts reads it when the call by which it takes the list over hasn't ended within 1.1 s, or when no list was to be had in its first second, since those that read it hadn't done so yet.

Now such a call may take 4 s in a site of over 200 hosts, and hosts of a site that starts for the first time wait, up to 8 s, for those that are named to all.

Tried first: waiting whenever nobody has a list. All hosts of a killed site then waited 8 s for each other.

--- a/forward/follow.go
+++ b/forward/follow.go
@@ -114,7 +114,7 @@
 	if !w.peers.anyFound() && w.readDirectory(ctx) {
 		until = w.now().Add(w.joinWait())
 	}
-	for ctx.Err() == nil && (w.now().Before(until) || w.now().Before(last) && w.peers.awaitsList(w.now())) {
+	for ctx.Err() == nil && (w.now().Before(until) || w.now().Before(last) && w.awaitsList(w.now())) {
 		peer, found := w.peers.joinable(w.now())
 		if found && w.followPeer(ctx, peer, neededBounds) && w.joinConfig(ctx, peer) {
 			w.upToDate()
@@ -126,6 +126,14 @@
 	w.takeStale(ctx)
 }
 
+// awaitsList reports whether other hosts will have the list that this one can take over from: those
+// that are named to all as a site starts for the first time read it, and in a large site those before
+// this one.
+func (w *follower) awaitsList(now time.Time) bool {
+	firstReads := w.settings.FirstStart && w.joinWait() > 0 && w.peers.noneHasList()
+	return firstReads || w.peers.awaitsList(now)
+}
+
 // readDirectory has the hosts on the directory be known to a host that has found none. It reports
 // whether there are any.
 func (w *follower) readDirectory(ctx context.Context) bool {
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -158,7 +158,11 @@
 	if peers == nil {
 		return false
 	}
-	call, cancel := context.WithTimeout(ctx, bounds.timeout)
+	timeout := bounds.timeout
+	if f.fleet.Revision().IsZero() && f.peers.isLarge() {
+		timeout = max(timeout, wholeListTimeout)
+	}
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	slept := f.settings.Clock.Slept()
 	announced, upTo := f.peers.announcementsFor(f.now(), leader.ID)
@@ -220,6 +224,9 @@
 const (
 	// bytesPerUpstream is about what an upstream takes in a list that is passed on.
 	bytesPerUpstream = 40
+	// wholeListTimeout is how long a call may take that brings the list of a large site: a small host
+	// needs a second for it.
+	wholeListTimeout = 4 * time.Second
 	// listBacklog is for how long a host's link may be taken by lists that it gives to others.
 	listBacklog = 400 * time.Millisecond
 )
--- a/forward/neighbours.go
+++ b/forward/neighbours.go
@@ -335,6 +335,30 @@
 	return false
 }
 
+// noneHasList reports whether other hosts were heard, and none of them has a list yet.
+func (p *peerSet) noneHasList() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard := false
+	for _, s := range p.known {
+		if s.foundAt != 0 && !s.list.IsZero() {
+			return false
+		}
+		heard = heard || s.foundAt != 0
+	}
+	return heard
+}
+
+// largeSite is how many hosts a site has whose list takes long to be passed on.
+const largeSite = 200
+
+// isLarge reports whether the site is known to have many hosts.
+func (p *peerSet) isLarge() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.roster.Len() > largeSite
+}
+
 // busy has a host that gives its list to others not be asked for it for a while.
 func (p *peerSet) busy(now time.Time, id member.HostID) {
 	p.mu.Lock()
