--- a/forward/relay.go
+++ b/forward/relay.go
@@ -77,7 +77,7 @@
 	switch {
 	case err == nil:
 		if s.moves == 0 && s.events > 2 && last.ID == s.firstAt.ID {
-			s.noteAnswer(s.now(), last, rollout.Pace, false, (s.lastAt.Sub(s.begunThere))/time.Duration(s.events-1))
+			s.noteAnswer(s.now(), last, rollout.Pace, false, s.lastAt.Sub(s.begunThere)/time.Duration(s.events-1))
 		}
 		s.fleet.Worked(last.ID)
 		s.survived(s.now())
