--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -162,7 +162,7 @@
 		return FollowReply{}, ctx.Err()
 	}
 	PauseFor(ctx, r.Wait)
-	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []roster.Announcement{{Entry: Peer{ID: "h7", Zone: "z1"}, Stamp: 1}}, List: rev(7), Changes: p.changes}, nil
+	return FollowReply{OriginAge: time.Duration(p.originAge.Load()), Hosts: []roster.Announcement{{Entry: Peer{ID: "h7", Zone: "z1"}, Count: 1}}, List: rev(7), Changes: p.changes}, nil
 }
 
 // TestFollowZone has one host watch the origin for several zones, and a zone turn
@@ -179,7 +179,7 @@
 				f := newForwarder(t, &fakeTransport{})
 				peers, origin := &followedPeers{}, &countingOrigin{}
 				f.peerPort = peers
-				f.peers.receive(time.Now(), Share{From: Peer{ID: "h9", Zone: "z0"}, Stamp: 1})
+				f.peers.receive(time.Now(), Share{From: Peer{ID: "h9", Zone: "z0"}, Epoch: 9, Announcement: 1})
 				ctx, cancel := context.WithCancel(t.Context())
 				go f.Follow(ctx, origin)
 				time.Sleep(2 * time.Second)
--- a/forward/neighbours.go
+++ b/forward/neighbours.go
@@ -368,8 +368,8 @@
 	}
 }
 
-// stamp is this host's own announcement.
-func (p *peerSet) stamp(now time.Time) (uint64, time.Duration) {
+// announced is this host's own announcement.
+func (p *peerSet) announced(now time.Time) (count uint64, ago time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.roster.Own(now)
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -24,9 +24,10 @@
 // Share is what a host tells its peers of itself.
 type Share struct {
 	From Peer
-	// Stamp and StampAge are of the host's last announcement.
-	Stamp    uint64
-	StampAge time.Duration
+	// Announcement counts the host's announcements, and AnnouncedAgo is how long ago it made the
+	// last; zero before the first.
+	Announcement uint64
+	AnnouncedAgo time.Duration
 	// Version is the configuration in force, and ConfigAge how long ago it was
 	// proved to be the newest.
 	Version   Version
@@ -203,9 +204,9 @@
 
 // shareWithoutRuns is what a peer that shares with this host is told in return.
 func (f *Forwarder) shareWithoutRuns(now time.Time) Share {
-	stamp, age := f.peers.stamp(now)
+	count, age := f.peers.announced(now)
 	return Share{
-		From: f.peers.self, Stamp: stamp, StampAge: age, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
+		From: f.peers.self, Announcement: count, AnnouncedAgo: age, Version: f.versionInForce(), ConfigAge: f.ContactAge(now), OriginAge: f.OriginAge(now), Stopping: f.Stopping(),
 		Leaving: f.fleet.Marks(now),
 		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), List: f.fleet.Revision(), Zones: f.fleet.ZonesSince(history.Point{}, true), Epoch: f.peers.epoch,
 		Limits: f.limiter.Words.Marks(now), Backoffs: f.backoffs.Marks(now),
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -112,10 +112,11 @@
 }
 
 func newPeerSet(self Peer, seeds []string) *peerSet {
+	epoch := rand.Uint64()
 	return &peerSet{
-		self: self, known: map[member.HostID]*peerState{}, epoch: rand.Uint64(), seeds: seeds,
+		self: self, known: map[member.HostID]*peerState{}, epoch: epoch, seeds: seeds,
 		wake: make(chan struct{}, 1), wakeAll: make(chan struct{}, 1),
-		roster: roster.New(self), own: cell.ID{Zone: self.Zone}, dropped: map[member.HostID]time.Time{},
+		roster: roster.New(self, epoch), own: cell.ID{Zone: self.Zone}, dropped: map[member.HostID]time.Time{},
 	}
 }
 
@@ -126,8 +127,8 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s.Stamp > 0 {
-		p.roster.Receive(now, s.From.ID, roster.Announcement{Entry: s.From, Stamp: s.Stamp, Age: s.StampAge})
+	if s.Announcement > 0 {
+		p.roster.Receive(now, s.From.ID, roster.Announcement{Entry: s.From, Epoch: s.Epoch, Count: s.Announcement, Age: s.AnnouncedAgo})
 	}
 	state := p.known[s.From.ID]
 	if state == nil {
--- a/forward/scale_test.go
+++ b/forward/scale_test.go
@@ -109,7 +109,7 @@
 		if n/zones < 10 {
 			self.Capacity = 200
 		}
-		f.peers.self, f.peers.roster = *self, roster.New(*self)
+		f.peers.self, f.peers.roster = *self, roster.New(*self, f.peers.epoch)
 	}
 	for _, f := range s.hosts {
 		go f.RunPeers(ctx, scalePort{sitePort{s.site, f.settings.Self.ID, f.settings.Self.PeerAddress}, s})
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -19,8 +19,8 @@
 type wireShare struct {
 	ID, Zone, Address string
 	Capacity          int
-	Stamp             uint64
-	StampAge          int64
+	Announcement      uint64
+	AnnouncedAgo      int64
 	Version           uint64
 	ConfigAge         int64
 	OriginAge         int64
@@ -134,7 +134,7 @@
 
 func toWireShare(now time.Time, s forward.Share) wireShare {
 	w := wireShare{
-		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Capacity: s.From.Capacity, Stamp: s.Stamp, StampAge: s.StampAge.Milliseconds(), Version: uint64(s.Version),
+		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Capacity: s.From.Capacity, Announcement: s.Announcement, AnnouncedAgo: s.AnnouncedAgo.Milliseconds(), Version: uint64(s.Version),
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
 		Zones: toWireZones(now, s.Zones), Epoch: s.Epoch, Crashes: toWireCrashes(s.Crashes),
 		Limits: toWireLimits(s.Limits), Announced: toWireAnnouncements(s.Announced),
@@ -166,8 +166,8 @@
 
 func (w wireShare) share(now time.Time) forward.Share {
 	s := forward.Share{
-		From:  forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address, Capacity: w.Capacity},
-		Stamp: w.Stamp, StampAge: time.Duration(w.StampAge) * time.Millisecond,
+		From:         forward.Peer{ID: member.HostID(w.ID), Zone: member.Zone(w.Zone), PeerAddress: w.Address, Capacity: w.Capacity},
+		Announcement: w.Announcement, AnnouncedAgo: time.Duration(max(w.AnnouncedAgo, 0)) * time.Millisecond,
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
 		List: point(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
--- a/internal/telemetry/wallclock_test.go
+++ b/internal/telemetry/wallclock_test.go
@@ -26,13 +26,15 @@
 var steadyClock = regexp.MustCompile(`time\.(Now|Since|Until)\(|context\.WithDeadline`)
 
 // countsSuspensions are the packages that decide by the time that really passes.
-var countsSuspensions = []string{"forward", "entry", "order", "claim", "member", "policy", "quarantine", "platform", "internal/peer", "internal/web"}
+var countsSuspensions = []string{"forward", "entry", "order", "claim", "member", "policy", "quarantine", "platform", "internal/peer", "internal/web",
+	"rollout", "roster", "cell", "spool",
+}
 
 // usesSteadyClock are the files of these that may: bounds of single sockets and calls
 // between hosts, of some seconds at most, which end late by a suspension and on which
 // nothing else rests.
 var usesSteadyClock = []string{
-	"platform/ingress.go", "platform/server.go", "internal/peer/conn.go", "internal/peer/handshake.go", "internal/peer/forward.go",
+	"platform/ingress.go", "platform/server.go", "internal/peer/conn.go", "internal/peer/handshake.go", "internal/peer/places.go",
 	"forward/stopping.go",
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,8 +27,9 @@
 // Announcement is a host's word that it is there.
 type Announcement struct {
 	member.Entry
-	// Stamp orders a host's announcements; a later one is higher.
-	Stamp uint64
+	// Epoch tells the process that made it from earlier ones of the host, and Count orders the
+	// announcements of one process.
+	Epoch, Count uint64
 	// Age is how long ago it was made.
 	Age time.Duration
 }
@@ -36,6 +37,7 @@
 // Roster is what one host knows. Use New. It isn't safe for use by several goroutines.
 type Roster struct {
 	self  member.Entry
+	epoch uint64
 	hosts map[member.HostID]*known
 	// last counts the announcements that were taken in.
 	last uint64
@@ -52,27 +54,43 @@
 	from  member.HostID
 }
 
-// New returns the roster of a host, which has it alone.
-func New(self member.Entry) *Roster {
-	return &Roster{self: self, hosts: map[member.HostID]*known{}}
+// processesApart is by how much later a process's announcement must have been made than that of
+// another of its host to be believed the later one: their ages are told, and are late by what they took.
+const processesApart = 200 * time.Millisecond
+
+// supersededBy reports whether an announcement is later than the one that is known.
+func (k *known) supersededBy(now time.Time, a *Announcement) bool {
+	if a.Epoch == k.Epoch {
+		return a.Count > k.Count
+	}
+	return now.Add(-a.Age).Sub(k.at) > processesApart
+}
+
+// New returns the roster of a process of a host, which has it alone.
+func New(self member.Entry, epoch uint64) *Roster {
+	return &Roster{self: self, epoch: epoch, hosts: map[member.HostID]*known{}}
 }
 
-// Announce has this host be announced anew, if that is due. The stamp is the time of day, which
-// orders a process's announcements after those of an earlier one.
+// Announce has this host be announced anew, if that is due.
 func (r *Roster) Announce(now time.Time) {
-	if k := r.hosts[r.self.ID]; k != nil && now.Sub(k.at) < AnnounceEvery {
+	k := r.hosts[r.self.ID]
+	if k != nil && now.Sub(k.at) < AnnounceEvery {
 		return
 	}
-	r.Receive(now, r.self.ID, Announcement{Entry: r.self, Stamp: uint64(max(now.UnixMilli(), 1))})
+	own := Announcement{Entry: r.self, Epoch: r.epoch, Count: 1}
+	if k != nil {
+		own.Count = k.Count + 1
+	}
+	r.Receive(now, r.self.ID, own)
 }
 
 // Own is this host's last announcement.
-func (r *Roster) Own(now time.Time) (stamp uint64, age time.Duration) {
+func (r *Roster) Own(now time.Time) (count uint64, age time.Duration) {
 	k := r.hosts[r.self.ID]
 	if k == nil {
 		return 0, 0
 	}
-	return k.Stamp, now.Sub(k.at)
+	return k.Count, now.Sub(k.at)
 }
 
 // Receive takes in an announcement that another host passed on. It reports whether it is news.
@@ -81,7 +99,7 @@
 		return false
 	}
 	k := r.hosts[a.ID]
-	if k != nil && a.Stamp <= k.Stamp {
+	if k != nil && !k.supersededBy(now, &a) {
 		return false
 	}
 	if k == nil || k.Entry != a.Entry {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -27,7 +27,7 @@
 		all := make([]*Roster, n)
 		parent := make([]int, n)
 		for i := range all {
-			all[i] = New(entry(i))
+			all[i] = New(entry(i), uint64(i))
 			all[i].Announce(now)
 			if i > 0 {
 				parent[i] = rapid.IntRange(0, i-1).Draw(t, "parent")
@@ -64,7 +64,7 @@
 func TestHostThatIsAnnouncedNoMore(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
-	a, b, gone := New(entry(1)), New(entry(2)), New(entry(3))
+	a, b, gone := New(entry(1), 1), New(entry(2), 2), New(entry(3), 3)
 	gone.Announce(now)
 	news, _ := gone.Since(now, 0, "h1", 10)
 	is.True(a.Receive(now, "h3", news[0]))
@@ -82,3 +82,25 @@
 	is.Equal(a.Len(), 2)
 	is.Equal(b.Len(), 2)
 }
+
+// TestHostStartsAgain has the announcement of a host's new process replace that of the one before,
+// which still travels, wherever the two meet.
+func TestHostStartsAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	before, after := New(entry(1), 7), New(entry(1), 3)
+	before.Announce(now)
+	old, _ := before.Since(now.Add(5*time.Second), 0, "h9", 1)
+	moved := entry(1)
+	moved.PeerAddress = "10.0.0.7:1"
+	after.self = moved
+	after.Announce(now.Add(4 * time.Second))
+	fresh, _ := after.Since(now.Add(5*time.Second), 0, "h9", 1)
+	for _, order := range [][]Announcement{{old[0], fresh[0], old[0]}, {fresh[0], old[0]}} {
+		r := New(entry(2), 1)
+		for _, a := range order {
+			r.Receive(now.Add(5*time.Second), "h8", a)
+		}
+		is.Equal(r.Entries(), []member.Entry{moved})
+	}
+}
