--- a/internal/telemetry/wallclock_test.go
+++ b/internal/telemetry/wallclock_test.go
@@ -26,7 +26,8 @@
 var steadyClock = regexp.MustCompile(`time\.(Now|Since|Until)\(|context\.WithDeadline`)
 
 // countsSuspensions are the packages that decide by the time that really passes.
-var countsSuspensions = []string{"forward", "entry", "order", "claim", "member", "policy", "quarantine", "platform", "internal/peer", "internal/web",
+var countsSuspensions = []string{
+	"forward", "entry", "order", "claim", "member", "policy", "quarantine", "platform", "internal/peer", "internal/web",
 	"rollout", "roster", "cell", "spool",
 }
 
