forward, platform: settings that enable parts of the placement

Parts of the placement for uneven engines and insufficient capacity are enabled one by one, so that deployments that don't need them are served as before. docs/design/uneven-load.md describes the parts.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -45,10 +45,27 @@
 	Regions map[member.Zone]member.Region
 	// RolloutLimits bound what a version on trial gets.
 	RolloutLimits rollout.Limits
+	// Placement enables optional parts of the placement.
+	Placement PlacementSettings
 	// Clock counts the time for which the machine is suspended; nil counts none.
 	Clock *clock.Clock
 }
 
+// PlacementSettings enables parts of the placement of runs. Each part takes effect only under its
+// own conditions. The zero value enables none.
+type PlacementSettings struct {
+	// Pace places runs by the pace of each engine.
+	Pace bool
+	// PaceMoves moves runs off engines that are too slow for them. It requires Pace.
+	PaceMoves bool
+	// ZoneAdmission queues the requests of all hosts of a zone in one order.
+	ZoneAdmission bool
+	// RoomForMoves keeps capacity for runs on departing engines.
+	RoomForMoves bool
+	// EngineReports asks engines for reports of their load.
+	EngineReports bool
+}
+
 // Journal receives the log lines about decisions. Its methods must not block.
 type Journal interface {
 	// Request records a decision about one request.
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -82,7 +82,9 @@
 	if err != nil {
 		return usageError{err}
 	}
-	settings.ApplyEnvironment(environment)
+	if err := settings.ApplyEnvironment(environment); err != nil {
+		return usageError{err}
+	}
 	entries, released, err := platform.Quarantine(ctx, settings, release)
 	if err != nil {
 		return fmt.Errorf("%s can't be queried: %w; is shedpath serve running here?", settings.PeerAddress, err)
--- a/internal/cli/rollout.go
+++ b/internal/cli/rollout.go
@@ -66,7 +66,9 @@
 	if err != nil {
 		return nil, usageError{err}
 	}
-	settings.ApplyEnvironment(system.LookupEnv)
+	if err := settings.ApplyEnvironment(system.LookupEnv); err != nil {
+		return nil, usageError{err}
+	}
 	ctx, cancel := context.WithTimeout(ctx, rolloutTimeout)
 	defer cancel()
 	all, err := platform.Rollouts(ctx, settings)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -40,7 +40,9 @@
 	if err != nil {
 		return usageError{err}
 	}
-	settings.ApplyEnvironment(system.LookupEnv)
+	if err := settings.ApplyEnvironment(system.LookupEnv); err != nil {
+		return usageError{err}
+	}
 	settings.Clock = clock.System()
 	t := telemetry.NewForward(system.Stdout)
 	defer t.Close()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -117,7 +117,8 @@
 
 // Report is an engine's latest report of its state. TotalMemory and UsedMemory
 // count the tokens that fit into its memory and that are in it; StepTime is the
-// duration of a decoding step.
+// duration of a decoding step. SlowStepTime is the duration that one step in ten
+// exceeds; zero means that the engine's own pace isn't known or isn't considered.
 type Report struct {
 	Engine      EngineID
 	TotalMemory Tokens
@@ -125,6 +126,8 @@
 	Running     int
 	Waiting     int
 	StepTime    time.Duration
+
+	SlowStepTime time.Duration
 }
 
 // Finish reports that a run has left its engine.
