forward, internal/peer: learn and exchange the pace of engines

A host feeds the gaps between events of its runs into a pace model for each service, exchanges marks with the hosts of its cell and reports each engine's own step times to the pool while pace is active.

--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -25,6 +25,9 @@
 	// clock gives the current time; nil stands for the system clock.
 	clock *clock.Clock
 
+	// paceEnabled enables placement by pace; it is set before the first configuration.
+	paceEnabled bool
+
 	mu    sync.Mutex
 	pools map[ServiceName]*enginePool
 	// lastReported is when each peer last reported its runs.
@@ -60,6 +63,8 @@
 	// the engines was last observed.
 	stepSamples  uint64
 	lastObserved time.Time
+	// pace is the pace of each engine.
+	pace servicePace
 }
 
 // expectedStep is how long a decoding step is expected to take.
@@ -148,6 +153,9 @@
 			e.pools[name] = p
 		}
 		p.spec = *s.Engine
+		if e.paceEnabled {
+			p.pace.configure(t.ShortestGapObjective(name), p.spec)
+		}
 		settings := poolSettings(p.spec, t.ShortestGapObjective(name))
 		settings.DeciderID = string(e.self)
 		p.pool.SetSettings(settings)
@@ -249,7 +257,8 @@
 	}
 	p.remote[u.ID] = u
 	p.updatePoolEngines()
-	p.pool.Report(e.now(), policy.Report{Engine: u.ID, TotalMemory: p.spec.Memory, StepTime: p.expectedStep()})
+	now := e.now()
+	p.pool.Report(now, p.report(now, u.ID))
 }
 
 // refresh passes the state of the engines and runs to the policy pool, and delivers decisions
@@ -260,8 +269,9 @@
 		p.pool.Progress(now, id, policy.Tokens(run.generatedTokens.Load()))
 		p.pool.UpdatePrefill(now, id, run.firstTokenAt)
 	}
+	p.pace.update(now)
 	for id := range p.poolEngines {
-		p.pool.Report(now, policy.Report{Engine: id, TotalMemory: p.spec.Memory, StepTime: p.expectedStep()})
+		p.pool.Report(now, p.report(now, id))
 	}
 	p.advance(now)
 }
@@ -465,6 +475,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, p := range e.pools {
+		p.forgetPaces([]member.UpstreamID{id})
 		for _, run := range p.pool.ResetEngine(id) {
 			delete(p.peerRuns, run)
 		}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -125,7 +125,9 @@
 	limitLogLimiter eventLimiter
 	// signalLogLimiter bounds the log lines about what upstreams report about themselves.
 	signalLogLimiter eventLimiter
-	retries          retryBudget
+	// paceLogLimiter bounds the log lines about invalid pace marks, by service.
+	paceLogLimiter eventLimiter
+	retries        retryBudget
 	// contactProvedAt is when this host last had proof that its configuration is the newest.
 	contactProvedAt latestTime
 	// originProvedAt is when the origin last proved that the list of upstreams is up to date,
@@ -192,6 +194,7 @@
 		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}), relistRequested: make(chan struct{}, 1),
 		fingerprintsToStore: make(chan quarantine.Fingerprint, saveQueueSize),
 	}
+	f.engines.paceEnabled = s.Placement.Pace
 	f.limiter = permit.New(s.Self, permitSite{f}, f.now)
 	f.retries.setLimit(s.RetryLimit)
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
@@ -311,6 +314,7 @@
 			f.engines.setAvailable(now, name, f.placementEngines(now, name, layout, own))
 		}
 	}
+	f.updatePaces(now)
 }
 
 // maxFallbackEngines bounds the engines of other cells on which a host places by itself when
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -11,6 +11,7 @@
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/pace"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
@@ -62,6 +63,8 @@
 	// Announcements are announcements of hosts. Only the reply to a host that has just started has
 	// any.
 	Announcements []roster.Announcement
+	// Paces are the host's new observations of the pace of engines, for the peers of its cell.
+	Paces []pace.Mark
 }
 
 // Peers is the interface to the other hosts.
@@ -202,6 +205,7 @@
 func (f *Forwarder) newShare(now time.Time) Share {
 	s := f.newShareWithoutRuns(now)
 	s.Runs, s.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
+	s.Paces = f.engines.paceMarks(now, false)
 	return s
 }
 
@@ -222,6 +226,9 @@
 	defer cancel()
 	var upTo uint64
 	share.Crashes, upTo = f.crashes.UnsentMarks(f.now(), to.ID)
+	if !f.peers.isInOwnCell(to.ID) {
+		share.Paces = nil
+	}
 	suspendedBefore := f.settings.Clock.TotalSuspended()
 	reply, err := peers.Share(ctx, to, share)
 	f.peers.recordShareResult(to.ID, err)
@@ -263,6 +270,7 @@
 		f.receivePeerBackoff(now, s.From.ID, mark)
 	}
 	f.resetRestartedUpstreams()
+	f.receivePaces(now, s.From.ID, s.Paces)
 	f.crashes.PeerSeen(s.From.ID, s.Epoch)
 	f.receivePeerCrashes(now, s.Crashes)
 	if len(s.Announcements) > 0 {
@@ -299,6 +307,7 @@
 		reply.Runs, reply.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
 		f.peers.recordExchange(now, s.From.ID)
 	}
+	reply.Paces = f.pacesForReply(now, s)
 	reply.Crashes, _ = f.crashes.UnsentMarks(now, s.From.ID)
 	if s.List.IsZero() {
 		reply.Announcements = f.peers.announcementsForJoiner(now, s.From.ID)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -141,7 +141,7 @@
 	first := a
 	for {
 		m := s.startMover(ctx, u, a)
-		s.engineFirstEventAt = time.Time{}
+		s.engineFirstEventAt, s.source = time.Time{}, u
 		err := s.relayEvents(ctx, first, a)
 		closeBody(a)
 		if err == nil && (a.Framed || !m.isRunStopping()) {
@@ -220,10 +220,12 @@
 		s.longestGap = max(s.longestGap, gap)
 		s.observer.EventGap(gap)
 		s.recordStep(now, gap)
+		s.recordPace(now, gap)
 	}
 	if s.callerErr = s.spool.Put(ctx, event); s.callerErr != nil {
 		return s.callerErr
 	}
+	s.noteSpoolDelay(now)
 	s.lastEventAt = now
 	s.delivered.Store(true)
 	s.noteEngineEvent(now)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -34,6 +34,11 @@
 	eventCount  int
 	// engineFirstEventAt is when the current engine's first event came; zero before.
 	engineFirstEventAt time.Time
+	// source is the engine that the stream comes from. While a move is prepared, the engine of run is
+	// the target already.
+	source Upstream
+	// spoolDelayed says that the caller held up the last event.
+	spoolDelayed bool
 	// initialEngine is the engine to which a new run was last sent, and initialSentAt when that
 	// was. Engines that resume the stream or take over a moved run are not recorded here.
 	initialEngine Upstream
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -19,6 +19,7 @@
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/internal/golden"
+	"github.com/shedpath/shedpath/pace"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -124,6 +125,11 @@
 	f.WatchLearnt(func() []forward.EngineEstimate {
 		return []forward.EngineEstimate{{Service: "service-1", PrefillRate: 19, PrefillSamples: 20, StepTime: 21 * time.Second, StepSamples: 22, Age: 23 * time.Second}}
 	})
+	f.WatchPaces(func() []forward.PaceStatus {
+		return []forward.PaceStatus{{Service: "service-1", Active: true, IgnoredMarks: 26, Engines: []forward.EnginePace{
+			{Engine: "engine-1", Estimate: pace.Estimate{Step: 27 * time.Second, SlowStep: 28 * time.Second, Samples: 29, Age: 30 * time.Second}},
+		}}}
+	})
 	f.WatchLimits(func() []ratelimit.LimitStatus {
 		return []ratelimit.LimitStatus{{Upstream: "upstream-1", NamedRate: 24, EffectiveRate: 25}}
 	})
