--- a/internal/peer/paces.go
+++ b/internal/peer/paces.go
@@ -11,10 +11,11 @@
 	"github.com/shedpath/shedpath/pace"
 )
 
-// wirePace encodes pace.Mark; Step and Slow are in microseconds, Age is in milliseconds.
+// wirePace encodes pace.Mark; Base, Step and Slow are in microseconds, Age is in milliseconds.
 type wirePace struct {
 	Engine     string
 	Life       int64
+	Base       int64
 	Step, Slow int64
 	N          int
 	Age        int64
@@ -24,7 +25,7 @@
 	var w []wirePace
 	for _, m := range marks {
 		w = append(w, wirePace{
-			Engine: string(m.Engine), Life: m.Incarnation, Step: m.Step.Microseconds(), Slow: m.SlowStep.Microseconds(), N: m.Samples, Age: m.Age.Milliseconds(),
+			Engine: string(m.Engine), Life: m.Incarnation, Base: m.BaseStep.Microseconds(), Step: m.Step.Microseconds(), Slow: m.SlowStep.Microseconds(), N: m.Samples, Age: m.Age.Milliseconds(),
 		})
 	}
 	return w
@@ -36,7 +37,7 @@
 	var marks []pace.Mark
 	for _, m := range w {
 		marks = append(marks, pace.Mark{
-			Engine: member.UpstreamID(m.Engine), Incarnation: m.Life, Step: duration(m.Step, time.Microsecond), SlowStep: duration(m.Slow, time.Microsecond),
+			Engine: member.UpstreamID(m.Engine), Incarnation: m.Life, BaseStep: duration(m.Base, time.Microsecond), Step: duration(m.Step, time.Microsecond), SlowStep: duration(m.Slow, time.Microsecond),
 			Samples: m.N, Age: duration(m.Age, time.Millisecond),
 		})
 	}
--- a/pace/activity.go
+++ b/pace/activity.go
@@ -3,17 +3,22 @@
 
 package pace
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
-	// unevenRatio is how much longer an engine's usual step must be than that of the fast engines for
-	// the engine to count as slow. Engines that are alike differ less while they decode: with 24 runs
-	// a step takes 1.3 times as long as with one. Engines of 0.6 and 1.0 of the usual speed differ by 1.67.
+	// unevenRatio is how much longer an engine's BaseStep must be than that of the fast engines for the
+	// engine to count as slow. Engines that are alike differ less: with 24 runs a step takes 1.39 times as
+	// long as with one. Engines of 0.6 and 1.0 of the usual speed differ by 1.67.
 	unevenRatio = 1.4
 	// unevenTime is how long an engine must have been slow, on new samples, before it counts. Engines
-	// slow down for 0.6 s at a time, and hosts and links for about a second; such a period and the time
-	// until as many usual samples have been received are shorter.
-	unevenTime = 2 * time.Second
+	// slow down for 0.6 s at a time, and hosts and links for about a second, and the estimate of an engine
+	// that came meanwhile needs as long again to follow. With 2 s, a slow second of a service with equal
+	// engines activated in 2 of 36 simulated zones, with 3 s in none.
+	unevenTime = 3 * time.Second
 	// minActivitySamples is the least number of samples of the engine that activates. One slow sample
 	// of eight is its SlowStep; of sixteen it isn't.
 	minActivitySamples = 16
@@ -69,7 +74,7 @@
 	Estimate Estimate
 	// Foreseen is the pause foreseen on Engine.
 	Foreseen time.Duration
-	// FastStep is the usual step of the fast engines, with which the others are compared: the lower
+	// FastStep is the BaseStep of the fast engines, with which the others are compared: the lower
 	// quartile of the known engines. Known is their number.
 	FastStep time.Duration
 	Known    int
@@ -82,13 +87,14 @@
 }
 
 // UpdateActivity decides whether placement by pace is active. It is to be called several times a
-// second. Active becomes true if the usual step of an engine has been unevenRatio times that of the fast
+// second. Active becomes true if the BaseStep of an engine has been unevenRatio times that of the fast
 // engines for unevenTime, on new samples, and the pause foreseen there exceeds the limit. It becomes
 // false holdTime after that was last so, and at once if there is no limit.
 //
 // The comparison with the other engines keeps it false while all engines are slow together; the time and
-// the new samples keep it false after a short slow period of one engine; the median and
-// minActivitySamples after single slow steps. The fast engines are the lower quartile rather than the
+// the new samples keep it false after a short slow period of one engine; BaseStep keeps it false while
+// some engines of the same speed prefill more than others; and minActivitySamples after single slow
+// steps. The fast engines are the lower quartile rather than the
 // median, because in a zone of fifteen engines more than half may be slow ones.
 func (m *Model) UpdateActivity(now time.Time, limit Limit) Activity {
 	found := m.findSlowEngine(now, limit)
@@ -119,10 +125,11 @@
 		}
 		return result
 	}
-	result.Reason, result.FastStep = ReasonEven, known[len(known)/4].Step
+	slices.SortFunc(known, func(a, b engineEstimate) int { return cmp.Compare(a.BaseStep, b.BaseStep) })
+	result.Reason, result.FastStep = ReasonEven, known[len(known)/4].BaseStep
 	for _, e := range known {
 		r := m.engines[e.engine]
-		if e.Age > newSampleAge || float64(e.Step) < unevenRatio*float64(result.FastStep) {
+		if e.Age > newSampleAge || float64(e.BaseStep) < unevenRatio*float64(result.FastStep) {
 			r.unevenSince = time.Time{}
 			continue
 		}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -30,8 +30,8 @@
 	Engine Engine
 	// Incarnation tells one start of the engine from others; zero if unknown.
 	Incarnation int64
-	// Step and SlowStep are as in Estimate.
-	Step, SlowStep time.Duration
+	// BaseStep, Step and SlowStep are as in Estimate.
+	BaseStep, Step, SlowStep time.Duration
 	// Samples is the number of samples, those of the past weighted by their age.
 	Samples int
 	// Age is the age of the newest sample.
@@ -43,6 +43,9 @@
 	// Step is the typical duration of a decoding step, and SlowStep the duration that one step in
 	// ten exceeds. SlowStep includes slow periods and steps that also prefill a prompt.
 	Step, SlowStep time.Duration
+	// BaseStep is the duration that nine steps in ten exceed. It shows the engine's own speed: it
+	// excludes slow periods and prefill unless they take nearly all of the time.
+	BaseStep time.Duration
 	// Samples is the number of samples, and Age the age of the newest one.
 	Samples int
 	Age     time.Duration
@@ -148,7 +151,7 @@
 // ReceiveMarks records a peer's marks. Marks with invalid values are ignored and counted.
 func (m *Model) ReceiveMarks(now time.Time, from member.HostID, marks []Mark) {
 	for i, mark := range marks {
-		if i >= MaxMarks || mark.Engine == "" || !isValidStep(mark.Step) || !isValidStep(mark.SlowStep) || mark.SlowStep < mark.Step || mark.Samples <= 0 || mark.Age < 0 {
+		if i >= MaxMarks || mark.Engine == "" || !isValidStep(mark.BaseStep) || !isValidStep(mark.SlowStep) || mark.Step < mark.BaseStep || mark.SlowStep < mark.Step || mark.Samples <= 0 || mark.Age < 0 {
 			m.ignoredMarks++
 			continue
 		}
@@ -184,9 +187,9 @@
 		if r.own.isEmpty() || age > oldest {
 			continue
 		}
-		step, slow := r.own.quantiles()
+		base, step, slow := r.own.quantiles()
 		marks = append(marks, Mark{
-			Engine: id, Incarnation: r.incarnation, Step: step, SlowStep: slow,
+			Engine: id, Incarnation: r.incarnation, BaseStep: base, Step: step, SlowStep: slow,
 			Samples: min(r.own.samples(), maxMarkSamples), Age: age,
 		})
 	}
@@ -207,13 +210,18 @@
 }
 
 func (r *record) estimate(now time.Time) (Estimate, bool) {
-	var steps, slowSteps, weights float64
+	var baseSteps, steps, slowSteps, weights float64
 	hosts, e := 0, Estimate{Age: maxAge}
-	add := func(step, slow time.Duration, samples int, age time.Duration) {
+	add := func(base, step, slow time.Duration, samples int, age time.Duration) {
 		if samples <= 0 || age > maxAge {
 			return
 		}
 		weight := float64(samples) * math.Exp(-float64(age)/float64(decayTime))
+		baseSteps += weight * float64(base)
+		if samples >= minSamples && (e.BaseStep == 0 || base < e.BaseStep) {
+			// A host that saw only a slow period must not raise it.
+			e.BaseStep = base
+		}
 		steps += weight * float64(step)
 		slowSteps += weight * float64(slow)
 		weights += weight
@@ -222,11 +230,11 @@
 		hosts++
 	}
 	if !r.own.isEmpty() {
-		step, slow := r.own.quantiles()
-		add(step, slow, r.own.samples(), r.own.age(now))
+		base, step, slow := r.own.quantiles()
+		add(base, step, slow, r.own.samples(), r.own.age(now))
 	}
 	for _, p := range r.peers {
-		add(p.Step, p.SlowStep, p.Samples, p.age(now))
+		add(p.BaseStep, p.Step, p.SlowStep, p.Samples, p.age(now))
 	}
 	least := minSamples
 	if hosts == 1 && r.batch != 1 {
@@ -236,6 +244,9 @@
 		return Estimate{}, false
 	}
 	e.Step, e.SlowStep = time.Duration(steps/weights), time.Duration(slowSteps/weights)
+	if e.BaseStep == 0 {
+		e.BaseStep = time.Duration(baseSteps / weights)
+	}
 	return e, true
 }
 
--- a/pace/samples.go
+++ b/pace/samples.go
@@ -16,7 +16,8 @@
 	// decayInterval is the time between two updates of the weights, which keeps the cost of a
 	// sample low. It is short against decayTime.
 	decayInterval = 250 * time.Millisecond
-	// usualQuantile and slowQuantile are the quantiles of Step and SlowStep.
+	// baseQuantile, usualQuantile and slowQuantile are the quantiles of BaseStep, Step and SlowStep.
+	baseQuantile  = 0.1
 	usualQuantile = 0.5
 	slowQuantile  = 0.9
 )
@@ -68,32 +69,29 @@
 	return time.Duration(float64(minStep) * math.Exp2(position/bucketsPerOctave))
 }
 
-// quantiles returns the step that half of the samples exceed, and the one that a tenth exceeds.
-func (s *sampleSet) quantiles() (usual, slow time.Duration) {
-	sum := 0.0
+// quantiles returns the steps that nine in ten, half and a tenth of the samples exceed.
+func (s *sampleSet) quantiles() (base, usual, slow time.Duration) {
+	sum, highest := 0.0, 0
 	for i, n := range s.buckets {
 		if n == 0 {
 			continue
 		}
+		highest = i
 		before := sum
 		sum += float64(n)
+		at := func(quantile float64) time.Duration {
+			return min(bucketStep(float64(i)+(quantile*s.weight-before)/float64(n)), maxStep)
+		}
+		if base == 0 && sum >= baseQuantile*s.weight {
+			base = at(baseQuantile)
+		}
 		if usual == 0 && sum >= usualQuantile*s.weight {
-			usual = bucketStep(float64(i) + (usualQuantile*s.weight-before)/float64(n))
+			usual = at(usualQuantile)
 		}
 		if sum >= slowQuantile*s.weight {
-			return usual, min(bucketStep(float64(i)+(slowQuantile*s.weight-before)/float64(n)), maxStep)
+			return base, usual, at(slowQuantile)
 		}
 	}
 	// Rounding left the sum below the quantile: the highest bucket in use counts.
-	return usual, max(usual, s.highest())
-}
-
-// highest returns the upper bound of the highest bucket in use.
-func (s *sampleSet) highest() time.Duration {
-	for i := bucketCount - 1; i >= 0; i-- {
-		if s.buckets[i] > 0 {
-			return min(bucketStep(float64(i+1)), maxStep)
-		}
-	}
-	return minStep
+	return base, usual, min(bucketStep(float64(highest+1)), maxStep)
 }
