--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -29,7 +29,8 @@
 	// activity is the result of the last update, made at updatedAt.
 	activity  pace.Activity
 	updatedAt time.Time
-	// typical stands in for engines that aren't known; it is valid if typicalKnown.
+	// typical stands in for engines that aren't known; it is valid if typicalKnown, which is set only while
+	// activity is active.
 	typical      pace.Estimate
 	typicalKnown bool
 	// unloggedChange is the last change of activity that isn't in the log yet.
@@ -66,7 +67,7 @@
 // apply sets the step times of a report to those of its engine if placement by pace is active. An
 // engine that isn't known counts as typical.
 func (p *servicePace) apply(now time.Time, r policy.Report) policy.Report {
-	if p.model == nil || !p.activity.Active || !p.typicalKnown {
+	if !p.typicalKnown {
 		return r
 	}
 	e, known := p.model.Estimate(now, r.Engine)
--- a/pace/activity.go
+++ b/pace/activity.go
@@ -16,9 +16,11 @@
 	unevenRatio = 1.4
 	// unevenTime is how long an engine must have been slow, on new samples, before it counts. Engines
 	// slow down for 0.6 s at a time, and hosts and links for about a second, and the estimate of an engine
-	// that came meanwhile needs as long again to follow. With 2 s, a slow second of a service with equal
-	// engines activated in 2 of 36 simulated zones, with 3 s in none.
+	// that came meanwhile needs as long again to follow.
 	unevenTime = 3 * time.Second
+	// loneUnevenTime is the same time if only one engine is slow. An engine that prefills without a pause
+	// looks slow, too, which one of many does for 3 s now and then.
+	loneUnevenTime = 2 * unevenTime
 	// minActivitySamples is the least number of samples of the engine that activates. One slow sample
 	// of eight is its SlowStep; of sixteen it isn't.
 	minActivitySamples = 16
@@ -87,8 +89,9 @@
 }
 
 // UpdateActivity decides whether placement by pace is active. It is to be called several times a
-// second. Active becomes true if the BaseStep of an engine has been unevenRatio times that of the fast
-// engines for unevenTime, on new samples, and the pause foreseen there exceeds the limit. It becomes
+// second. Active becomes true if the BaseStep of some engines has been unevenRatio times that of the fast
+// engines for unevenTime, or that of one engine for loneUnevenTime, on new samples, and the pause foreseen
+// on one of them exceeds the limit. It becomes
 // false holdTime after that was last so, and at once if there is no limit.
 //
 // The comparison with the other engines keeps it false while all engines are slow together; the time and
@@ -127,6 +130,7 @@
 	}
 	slices.SortFunc(known, func(a, b engineEstimate) int { return cmp.Compare(a.BaseStep, b.BaseStep) })
 	result.Reason, result.FastStep = ReasonEven, known[len(known)/4].BaseStep
+	slow, loneSince := 0, time.Time{}
 	for _, e := range known {
 		r := m.engines[e.engine]
 		if e.Age > newSampleAge || float64(e.BaseStep) < unevenRatio*float64(result.FastStep) {
@@ -139,11 +143,14 @@
 		if now.Sub(r.unevenSince) < unevenTime || e.Samples < minActivitySamples {
 			continue
 		}
+		slow, loneSince = slow+1, r.unevenSince
 		if foreseen := limit.Foreseen(e.Estimate); foreseen > result.Foreseen {
 			result.Engine, result.Estimate, result.Foreseen = e.engine, e.Estimate, foreseen
 		}
 	}
 	switch {
+	case slow == 1 && now.Sub(loneSince) < loneUnevenTime:
+		result.Engine, result.Estimate, result.Foreseen = "", Estimate{}, 0
 	case result.Foreseen > limit.Pause:
 		result.Reason = ReasonSlowEngine
 	case result.Engine != "":
