--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -235,8 +235,7 @@
 	}
 }
 
-// takePaceChanges calls log for each service with placement by pace, in the order of their names. log
-// must not block.
+// takePaceChanges calls log for each service with placement by pace. log must not block.
 func (e *enginePlacer) takePaceChanges(log func(ServiceName, *servicePace)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
