peer: send pace marks in an extension of the share

Wire types are arrays, and msgpack rejects an array with another number of fields, so a share with Paces as a further field couldn't be read by the previous version, nor theirs by this one.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,8 +5,8 @@
 // frames over TCP, with many concurrent calls on one connection, authenticated
 // by a shared key.
 //
-// A frame is a big-endian length of four bytes and one msgpack value. The
-// shared key authenticates the peers but encrypts nothing, so the network
+// A frame is a big-endian length of four bytes and one msgpack value, which another
+// may follow that extends the message. The shared key authenticates the peers but encrypts nothing, so the network
 // between them must be private.
 package peer
 
@@ -83,8 +83,11 @@
 		return nil, io.ErrUnexpectedEOF
 	}
 	var f frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
+	rest := bytes.NewReader(body)
+	if err := msgpack.NewDecoder(rest).Decode(&f); err != nil {
 		return nil, trace.Wrap(err, "decoding a frame of %d bytes", size)
 	}
+	// A message may have a second value, which extends the first.
+	f.Body = append(f.Body, body[len(body)-rest.Len():]...)
 	return &f, nil
 }
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -38,7 +38,8 @@
 	Limits            []wireLimitMark
 	Backoffs          []wireBackoff
 	Announced         []wireAnnouncement `msgpack:",omitempty"`
-	Paces             []wirePace         `msgpack:",omitempty"`
+	// extension has the fields that were added later.
+	extension wireShareExtension
 }
 
 // wireBackoff encodes backoff.Mark; For is the remaining time in milliseconds.
@@ -143,7 +144,7 @@
 		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Capacity: s.From.Capacity, Announcement: s.AnnouncementCount, AnnouncedAgo: s.AnnouncementAge.Milliseconds(), Version: uint64(s.Version),
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
 		Zones: toWireZones(now, s.Zones), Epoch: s.Epoch, Crashes: toWireCrashMarks(s.Crashes),
-		Limits: toWireLimitMarks(s.Limits), Announced: toWireAnnouncements(s.Announcements), Paces: toWirePaces(s.Paces),
+		Limits: toWireLimitMarks(s.Limits), Announced: toWireAnnouncements(s.Announcements), extension: wireShareExtension{Paces: toWirePaces(s.Paces)},
 	}
 	w.ListEra, w.List = pointNumbers(s.List)
 	for _, r := range s.Runs {
@@ -177,7 +178,7 @@
 		Version: forward.Version(w.Version), ConfigAge: time.Duration(w.ConfigAge) * time.Millisecond,
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
 		List: newPoint(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
-		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced), Paces: paceMarks(w.Paces),
+		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced), Paces: paceMarks(w.extension.Paces),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
