policy: placement by each engine's own pace

One line of step times for the whole pool ignores differences between engines, and long answers run on engines that make them late. Engines that report a SlowStepTime are weighed by their own pace instead. Without SlowStepTime, decisions are as recorded before (TestDecisionsWithoutOwnPace).

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -37,6 +37,7 @@
 
 func (p *Pool) chooseWhere(now time.Time, r *Request, eligible func(*engine) bool) *engine {
 	s := engineSearch{now: now, oldestReport: now.Add(-maxReportAge), request: r, growth: p.forecastRequest(r), stepLine: p.stepTimes.fit()}
+	s.pace = p.newPaceSearch(r, &s.growth)
 	far := false
 	for _, e := range p.engines {
 		if e.zone != r.Zone {
@@ -72,6 +73,7 @@
 	request           *Request
 	growth            memoryForecast
 	stepLine          stepLine
+	pace              paceSearch
 	// sameZoneLoad is the mean load of the engines in the request's zone that have
 	// room.
 	sameZoneLoad meanLoad
@@ -86,10 +88,11 @@
 }
 
 // engineCost is the cost of placing a request on an engine: prefill for reading
-// the part of the prompt that isn't cached there, load for the engine's work.
-type engineCost struct{ prefill, load float64 }
+// the part of the prompt that isn't cached there, load for the engine's work, pace
+// for how fast the engine decodes.
+type engineCost struct{ prefill, load, pace float64 }
 
-func (c engineCost) total() float64 { return c.prefill + c.load }
+func (c engineCost) total() float64 { return c.prefill + c.load + c.pace }
 
 // meanLoad accumulates the mean load of several engines.
 type meanLoad struct {
@@ -120,7 +123,7 @@
 	if !s.request.allows(e) {
 		return engineCost{}, false
 	}
-	return p.costOn(s.now, e, s.request, &s.growth, s.stepLine)
+	return p.costOn(s.now, e, s.request, &s.growth, s.stepLine, &s.pace)
 }
 
 // allows reports whether an engine is in the zones and groups to which the
@@ -183,9 +186,12 @@
 
 // costOn returns the cost of an engine for a request, and whether the engine has
 // room. The bounds on memory and step time don't apply to an idle engine.
-func (p *Pool) costOn(now time.Time, e *engine, r *Request, growth *memoryForecast, line stepLine) (engineCost, bool) {
+func (p *Pool) costOn(now time.Time, e *engine, r *Request, growth *memoryForecast, line stepLine, pace *paceSearch) (engineCost, bool) {
 	batch := e.batchSize() + 1
 	step := line.at(batch)
+	if pace.active {
+		step = 0 // paceCost takes its place
+	}
 	peak, fits := e.forecastWith(growth, p.settings.HeadroomDeviations, p.memoryBudget(e))
 	if batch > 1 && (!fits || step > float64(p.settings.MaxStepTime)) {
 		return engineCost{}, false
@@ -195,10 +201,14 @@
 	}
 	memory := float64(e.report.TotalMemory)
 	uncachedTokens := float64(r.PromptTokens - e.cache.reusableTokens(now, r))
-	return engineCost{
+	cost := engineCost{
 		prefill: prefillWeight * uncachedTokens / memory,
 		load:    memoryWeight*peak/memory + stepTimeWeight*step/float64(p.settings.MaxStepTime) + p.moveCost(peak) + p.waitCost(now, e, r, uncachedTokens),
-	}, true
+	}
+	if pace.active {
+		cost.pace = p.paceCost(e, pace, uncachedTokens)
+	}
+	return cost, true
 }
 
 // moveCost weighs that the engine's memory has to be moved off it when it leaves:
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -200,6 +200,7 @@
 // applyReport records a report. Memory and runs beyond those known count as
 // unattributed.
 func (e *engine) applyReport(now time.Time, r Report) {
+	e.keepProgress(now, r)
 	e.report, e.reportedAt = r, now
 	e.unattributedMemory, e.unattributedRuns = 0, 0
 	if r.Running <= len(e.orderedRuns) && len(e.orderedRuns) > 0 {
--- /dev/null
+++ b/policy/pace.go
@@ -0,0 +1,176 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// Engines of one service may differ in speed, and each may be slow for some time.
+// A caller counts an answer as late if a single pause between two of its events is
+// too long, so an answer of hundreds of events is late on an engine where one step
+// in a hundred is too long, and an answer of two events hardly ever is. If engines
+// report a SlowStepTime, the terms of this file replace the line of step times that
+// is fitted for the whole pool (see stepTimeModel). They address engines at 0.6 to
+// 1.6 of the usual speed that are 2.5 times slower for 0.6 s in every 4 s.
+//
+// The terms are fractions of an engine's memory, as the other parts of a cost are.
+// None of them forbids an engine: a late answer is better than none.
+
+const (
+	// pauseWeight is the cost of an answer that will be late because of a pause. All
+	// of it is lost to its caller, so it costs as much as an engine full of memory:
+	// engines that meet the bound are filled first. It is less than the cost of
+	// waiting until the first token is late, too.
+	pauseWeight = 1.0
+	// prefillPauseWeight is the cost of reading a prompt on an engine where that makes
+	// the pauses of running answers too long, for an engine full of such answers and
+	// a prompt as large as its memory. An engine of the given load holds eight
+	// answers, and reading a prompt of a tenth of its memory takes 0.35 to 0.6 s, in
+	// which about every fourth engine becomes slow and makes them late: two answers.
+	prefillPauseWeight = 20.0
+	// exposureWeight is the cost of staying on an engine for meanEngineLife. Most
+	// runs of an engine that departs are moved, and about one in seven is cut; the
+	// memory that an answer keeps in use counts as well.
+	exposureWeight = 0.5
+	meanEngineLife = 20 * time.Second
+	// The probability that the longest pause exceeds the bound rises from zero to one
+	// while its estimate rises from pauseRiskStart to pauseRiskEnd times the bound.
+	// Estimates are made from few samples, and an estimate near the bound decides
+	// little.
+	pauseRiskStart = 0.8
+	pauseRiskEnd   = 1.2
+	// prefillPauseSteps is the number of steps among which the longest is estimated
+	// for the answers that run while a prompt is read: reading 3,000 tokens in chunks
+	// takes some 30 steps, and an answer sees about three prompts read.
+	prefillPauseSteps = 100
+	// exposedHorizon is the index in horizons up to which an answer lasts only a few
+	// events, which are unlikely to include a long pause: 32 tokens, or eight events.
+	exposedHorizon = 1
+)
+
+// prefillPauseSpread is pauseSpread for prefillPauseSteps.
+var prefillPauseSpread = pauseSpread(prefillPauseSteps)
+
+// enginePace is how fast an engine decodes, in nanoseconds per step: the typical
+// time, and the time that one step in ten exceeds, which isn't below the former.
+type enginePace struct{ step, slowStep float64 }
+
+// longest returns an estimate of the longest of several steps, whose number is
+// given by its pauseSpread.
+func (e enginePace) longest(spread float64) float64 { return e.step + spread*(e.slowStep-e.step) }
+
+// pauseSpread returns how many times the difference between the slow and the
+// typical step the longest of n steps lies above the typical one. The tail is taken
+// to be exponential: it falls to a tenth with each such difference.
+func pauseSpread(n Tokens) float64 { return math.Log10(float64(max(n, 1))) }
+
+// paceTotals are sums over the active engines that report their own pace. They are
+// integers, so that they return to zero when engines report none any more. The zero
+// value is empty.
+type paceTotals struct {
+	engines        int
+	step, slowStep time.Duration
+}
+
+// add adds the pace of a report, or with a sign of -1 removes it.
+func (t *paceTotals) add(r Report, sign int) {
+	if r.SlowStepTime <= 0 {
+		return
+	}
+	t.engines += sign
+	t.step += time.Duration(sign) * r.StepTime
+	t.slowStep += time.Duration(sign) * r.SlowStepTime
+}
+
+// sumPaces recomputes the totals after the list of engines has changed.
+func (p *Pool) sumPaces() {
+	p.paces = paceTotals{}
+	for _, e := range p.engines {
+		p.paces.add(e.report, 1)
+	}
+}
+
+// paceOf returns an engine's pace. An engine that reports none counts as typical.
+// At least one active engine must report its own.
+func (p *Pool) paceOf(e *engine) enginePace {
+	step, slowStep, engines := e.report.StepTime, e.report.SlowStepTime, 1
+	if slowStep <= 0 {
+		step, slowStep, engines = p.paces.step, p.paces.slowStep, p.paces.engines
+	}
+	pace := enginePace{step: float64(step) / float64(engines), slowStep: float64(slowStep) / float64(engines)}
+	if pace.slowStep < pace.step {
+		pace.slowStep = pace.step
+	}
+	return pace
+}
+
+// paceSearch holds what the pace terms need to know of a request. The zero value
+// means that no engine reports its own pace, and the terms don't apply.
+type paceSearch struct {
+	active bool
+	// spread is the pauseSpread of the expected answer, and exposed the probability
+	// that it lasts for more than a few events.
+	spread, exposed float64
+	// steps is the expected length of the answer.
+	steps float64
+}
+
+func (p *Pool) newPaceSearch(r *Request, growth *memoryForecast) paceSearch {
+	if p.paces.engines == 0 {
+		return paceSearch{}
+	}
+	length := p.lengths.MeanLength(r)
+	return paceSearch{
+		active: true, spread: pauseSpread(length), steps: float64(length),
+		exposed: growth.mean[exposedHorizon] / float64(r.PromptTokens+horizons[exposedHorizon]),
+	}
+}
+
+// paceCost returns the cost of an engine's pace for a request: its own pauses, what
+// reading its prompt does to the answers that run there, and its time there.
+func (p *Pool) paceCost(e *engine, s *paceSearch, uncachedTokens float64) float64 {
+	pace, bound, memory := p.paceOf(e), float64(p.settings.MaxStepTime), float64(e.report.TotalMemory)
+	// The memory of the answers that are expected to go on for more than a few events.
+	disturbed := e.forecast.mean[exposedHorizon] / memory
+	return pauseWeight*s.exposed*pauseRisk(pace.longest(s.spread)/bound) +
+		prefillPauseWeight*disturbed*uncachedTokens/memory*pauseRisk(pace.longest(prefillPauseSpread)/bound) +
+		exposureWeight*s.steps*pace.step/float64(meanEngineLife)
+}
+
+// pauseRisk returns the probability that a pause exceeds the bound, by the estimate
+// of the longest pause as a multiple of it.
+func pauseRisk(ratio float64) float64 {
+	return min(max((ratio-pauseRiskStart)/(pauseRiskEnd-pauseRiskStart), 0), 1)
+}
+
+// keepProgress keeps the estimated progress of an engine's runs when it reports
+// another step time: what a run has generated doesn't change with the estimate of
+// its speed. An engine that doesn't report its own pace keeps the times at which
+// its runs are assumed to have started.
+func (e *engine) keepProgress(now time.Time, r Report) {
+	if e.report.SlowStepTime <= 0 && r.SlowStepTime <= 0 {
+		return
+	}
+	from, to := e.expectedStepTime(), (&engine{report: r}).expectedStepTime()
+	for _, run := range e.orderedRuns {
+		run.rescaleProgress(now, from, to)
+	}
+}
+
+// keepMovedProgress is keepProgress for a run that was moved here.
+func (e *engine) keepMovedProgress(now time.Time, run *placedRun, from *engine) {
+	if e.report.SlowStepTime > 0 || from.report.SlowStepTime > 0 {
+		run.rescaleProgress(now, from.expectedStepTime(), e.expectedStepTime())
+	}
+}
+
+// rescaleProgress changes when a run is assumed to have started, so that it has
+// generated as much with the new step time as with the old one.
+func (r *placedRun) rescaleProgress(now time.Time, from, to time.Duration) {
+	if from != to {
+		r.startedAt = now.Add(-time.Duration(float64(now.Sub(r.startedAt)) * float64(to) / float64(from)))
+	}
+}
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -48,6 +48,8 @@
 	queue          queue
 	stepTimes      stepTimeModel
 	prefill        prefillRate
+	// paces sums the paces that the active engines report.
+	paces paceTotals
 	// meanLogSlowness is the mean of the engines' logSlowness.
 	meanLogSlowness float64
 	// zoneCoverage holds, for other zones, the fraction of their hosts that has
@@ -113,6 +115,7 @@
 	}
 	p.retainRemoved(enginesByID)
 	p.engines, p.enginesByID = engines, enginesByID
+	p.sumPaces()
 }
 
 // hasEngines reports whether the active engines are those given, in that order.
@@ -137,6 +140,7 @@
 	fresh.zone, fresh.group = old.zone, old.group
 	if at := slices.Index(p.engines, old); at >= 0 {
 		p.engines[at], p.enginesByID[id] = fresh, fresh
+		p.sumPaces()
 	} else {
 		delete(p.removedEngines, id)
 	}
@@ -208,6 +212,8 @@
 	if e == nil {
 		return
 	}
+	p.paces.add(e.report, -1)
+	p.paces.add(r, 1)
 	e.applyReport(now, r)
 	e.refreshForecast(now)
 	p.stepTimes.observe(r.Running, r.StepTime)
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -110,9 +110,10 @@
 	run.engine.remove(run)
 	run.engine.refreshForecast(now)
 	run.placedAt, run.prefillPending, run.prefillTime = time.Time{}, false, 0
-	began := run.startedAt
+	from, began := run.engine, run.startedAt
 	to.add(now, run)
 	run.startedAt = began
+	to.keepMovedProgress(now, run, from)
 	p.queueBlocked = false
 }
 
