--- a/policy/engine.go
+++ b/policy/engine.go
@@ -200,8 +200,11 @@
 // applyReport records a report. Memory and runs beyond those known count as
 // unattributed.
 func (e *engine) applyReport(now time.Time, r Report) {
-	e.keepProgress(now, r)
+	from, hadPace := e.expectedStepTime(), e.report.SlowStepTime > 0
 	e.report, e.reportedAt = r, now
+	if hadPace || r.SlowStepTime > 0 {
+		e.keepProgress(now, from)
+	}
 	e.unattributedMemory, e.unattributedRuns = 0, 0
 	if r.Running <= len(e.orderedRuns) && len(e.orderedRuns) > 0 {
 		// All runs of the engine are known: a difference in memory use is an error of
--- a/policy/loadsim_test.go
+++ b/policy/loadsim_test.go
@@ -170,6 +170,10 @@
 	settings Settings
 	// engineMemory is the memory of each engine.
 	engineMemory Tokens
+	// report replaces the reports of the engines unless it is nil.
+	report func(id EngineID) Report
+	// burst multiplies the rate of the requests of a kind unless it is nil.
+	burst func(k simRequestKind) float64
 }
 
 // simEvent is a function to call at a simulated time. Events of the same time are ordered by seq.
@@ -281,10 +285,18 @@
 	h.pool.SetEngines(s.engineIDs)
 	for _, id := range s.engineIDs {
 		h.pool.SetZone(id, simZone(s.engineZones[id]))
-		h.pool.Report(s.now, Report{Engine: id, TotalMemory: s.engineMemory, StepTime: simStepTime})
+		h.pool.Report(s.now, s.engineReport(id))
 	}
 }
 
+// engineReport returns the present report of an engine.
+func (s *simulation) engineReport(id EngineID) Report {
+	if s.report != nil {
+		return s.report(id)
+	}
+	return Report{Engine: id, TotalMemory: s.engineMemory, StepTime: simStepTime}
+}
+
 func (s *simulation) listEnginesOnAllHosts() {
 	for _, h := range s.hosts {
 		s.listEngines(h)
@@ -323,7 +335,7 @@
 // update.
 func (s *simulation) updatePool(h *simHost) {
 	for _, id := range s.engineIDs {
-		h.pool.Report(s.now, Report{Engine: id, TotalMemory: s.engineMemory, StepTime: simStepTime})
+		h.pool.Report(s.now, s.engineReport(id))
 	}
 	for _, run := range h.sortedRuns() {
 		h.pool.Progress(s.now, run.request.Run, run.generated(s.now))
@@ -338,6 +350,9 @@
 	if s.trafficAmplitude > 0 {
 		interval /= 1 + s.trafficAmplitude*math.Sin(2*math.Pi*s.now.Sub(testStart).Seconds()/trafficPeriod.Seconds())
 	}
+	if s.burst != nil {
+		interval /= s.burst(k)
+	}
 	wait := time.Duration(s.requestRand.ExpFloat64() * interval)
 	s.schedule(wait, func() {
 		s.handleArrival(s.hosts[zone*s.simConfig.hostsPerZone+s.requestRand.IntN(s.simConfig.hostsPerZone)], k)
--- a/policy/memorysim_test.go
+++ b/policy/memorysim_test.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -33,6 +34,8 @@
 	rank func(r *Request) int
 	// settings are the settings of the hosts' pools.
 	settings Settings
+	// eventTokens is how many tokens a caller gets at a time; zero stands for one.
+	eventTokens Tokens
 }
 
 const (
@@ -68,8 +71,8 @@
 	unread                  Tokens
 	answerLength, generated Tokens
 	rank                    int
-	// lastTokenAt is when the last token came, and longestGap the longest time between two
-	// tokens.
+	// lastTokenAt is when the last token of an event came, and longestGap the longest time between
+	// two events.
 	lastTokenAt time.Time
 	longestGap  time.Duration
 	// preemptions counts how often the run was preempted.
@@ -100,7 +103,10 @@
 // memorySimResult counts the outcomes of requests of one kind, in addition to simResult.
 type memorySimResult struct {
 	inTime, lateFirstToken, longTokenGap, interrupted, preempted int
-	wasted                                                       Tokens
+	// ended counts the runs that ended, and took sums the times from their arrivals.
+	ended  int
+	took   time.Duration
+	wasted Tokens
 }
 
 // memorySimulation is the state of a running simulation that covers the engines' memory.
@@ -109,16 +115,28 @@
 	config        memorySimConfig
 	engines       map[EngineID]*memoryEngine
 	memoryResults map[string]*memorySimResult
+	// slowdown returns how many times longer than usual an engine's steps take now. Nil makes all
+	// engines equal.
+	slowdown func(id EngineID) float64
+	// observeGap is called with each time between two events of a run, unless it is nil.
+	observeGap func(m *memoryRun, gap time.Duration)
+	// reclaimRand draws the engines that are reclaimed, and their notices.
+	reclaimRand *rand.Rand
 }
 
 // simulateMemory runs a simulation and returns it and its results by kind of request.
 func simulateMemory(c memorySimConfig) (*memorySimulation, map[string]*memorySimResult) {
+	s := newMemorySimulation(c)
+	s.run()
+	return s, s.memoryResults
+}
+
+func newMemorySimulation(c memorySimConfig) *memorySimulation {
 	s := &memorySimulation{simulation: newSimulation(c.simConfig), config: c, engines: map[EngineID]*memoryEngine{}, memoryResults: map[string]*memorySimResult{}}
 	s.engineMemory, s.settings = c.engineMemory, c.settings
-	s.startOnEngine = s.enqueueRun
+	s.startOnEngine, s.reclaimRand = s.enqueueRun, s.decisionRand
 	s.schedule(c.reclaimInterval/2, s.reclaimEngines)
-	s.run()
-	return s, s.memoryResults
+	return s
 }
 
 func (s *memorySimulation) engine(id EngineID) *memoryEngine {
@@ -186,6 +204,9 @@
 		reading = e.running[at]
 		duration += simChunkReadTime
 	}
+	if s.slowdown != nil {
+		duration = time.Duration(float64(duration) * s.slowdown(e.id))
+	}
 	s.schedule(duration, func() {
 		if e.stopped {
 			return
@@ -218,13 +239,17 @@
 // generateToken adds a token to a run.
 func (s *memorySimulation) generateToken(m *memoryRun) {
 	m.generated++
-	if m.generated == 1 {
-		m.run.firstTokenAt = s.now
+	switch {
+	case m.generated == 1:
+		m.run.firstTokenAt, m.lastTokenAt = s.now, s.now
 		m.host.pool.RecordFirstToken(s.now, m.run.request.Run)
-	} else {
-		m.longestGap = max(m.longestGap, s.now.Sub(m.lastTokenAt))
+	case s.config.eventTokens == 0 || m.generated%s.config.eventTokens == 1:
+		gap := s.now.Sub(m.lastTokenAt)
+		m.longestGap, m.lastTokenAt = max(m.longestGap, gap), s.now
+		if s.observeGap != nil {
+			s.observeGap(m, gap)
+		}
 	}
-	m.lastTokenAt = s.now
 	if m.generated >= m.answerLength {
 		s.endRun(m, true)
 	}
@@ -279,6 +304,7 @@
 	m.ended = true
 	m.engine.remove(m)
 	r, request := s.result(m), m.run.request
+	r.ended, r.took = r.ended+1, r.took+s.now.Sub(request.ArrivedAt)
 	switch {
 	case !completed:
 		r.interrupted++
@@ -303,12 +329,12 @@
 // and schedules the next reclaim.
 func (s *memorySimulation) reclaimEngines() {
 	for range s.config.reclaimCount {
-		at := s.decisionRand.IntN(len(s.engineIDs))
+		at := s.reclaimRand.IntN(len(s.engineIDs))
 		id := s.engineIDs[at]
 		zone := s.engineZones[id]
 		s.engineIDs = slices.Delete(s.engineIDs, at, at+1)
 		e := s.engine(id)
-		notice := simMinReclaimNotice + time.Duration(s.decisionRand.Int64N(int64(500*time.Millisecond)))
+		notice := simMinReclaimNotice + time.Duration(s.reclaimRand.Int64N(int64(500*time.Millisecond)))
 		s.schedule(simNotifyDelay, func() { s.moveNextRun(e) })
 		s.schedule(notice, func() { s.stopEngine(e) })
 		s.schedule(notice+simReplacementDelay, func() {
--- a/policy/pace.go
+++ b/policy/pace.go
@@ -22,19 +22,25 @@
 const (
 	// pauseWeight is the cost of an answer that will be late because of a pause. All
 	// of it is lost to its caller, so it costs as much as an engine full of memory:
-	// engines that meet the bound are filled first. It is less than the cost of
-	// waiting until the first token is late, too.
+	// engines that meet the bound are filled first, those of other zones included.
 	pauseWeight = 1.0
+	// unknownPauseRisk is the risk of a long pause on an engine whose pace isn't known
+	// yet while others' is. One in three engines is slow in the load addressed, and
+	// an engine that has just joined looks attractive because it is empty.
+	unknownPauseRisk = 0.3
 	// prefillPauseWeight is the cost of reading a prompt on an engine where that makes
 	// the pauses of running answers too long, for an engine full of such answers and
-	// a prompt as large as its memory. An engine of the given load holds eight
-	// answers, and reading a prompt of a tenth of its memory takes 0.35 to 0.6 s, in
-	// which about every fourth engine becomes slow and makes them late: two answers.
+	// a prompt as large as its memory. An engine holds about eight long answers.
+	// Reading a prompt of a tenth of its memory takes a slow engine 0.6 s, and its
+	// probability to become slower in that time is 0.3: two or three late answers.
 	prefillPauseWeight = 20.0
-	// exposureWeight is the cost of staying on an engine for meanEngineLife. Most
-	// runs of an engine that departs are moved, and about one in seven is cut; the
-	// memory that an answer keeps in use counts as well.
-	exposureWeight = 0.5
+	// exposureWeight is the cost of an answer that runs for meanEngineLife. Then its
+	// engine most likely departs under it, and it must be moved or is cut, and its
+	// memory is in use for longer. In the simulated load, the share of long answers in
+	// time grows up to this weight; at twice this weight, more runs are cut because
+	// the fast engines are too full.
+	exposureWeight = 2.0
+	// meanEngineLife is how long an engine lives if a sixth of all departs every 3.3 s.
 	meanEngineLife = 20 * time.Second
 	// The probability that the longest pause exceeds the bound rises from zero to one
 	// while its estimate rises from pauseRiskStart to pauseRiskEnd times the bound.
@@ -46,8 +52,9 @@
 	// for the answers that run while a prompt is read: reading 3,000 tokens in chunks
 	// takes some 30 steps, and an answer sees about three prompts read.
 	prefillPauseSteps = 100
-	// exposedHorizon is the index in horizons up to which an answer lasts only a few
-	// events, which are unlikely to include a long pause: 32 tokens, or eight events.
+	// exposedHorizon is the index in horizons of the length beyond which an answer has
+	// more than a few events, so that a long pause among them is likely: 32 tokens,
+	// eight events of four tokens.
 	exposedHorizon = 1
 )
 
@@ -132,31 +139,51 @@
 // paceCost returns the cost of an engine's pace for a request: its own pauses, what
 // reading its prompt does to the answers that run there, and its time there.
 func (p *Pool) paceCost(e *engine, s *paceSearch, uncachedTokens float64) float64 {
-	pace, bound, memory := p.paceOf(e), float64(p.settings.MaxStepTime), float64(e.report.TotalMemory)
+	pace, memory := p.paceOf(e), float64(e.report.TotalMemory)
+	risk := p.pauseRisk(pace, s.spread)
+	if e.report.SlowStepTime <= 0 && risk < unknownPauseRisk {
+		risk = unknownPauseRisk
+	}
 	// The memory of the answers that are expected to go on for more than a few events.
 	disturbed := e.forecast.mean[exposedHorizon] / memory
-	return pauseWeight*s.exposed*pauseRisk(pace.longest(s.spread)/bound) +
-		prefillPauseWeight*disturbed*uncachedTokens/memory*pauseRisk(pace.longest(prefillPauseSpread)/bound) +
+	return pauseWeight*s.exposed*risk +
+		prefillPauseWeight*disturbed*uncachedTokens/memory*p.pauseRisk(pace, prefillPauseSpread) +
 		exposureWeight*s.steps*pace.step/float64(meanEngineLife)
 }
 
-// pauseRisk returns the probability that a pause exceeds the bound, by the estimate
-// of the longest pause as a multiple of it.
-func pauseRisk(ratio float64) float64 {
-	return min(max((ratio-pauseRiskStart)/(pauseRiskEnd-pauseRiskStart), 0), 1)
+// pauseRisk returns the probability that the longest of several steps, whose number
+// is given by its pauseSpread, exceeds the bound.
+func (p *Pool) pauseRisk(pace enginePace, spread float64) float64 {
+	ratio := pace.longest(spread) / float64(p.settings.MaxStepTime)
+	// Faster than the built-in min and max, which handle NaNs.
+	switch {
+	case ratio <= pauseRiskStart:
+		return 0
+	case ratio >= pauseRiskEnd:
+		return 1
+	}
+	return (ratio - pauseRiskStart) / (pauseRiskEnd - pauseRiskStart)
 }
 
-// keepProgress keeps the estimated progress of an engine's runs when it reports
-// another step time: what a run has generated doesn't change with the estimate of
-// its speed. An engine that doesn't report its own pace keeps the times at which
-// its runs are assumed to have started.
-func (e *engine) keepProgress(now time.Time, r Report) {
-	if e.report.SlowStepTime <= 0 && r.SlowStepTime <= 0 {
-		return
+// paceSlowness returns an engine's step time relative to the mean of the engines
+// that report their pace; one if the engine reports none. It stands in for the
+// engine's prefill slowness until that is learned: an engine that decodes slowly
+// reads prompts slowly, too, and short answers placed there would be late.
+func (p *Pool) paceSlowness(e *engine) float64 {
+	if e.report.SlowStepTime <= 0 || e.report.StepTime <= 0 {
+		return 1
 	}
-	from, to := e.expectedStepTime(), (&engine{report: r}).expectedStepTime()
+	ratio := float64(e.report.StepTime) * float64(p.paces.engines) / float64(p.paces.step)
+	return min(max(ratio, 1/maxSlowness), maxSlowness)
+}
+
+// keepProgress keeps the estimated progress of an engine's runs when its step time
+// changes: what a run has generated doesn't change with the estimate of its speed.
+// An engine that doesn't report its own pace keeps the times at which its runs are
+// assumed to have started.
+func (e *engine) keepProgress(now time.Time, from time.Duration) {
 	for _, run := range e.orderedRuns {
-		run.rescaleProgress(now, from, to)
+		run.rescaleProgress(now, from, e.expectedStepTime())
 	}
 }
 
@@ -174,3 +201,51 @@
 		r.startedAt = now.Add(-time.Duration(float64(now.Sub(r.startedAt)) * float64(to) / float64(from)))
 	}
 }
+
+// PacePlacements counts the runs placed while engines reported their own pace, by
+// the estimated longest pause on the engine: within the bound, above it (a last
+// resort), or on an engine of unknown pace.
+type PacePlacements struct{ WithinBound, LastResort, Unknown uint64 }
+
+// PacePlacements returns the counts since the pool was made.
+func (p *Pool) PacePlacements() PacePlacements { return p.pacePlacements }
+
+// countPace counts a placement in PacePlacements.
+func (p *Pool) countPace(e *engine, r *Request) {
+	switch {
+	case p.paces.engines == 0:
+	case e.report.SlowStepTime <= 0:
+		p.pacePlacements.Unknown++
+	case p.paceOf(e).longest(pauseSpread(p.lengths.MeanLength(r))) > float64(p.settings.MaxStepTime):
+		p.pacePlacements.LastResort++
+	default:
+		p.pacePlacements.WithinBound++
+	}
+}
+
+// RunPace is what placement assumes of the pace of a run's engine.
+type RunPace struct {
+	StepTime, SlowStepTime time.Duration
+	// LongestStep is the estimated longest step of an answer like the run's, and
+	// MaxStepTime the bound for it.
+	LongestStep, MaxStepTime time.Duration
+	// Known reports that the engine's own pace is known; otherwise it counts as
+	// typical. Age is the age of the engine's last report.
+	Known bool
+	Age   time.Duration
+}
+
+// RunPace returns what placement assumes of the pace of a run's engine, for the log.
+// It returns false if the run isn't known or no engine reports its own pace.
+func (p *Pool) RunPace(now time.Time, id RunID) (RunPace, bool) {
+	run := p.runs[id]
+	if run == nil || p.paces.engines == 0 {
+		return RunPace{}, false
+	}
+	pace := p.paceOf(run.engine)
+	return RunPace{
+		StepTime: time.Duration(pace.step), SlowStepTime: time.Duration(pace.slowStep),
+		LongestStep: time.Duration(pace.longest(pauseSpread(p.lengths.MeanLength(&run.Request)))), MaxStepTime: p.settings.MaxStepTime,
+		Known: run.engine.report.SlowStepTime > 0, Age: now.Sub(run.engine.reportedAt),
+	}, true
+}
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -49,7 +49,8 @@
 	stepTimes      stepTimeModel
 	prefill        prefillRate
 	// paces sums the paces that the active engines report.
-	paces paceTotals
+	paces          paceTotals
+	pacePlacements PacePlacements
 	// meanLogSlowness is the mean of the engines' logSlowness.
 	meanLogSlowness float64
 	// zoneCoverage holds, for other zones, the fraction of their hosts that has
@@ -309,6 +310,7 @@
 	e.add(now, run)
 	e.addPrefill(now, run, p.expectedPrefillTime(now, e, r))
 	e.cache.put(now, r.Prefix, r.PrefixTokens)
+	p.countPace(e, r)
 	return grantDecision(run, waited)
 }
 
--- a/policy/pool_bench_test.go
+++ b/policy/pool_bench_test.go
@@ -110,3 +110,25 @@
 		p.Report(testStart.Add(time.Second), Report{Engine: "g7", TotalMemory: 100_000, UsedMemory: 20_000, Running: 40, StepTime: testStepTime})
 	}
 }
+
+// BenchmarkDecisionByPace measures the choice of an engine with and without the engines' own paces,
+// for the number of engines of one service and for a large pool.
+func BenchmarkDecisionByPace(b *testing.B) {
+	for _, engines := range []int{44, 3000} {
+		for _, slowStep := range []time.Duration{0, testStepTime * 3 / 2} {
+			b.Run(fmt.Sprintf("%d/own=%t", engines, slowStep > 0), func(b *testing.B) {
+				p := newBusyPool(engines)
+				for _, id := range p.Engines() {
+					p.Report(testStart, Report{Engine: id, TotalMemory: 100_000, StepTime: testStepTime, SlowStepTime: slowStep})
+				}
+				r := newRequest("new", 500)
+				b.ReportAllocs()
+				for b.Loop() {
+					if p.choose(testStart, &r) == nil {
+						b.Fatal("no engine has room for the request")
+					}
+				}
+			})
+		}
+	}
+}
--- a/policy/prefill.go
+++ b/policy/prefill.go
@@ -39,7 +39,7 @@
 // pool's engines. What they have in common is part of the pool's prefill rate.
 func (p *Pool) slowness(e *engine) float64 {
 	if !e.slownessLearned {
-		return 1
+		return p.paceSlowness(e)
 	}
 	return min(max(math.Exp(e.logSlowness-p.meanLogSlowness), 1/maxSlowness), maxSlowness)
 }
@@ -118,7 +118,7 @@
 	}
 	ratio := min(max(float64(actual)/float64(expected), 1/maxSlowness), maxSlowness)
 	if !e.slownessLearned {
-		e.logSlowness, e.slownessLearned = p.meanLogSlowness, true
+		e.logSlowness, e.slownessLearned = p.meanLogSlowness+math.Log(p.paceSlowness(e)), true
 	}
 	e.logSlowness += slownessWeight * math.Log(ratio)
 	p.meanLogSlowness = p.averageLogSlowness()
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -92,6 +92,7 @@
 		return "", false
 	}
 	p.moveRun(now, run, to)
+	p.countPace(to, &request)
 	return to.id, true
 }
 
