--- a/policy/choose.go
+++ b/policy/choose.go
@@ -190,7 +190,7 @@
 	batch := e.batchSize() + 1
 	step := line.at(batch)
 	if pace.active {
-		step = 0 // paceCost takes its place
+		step = 0 // paceSearch.cost takes its place
 	}
 	peak, fits := e.forecastWith(growth, p.settings.HeadroomDeviations, p.memoryBudget(e))
 	if batch > 1 && (!fits || step > float64(p.settings.MaxStepTime)) {
@@ -206,7 +206,7 @@
 		load:    memoryWeight*peak/memory + stepTimeWeight*step/float64(p.settings.MaxStepTime) + p.moveCost(peak) + p.waitCost(now, e, r, uncachedTokens),
 	}
 	if pace.active {
-		cost.pace = p.paceCost(e, pace, uncachedTokens)
+		cost.pace = pace.cost(e, uncachedTokens)
 	}
 	return cost, true
 }
--- a/policy/pace.go
+++ b/policy/pace.go
@@ -100,29 +100,53 @@
 	}
 }
 
-// paceOf returns an engine's pace. An engine that reports none counts as typical.
-// At least one active engine must report its own.
-func (p *Pool) paceOf(e *engine) enginePace {
-	step, slowStep, engines := e.report.StepTime, e.report.SlowStepTime, 1
-	if slowStep <= 0 {
-		step, slowStep, engines = p.paces.step, p.paces.slowStep, p.paces.engines
+// typical returns the mean pace; zero if no engine reports its own.
+func (t *paceTotals) typical() enginePace {
+	if t.engines == 0 {
+		return enginePace{}
 	}
-	pace := enginePace{step: float64(step) / float64(engines), slowStep: float64(slowStep) / float64(engines)}
-	if pace.slowStep < pace.step {
-		pace.slowStep = pace.step
+	return newEnginePace(t.step/time.Duration(t.engines), t.slowStep/time.Duration(t.engines))
+}
+
+func newEnginePace(step, slowStep time.Duration) enginePace {
+	if slowStep < step {
+		slowStep = step
+	}
+	return enginePace{step: float64(step), slowStep: float64(slowStep)}
+}
+
+// ownPace returns the pace that an engine reports, or false.
+func (e *engine) ownPace() (enginePace, bool) {
+	if e.report.SlowStepTime <= 0 {
+		return enginePace{}, false
 	}
-	return pace
+	return newEnginePace(e.report.StepTime, e.report.SlowStepTime), true
 }
 
-// paceSearch holds what the pace terms need to know of a request. The zero value
-// means that no engine reports its own pace, and the terms don't apply.
+// paceOf returns an engine's pace, and whether it is its own. An engine that
+// reports none counts as typical.
+func (p *Pool) paceOf(e *engine) (pace enginePace, own bool) {
+	if pace, own = e.ownPace(); own {
+		return pace, true
+	}
+	return p.paces.typical(), false
+}
+
+// paceSearch holds what the pace terms need to know of a request and the pool. The
+// zero value means that no engine reports its own pace, and the terms don't apply.
 type paceSearch struct {
 	active bool
-	// spread is the pauseSpread of the expected answer, and exposed the probability
-	// that it lasts for more than a few events.
-	spread, exposed float64
-	// steps is the expected length of the answer.
-	steps float64
+	// typical is the pace assumed for an engine that reports none.
+	typical enginePace
+	// bounds is 1/MaxStepTime: times it, a duration is in multiples of the bound.
+	bounds float64
+	// spread is the pauseSpread of the expected answer.
+	spread float64
+	// pauseCost is the cost of a certain long pause: pauseWeight times the probability
+	// that the answer lasts for more than a few events.
+	pauseCost float64
+	// exposureCost is the cost per nanosecond of step time.
+	exposureCost float64
 }
 
 func (p *Pool) newPaceSearch(r *Request, growth *memoryForecast) paceSearch {
@@ -131,38 +155,44 @@
 	}
 	length := p.lengths.MeanLength(r)
 	return paceSearch{
-		active: true, spread: pauseSpread(length), steps: float64(length),
-		exposed: growth.mean[exposedHorizon] / float64(r.PromptTokens+horizons[exposedHorizon]),
+		active: true, typical: p.paces.typical(), bounds: 1 / float64(p.settings.MaxStepTime), spread: pauseSpread(length),
+		pauseCost:    pauseWeight * growth.mean[exposedHorizon] / float64(r.PromptTokens+horizons[exposedHorizon]),
+		exposureCost: exposureWeight * float64(length) / float64(meanEngineLife),
 	}
 }
 
-// paceCost returns the cost of an engine's pace for a request: its own pauses, what
+// cost returns the cost of an engine's pace for the request: its own pauses, what
 // reading its prompt does to the answers that run there, and its time there.
-func (p *Pool) paceCost(e *engine, s *paceSearch, uncachedTokens float64) float64 {
-	pace, memory := p.paceOf(e), float64(e.report.TotalMemory)
-	risk := p.pauseRisk(pace, s.spread)
-	if e.report.SlowStepTime <= 0 && risk < unknownPauseRisk {
+func (s *paceSearch) cost(e *engine, uncachedTokens float64) float64 {
+	pace, own := e.ownPace()
+	if !own {
+		pace = s.typical
+	}
+	risk := pauseRisk(pace.longest(s.spread) * s.bounds)
+	if !own && risk < unknownPauseRisk {
 		risk = unknownPauseRisk
 	}
-	// The memory of the answers that are expected to go on for more than a few events.
-	disturbed := e.forecast.mean[exposedHorizon] / memory
-	return pauseWeight*s.exposed*risk +
-		prefillPauseWeight*disturbed*uncachedTokens/memory*p.pauseRisk(pace, prefillPauseSpread) +
-		exposureWeight*s.steps*pace.step/float64(meanEngineLife)
+	cost := s.pauseCost*risk + s.exposureCost*pace.step
+	if risk := pauseRisk(pace.longest(prefillPauseSpread) * s.bounds); risk > 0 {
+		// The memory of the answers that are expected to go on for more than a few events.
+		disturbed := e.forecast.mean[exposedHorizon]
+		memory := float64(e.report.TotalMemory)
+		cost += prefillPauseWeight * disturbed * uncachedTokens / (memory * memory) * risk
+	}
+	return cost
 }
 
-// pauseRisk returns the probability that the longest of several steps, whose number
-// is given by its pauseSpread, exceeds the bound.
-func (p *Pool) pauseRisk(pace enginePace, spread float64) float64 {
-	ratio := pace.longest(spread) / float64(p.settings.MaxStepTime)
-	// Faster than the built-in min and max, which handle NaNs.
+// pauseRisk returns the probability that a pause exceeds the bound, by the estimate
+// of the longest pause in multiples of the bound.
+func pauseRisk(longest float64) float64 {
+	// The built-in min and max handle NaNs, which takes longer.
 	switch {
-	case ratio <= pauseRiskStart:
+	case longest <= pauseRiskStart:
 		return 0
-	case ratio >= pauseRiskEnd:
+	case longest >= pauseRiskEnd:
 		return 1
 	}
-	return (ratio - pauseRiskStart) / (pauseRiskEnd - pauseRiskStart)
+	return (longest - pauseRiskStart) / (pauseRiskEnd - pauseRiskStart)
 }
 
 // paceSlowness returns an engine's step time relative to the mean of the engines
@@ -212,11 +242,12 @@
 
 // countPace counts a placement in PacePlacements.
 func (p *Pool) countPace(e *engine, r *Request) {
+	pace, own := p.paceOf(e)
 	switch {
 	case p.paces.engines == 0:
-	case e.report.SlowStepTime <= 0:
+	case !own:
 		p.pacePlacements.Unknown++
-	case p.paceOf(e).longest(pauseSpread(p.lengths.MeanLength(r))) > float64(p.settings.MaxStepTime):
+	case pace.longest(pauseSpread(p.lengths.MeanLength(r))) > float64(p.settings.MaxStepTime):
 		p.pacePlacements.LastResort++
 	default:
 		p.pacePlacements.WithinBound++
@@ -242,10 +273,10 @@
 	if run == nil || p.paces.engines == 0 {
 		return RunPace{}, false
 	}
-	pace := p.paceOf(run.engine)
+	pace, own := p.paceOf(run.engine)
 	return RunPace{
 		StepTime: time.Duration(pace.step), SlowStepTime: time.Duration(pace.slowStep),
 		LongestStep: time.Duration(pace.longest(pauseSpread(p.lengths.MeanLength(&run.Request)))), MaxStepTime: p.settings.MaxStepTime,
-		Known: run.engine.report.SlowStepTime > 0, Age: now.Sub(run.engine.reportedAt),
+		Known: own, Age: now.Sub(run.engine.reportedAt),
 	}, true
 }
--- a/policy/pace_test.go
+++ b/policy/pace_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -117,6 +118,11 @@
 			p.Adopt(testStart, longRequest(fmt.Sprint("add", id, i)), id, 1)
 		}
 	}
+	// addNew replaces an engine by one that reports no pace.
+	addNew := func(p *Pool, replaced EngineID) {
+		p.SetEngines(append(slices.DeleteFunc(p.Engines(), func(id EngineID) bool { return id == replaced }), "new"))
+		p.Report(testStart, Report{Engine: "new", TotalMemory: paceMemory, StepTime: time.Millisecond})
+	}
 	for _, c := range []struct {
 		name    string
 		prepare func(*Pool)
@@ -124,20 +130,14 @@
 		want    EngineID
 	}{
 		{"a long answer goes to the fastest engine", func(*Pool) {}, longRequest("r"), "fast"},
-		{"a long answer avoids an empty engine that exceeds the bound", func(p *Pool) { add(p, "usual", 3); add(p, "fast", 3) }, longRequest("r"), "fast"},
+		{"a long answer avoids an empty engine that exceeds the bound", func(p *Pool) { add(p, "usual", 5); add(p, "fast", 6) }, longRequest("r"), "usual"},
 		{"an engine that exceeds the bound is a last resort", func(p *Pool) { fill(p, "usual"); fill(p, "fast") }, longRequest("r"), "slow"},
 		{"a short answer goes where no caller waits for tokens", func(p *Pool) { add(p, "usual", 1); add(p, "fast", 1) }, shortRequest("r"), "slow"},
 		{"a short answer avoids long answers that it would make late", func(p *Pool) { add(p, "slow", 2); add(p, "usual", 3); add(p, "fast", 3) }, shortRequest("r"), "fast"},
 		{"memory spreads the load", func(p *Pool) { add(p, "fast", 4) }, longRequest("r"), "usual"},
-		{"an engine of unknown pace counts as typical, with some risk", func(p *Pool) {
-			p.SetEngines([]EngineID{"slow", "usual", "fast", "new"})
-			p.Report(testStart, Report{Engine: "new", TotalMemory: paceMemory, StepTime: time.Millisecond})
-		}, longRequest("r"), "fast"},
-		{"an engine of unknown pace precedes one that exceeds the bound", func(p *Pool) {
-			p.SetEngines([]EngineID{"slow", "new"})
-			p.Report(testStart, Report{Engine: "new", TotalMemory: paceMemory, StepTime: 10 * time.Millisecond})
-			p.paces = paceTotals{engines: 3, step: 33 * time.Millisecond, slowStep: 55 * time.Millisecond}
-		}, longRequest("r"), "new"},
+		{"an engine of unknown pace isn't tried first", func(p *Pool) { add(p, "fast", 1); addNew(p, "slow") }, longRequest("r"), "fast"},
+		{"an engine of unknown pace precedes a full one", func(p *Pool) { add(p, "usual", 5); addNew(p, "fast") }, longRequest("r"), "new"},
+		{"an engine of unknown pace precedes one that exceeds the bound", func(p *Pool) { fill(p, "usual"); addNew(p, "fast") }, longRequest("r"), "new"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -150,6 +150,23 @@
 	}
 }
 
+// TestLastResort checks that engines which are all slower than the bound still take runs. Without
+// their own pace, the pool's line of step times forbids them.
+func TestLastResort(t *testing.T) {
+	is := is.New(t)
+	for _, slowStep := range []time.Duration{0, 60 * time.Millisecond} {
+		p := newPacePool(1)
+		for _, id := range p.Engines() {
+			for running := range 5 {
+				p.Report(testStart, Report{Engine: id, TotalMemory: paceMemory, Running: 1 + running, StepTime: 50 * time.Millisecond, SlowStepTime: slowStep})
+			}
+			p.Report(testStart, Report{Engine: id, TotalMemory: paceMemory, Running: 1, StepTime: 50 * time.Millisecond, SlowStepTime: slowStep})
+		}
+		_, placed := p.TryPlace(testStart, longRequest("r"))
+		is.Equal(placed, slowStep > 0)
+	}
+}
+
 // TestPaceLeavesRoom checks that the cost of slower engines doesn't fill the fast ones first: the
 // usual engine takes its part while the fast one has room for two more long answers, which may
 // have to move there.
