--- a/policy/choose.go
+++ b/policy/choose.go
@@ -206,7 +206,7 @@
 		load:    memoryWeight*peak/memory + stepTimeWeight*step/float64(p.settings.MaxStepTime) + p.moveCost(peak) + p.waitCost(now, e, r, uncachedTokens),
 	}
 	if pace.active {
-		cost.pace = pace.cost(e, uncachedTokens)
+		cost.pace = pace.cost(e, cost.prefill)
 	}
 	return cost, true
 }
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -64,6 +64,8 @@
 	report Report
 	// reportedAt is when report arrived; zero means that no valid report exists.
 	reportedAt time.Time
+	// pace is the pace of report. It is valid if the report has a SlowStepTime.
+	pace enginePace
 	// isNew reports that the engine has begun to take work since the queue was last
 	// examined. Queued requests may be placed there from queueServedFrom on.
 	isNew           bool
@@ -201,7 +203,7 @@
 // unattributed.
 func (e *engine) applyReport(now time.Time, r Report) {
 	from, hadPace := e.expectedStepTime(), e.report.SlowStepTime > 0
-	e.report, e.reportedAt = r, now
+	e.report, e.reportedAt, e.pace = r, now, newEnginePace(r.StepTime, r.SlowStepTime)
 	if hadPace || r.SlowStepTime > 0 {
 		e.keepProgress(now, from)
 	}
--- a/policy/pace.go
+++ b/policy/pace.go
@@ -67,7 +67,7 @@
 
 // longest returns an estimate of the longest of several steps, whose number is
 // given by its pauseSpread.
-func (e enginePace) longest(spread float64) float64 { return e.step + spread*(e.slowStep-e.step) }
+func (e *enginePace) longest(spread float64) float64 { return e.step + spread*(e.slowStep-e.step) }
 
 // pauseSpread returns how many times the difference between the slow and the
 // typical step the longest of n steps lies above the typical one. The tail is taken
@@ -115,19 +115,11 @@
 	return enginePace{step: float64(step), slowStep: float64(slowStep)}
 }
 
-// ownPace returns the pace that an engine reports, or false.
-func (e *engine) ownPace() (enginePace, bool) {
-	if e.report.SlowStepTime <= 0 {
-		return enginePace{}, false
-	}
-	return newEnginePace(e.report.StepTime, e.report.SlowStepTime), true
-}
-
 // paceOf returns an engine's pace, and whether it is its own. An engine that
 // reports none counts as typical.
 func (p *Pool) paceOf(e *engine) (pace enginePace, own bool) {
-	if pace, own = e.ownPace(); own {
-		return pace, true
+	if e.report.SlowStepTime > 0 {
+		return e.pace, true
 	}
 	return p.paces.typical(), false
 }
@@ -163,10 +155,11 @@
 
 // cost returns the cost of an engine's pace for the request: its own pauses, what
 // reading its prompt does to the answers that run there, and its time there.
-func (s *paceSearch) cost(e *engine, uncachedTokens float64) float64 {
-	pace, own := e.ownPace()
+// prefill is the cost of reading the prompt there.
+func (s *paceSearch) cost(e *engine, prefill float64) float64 {
+	pace, own := &e.pace, e.report.SlowStepTime > 0
 	if !own {
-		pace = s.typical
+		pace = &s.typical
 	}
 	risk := pauseRisk(pace.longest(s.spread) * s.bounds)
 	if !own && risk < unknownPauseRisk {
@@ -175,9 +168,8 @@
 	cost := s.pauseCost*risk + s.exposureCost*pace.step
 	if risk := pauseRisk(pace.longest(prefillPauseSpread) * s.bounds); risk > 0 {
 		// The memory of the answers that are expected to go on for more than a few events.
-		disturbed := e.forecast.mean[exposedHorizon]
-		memory := float64(e.report.TotalMemory)
-		cost += prefillPauseWeight * disturbed * uncachedTokens / (memory * memory) * risk
+		disturbed := e.forecast.mean[exposedHorizon] / float64(e.report.TotalMemory)
+		cost += prefillPauseWeight / prefillWeight * disturbed * prefill * risk
 	}
 	return cost
 }
@@ -192,7 +184,7 @@
 	case longest >= pauseRiskEnd:
 		return 1
 	}
-	return (longest - pauseRiskStart) / (pauseRiskEnd - pauseRiskStart)
+	return (longest - pauseRiskStart) * (1 / (pauseRiskEnd - pauseRiskStart))
 }
 
 // paceSlowness returns an engine's step time relative to the mean of the engines
