forward, telemetry: log and count the runs placed by pace

Each placement by pace logs the paces it assumed and the age of the report; shedpath_pace_placements_total counts them by whether the foreseen pause is within the bound. Neither appears where no engine's own pace is used.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -206,6 +206,7 @@
 	d := run.decision
 	s.shareRunChange(u)
 	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.TimeToFirstToken, "memory_foreseen", d.PeakMemory, "runs", d.BatchSize, "zone", u.Zone, "skipped", s.skippedUpstreams, "prompt", p.Tokens, "limit", p.MaxOutputTokens, "hint", p.ExpectedOutputTokens, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
+	s.logPace(now, u, r.Run)
 	return u, Refusal{}, true
 }
 
--- a/forward/throttledselection.go
+++ b/forward/throttledselection.go
@@ -105,6 +105,7 @@
 		x.engines.returnToEngine(x.now(), x.service.Name, run, from)
 		return Upstream{}, false
 	}
+	x.logPace(now, u, run.request.Run)
 	return u, true
 }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -124,6 +124,9 @@
 	f.WatchLearnt(func() []forward.EngineEstimate {
 		return []forward.EngineEstimate{{Service: "service-1", PrefillRate: 19, PrefillSamples: 20, StepTime: 21 * time.Second, StepSamples: 22, Age: 23 * time.Second}}
 	})
+	f.WatchPacePlacements(func() []forward.PacePlacements {
+		return []forward.PacePlacements{{Service: "service-1", PacePlacements: policy.PacePlacements{WithinBound: 26, LastResort: 27, Unknown: 28}}}
+	})
 	f.WatchLimits(func() []ratelimit.LimitStatus {
 		return []ratelimit.LimitStatus{{Upstream: "upstream-1", NamedRate: 24, EffectiveRate: 25}}
 	})
