--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -130,6 +130,9 @@
 			{Engine: "engine-1", Estimate: pace.Estimate{Step: 27 * time.Second, SlowStep: 28 * time.Second, Samples: 29, Age: 30 * time.Second}},
 		}}}
 	})
+	f.WatchPacePlacements(func() []forward.PacePlacements {
+		return []forward.PacePlacements{{Service: "service-1", PacePlacements: policy.PacePlacements{WithinBound: 26, LastResort: 27, Unknown: 28}}}
+	})
 	f.WatchLimits(func() []ratelimit.LimitStatus {
 		return []ratelimit.LimitStatus{{Upstream: "upstream-1", NamedRate: 24, EffectiveRate: 25}}
 	})
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -64,6 +64,8 @@
 	report Report
 	// reportedAt is when report arrived; zero means that no valid report exists.
 	reportedAt time.Time
+	// pace is the pace of report. It is valid if the report has a SlowStepTime.
+	pace enginePace
 	// isNew reports that the engine has begun to take work since the queue was last
 	// examined. Queued requests may be placed there from queueServedFrom on.
 	isNew           bool
@@ -200,7 +202,11 @@
 // applyReport records a report. Memory and runs beyond those known count as
 // unattributed.
 func (e *engine) applyReport(now time.Time, r Report) {
-	e.report, e.reportedAt = r, now
+	from, hadPace := e.expectedStepTime(), e.report.SlowStepTime > 0
+	e.report, e.reportedAt, e.pace = r, now, newEnginePace(r.StepTime, r.SlowStepTime)
+	if hadPace || r.SlowStepTime > 0 {
+		e.keepProgress(now, from)
+	}
 	e.unattributedMemory, e.unattributedRuns = 0, 0
 	if r.Running <= len(e.orderedRuns) && len(e.orderedRuns) > 0 {
 		// All runs of the engine are known: a difference in memory use is an error of
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -92,6 +92,7 @@
 		return "", false
 	}
 	p.moveRun(now, run, to)
+	p.countPace(to, &request)
 	return to.id, true
 }
 
@@ -110,9 +111,10 @@
 	run.engine.remove(run)
 	run.engine.refreshForecast(now)
 	run.placedAt, run.prefillPending, run.prefillTime = time.Time{}, false, 0
-	began := run.startedAt
+	from, began := run.engine, run.startedAt
 	to.add(now, run)
 	run.startedAt = began
+	to.keepMovedProgress(now, run, from)
 	p.queueBlocked = false
 }
 
