--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -64,17 +64,15 @@
 	}
 }
 
-// apply sets the step times of a report to those of its engine if placement by pace is active. An
-// engine that isn't known counts as typical.
+// apply sets the step times of a report to those of its engine if placement by pace is active. The
+// pool decides what an engine counts as that isn't known.
 func (p *servicePace) apply(now time.Time, r policy.Report) policy.Report {
 	if !p.typicalKnown {
 		return r
 	}
-	e, known := p.model.Estimate(now, r.Engine)
-	if !known {
-		e = p.typical
+	if e, known := p.model.Intrinsic(now, r.Engine); known {
+		r.StepTime, r.SlowStepTime = e.Step, e.SlowStep
 	}
-	r.StepTime, r.SlowStepTime = e.Step, e.SlowStep
 	return r
 }
 
--- a/pace/activity.go
+++ b/pace/activity.go
@@ -13,14 +13,18 @@
 	// unevenRatio is how much longer an engine's BaseStep must be than that of the fast engines for the
 	// engine to count as slow. Engines that are alike differ less: with 24 runs a step takes 1.39 times as
 	// long as with one. Engines of 0.6 and 1.0 of the usual speed differ by 1.67.
-	unevenRatio = 1.4
-	// unevenTime is how long an engine must have been slow, on new samples, before it counts. Engines
+	unevenRatio = 1.5
+	// unevenTime is how long an engine must have been slow before it counts. Engines
 	// slow down for 0.6 s at a time, and hosts and links for about a second, and the estimate of an engine
 	// that came meanwhile needs as long again to follow.
 	unevenTime = 3 * time.Second
-	// loneUnevenTime is the same time if only one engine is slow. An engine that prefills without a pause
-	// looks slow, too, which one of many does for 3 s now and then.
-	loneUnevenTime = 2 * unevenTime
+	// loneUnevenTime is the same time if only one engine is slow. Of many equal engines one now and then
+	// prefills for several seconds, and is slow meanwhile.
+	loneUnevenTime = 4 * unevenTime
+	// ordinarySpread is the least spread of a slow engine's steps, as a part of the typical spread. Steps
+	// that prefill take twice as long as others, so that an engine that prefills without a pause looks
+	// slow; its steps are all alike.
+	ordinarySpread = 0.5
 	// minActivitySamples is the least number of samples of the engine that activates. One slow sample
 	// of eight is its SlowStep; of sixteen it isn't.
 	minActivitySamples = 16
@@ -39,9 +43,11 @@
 	EventTokens int
 }
 
-// Foreseen returns the pause between two events that is foreseen on an engine.
+// Foreseen returns the pause that one event in a thousand exceeds on an engine. An answer of two hundred
+// events has such a pause with a probability of a fifth. The tail of the steps is taken to be exponential:
+// one in a thousand exceeds the usual step by three times as much as one in ten does.
 func (l Limit) Foreseen(e Estimate) time.Duration {
-	return e.SlowStep * time.Duration(max(l.EventTokens, 1))
+	return (3*e.SlowStep - 2*e.Step) * time.Duration(max(l.EventTokens, 1))
 }
 
 // Reason is why placement by pace is active or not.
@@ -128,6 +134,7 @@
 		}
 		return result
 	}
+	m.tail = newTail(known)
 	slices.SortFunc(known, func(a, b engineEstimate) int { return cmp.Compare(a.BaseStep, b.BaseStep) })
 	result.Reason, result.FastStep = ReasonEven, known[len(known)/4].BaseStep
 	slow, loneSince := 0, time.Time{}
@@ -143,8 +150,11 @@
 		if now.Sub(r.unevenSince) < unevenTime || e.Samples < minActivitySamples {
 			continue
 		}
+		if e.SlowStep-e.BaseStep < time.Duration(ordinarySpread*(m.tail.slowStep-1)*float64(e.BaseStep)) {
+			continue
+		}
 		slow, loneSince = slow+1, r.unevenSince
-		if foreseen := limit.Foreseen(e.Estimate); foreseen > result.Foreseen {
+		if foreseen := limit.Foreseen(m.tail.of(e.Estimate)); foreseen > result.Foreseen {
 			result.Engine, result.Estimate, result.Foreseen = e.engine, e.Estimate, foreseen
 		}
 	}
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -55,7 +55,9 @@
 	// maxStep is the longest step that counts, and maxAge the age at which samples and marks are
 	// dropped. An engine that stands still for longer is failing rather than slow.
 	maxStep = 10 * time.Second
-	maxAge  = 10 * time.Second
+	// An engine's speed is mostly that of its machine, so that what is known of it holds longer than its
+	// slow periods: an engine without recent runs isn't taken for a typical one again.
+	maxAge = 30 * time.Second
 	// minStep is the shortest step that counts. Events that arrive together were delayed on the way
 	// and show nothing of the engine; no engine decodes a token in less.
 	minStep = 100 * time.Microsecond
@@ -88,8 +90,9 @@
 	ignoredMarks uint64
 	// estimates is scratch space that is reused between calls.
 	estimates []engineEstimate
-	// activity is the state of UpdateActivity.
+	// activity is the state of UpdateActivity, and tail is the one found by its last call.
 	activity activity
+	tail     tail
 }
 
 // record is what is known of one incarnation of an engine.
@@ -283,6 +286,40 @@
 	return typical, true
 }
 
+// Intrinsic returns the step times that an engine has at the load of a typical engine. Slow periods and
+// prefill affect all engines in proportion to their speed, and few samples of one engine say little about
+// them, so only BaseStep is the engine's own. It returns false if the engine isn't known.
+func (m *Model) Intrinsic(now time.Time, engine Engine) (Estimate, bool) {
+	e, known := m.Estimate(now, engine)
+	if !known {
+		return Estimate{}, false
+	}
+	return m.tail.of(e), true
+}
+
+// tail is how far the steps of typical engines exceed their BaseStep. The zero value isn't valid.
+type tail struct{ step, slowStep float64 }
+
+// newTail returns the medians of the given engines. It reorders them.
+func newTail(known []engineEstimate) tail {
+	median := func(ratio func(engineEstimate) float64) float64 {
+		slices.SortFunc(known, func(a, b engineEstimate) int { return cmp.Compare(ratio(a), ratio(b)) })
+		return ratio(known[len(known)/2])
+	}
+	t := tail{
+		step:     median(func(e engineEstimate) float64 { return float64(e.Step) / float64(e.BaseStep) }),
+		slowStep: median(func(e engineEstimate) float64 { return float64(e.SlowStep) / float64(e.BaseStep) }),
+	}
+	t.slowStep = max(t.slowStep, t.step)
+	return t
+}
+
+// of returns an estimate whose Step and SlowStep follow from its BaseStep.
+func (t tail) of(e Estimate) Estimate {
+	e.Step, e.SlowStep = time.Duration(t.step*float64(e.BaseStep)), time.Duration(t.slowStep*float64(e.BaseStep))
+	return e
+}
+
 // Slowest returns the estimate of the known engine with the longest SlowStep. It returns false if no
 // engine is known.
 func (m *Model) Slowest(now time.Time) (Estimate, bool) {
