--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -29,10 +29,6 @@
 	// activity is the result of the last update, made at updatedAt.
 	activity  pace.Activity
 	updatedAt time.Time
-	// typical stands in for engines that aren't known; it is valid if typicalKnown, which is set only while
-	// activity is active.
-	typical      pace.Estimate
-	typicalKnown bool
 	// unloggedChange is the last change of activity that isn't in the log yet.
 	unloggedChange *pace.Activity
 	// loggedIgnored is the number of ignored marks that are in the log.
@@ -58,16 +54,12 @@
 		change := p.activity
 		p.unloggedChange = &change
 	}
-	p.typicalKnown = false
-	if p.activity.Active {
-		p.typical, p.typicalKnown = p.model.Typical(now)
-	}
 }
 
 // apply sets the step times of a report to those of its engine if placement by pace is active. The
 // pool decides what an engine counts as that isn't known.
 func (p *servicePace) apply(now time.Time, r policy.Report) policy.Report {
-	if !p.typicalKnown {
+	if !p.activity.Active {
 		return r
 	}
 	if e, known := p.model.Intrinsic(now, r.Engine); known {
