enginereport, policy, forward, platform: ask engines for their own load

Hosts know the runs of live peers only. After an outage of all hosts engines are busy with runs that no host knows, and copies take memory that no run explains; engines then refuse what hosts place there.

While there is a reason (a start after an outage, or a refusal for lack of room), the arbiter of each engine asks it for its report, at most every 500 ms, and tells its cell. The policy pool counts what known runs don't explain as of the time of the report.

New fields of a share travel in an extension after the message: msgpack structs encoded as arrays can't be decoded with another number of fields, so a field in wireShare would cut off hosts of the previous version.

Tests of enginereport and of reports in policy, forward and platform pass.

--- a/forward/call.go
+++ b/forward/call.go
@@ -178,6 +178,10 @@
 	Move(ctx context.Context, from Upstream, r MoveRequest) (MoveResult, error)
 	// Health asks an upstream for its health.
 	Health(ctx context.Context, u Upstream, path string) (Health, error)
+	// Report asks an engine for its own report of its load. The error is
+	// enginereport.ErrOtherInstance if another upstream answers, and enginereport.ErrUnusable if the
+	// answer can't be decoded.
+	Report(ctx context.Context, u Upstream) (EngineReport, error)
 	// CheckReachable opens a connection to an upstream and closes it. The error is ErrPortClosed if
 	// the upstream's machine responds but no process listens on the port.
 	CheckReachable(ctx context.Context, u Upstream) error
--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -29,6 +29,8 @@
 	pools map[ServiceName]*enginePool
 	// lastReported is when each peer last reported its runs.
 	lastReported map[member.HostID]time.Time
+	// reports holds the engines' own reports; nil for none. It is set before use.
+	reports *engineReports
 	// recentlyEnded are the runs of this host whose answers recently completed.
 	recentlyEnded []EndedRun
 }
@@ -60,6 +62,8 @@
 	// the engines was last observed.
 	stepSamples  uint64
 	lastObserved time.Time
+	// reports is that of the placer.
+	reports *engineReports
 }
 
 // expectedStep is how long a decoding step is expected to take.
@@ -145,6 +149,7 @@
 				ownRuns: map[policy.RunID]*ownRun{}, peerRuns: map[policy.RunID]member.HostID{}, unconfirmedGrants: map[policy.RunID]time.Time{},
 			}
 			p.pool = policy.NewPool(policy.Settings{})
+			p.reports = e.reports
 			e.pools[name] = p
 		}
 		p.spec = *s.Engine
@@ -263,6 +268,7 @@
 	for id := range p.poolEngines {
 		p.pool.Report(now, policy.Report{Engine: id, TotalMemory: p.spec.Memory, StepTime: p.expectedStep()})
 	}
+	p.applyLoads(now)
 	p.advance(now)
 }
 
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 )
@@ -28,6 +29,8 @@
 	move func(ctx context.Context, from Upstream, r MoveRequest) (MoveResult, error)
 	// checkHealth answers health checks; nil reports healthy.
 	checkHealth func(u Upstream) (bool, error)
+	// report answers requests for an engine's report; nil fails each with ErrNotSent.
+	report func(ctx context.Context, u Upstream) (EngineReport, error)
 	// checkReachable answers reachability checks; nil reports reachable.
 	checkReachable func(u Upstream) error
 	// sent are the upstreams that requests were sent to, in order.
@@ -68,6 +71,13 @@
 	return Health{Healthy: well}, err
 }
 
+func (f *fakeTransport) Report(ctx context.Context, u Upstream) (EngineReport, error) {
+	if f.report == nil {
+		return EngineReport{}, ErrNotSent
+	}
+	return f.report(ctx, u)
+}
+
 func (f *fakeTransport) CheckReachable(_ context.Context, u Upstream) error {
 	if f.checkReachable == nil {
 		return nil
@@ -144,6 +154,7 @@
 func (silentObserver) UnreadableEntries(int)                {}
 func (silentObserver) ConnectionBroken(bool)                {}
 func (silentObserver) Suspended(time.Duration)              {}
+func (silentObserver) EngineReport(enginereport.Outcome)    {}
 func (silentObserver) Permit(permit.Outcome)                {}
 func (silentObserver) Send(eligibility.Verdict)             {}
 func (silentObserver) Signal(SignalKind)                    {}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
@@ -98,6 +99,8 @@
 	Signal(SignalKind)
 	// Send counts sends that were withheld, or made despite a reason against them.
 	Send(eligibility.Verdict)
+	// EngineReport counts the outcome of a request for an engine's report.
+	EngineReport(enginereport.Outcome)
 	// Suspended counts the time for which this machine was suspended.
 	Suspended(d time.Duration)
 }
@@ -144,6 +147,8 @@
 	newestConfig atomic.Pointer[Config]
 	peers        *peerSet
 	turns        turnQueues
+	// reports holds the engines' own reports of their load.
+	reports engineReports
 	// peerTransport is set by RunPeers under the lock of peers.
 	peerTransport Peers
 	// crashes holds the requests under which upstreams ended.
@@ -196,6 +201,7 @@
 	f.retries.setLimit(s.RetryLimit)
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
 	f.setClock(s.Clock)
+	f.enableEngineReports()
 	return f
 }
 
--- a/forward/move.go
+++ b/forward/move.go
@@ -373,6 +373,7 @@
 	defer cancel()
 	began := x.now()
 	moved, err := x.requestMove(ctx, m.source, MoveRequest{ID: x.call.ID, TargetAddress: to.Address, StopSource: stop})
+	x.recordRefusedCopy(to, err)
 	if moved.Handle != "" {
 		m.mu.Lock()
 		m.handle = moved.Handle
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
@@ -62,6 +63,10 @@
 	// Announcements are announcements of hosts. Only the reply to a host that has just started has
 	// any.
 	Announcements []roster.Announcement
+	// Reports are the engines' own reports that the host got, and ReportRequests the engines that it
+	// has a reason to ask. Only shares within a cell have any.
+	Reports        []enginereport.Mark
+	ReportRequests []enginereport.Request
 }
 
 // Peers is the interface to the other hosts.
@@ -222,6 +227,7 @@
 	defer cancel()
 	var upTo uint64
 	share.Crashes, upTo = f.crashes.UnsentMarks(f.now(), to.ID)
+	f.addEngineReports(f.now(), &share, to.ID)
 	suspendedBefore := f.settings.Clock.TotalSuspended()
 	reply, err := peers.Share(ctx, to, share)
 	f.peers.recordShareResult(to.ID, err)
@@ -275,6 +281,7 @@
 		f.ContactProved(now.Add(-s.ConfigAge))
 	}
 	f.handleConfigOffer(s.From, s.Version)
+	f.receiveEngineReports(now, s)
 }
 
 // ageWithDelay returns an age that a peer reported plus the delay that its message may have had. A
@@ -300,6 +307,7 @@
 		f.peers.recordExchange(now, s.From.ID)
 	}
 	reply.Crashes, _ = f.crashes.UnsentMarks(now, s.From.ID)
+	f.addEngineReports(now, &reply, s.From.ID)
 	if s.List.IsZero() {
 		reply.Announcements = f.peers.announcementsForJoiner(now, s.From.ID)
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -119,6 +119,7 @@
 		return answer, err
 	}
 	answer.Signals.FromUpstream = answer.Signed || answer.NotRun
+	x.recordRefusedRun(u, answer)
 	x.applySignals(sent, u, answerToRequest, answer.Signals)
 	x.backoffs.End(x.now(), u.ID, ticket, answer.Signed && !answer.NotRun && answer.Status < http.StatusInternalServerError)
 	return answer, nil
@@ -184,6 +185,24 @@
 	return health, err
 }
 
+// requestReport asks an engine for its own report of its load, under the conditions of a health check.
+func (f *Forwarder) requestReport(ctx context.Context, s *Service, u Upstream) (EngineReport, error) {
+	sent := f.now()
+	v := eligibility.Check(f.eligibilityState(sent, u), eligibility.Probe)
+	if v.OK() {
+		v = f.permitVerdict(ctx, permitRequest{service: s, upstream: u, rank: int(LeastUrgent), repeat: true})
+	}
+	if !v.OK() {
+		f.observer.Send(v)
+		return EngineReport{}, &notSentError{v}
+	}
+	report, err := f.transport.Report(ctx, u)
+	if err == nil {
+		f.applySignals(sent, u, answerToReport, report.Signals)
+	}
+	return report, err
+}
+
 // maxBackoffJitter bounds the random time that is added to a backoff, so that hosts which received
 // it together don't return together. For short backoffs the bound is a quarter of the backoff.
 const maxBackoffJitter = 500 * time.Millisecond
--- a/forward/send_test.go
+++ b/forward/send_test.go
@@ -14,7 +14,7 @@
 // TestSendsOnlyFromSendFile guards against a request that bypasses the eligibility check: only
 // send.go may call the transport.
 func TestSendsOnlyFromSendFile(t *testing.T) {
-	sendCall := regexp.MustCompile(`transport\.(Send|Move|Health|Discard)\(`)
+	sendCall := regexp.MustCompile(`transport\.(Send|Move|Health|Discard|Report)\(`)
 	files, err := filepath.Glob("*.go")
 	if err != nil {
 		t.Fatal(err)
--- a/forward/signalfleet_test.go
+++ b/forward/signalfleet_test.go
@@ -234,6 +234,10 @@
 	return Health{Healthy: true}, nil
 }
 
+func (t signalTransport) Report(context.Context, Upstream) (EngineReport, error) {
+	return EngineReport{}, ErrNotSent
+}
+
 func (t signalTransport) CheckReachable(_ context.Context, u Upstream) error {
 	return t.fakeFleet.checkReachable(u)
 }
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -43,6 +43,7 @@
 	answerToMove    answerKind = "move"
 	answerToHealth  answerKind = "health"
 	answerToDiscard answerKind = "discard"
+	answerToReport  answerKind = "report"
 )
 
 // applySignals applies what a response reports about its upstream, whatever kind of request it
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // callError is the error that a peer's handler returned for a call. The connection stays up.
@@ -104,7 +103,7 @@
 	case f.Error != "":
 		return &callError{Message: f.Error}
 	default:
-		return msgpack.Unmarshal(f.Body, reply)
+		return decode(f.Body, reply)
 	}
 }
 
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -47,10 +47,11 @@
 	switch k {
 	case kindShare:
 		var w wireShare
-		if err := msgpack.Unmarshal(body, &w); err != nil {
-			return nil, trace.Wrap(err)
+		if err := decode(body, &w); err != nil {
+			return nil, err
 		}
-		return toWireShare(m.clock.Now(), f.OnShare(w.share(m.clock.Now()))), nil
+		reply := toWireShare(m.clock.Now(), f.OnShare(w.share(m.clock.Now())))
+		return &reply, nil
 	case kindFollow:
 		var w wireFollowRequest
 		if err := msgpack.Unmarshal(body, &w); err != nil {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,7 +5,8 @@
 // frames over TCP, with many concurrent calls on one connection, authenticated
 // by a shared key.
 //
-// A frame is a big-endian length of four bytes and one msgpack value. The
+// A frame is a big-endian length of four bytes, one msgpack value, and possibly
+// another, the extension of the message. The
 // shared key authenticates the peers but encrypts nothing, so the network
 // between them must be private.
 package peer
@@ -32,7 +33,9 @@
 	Kind  callKind
 	// Error is the error text in the reply to a call that failed; empty otherwise.
 	Error string
-	Body  msgpack.RawMessage
+	// Body is a value and its extension, if it has one. It is the last field, so that the extension
+	// comes after the frame's own value.
+	Body msgpack.RawMessage
 }
 
 // callKind identifies the method of a call. The numbers are part of the wire format.
@@ -48,6 +51,9 @@
 	if err := encoder.Encode(v); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := appendExtension(&out, v); err != nil {
+		return nil, err
+	}
 	return out.Bytes(), nil
 }
 
@@ -83,8 +89,10 @@
 		return nil, io.ErrUnexpectedEOF
 	}
 	var f frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
+	extension, err := decodeFirst(body, &f)
+	if err != nil {
 		return nil, trace.Wrap(err, "decoding a frame of %d bytes", size)
 	}
+	f.Body = append(f.Body, extension...)
 	return &f, nil
 }
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
@@ -85,3 +86,4 @@
 func (nopMetrics) Send(eligibility.Verdict)                     {}
 func (nopMetrics) Signal(forward.SignalKind)                    {}
 func (nopMetrics) Suspended(time.Duration)                      {}
+func (nopMetrics) EngineReport(enginereport.Outcome)            {}
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -38,6 +38,22 @@
 	Limits            []wireLimitMark
 	Backoffs          []wireBackoff
 	Announced         []wireAnnouncement `msgpack:",omitempty"`
+	// Extension has the fields that hosts of earlier versions don't know.
+	Extension shareExtension `msgpack:"-"`
+}
+
+// shareExtension holds the fields of a share that are sent in its extension.
+type shareExtension struct {
+	Reports        []wireEngineReport
+	ReportRequests []wireReportRequest
+}
+
+func toShareExtension(s forward.Share) shareExtension {
+	return shareExtension{Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests)}
+}
+
+func (w *wireShare) extension() (to any, present bool) {
+	return &w.Extension, len(w.Extension.Reports) > 0 || len(w.Extension.ReportRequests) > 0
 }
 
 // wireBackoff encodes backoff.Mark; For is the remaining time in milliseconds.
@@ -143,6 +159,7 @@
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
 		Zones: toWireZones(now, s.Zones), Epoch: s.Epoch, Crashes: toWireCrashMarks(s.Crashes),
 		Limits: toWireLimitMarks(s.Limits), Announced: toWireAnnouncements(s.Announcements),
+		Extension: toShareExtension(s),
 	}
 	w.ListEra, w.List = pointNumbers(s.List)
 	for _, r := range s.Runs {
@@ -177,6 +194,7 @@
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
 		List: newPoint(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
 		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced),
+		Reports: engineReports(w.Extension.Reports), ReportRequests: reportRequests(w.Extension.ReportRequests),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
@@ -215,7 +233,8 @@
 // Share sends this host's state to a peer and returns the peer's state.
 func (m *Mesh) Share(ctx context.Context, to forward.Peer, s forward.Share) (forward.Share, error) {
 	var answer wireShare
-	if err := m.call(ctx, to.PeerAddress, kindShare, toWireShare(m.clock.Now(), s), &answer); err != nil {
+	request := toWireShare(m.clock.Now(), s)
+	if err := m.call(ctx, to.PeerAddress, kindShare, &request, &answer); err != nil {
 		return forward.Share{}, err
 	}
 	return answer.share(m.clock.Now()), nil
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -15,6 +15,7 @@
 
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
@@ -43,6 +44,7 @@
 	withheldSends      *prometheus.CounterVec
 	sendsDespiteReason *prometheus.CounterVec
 	unloggedRequests   prometheus.Counter
+	engineReports      *prometheus.CounterVec
 }
 
 var (
@@ -70,6 +72,7 @@
 	f.withheldSends = f.counter("sends_kept_back_total", "Sends to a chosen upstream that were withheld, by reason.", "reason")
 	f.sendsDespiteReason = f.counter("sends_despite_total", "Sends that were made despite a reason against them, because a run would have been lost otherwise, by reason.", "reason")
 	f.unloggedRequests = f.counter("unlogged_requests_total", "Request log lines that were left out by sampling.").WithLabelValues()
+	f.engineReports = f.counter("engine_reports_total", "Requests for an engine's own report of its load, and unusable ones from peers, by outcome.", "outcome")
 	f.promRegistry.MustRegister(
 		collectors.NewGoCollector(),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -142,6 +145,11 @@
 // Suspended adds to the time for which this machine was suspended.
 func (f *Forward) Suspended(d time.Duration) { f.suspendedSeconds.Add(d.Seconds()) }
 
+// EngineReport counts the outcome of a request for an engine's report.
+func (f *Forward) EngineReport(o enginereport.Outcome) {
+	f.engineReports.WithLabelValues(string(o)).Inc()
+}
+
 // Permit counts the outcome of a request for a permit to send to a bounded upstream.
 func (f *Forward) Permit(o permit.Outcome) { f.permits.WithLabelValues(string(o)).Inc() }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
@@ -114,6 +115,9 @@
 		f.Send(eligibility.Verdict{Reason: r})
 		f.Send(eligibility.Verdict{Overridden: r})
 	}
+	for _, o := range []enginereport.Outcome{enginereport.Received, enginereport.NoAnswer, enginereport.Unusable, enginereport.Outdated, enginereport.PeerUnusable} {
+		f.EngineReport(o)
+	}
 	f.WatchSignals(func() map[forward.LeavingSource]int {
 		return map[forward.LeavingSource]int{
 			forward.SourceList: 11, forward.SourceUpstream: 12, forward.SourceHost: 13, forward.SourcePeer: 14, forward.SourceRollout: 15,
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -187,7 +187,7 @@
 	batch := e.batchSize() + 1
 	step := line.at(batch)
 	peak, fits := e.forecastWith(growth, p.settings.HeadroomDeviations, p.memoryBudget(e))
-	if batch > 1 && (!fits || step > float64(p.settings.MaxStepTime)) {
+	if (batch > 1 || e.holdsUnknownMemory()) && (!fits || step > float64(p.settings.MaxStepTime)) {
 		return engineCost{}, false
 	}
 	if p.settings.MaxBatchSize > 0 && batch > p.settings.MaxBatchSize || p.missesFirstTokenDeadline(now, e, r) {
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -37,6 +37,8 @@
 	curve SurvivalCurve
 	// startedAt is when the run is assumed to have started generating tokens.
 	startedAt time.Time
+	// arrivedAt is when the run is assumed to have come to its engine.
+	arrivedAt time.Time
 	// generatedTokens is the estimated count as of the engine's last refresh, and
 	// reportedTokens the last count reported.
 	generatedTokens, reportedTokens Tokens
@@ -85,6 +87,10 @@
 	// unattributedRuns the number of runs that hold it.
 	unattributedMemory Tokens
 	unattributedRuns   int
+	// loadApplied says that these come from the engine's own statement.
+	loadApplied bool
+	// departed holds the runs that left within departedRetention, in that order.
+	departed []departedRun
 	// cache holds the prefixes that the engine is believed to have cached.
 	cache prefixCache
 	// prefillUntil is when the engine is expected to have read all prompts placed so
@@ -116,7 +122,7 @@
 const defaultStepTime = 30 * time.Millisecond
 
 func (e *engine) add(now time.Time, p *placedRun) {
-	p.engine, p.startedAt = e, now
+	p.engine, p.startedAt, p.arrivedAt = e, now, now
 	e.runs[p.Run] = p
 	e.orderedRuns = append(e.orderedRuns, p)
 	e.forecast.addRun(&p.Request, p.generatedTokens, p.curve)
@@ -125,7 +131,8 @@
 // batchSize returns how many runs the engine is believed to decode.
 func (e *engine) batchSize() int { return len(e.orderedRuns) + e.unattributedRuns }
 
-func (e *engine) remove(p *placedRun) {
+func (e *engine) remove(now time.Time, p *placedRun) {
+	e.recordDeparture(now, p)
 	delete(e.runs, p.Run)
 	if i := slices.Index(e.orderedRuns, p); i >= 0 {
 		e.orderedRuns = slices.Delete(e.orderedRuns, i, i+1)
@@ -201,7 +208,7 @@
 // unattributed.
 func (e *engine) applyReport(now time.Time, r Report) {
 	e.report, e.reportedAt = r, now
-	e.unattributedMemory, e.unattributedRuns = 0, 0
+	e.unattributedMemory, e.unattributedRuns, e.loadApplied = 0, 0, false
 	if r.Running <= len(e.orderedRuns) && len(e.orderedRuns) > 0 {
 		// All runs of the engine are known: a difference in memory use is an error of
 		// the estimates and isn't unattributed.
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -263,7 +263,7 @@
 	if generatedTokens == 0 {
 		e.addPrefill(now, run, p.expectedPrefillTime(now, e, &r))
 	}
-	run.startedAt = now.Add(-time.Duration(generatedTokens) * e.expectedStepTime())
+	run.startedAt, run.arrivedAt = now.Add(-time.Duration(generatedTokens)*e.expectedStepTime()), p.adoptedSince(now, run)
 }
 
 // Submit asks for a place. For a run that is already known it changes nothing and
@@ -357,7 +357,7 @@
 	if f.Complete {
 		p.LearnLength(&run.Request, f.GeneratedTokens)
 	}
-	run.engine.remove(run)
+	run.engine.remove(now, run)
 	run.engine.refreshForecast(now)
 	p.queueBlocked = false
 }
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -107,7 +107,7 @@
 }
 
 func (p *Pool) moveRun(now time.Time, run *placedRun, to *engine) {
-	run.engine.remove(run)
+	run.engine.remove(now, run)
 	run.engine.refreshForecast(now)
 	run.placedAt, run.prefillPending, run.prefillTime = time.Time{}, false, 0
 	began := run.startedAt
