enginereport: ask suspect engines, too

An engine that refused a copy is suspect for 2 s and isn't among those that take work, so the host that saw the refusal didn't ask it itself. go test -race -cpu 1 ./forward -run Report passes.

--- a/enginereport/tracker.go
+++ b/enginereport/tracker.go
@@ -4,6 +4,7 @@
 package enginereport
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -138,6 +139,17 @@
 	return t.startReason(now) || len(t.refusedAt) > 0 || len(t.requestedUntil) > 0
 }
 
+// Named returns the engines that there is a reason to ask in particular.
+func (t *Tracker) Named() []member.UpstreamID {
+	engines := slices.Collect(maps.Keys(t.refusedAt))
+	for engine := range t.requestedUntil {
+		if engine != "" {
+			engines = append(engines, engine)
+		}
+	}
+	return engines
+}
+
 // Reason returns the reason to ask an engine; empty if there is none.
 func (t *Tracker) Reason(now time.Time, engine member.UpstreamID) Reason {
 	refusedAt, refused := t.refusedAt[engine]
--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,9 +69,11 @@
 	if t == nil || !f.reports.hasReason(now) {
 		return
 	}
-	for _, u := range f.engines.ownZoneEngines() {
+	// An engine that refused a copy is suspect, so that it isn't among those that take work.
+	for _, id := range slices.Concat(f.engines.ownZoneEngines(), f.reports.named()) {
+		u, known := f.fleet.Upstream(id)
 		service, declared := t.Service(u.Service)
-		if !declared || f.reports.reason(now, u.ID) == "" || f.peers.arbiter(now, u).ID != f.peers.self.ID {
+		if !known || !declared || u.Leaving || !f.fleet.InService(u.Zone) || f.reports.reason(now, id) == "" || f.peers.arbiter(now, u).ID != f.peers.self.ID {
 			continue
 		}
 		if reason, due := f.reports.ask(now, u.ID); due {
@@ -101,7 +104,7 @@
 	}
 	f.reports.receiveAnswer(now, u, answer.Load)
 	f.journal.HostEvent("engine report", "upstream", u.ID, "life", u.Incarnation, "why", reason, "used", answer.Used, "total", answer.Total,
-		"active", answer.Active, "queued", answer.Queued, "runs_known", f.engines.otherRuns(u.Service, u.ID, ""))
+		"active", answer.Active, "queued", answer.Queued, "runs_counted", f.engines.otherRuns(u.Service, u.ID, ""))
 	if answer.Leaving && f.fleet.RecordSelfReportedLeaving(now, u.ID, u.Incarnation, true) {
 		f.fleet.setExpectedEnd(now, u.ID, answer.LeavesIn)
 		f.journal.HostEvent("upstream says that it leaves", "upstream", u.ID, "life", u.Incarnation, "answer_to", answerToReport, "in", answer.LeavesIn)
@@ -196,6 +199,12 @@
 	return r.tracker.HasReason(now)
 }
 
+func (r *engineReports) named() []member.UpstreamID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Named()
+}
+
 func (r *engineReports) reason(now time.Time, id member.UpstreamID) enginereport.Reason {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -239,14 +248,14 @@
 }
 
 // ownZoneEngines lists the engines of this host's zone on which it places runs.
-func (e *enginePlacer) ownZoneEngines() []Upstream {
+func (e *enginePlacer) ownZoneEngines() []member.UpstreamID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var engines []Upstream
+	var engines []member.UpstreamID
 	for _, p := range e.pools {
 		for _, u := range p.available {
 			if u.Zone == e.zone {
-				engines = append(engines, u)
+				engines = append(engines, u.ID)
 			}
 		}
 	}
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -116,6 +116,9 @@
 				f.updatePlacementEngines(time.Now(), f.Table())
 				is.Equal(asked.Load(), int32(0)) // there is no reason
 				refuse(f, "llm1")
+				if c.wantRuns == 0 {
+					f.fleet.Suspect(time.Now(), "llm1") // as after a refused copy: it gets no new work, but is asked
+				}
 				time.Sleep(650 * time.Millisecond)
 				f.updatePlacementEngines(time.Now(), f.Table())
 				is.Equal(f.engines.otherRuns("llm", "llm1", ""), c.wantRuns)
@@ -123,6 +126,7 @@
 				f.updatePlacementEngines(time.Now(), f.Table())
 				is.Equal(f.engines.otherRuns("llm", "llm1", ""), 0) // the last report is too old
 				is.Equal(asked.Load(), c.wantAsked)
+				synctest.Wait()
 				if c.want != "" {
 					is.Equal(counts.outcomes, map[enginereport.Outcome]int{c.want: int(c.wantAsked)})
 				}
