--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -240,11 +240,16 @@
 	r.log(j, now, u.ID, "engine had no room", "what", what)
 }
 
-// log logs an event about an engine, unless one was logged shortly before.
+// log logs an event about an engine, unless one was logged shortly before. The empty ID stands for events
+// about no engine.
 func (r *engineReports) log(j Journal, now time.Time, id member.UpstreamID, event string, keyvals ...any) {
-	if r.logLimiter.allow(now, id) {
-		j.HostEvent(event, append([]any{"upstream", id}, keyvals...)...)
+	if !r.logLimiter.allow(now, id) {
+		return
+	}
+	if id != "" {
+		keyvals = append([]any{"upstream", id}, keyvals...)
 	}
+	j.HostEvent(event, keyvals...)
 }
 
 // ownZoneEngines lists the engines of this host's zone on which it places runs.
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -267,6 +267,10 @@
 		hosts[other].OnShare(Share{From: hosts[arbiter].peers.self, Reports: []enginereport.Mark{{Engine: "llm1", Incarnation: 4, Load: loadOf(3).Load, Age: 0}}})
 		hosts[other].updatePlacementEngines(time.Now(), hosts[other].Table())
 		is.Equal(hosts[other].engines.otherRuns("llm", "llm1", ""), 0)
+		// One of a later incarnation tells of the restart.
+		hosts[other].OnShare(Share{From: hosts[arbiter].peers.self, Reports: []enginereport.Mark{{Engine: "llm1", Incarnation: 6}}})
+		u, _ = hosts[other].fleet.Upstream("llm1")
+		is.Equal(u.Incarnation, Incarnation(6))
 	})
 }
 
--- a/policy/engineload_test.go
+++ b/policy/engineload_test.go
@@ -143,10 +143,18 @@
 				}
 			}
 			is.Equal(placed, map[EngineID]int{"g2": 8})
-			p.Report(testStart, Report{Engine: "g1", TotalMemory: 10_000, StepTime: testStepTime})
+			onlyThere := newRequest("only", 1000)
+			onlyThere.ExcludedEngines = []EngineID{"g2"}
+			_, ok := p.TryPlace(testStart, onlyThere)
+			is.True(!ok)
+			refresh := func() { p.Report(testStart, Report{Engine: "g1", TotalMemory: 10_000, StepTime: testStepTime}) }
+			refresh()
 			d, ok := p.TryPlace(testStart, newRequest("later", 1000))
 			is.True(ok)
 			is.Equal(d.Engine, EngineID("g1"))
+			p.ApplyLoad(load)
+			refresh()
+			is.Equal(p.activeEngine("g1").unattributedMemory, Tokens(0))
 		})
 	}
 }
