zoneload, forward: short answers go to an emptier zone before the own one is full

Hosts asked another zone only when their own had no room, and then for whatever arrived, long answers included. Each host now forecasts its zone's memory and prompt backlog 2 s ahead and tells hosts of other zones. Above 0.85, until 0.75, a part of the short answers is requested in the emptiest zone that is at least 0.25 emptier; the part grows with the difference.

Tests of zoneload and of forward (-race -cpu 1 -run 'EmptierZone|ZoneLoad|Report|Probe|AskForPlaces') pass.

--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -31,6 +31,8 @@
 	lastReported map[member.HostID]time.Time
 	// reports holds the engines' own reports; nil for none. It is set before use.
 	reports *engineReports
+	// balanceZones enables the load sharing between zones. It is set before use.
+	balanceZones bool
 	// recentlyEnded are the runs of this host whose answers recently completed.
 	recentlyEnded []EndedRun
 }
@@ -62,6 +64,8 @@
 	// the engines was last observed.
 	stepSamples  uint64
 	lastObserved time.Time
+	// balance shares load with other zones; nil where that is disabled.
+	balance *zoneBalance
 	// reports is that of the placer.
 	reports *engineReports
 }
@@ -150,6 +154,9 @@
 			}
 			p.pool = policy.NewPool(policy.Settings{})
 			p.reports = e.reports
+			if e.balanceZones {
+				p.balance = &zoneBalance{}
+			}
 			e.pools[name] = p
 		}
 		p.spec = *s.Engine
@@ -199,6 +206,7 @@
 		p.updatePoolEngines()
 	}
 	p.refresh(now)
+	p.observeZoneLoad(now, e.zone)
 }
 
 // updatePoolEngines passes the available and remote engines to the policy pool.
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
+	"github.com/shedpath/shedpath/zoneload"
 )
 
 // fakeTransport simulates upstreams by the functions that a test sets.
@@ -154,6 +155,7 @@
 func (silentObserver) UnreadableEntries(int)                {}
 func (silentObserver) ConnectionBroken(bool)                {}
 func (silentObserver) Suspended(time.Duration)              {}
+func (silentObserver) ZoneShift(zoneload.Outcome)           {}
 func (silentObserver) EngineReport(enginereport.Outcome)    {}
 func (silentObserver) Permit(permit.Outcome)                {}
 func (silentObserver) Send(eligibility.Verdict)             {}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -21,6 +21,7 @@
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/rollout"
 	"github.com/shedpath/shedpath/spool"
+	"github.com/shedpath/shedpath/zoneload"
 )
 
 // Settings configure a forwarder when it is created.
@@ -99,6 +100,8 @@
 	Signal(SignalKind)
 	// Send counts sends that were withheld, or made despite a reason against them.
 	Send(eligibility.Verdict)
+	// ZoneShift counts what became of short answers that were requested in an emptier zone.
+	ZoneShift(zoneload.Outcome)
 	// EngineReport counts the outcome of a request for an engine's report.
 	EngineReport(enginereport.Outcome)
 	// Suspended counts the time for which this machine was suspended.
@@ -202,6 +205,7 @@
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
 	f.setClock(s.Clock)
 	f.enableEngineReports()
+	f.engines.balanceZones = s.Placement.ZoneAdmission
 	return f
 }
 
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -67,6 +67,8 @@
 	// has a reason to ask. Only shares within a cell have any.
 	Reports        []enginereport.Mark
 	ReportRequests []enginereport.Request
+	// ZoneLoad is the load of the host's zone. Only shares with hosts of other zones have any.
+	ZoneLoad []ZoneLoad
 }
 
 // Peers is the interface to the other hosts.
@@ -228,6 +230,7 @@
 	var upTo uint64
 	share.Crashes, upTo = f.crashes.UnsentMarks(f.now(), to.ID)
 	f.addEngineReports(f.now(), &share, to.ID)
+	f.addZoneLoads(f.now(), &share, to.ID)
 	suspendedBefore := f.settings.Clock.TotalSuspended()
 	reply, err := peers.Share(ctx, to, share)
 	f.peers.recordShareResult(to.ID, err)
@@ -282,6 +285,7 @@
 	}
 	f.handleConfigOffer(s.From, s.Version)
 	f.receiveEngineReports(now, s)
+	f.receiveZoneLoads(now, s)
 }
 
 // ageWithDelay returns an age that a peer reported plus the delay that its message may have had. A
@@ -308,6 +312,7 @@
 	}
 	reply.Crashes, _ = f.crashes.UnsentMarks(now, s.From.ID)
 	f.addEngineReports(now, &reply, s.From.ID)
+	f.addZoneLoads(now, &reply, s.From.ID)
 	if s.List.IsZero() {
 		reply.Announcements = f.peers.announcementsForJoiner(now, s.From.ID)
 	}
--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -151,6 +151,9 @@
 	inOwnZone, otherZones = inOwnZone && s.zoneAllowed(s.peers.self.Zone), s.filterZones(otherZones)
 	useLocalView := !inOwnZone || len(otherZones) == 0
 	if !useLocalView {
+		if placed, ok := s.placeInEmptierZone(ctx, now, otherZones, r, throttled); ok {
+			return placed
+		}
 		if u, run, d, ok := s.engines.tryPlaceInOwnZone(now, service, r); ok {
 			return placementResult{upstream: u, run: run, decision: d}
 		}
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -18,6 +18,7 @@
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/ratelimit"
+	"github.com/shedpath/shedpath/zoneload"
 )
 
 // TestPermitRoundTrip checks that permit requests, their replies and observed limits are decoded
@@ -86,4 +87,5 @@
 func (nopMetrics) Send(eligibility.Verdict)                     {}
 func (nopMetrics) Signal(forward.SignalKind)                    {}
 func (nopMetrics) Suspended(time.Duration)                      {}
+func (nopMetrics) ZoneShift(zoneload.Outcome)                   {}
 func (nopMetrics) EngineReport(enginereport.Outcome)            {}
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -46,14 +46,15 @@
 type shareExtension struct {
 	Reports        []wireEngineReport
 	ReportRequests []wireReportRequest
+	ZoneLoad       []wireZoneLoad
 }
 
 func toShareExtension(s forward.Share) shareExtension {
-	return shareExtension{Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests)}
+	return shareExtension{Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests), ZoneLoad: toWireZoneLoads(s.ZoneLoad)}
 }
 
 func (w *wireShare) extension() (to any, present bool) {
-	return &w.Extension, len(w.Extension.Reports) > 0 || len(w.Extension.ReportRequests) > 0
+	return &w.Extension, len(w.Extension.Reports)+len(w.Extension.ReportRequests)+len(w.Extension.ZoneLoad) > 0
 }
 
 // wireBackoff encodes backoff.Mark; For is the remaining time in milliseconds.
@@ -195,6 +196,7 @@
 		List: newPoint(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
 		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced),
 		Reports: engineReports(w.Extension.Reports), ReportRequests: reportRequests(w.Extension.ReportRequests),
+		ZoneLoad: zoneLoads(w.Extension.ZoneLoad),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -19,6 +19,7 @@
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/permit"
+	"github.com/shedpath/shedpath/zoneload"
 )
 
 // Forward writes a forwarder's log and holds its metrics. Use NewForward.
@@ -45,6 +46,7 @@
 	sendsDespiteReason *prometheus.CounterVec
 	unloggedRequests   prometheus.Counter
 	engineReports      *prometheus.CounterVec
+	zoneShifts         *prometheus.CounterVec
 }
 
 var (
@@ -73,6 +75,7 @@
 	f.sendsDespiteReason = f.counter("sends_despite_total", "Sends that were made despite a reason against them, because a run would have been lost otherwise, by reason.", "reason")
 	f.unloggedRequests = f.counter("unlogged_requests_total", "Request log lines that were left out by sampling.").WithLabelValues()
 	f.engineReports = f.counter("engine_reports_total", "Requests for an engine's own report of its load, and unusable ones from peers, by outcome.", "outcome")
+	f.zoneShifts = f.counter("zone_shifts_total", "Short answers that were requested in an emptier zone, and unusable loads of other zones, by outcome.", "outcome")
 	f.promRegistry.MustRegister(
 		collectors.NewGoCollector(),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{
@@ -145,6 +148,9 @@
 // Suspended adds to the time for which this machine was suspended.
 func (f *Forward) Suspended(d time.Duration) { f.suspendedSeconds.Add(d.Seconds()) }
 
+// ZoneShift counts what became of a short answer that was requested in an emptier zone.
+func (f *Forward) ZoneShift(o zoneload.Outcome) { f.zoneShifts.WithLabelValues(string(o)).Inc() }
+
 // EngineReport counts the outcome of a request for an engine's report.
 func (f *Forward) EngineReport(o enginereport.Outcome) {
 	f.engineReports.WithLabelValues(string(o)).Inc()
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -24,6 +24,7 @@
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
+	"github.com/shedpath/shedpath/zoneload"
 )
 
 // metricsOf lists a registry's own metrics: name, type, labels, bounds of the buckets, and the value,
@@ -118,6 +119,9 @@
 	for _, o := range []enginereport.Outcome{enginereport.Received, enginereport.NoAnswer, enginereport.Unusable, enginereport.Outdated, enginereport.PeerUnusable} {
 		f.EngineReport(o)
 	}
+	for _, o := range []zoneload.Outcome{zoneload.Granted, zoneload.NoRoom, zoneload.Unreachable, zoneload.Unusable} {
+		f.ZoneShift(o)
+	}
 	f.WatchSignals(func() map[forward.LeavingSource]int {
 		return map[forward.LeavingSource]int{
 			forward.SourceList: 11, forward.SourceUpstream: 12, forward.SourceHost: 13, forward.SourcePeer: 14, forward.SourceRollout: 15,
