policy: bound the departed runs that an engine's load is compared with

BenchmarkGrant, in which time stands still, took 53 to 66 µs where the base took 5 µs, because no departed run expired.

--- a/policy/engineload.go
+++ b/policy/engineload.go
@@ -31,6 +31,9 @@
 	// departedRetention is how long departed runs are remembered: a load is applied for up to 2 s
 	// after it arrives, and is up to 1 s old then.
 	departedRetention = 3 * time.Second
+	// maxDeparted bounds the departed runs of one engine: an engine that serves 24 runs ends some four
+	// short answers per second.
+	maxDeparted = 64
 	// maxEstimateError is the fraction of an engine's memory up to which a difference counts as an
 	// error of the estimates if all runs are known. The unreported progress of 24 runs in half a
 	// second is some 1,500 of 26,860 tokens; a copy of a run holds 3,000 or more.
@@ -90,9 +93,14 @@
 // holdsUnknownMemory reports whether the engine itself states memory that no known run explains.
 func (e *engine) holdsUnknownMemory() bool { return e.loadApplied && e.unattributedMemory > 0 }
 
-// recordDeparture remembers a run that leaves the engine, and forgets those that left long ago.
+// recordDeparture remembers a run that leaves the engine, and forgets those that left long ago and
+// those above maxDeparted.
 func (e *engine) recordDeparture(now time.Time, p *placedRun) {
-	e.departed = slices.DeleteFunc(e.departed, func(d departedRun) bool { return now.Sub(d.leftAt) > departedRetention })
+	expired := max(len(e.departed)+1-maxDeparted, 0)
+	for expired < len(e.departed) && now.Sub(e.departed[expired].leftAt) > departedRetention {
+		expired++
+	}
+	e.departed = slices.Delete(e.departed, 0, expired)
 	e.departed = append(e.departed, departedRun{
 		run: p.Run, promptTokens: p.PromptTokens, generatedTokens: p.generatedTokens, arrivedAt: p.arrivedAt, leftAt: now,
 	})
@@ -102,6 +110,9 @@
 // there: now if it has just left another engine or has generated nothing, otherwise when it began to
 // generate.
 func (p *Pool) adoptedSince(now time.Time, run *placedRun) time.Time {
+	if run.generatedTokens == 0 {
+		return now
+	}
 	left := func(d departedRun) bool { return d.run == run.Run && now.Sub(d.leftAt) <= departedRetention }
 	for _, e := range p.enginesByID {
 		if e != run.engine && slices.ContainsFunc(e.departed, left) {
