--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -73,7 +73,10 @@
 	for _, id := range slices.Concat(f.engines.ownZoneEngines(), f.reports.named()) {
 		u, known := f.fleet.Upstream(id)
 		service, declared := t.Service(u.Service)
-		if !known || !declared || u.Leaving || !f.fleet.InService(u.Zone) || f.reports.reason(now, id) == "" || f.peers.arbiter(now, u).ID != f.peers.self.ID {
+		if !known || !declared || u.Leaving || !f.fleet.InService(u.Zone) || f.reports.reason(now, id) == "" {
+			continue
+		}
+		if f.backoffs.Remaining(now, id) > 0 || f.peers.arbiter(now, u).ID != f.peers.self.ID {
 			continue
 		}
 		if reason, due := f.reports.ask(now, u.ID); due {
