--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -32,6 +32,10 @@
 	pools map[ServiceName]*enginePool
 	// lastReported is when each peer last reported its runs.
 	lastReported map[member.HostID]time.Time
+	// reports holds the engines' own reports; nil for none. It is set before use.
+	reports *engineReports
+	// balanceZones enables the load sharing between zones. It is set before use.
+	balanceZones bool
 	// recentlyEnded are the runs of this host whose answers recently completed.
 	recentlyEnded []EndedRun
 }
@@ -65,6 +69,10 @@
 	lastObserved time.Time
 	// pace is the pace of each engine.
 	pace servicePace
+	// balance shares load with other zones; nil where that is disabled.
+	balance *zoneBalance
+	// reports is that of the placer.
+	reports *engineReports
 }
 
 // expectedStep is how long a decoding step is expected to take.
@@ -150,6 +158,10 @@
 				ownRuns: map[policy.RunID]*ownRun{}, peerRuns: map[policy.RunID]member.HostID{}, unconfirmedGrants: map[policy.RunID]time.Time{},
 			}
 			p.pool = policy.NewPool(policy.Settings{})
+			p.reports = e.reports
+			if e.balanceZones {
+				p.balance = &zoneBalance{}
+			}
 			e.pools[name] = p
 		}
 		p.spec = *s.Engine
@@ -202,6 +214,7 @@
 		p.updatePoolEngines()
 	}
 	p.refresh(now)
+	p.observeZoneLoad(now, e.zone)
 }
 
 // updatePoolEngines passes the available and remote engines to the policy pool.
@@ -273,6 +286,7 @@
 	for id := range p.poolEngines {
 		p.pool.Report(now, p.report(now, id))
 	}
+	p.applyLoads(now)
 	p.advance(now)
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -15,11 +15,13 @@
 	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/rollout"
 	"github.com/shedpath/shedpath/spool"
+	"github.com/shedpath/shedpath/zoneload"
 )
 
 // Settings configure a forwarder when it is created.
@@ -98,6 +100,10 @@
 	Signal(SignalKind)
 	// Send counts sends that were withheld, or made despite a reason against them.
 	Send(eligibility.Verdict)
+	// ZoneShift counts what became of short answers that were requested in an emptier zone.
+	ZoneShift(zoneload.Outcome)
+	// EngineReport counts the outcome of a request for an engine's report.
+	EngineReport(enginereport.Outcome)
 	// Suspended counts the time for which this machine was suspended.
 	Suspended(d time.Duration)
 }
@@ -146,6 +152,8 @@
 	newestConfig atomic.Pointer[Config]
 	peers        *peerSet
 	turns        turnQueues
+	// reports holds the engines' own reports of their load.
+	reports engineReports
 	// peerTransport is set by RunPeers under the lock of peers.
 	peerTransport Peers
 	// crashes holds the requests under which upstreams ended.
@@ -199,6 +207,8 @@
 	f.retries.setLimit(s.RetryLimit)
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
 	f.setClock(s.Clock)
+	f.enableEngineReports()
+	f.engines.balanceZones = s.Placement.ZoneAdmission
 	return f
 }
 
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/backoff"
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/pace"
@@ -65,6 +66,12 @@
 	Announcements []roster.Announcement
 	// Paces are the host's new observations of the pace of engines, for the peers of its cell.
 	Paces []pace.Mark
+	// Reports are the engines' own reports that the host got, and ReportRequests the engines that it
+	// has a reason to ask. Only shares within a cell have any.
+	Reports        []enginereport.Mark
+	ReportRequests []enginereport.Request
+	// ZoneLoad is the load of the host's zone. Only shares with hosts of other zones have any.
+	ZoneLoad []ZoneLoad
 }
 
 // Peers is the interface to the other hosts.
@@ -229,6 +236,8 @@
 	if !f.peers.isInOwnCell(to.ID) {
 		share.Paces = nil
 	}
+	f.addEngineReports(f.now(), &share, to.ID)
+	f.addZoneLoads(f.now(), &share, to.ID)
 	suspendedBefore := f.settings.Clock.TotalSuspended()
 	reply, err := peers.Share(ctx, to, share)
 	f.peers.recordShareResult(to.ID, err)
@@ -283,6 +292,8 @@
 		f.ContactProved(now.Add(-s.ConfigAge))
 	}
 	f.handleConfigOffer(s.From, s.Version)
+	f.receiveEngineReports(now, s)
+	f.receiveZoneLoads(now, s)
 }
 
 // ageWithDelay returns an age that a peer reported plus the delay that its message may have had. A
@@ -309,6 +320,8 @@
 	}
 	reply.Paces = f.pacesForReply(now, s)
 	reply.Crashes, _ = f.crashes.UnsentMarks(now, s.From.ID)
+	f.addEngineReports(now, &reply, s.From.ID)
+	f.addZoneLoads(now, &reply, s.From.ID)
 	if s.List.IsZero() {
 		reply.Announcements = f.peers.announcementsForJoiner(now, s.From.ID)
 	}
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -144,7 +144,7 @@
 		ID: string(s.From.ID), Zone: string(s.From.Zone), Address: s.From.PeerAddress, Capacity: s.From.Capacity, Announcement: s.AnnouncementCount, AnnouncedAgo: s.AnnouncementAge.Milliseconds(), Version: uint64(s.Version),
 		ConfigAge: s.ConfigAge.Milliseconds(), OriginAge: s.OriginAge.Milliseconds(), Stopping: s.Stopping,
 		Zones: toWireZones(now, s.Zones), Epoch: s.Epoch, Crashes: toWireCrashMarks(s.Crashes),
-		Limits: toWireLimitMarks(s.Limits), Announced: toWireAnnouncements(s.Announcements), extension: wireShareExtension{Paces: toWirePaces(s.Paces)},
+		Limits: toWireLimitMarks(s.Limits), Announced: toWireAnnouncements(s.Announcements), extension: toWireShareExtension(s),
 	}
 	w.ListEra, w.List = pointNumbers(s.List)
 	for _, r := range s.Runs {
@@ -179,6 +179,8 @@
 		OriginAge: time.Duration(w.OriginAge) * time.Millisecond, Stopping: w.Stopping,
 		List: newPoint(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
 		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced), Paces: paceMarks(w.extension.Paces),
+		Reports: engineReports(w.extension.Reports), ReportRequests: reportRequests(w.extension.ReportRequests),
+		ZoneLoad: zoneLoads(w.extension.ZoneLoad),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
@@ -217,7 +219,8 @@
 // Share sends this host's state to a peer and returns the peer's state.
 func (m *Mesh) Share(ctx context.Context, to forward.Peer, s forward.Share) (forward.Share, error) {
 	var answer wireShare
-	if err := m.call(ctx, to.PeerAddress, kindShare, toWireShare(m.clock.Now(), s), &answer); err != nil {
+	request := toWireShare(m.clock.Now(), s)
+	if err := m.call(ctx, to.PeerAddress, kindShare, &request, &answer); err != nil {
 		return forward.Share{}, err
 	}
 	return answer.share(m.clock.Now()), nil
--- a/internal/peer/shareextension.go
+++ b/internal/peer/shareextension.go
@@ -9,6 +9,8 @@
 
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shedpath/shedpath/forward"
 )
 
 // wireShareExtension holds the fields of a share that hosts of the first version don't know. That version
@@ -16,11 +18,22 @@
 // extension is therefore a second value there, a map with the names of the fields: a host ignores those that
 // it doesn't know, and a missing one means "not known". It is left out if it is empty.
 type wireShareExtension struct {
-	Paces []wirePace `msgpack:",omitempty"`
+	Paces          []wirePace          `msgpack:",omitempty"`
+	Reports        []wireEngineReport  `msgpack:",omitempty"`
+	ReportRequests []wireReportRequest `msgpack:",omitempty"`
+	ZoneLoad       []wireZoneLoad      `msgpack:",omitempty"`
+}
+
+func toWireShareExtension(s forward.Share) wireShareExtension {
+	return wireShareExtension{
+		Paces: toWirePaces(s.Paces), Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests), ZoneLoad: toWireZoneLoads(s.ZoneLoad),
+	}
 }
 
 // isEmpty reports whether the extension has no fields to send.
-func (e *wireShareExtension) isEmpty() bool { return len(e.Paces) == 0 }
+func (e *wireShareExtension) isEmpty() bool {
+	return len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad) == 0
+}
 
 // plainShare is a wireShare without the methods that add the extension.
 type plainShare wireShare
