admission, forward, internal/peer: one queue for the requests of a zone

Each host had its own queue, so free capacity went to whichever request asked at the moment it became available. With PlacementSettings.ZoneAdmission a host that finds no room asks the responsible host of its cell by the call Admit, which orders all requests by priority, account and remaining time and refuses those whose first token can't arrive in time.

A share is extended only while requests wait: a struct that is encoded as an array can't be decoded into one with another number of fields.

--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -148,6 +148,9 @@
 func (p *fakeFollowedPeer) Permit(context.Context, Peer, permit.GrantRequest) (permit.GrantReply, error) {
 	return permit.GrantReply{}, errConnectionLost
 }
+func (p *fakeFollowedPeer) Admit(context.Context, Peer, AdmitRequest) (AdmitReply, error) {
+	return AdmitReply{}, errConnectionLost
+}
 func (p *fakeFollowedPeer) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
 func (p *fakeFollowedPeer) Ask(context.Context, Peer, PlacementRequest) (PlacementGrant, error) {
 	return PlacementGrant{}, errConnectionLost
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -100,6 +100,9 @@
 	Send(eligibility.Verdict)
 	// Suspended counts the time for which this machine was suspended.
 	Suspended(d time.Duration)
+	// Admission counts the outcome of a request that asked for room in its zone, and how long it
+	// waited.
+	Admission(outcome AdmissionOutcome, waited time.Duration)
 }
 
 // Forwarder serves callers' requests. Use New.
@@ -144,6 +147,8 @@
 	newestConfig atomic.Pointer[Config]
 	peers        *peerSet
 	turns        turnQueues
+	// admissions are the queues of the zone's requests, where zone admission is enabled.
+	admissions zoneAdmissions
 	// peerTransport is set by RunPeers under the lock of peers.
 	peerTransport Peers
 	// crashes holds the requests under which upstreams ended.
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -62,6 +62,9 @@
 	// Announcements are announcements of hosts. Only the reply to a host that has just started has
 	// any.
 	Announcements []roster.Announcement
+	// Waiting are the requests that wait for room at the host, where it is responsible for the
+	// zone's requests. The reply to a share has none.
+	Waiting []WaitingMark
 }
 
 // Peers is the interface to the other hosts.
@@ -83,6 +86,8 @@
 	// Turn waits at an arbiter for the turn to move a run; EndTurn returns it.
 	Turn(ctx context.Context, to Peer, r TurnRequest) error
 	EndTurn(ctx context.Context, to Peer, r TurnRequest) error
+	// Admit waits at the host that is responsible for the zone's requests for a place.
+	Admit(ctx context.Context, to Peer, r AdmitRequest) (AdmitReply, error)
 }
 
 // Timing of the exchange between hosts. An undivided zone is one cell.
@@ -202,6 +207,7 @@
 func (f *Forwarder) newShare(now time.Time) Share {
 	s := f.newShareWithoutRuns(now)
 	s.Runs, s.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
+	s.Waiting = f.admissions.marks()
 	return s
 }
 
@@ -294,6 +300,9 @@
 	f.engines.replacePeerRuns(f.now(), s.From.ID, s.Runs, s.EndedRuns)
 	f.receiveShare(s)
 	now := f.now()
+	if f.peers.inSameCell(s.From.ID) {
+		f.admissions.receiveMarks(now, s.From.ID, s.Waiting)
+	}
 	reply := f.newShareWithoutRuns(now)
 	if f.peers.inSameCell(s.From.ID) {
 		reply.Runs, reply.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -97,6 +97,9 @@
 	// A service that isn't configured on this host has no engines, so no place is granted.
 	service, _ := t.Service(request.Service)
 	x := &exchange{Forwarder: f, service: service}
+	if !f.constrainAsk(now, &request) {
+		return PlacementGrant{}
+	}
 	request.ExcludedEngines = slices.Concat(request.ExcludedEngines, x.throttledEngines(now).sameZone)
 	decision, ok := f.engines.grantPlacement(now, request)
 	if !ok {
@@ -149,6 +152,12 @@
 	service := s.service.Name
 	inOwnZone, otherZones := s.placementZones(service)
 	inOwnZone, otherZones = inOwnZone && s.zoneAllowed(s.peers.self.Zone), s.filterZones(otherZones)
+	if s.settings.Placement.ZoneAdmission && inOwnZone {
+		if p, decided := s.placeInZone(ctx, now, r, throttled, otherZones); decided {
+			return p
+		}
+		now = s.now()
+	}
 	useLocalView := !inOwnZone || len(otherZones) == 0
 	if !useLocalView {
 		if u, run, d, ok := s.engines.tryPlaceInOwnZone(now, service, r); ok {
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -375,7 +375,13 @@
 	return rollout.Status{}, errConnectionLost
 }
 
-func (s sitePeers) Turn(context.Context, Peer, TurnRequest) error    { return nil }
+func (s sitePeers) Turn(context.Context, Peer, TurnRequest) error { return nil }
+func (s sitePeers) Admit(ctx context.Context, to Peer, r AdmitRequest) (AdmitReply, error) {
+	if f := s.reachHost(ctx, s.address, to); f != nil {
+		return f.OnAdmit(ctx, r), nil
+	}
+	return AdmitReply{}, errConnectionLost
+}
 func (s sitePeers) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
 
 // siteDirectory is a directory that counts one host's writes.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/shedpath/shedpath/admission"
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
@@ -229,6 +230,9 @@
 	case endQuarantined:
 		return quarantineRefusal
 	}
+	if d.Reason == admission.ReasonForecast {
+		return Refusal{Code: CodeOverloaded, RetryAfter: d.RetryAfter}
+	}
 	wait := min(max(d.RetryAfter, minRetryAfter), maxRetryAfter)
 	if d.Reason == policy.ReasonNoEngine {
 		return Refusal{Code: CodeNoUpstream, RetryAfter: wait}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -25,6 +25,7 @@
 	OnConfig(have forward.Version) forward.ConfigReply
 	OnAsk(a forward.PlacementRequest) forward.PlacementGrant
 	OnPermit(a permit.GrantRequest) permit.GrantReply
+	OnAdmit(ctx context.Context, r forward.AdmitRequest) forward.AdmitReply
 	OnRollout(r rollout.Report) rollout.Status
 	Rollouts() []forward.RolloutEntry
 	OnTurn(ctx context.Context, r forward.TurnRequest) error
@@ -46,11 +47,11 @@
 func (m *Mesh) dispatchForwardCall(ctx context.Context, f forwardHandler, k callKind, body []byte) (any, error) {
 	switch k {
 	case kindShare:
-		var w wireShare
+		var w shareMessage
 		if err := msgpack.Unmarshal(body, &w); err != nil {
 			return nil, trace.Wrap(err)
 		}
-		return toWireShare(m.clock.Now(), f.OnShare(w.share(m.clock.Now()))), nil
+		return newShareMessage(m.clock.Now(), f.OnShare(w.share(m.clock.Now()))), nil
 	case kindFollow:
 		var w wireFollowRequest
 		if err := msgpack.Unmarshal(body, &w); err != nil {
@@ -78,6 +79,8 @@
 		return wirePlacementGrant{Engine: string(grant.Engine), First: grant.TimeToFirstToken.Milliseconds()}, nil
 	case kindPermit:
 		return onPermit(f, body)
+	case kindAdmit:
+		return onAdmit(ctx, f, body)
 	case kindRollout:
 		return onRollout(f, body)
 	case kindRollouts:
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -142,6 +142,10 @@
 	return h.on(a).(forward.PlacementGrant)
 }
 
+func (h goldenHost) OnAdmit(_ context.Context, r forward.AdmitRequest) forward.AdmitReply {
+	return h.on(r).(forward.AdmitReply)
+}
+
 func (h goldenHost) OnPermit(a permit.GrantRequest) permit.GrantReply {
 	return h.on(a).(permit.GrantReply)
 }
@@ -265,6 +269,9 @@
 
 func testGoldenPlaces(t *testing.T, b *golden.Book, f golden.Filler) {
 	pin(t, b, "ask for a place", golden.Cases[forward.PlacementRequest](f, nil)[0], golden.Cases[forward.PlacementGrant](f, nil)[0], (*Mesh).Ask, serveGoldenHost, false)
+	for n, asked := range golden.Cases[forward.AdmitRequest](f, nil) {
+		pin(t, b, fmt.Sprint("ask the zone for room ", n+1), asked, golden.Cases[forward.AdmitReply](f, nil)[n], (*Mesh).Admit, serveGoldenHost, false)
+	}
 	turn := golden.Cases[goldenTurn](f, nil)[0]
 	pin(t, b, "wait for a turn", turn, noReply{},
 		func(m *Mesh, ctx context.Context, to member.Entry, r goldenTurn) (noReply, error) {
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -214,8 +214,8 @@
 
 // Share sends this host's state to a peer and returns the peer's state.
 func (m *Mesh) Share(ctx context.Context, to forward.Peer, s forward.Share) (forward.Share, error) {
-	var answer wireShare
-	if err := m.call(ctx, to.PeerAddress, kindShare, toWireShare(m.clock.Now(), s), &answer); err != nil {
+	var answer shareMessage
+	if err := m.callShare(ctx, to, s, &answer); err != nil {
 		return forward.Share{}, err
 	}
 	return answer.share(m.clock.Now()), nil
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -31,6 +31,7 @@
 	kindPermit
 	kindRollout
 	kindRollouts
+	kindAdmit
 )
 
 // The wire types are encoded as arrays, to keep heartbeats small: the order and number of their
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -43,6 +43,7 @@
 	withheldSends      *prometheus.CounterVec
 	sendsDespiteReason *prometheus.CounterVec
 	unloggedRequests   prometheus.Counter
+	admissions         *prometheus.HistogramVec
 }
 
 var (
@@ -69,6 +70,7 @@
 	f.signals = f.counter("upstream_signals_total", "Signals that upstreams gave about themselves in their answers, by kind.", "signal")
 	f.withheldSends = f.counter("sends_kept_back_total", "Sends to a chosen upstream that were withheld, by reason.", "reason")
 	f.sendsDespiteReason = f.counter("sends_despite_total", "Sends that were made despite a reason against them, because a run would have been lost otherwise, by reason.", "reason")
+	f.admissions = f.histogram("zone_admission_seconds", "Time for which requests that found no room waited for their zone's decision, by outcome.", callBuckets, "outcome")
 	f.unloggedRequests = f.counter("unlogged_requests_total", "Request log lines that were left out by sampling.").WithLabelValues()
 	f.promRegistry.MustRegister(
 		collectors.NewGoCollector(),
@@ -142,6 +144,11 @@
 // Suspended adds to the time for which this machine was suspended.
 func (f *Forward) Suspended(d time.Duration) { f.suspendedSeconds.Add(d.Seconds()) }
 
+// Admission records how long a request waited for room in its zone, by its outcome.
+func (f *Forward) Admission(o forward.AdmissionOutcome, waited time.Duration) {
+	f.admissions.WithLabelValues(string(o)).Observe(waited.Seconds())
+}
+
 // Permit counts the outcome of a request for a permit to send to a bounded upstream.
 func (f *Forward) Permit(o permit.Outcome) { f.permits.WithLabelValues(string(o)).Inc() }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -104,6 +104,9 @@
 	for _, o := range []permit.Outcome{permit.Granted, permit.Deferred, permit.OwnTurn, permit.NoTurn} {
 		f.Permit(o)
 	}
+	for n, o := range []forward.AdmissionOutcome{forward.AdmissionGranted, forward.AdmissionRefused, forward.AdmissionLeft, forward.AdmissionFallback} {
+		f.Admission(o, time.Duration(n+26)*time.Second)
+	}
 	for _, k := range []forward.SignalKind{forward.SignalLeaving, forward.SignalBackoff, forward.SignalLimit, forward.SignalUnusable} {
 		f.Signal(k)
 	}
