--- a/admission/queue.go
+++ b/admission/queue.go
@@ -98,7 +98,8 @@
 }
 
 // Submit adds a request. Decide decides about it. A caller that returns is credited with its
-// earlier wait: it precedes those who came after its first attempt.
+// earlier wait: while it can still have its first token within the objective of its first attempt,
+// it precedes those who came after that.
 func (q *Queue) Submit(now time.Time, r Request) {
 	q.Ranks.Observe(now, r.Priority)
 	if q.index(r.Run) >= 0 {
@@ -144,7 +145,7 @@
 	if len(q.items) == 0 {
 		return nil
 	}
-	q.order(z.Held)
+	q.order(now, z.Held)
 	decided := q.grant(now, place)
 	isNew := func(w *item) bool { return !w.reviewed }
 	if now.Sub(q.reviewedAt) >= reviewInterval || slices.ContainsFunc(q.items, isNew) {
@@ -155,11 +156,19 @@
 }
 
 // order sorts the requests: by priority; then fairly between accounts, the one that uses the least
-// memory first; then by the time that remains.
-func (q *Queue) order(held map[resource.Account]policy.Tokens) {
+// memory first; then by the time that remains since the caller's first attempt. Requests whose
+// time has passed come last, the longest late first: they are late in any case, and each that went
+// ahead would make another one late.
+func (q *Queue) order(now time.Time, held map[resource.Account]policy.Tokens) {
 	due := func(w *item) time.Time { return w.firstArrivedAt.Add(w.slack(1)) }
+	isLate := func(w *item) int {
+		if due(w).Before(now) {
+			return 1
+		}
+		return 0
+	}
 	slices.SortStableFunc(q.items, func(a, b *item) int {
-		return cmp.Or(cmp.Compare(b.Priority, a.Priority), due(a).Compare(due(b)))
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(isLate(a), isLate(b)), due(a).Compare(due(b)))
 	})
 	used := maps.Clone(held)
 	if used == nil {
@@ -167,7 +176,7 @@
 	}
 	for start := 0; start < len(q.items); {
 		end := start + 1
-		for end < len(q.items) && q.items[end].Priority == q.items[start].Priority {
+		for end < len(q.items) && q.items[end].Priority == q.items[start].Priority && isLate(q.items[end]) == isLate(q.items[start]) {
 			end++
 		}
 		shareFairly(q.items[start:end], used)
--- a/admission/request.go
+++ b/admission/request.go
@@ -37,12 +37,13 @@
 
 const (
 	// entryFraction is the part of its objective within which the first token of a request must
-	// be forecast when it arrives. The forecast is a mean, and the rest covers its error: prompts
-	// take 0.4 to 1 s to read while the engine decodes.
-	entryFraction = 0.85
+	// be forecast when it arrives. The forecast is a mean, and the rest covers its error.
+	entryFraction = 0.9
 	// yieldFraction is the part of the time a request can wait for which it leaves engines that
-	// still read a prompt to more urgent requests. The other half is left to find room anywhere.
-	yieldFraction = 0.5
+	// still read a prompt to more urgent requests. A long answer with an objective of 4 s and a
+	// prompt that takes 0.4 s then yields for 2.1 s, and has more than a second left to find an
+	// engine that still reads one prompt or two.
+	yieldFraction = 0.65
 	// maxWait bounds the wait of a request without an objective and a deadline.
 	maxWait = 10 * time.Second
 )
