--- a/forward/peers.go
+++ b/forward/peers.go
@@ -300,7 +300,7 @@
 	f.engines.replacePeerRuns(f.now(), s.From.ID, s.Runs, s.EndedRuns)
 	f.receiveShare(s)
 	now := f.now()
-	if f.peers.inSameCell(s.From.ID) {
+	if f.peers.inOwnCell(s.From.ID) {
 		f.admissions.receiveMarks(now, s.From.ID, s.Waiting)
 	}
 	reply := f.newShareWithoutRuns(now)
