admission, forward: tests that the mutations passed by

go test ./admission, go test -race -cpu 1 -count=3 ./forward (the tests of zoneadmission_test.go): ok.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -49,6 +49,7 @@
 		want      []policy.RunID
 	}{
 		"more urgent first":         {[]Request{request("long", nil), request("short", urgent)}, nil, 0, []policy.RunID{"short", "long"}},
+		"more urgent, more time":    {[]Request{request("long", nil), request("short", func(r *Request) { urgent(r); r.Objective = 9 * time.Second })}, nil, 0, []policy.RunID{"short", "long"}},
 		"less time left first":      {[]Request{request("new", later), request("old", nil)}, nil, time.Second, []policy.RunID{"old", "new"}},
 		"late ones last":            {[]Request{request("late", func(r *Request) { r.Objective = 500 * time.Millisecond }), request("in time", later)}, nil, time.Second, []policy.RunID{"in time", "late"}},
 		"accounts alternate":        {[]Request{request("a1", nil), request("a2", nil), request("b1", account("b"))}, nil, 0, []policy.RunID{"a1", "b1", "a2"}},
@@ -145,6 +146,30 @@
 		q.Submit(start, request("s", nil))
 		is.Equal(len(q.Decide(start.Add(3600*time.Millisecond), Zone{}, noRoom)), 1) // even if nothing is known
 	})
+	t.Run("prompts ahead are read one after another", func(t *testing.T) {
+		is := is.New(t)
+		zone := Zone{Engines: []policy.EngineOutlook{{Engine: "e", Free: 1 << 20, Slots: 20, Backlog: 100 * time.Millisecond}}}
+		var q Queue
+		for n := range 5 {
+			q.Submit(start, request(policy.RunID(rune('a'+n)), urgent))
+		}
+		refused := q.Decide(start, zone, noRoom)
+		is.Equal(len(refused), 2) // the fourth would have its first token after 1.5 s
+		is.Equal(refused[0].Forecast, 1500*time.Millisecond)
+	})
+	t.Run("an outlook that is too optimistic", func(t *testing.T) {
+		is := is.New(t)
+		zone := full(5 * time.Second)
+		zone.Engines[0].Free = 10_000
+		var q Queue
+		q.Submit(start, request("r", nil))
+		q.Decide(start, zone, noRoom)
+		count, _ := q.Waiting()
+		is.Equal(count, 1) // no longer than unknownWait
+		zone.Engines[0].Ends[0].In = unknownWait / 2
+		q.Submit(start, request("s", func(r *Request) { r.Objective = 500 * time.Millisecond }))
+		is.Equal(q.Decide(start, zone, noRoom)[0].Forecast, unknownWait/2+400*time.Millisecond)
+	})
 	t.Run("those refused don't return together", func(t *testing.T) {
 		is := is.New(t)
 		zone := full(5 * time.Second)
--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -244,6 +244,18 @@
 	is.NoErr(a.beginAsk(now.Add(admissionFailurePause), "h1"))
 	a.asked = maxAdmissionsAsked
 	is.Equal(a.beginAsk(now, "h2"), errTooManyAsked)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := newAdmissionZone(t, true)
+		first := z.ask(t.Context(), z.near, "r")
+		z.kill(z.responsible)
+		synctest.Wait()
+		second := z.ask(t.Context(), z.near, "s")
+		is.Equal(len(z.asked), 1)
+		is.Equal((<-second).decision.Reason, policy.ReasonDeadline) // of the own queue, where one waits
+		z.free()
+		is.Equal((<-first).decision.Verdict, policy.Granted)
+	})
 }
 
 // TestTwoResponsibleHosts guards against requests that no host decides while two hosts believe to be
