--- a/admission/loadsim_test.go
+++ b/admission/loadsim_test.go
@@ -69,7 +69,7 @@
 
 type simZone struct {
 	rand     *rand.Rand
-	now, end time.Time
+	now      time.Time
 	pools    []*policy.Pool
 	engines  map[policy.EngineID]*simEngine
 	ids      []policy.EngineID
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -147,8 +147,8 @@
 	}
 	q.order(now, z.Held)
 	decided := q.grant(now, place)
-	isNew := func(w *item) bool { return !w.reviewed }
-	if now.Sub(q.reviewedAt) >= reviewInterval || slices.ContainsFunc(q.items, isNew) {
+	isDue := func(w *item) bool { return !w.reviewed || !now.Before(w.LatestPlacement()) }
+	if now.Sub(q.reviewedAt) >= reviewInterval || slices.ContainsFunc(q.items, isDue) {
 		q.reviewedAt = now
 		decided = append(decided, q.review(now, z.Engines)...)
 	}
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -144,7 +144,8 @@
 		is.Equal(len(q.Decide(start.Add(200*time.Millisecond), full(3300*time.Millisecond), noRoom)), 0) // still within the objective
 		is.Equal(len(q.Decide(start.Add(400*time.Millisecond), full(3300*time.Millisecond), noRoom)), 1)
 		q.Submit(start, request("s", nil))
-		is.Equal(len(q.Decide(start.Add(3600*time.Millisecond), Zone{}, noRoom)), 1) // even if nothing is known
+		is.Equal(len(q.Decide(start.Add(3550*time.Millisecond), Zone{}, noRoom)), 0)
+		is.Equal(len(q.Decide(start.Add(3600*time.Millisecond), Zone{}, noRoom)), 1) // at once, even if nothing is known
 	})
 	t.Run("prompts ahead are read one after another", func(t *testing.T) {
 		is := is.New(t)
@@ -255,3 +256,23 @@
 	count, highest = q.Waiting()
 	is.Equal([]int{count, highest}, []int{1, 1})
 }
+
+// BenchmarkDecide measures a decision about 64 waiting requests on 15 engines with 7 runs each.
+func BenchmarkDecide(b *testing.B) {
+	var zone Zone
+	for range 15 {
+		e := policy.EngineOutlook{Free: -500, Slots: 17}
+		for n := range 7 {
+			e.Ends = append(e.Ends, policy.RunEnd{In: time.Duration(n+1) * time.Second, Memory: 3500})
+		}
+		zone.Engines = append(zone.Engines, e)
+	}
+	var q Queue
+	for n := range 64 {
+		q.Submit(start, request(policy.RunID(rune('0'+n)), func(r *Request) { r.Objective = time.Hour }))
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		q.Decide(start.Add(time.Duration(n)*time.Microsecond), zone, noRoom)
+	}
+}
--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -148,6 +148,7 @@
 func (p *fakeFollowedPeer) Permit(context.Context, Peer, permit.GrantRequest) (permit.GrantReply, error) {
 	return permit.GrantReply{}, errConnectionLost
 }
+
 func (p *fakeFollowedPeer) Admit(context.Context, Peer, AdmitRequest) (AdmitReply, error) {
 	return AdmitReply{}, errConnectionLost
 }
--- a/forward/zoneadmission.go
+++ b/forward/zoneadmission.go
@@ -194,7 +194,10 @@
 		return AdmitReply{}, err
 	}
 	defer s.admissions.endAsk()
-	callCtx, cancel := context.WithTimeoutCause(ctx, max(request.LatestPlacement().Sub(now), 0)+admissionReplySlack, context.DeadlineExceeded)
+	// The peer may expect the prompt to be read sooner than this host does.
+	latest := request
+	latest.Prefill = 0
+	callCtx, cancel := context.WithTimeout(ctx, max(latest.LatestPlacement().Sub(now), 0)+admissionReplySlack)
 	defer cancel()
 	callCtx, abandon := context.WithCancelCause(callCtx)
 	defer abandon(nil)
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -211,6 +211,12 @@
 	f.Gauge("peers", "Other hosts that this host heard from recently.", func() float64 { return float64(read()) })
 }
 
+// WatchZoneQueue registers a metric for the requests that wait at this host for room in its zone.
+// read is called at each scrape.
+func (f *Forward) WatchZoneQueue(read func() int) {
+	f.Gauge("zone_queue", "Requests that wait at this host for room in its zone.", func() float64 { return float64(read()) })
+}
+
 // WatchEra registers metrics for the era of the platform's store as this host knows it and for
 // the number of live peers that know another era. The functions are called at each scrape.
 func (f *Forward) WatchEra(era func() history.Era, disagreeing func() int) {
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -123,6 +123,7 @@
 		}
 	}, func() []backoff.Status { return []backoff.Status{{Remaining: 1}, {Remaining: 2}, {}} })
 	f.WatchPeers(func() int { return 16 })
+	f.WatchZoneQueue(func() int { return 30 })
 	f.WatchEra(func() history.Era { return 17 }, func() int { return 18 })
 	f.WatchLearnt(func() []forward.EngineEstimate {
 		return []forward.EngineEstimate{{Service: "service-1", PrefillRate: 19, PrefillSamples: 20, StepTime: 21 * time.Second, StepSamples: 22, Age: 23 * time.Second}}
