forward: hosts of a zone without engines ask the queue of another zone

While a zone is drained, its hosts still get requests and bypassed the queues of the other zones. They now wait in that of one of them.

--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -135,20 +135,21 @@
 	silentObserver struct{}
 )
 
-func (silentJournal) Request(RequestID, string, ...any)          {}
-func (silentJournal) HostEvent(string, ...any)                   {}
-func (silentObserver) Answered(Kind, string, time.Duration)      {}
-func (silentObserver) FirstEvent(time.Duration)                  {}
-func (silentObserver) EventGap(time.Duration)                    {}
-func (silentObserver) Repeated(string)                           {}
-func (silentObserver) UnreadableEntries(int)                     {}
-func (silentObserver) ConnectionBroken(bool)                     {}
-func (silentObserver) Suspended(time.Duration)                   {}
+func (silentJournal) Request(RequestID, string, ...any)     {}
+func (silentJournal) HostEvent(string, ...any)              {}
+func (silentObserver) Answered(Kind, string, time.Duration) {}
+func (silentObserver) FirstEvent(time.Duration)             {}
+func (silentObserver) EventGap(time.Duration)               {}
+func (silentObserver) Repeated(string)                      {}
+func (silentObserver) UnreadableEntries(int)                {}
+func (silentObserver) ConnectionBroken(bool)                {}
+func (silentObserver) Suspended(time.Duration)              {}
+func (silentObserver) Permit(permit.Outcome)                {}
+func (silentObserver) Send(eligibility.Verdict)             {}
+func (silentObserver) Signal(SignalKind)                    {}
+func (silentObserver) Moved(string, time.Duration)          {}
+
 func (silentObserver) Admission(AdmissionOutcome, time.Duration) {}
-func (silentObserver) Permit(permit.Outcome)                     {}
-func (silentObserver) Send(eligibility.Verdict)                  {}
-func (silentObserver) Signal(SignalKind)                         {}
-func (silentObserver) Moved(string, time.Duration)               {}
 
 // testConfig returns a configuration with a route of each kind; "/llm/" leads to engines.
 func testConfig(version Version) Config {
--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -152,8 +152,8 @@
 	service := s.service.Name
 	inOwnZone, otherZones := s.placementZones(service)
 	inOwnZone, otherZones = inOwnZone && s.zoneAllowed(s.peers.self.Zone), s.filterZones(otherZones)
-	if s.settings.Placement.ZoneAdmission && inOwnZone {
-		if p, decided := s.placeInZone(ctx, now, r, throttled, otherZones); decided {
+	if s.settings.Placement.ZoneAdmission {
+		if p, decided := s.placeInZone(ctx, now, r, throttled, inOwnZone, otherZones); decided {
 			return p
 		}
 		now = s.now()
--- a/forward/zoneadmission.go
+++ b/forward/zoneadmission.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/admission"
+	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -52,20 +53,28 @@
 
 // placeInZone places a new run in the order of the zone's queue. It places the run itself while
 // the zone has room and no request of the same or a higher priority waits; then it asks other
-// zones, and then the host that is responsible for the zone's requests. It returns false if that
-// host keeps no queue for the request, which is then for this host's own queue.
-func (s *streamExchange) placeInZone(ctx context.Context, now time.Time, r policy.Request, throttled throttledSet, otherZones []member.Zone) (placementResult, bool) {
+// zones, and then the host that is responsible for the zone's requests. A host whose own zone has
+// no engines, as while it is drained, asks that of another zone. placeInZone returns false if no
+// host keeps a queue for the request, which is then for this host's own queue.
+func (s *streamExchange) placeInZone(ctx context.Context, now time.Time, r policy.Request, throttled throttledSet, inOwnZone bool, otherZones []member.Zone) (placementResult, bool) {
+	target := s.ownCell()
+	if !inOwnZone {
+		if len(otherZones) == 0 || s.peers.zonesDivided() {
+			return placementResult{}, false
+		}
+		target = cell.ID{Zone: otherZones[0]}
+	}
 	service := s.service.Name
 	request := s.engines.admissionRequest(service, r)
 	yields := s.admissions.observe(now, service, &request)
-	if !s.admissions.blocks(now, service, r.Priority) {
+	if inOwnZone && !s.admissions.blocks(now, service, r.Priority) {
 		if result, ok := s.tryOwnZone(now, r, yields); ok {
 			return result, true
 		}
 	}
 	// A request that could be placed but yields to more urgent ones isn't for other zones: a
 	// stream between zones breaks when they are partitioned.
-	if !yields || !s.engines.hasRoom(now, service, r) {
+	if !inOwnZone || !yields || !s.engines.hasRoom(now, service, r) {
 		if result, ok := s.askOtherZones(ctx, r, throttled, otherZones); ok {
 			return result, true
 		}
@@ -73,10 +82,13 @@
 	if ctx.Err() != nil {
 		return placementResult{decision: policy.Decision{Run: r.Run, Verdict: policy.Refused, Reason: policy.ReasonDeadline}}, true
 	}
-	if throttled.allExcluded(r.ExcludedEngines, s.peers.self.Zone) {
+	if !inOwnZone {
+		r.ExcludedEngines = slices.Concat(r.ExcludedEngines, throttled.otherZones)
+	}
+	if throttled.allExcluded(r.ExcludedEngines, target.Zone) {
 		return placementResult{decision: policy.Decision{Run: r.Run, Verdict: policy.Refused, Reason: policy.ReasonQueueFull, RetryAfter: throttled.shortestWait}}, true
 	}
-	return s.askResponsible(ctx, r, request)
+	return s.askResponsible(ctx, r, request, target)
 }
 
 // tryOwnZone places a run on an engine of the own zone if one has room; if the run yields, only on
@@ -133,12 +145,16 @@
 }
 
 // askResponsible waits for the decision of the host that is responsible for the zone's requests.
-func (s *streamExchange) askResponsible(ctx context.Context, r policy.Request, request admission.Request) (placementResult, bool) {
+func (s *streamExchange) askResponsible(ctx context.Context, r policy.Request, request admission.Request, target cell.ID) (placementResult, bool) {
 	askedAt := s.now()
 	request.Caller = admission.Caller(s.fingerprint().String())
 	request.Deadline = s.deadline
 	request.Restricted = len(r.ExcludedEngines) > 0 || r.OnlyGroup != "" || r.ExcludedGroup != ""
-	host := s.responsibleForAdmission(askedAt, s.service.Name)
+	host := s.responsibleForAdmission(askedAt, s.service.Name, target)
+	if host.Zone != target.Zone {
+		// No host of the zone is known.
+		return placementResult{}, false
+	}
 	var result placementResult
 	var reply AdmitReply
 	var err error
@@ -148,7 +164,7 @@
 			result, ok = s.tryOwnZone(now, r, idleOnly)
 			return PlacementGrant{Engine: result.decision.Engine, TimeToFirstToken: result.decision.TimeToFirstToken}, ok
 		})
-	} else if reply, err = s.askPeerForAdmission(ctx, host, r, request); reply.Engine != "" {
+	} else if reply, err = s.askPeerForAdmission(ctx, host, r, request, target); reply.Engine != "" {
 		result, err = s.useAdmission(r, host, reply)
 	}
 	waited := s.now().Sub(askedAt)
@@ -184,7 +200,7 @@
 
 // askPeerForAdmission asks a peer and waits for its reply: until the request can no longer be
 // placed in time, or the peer is no longer responsible.
-func (s *streamExchange) askPeerForAdmission(ctx context.Context, host Peer, r policy.Request, request admission.Request) (AdmitReply, error) {
+func (s *streamExchange) askPeerForAdmission(ctx context.Context, host Peer, r policy.Request, request admission.Request, target cell.ID) (AdmitReply, error) {
 	peers := s.loadPeerPort()
 	if peers == nil {
 		return AdmitReply{}, errPeersUnavailable
@@ -201,7 +217,7 @@
 	defer cancel()
 	callCtx, abandon := context.WithCancelCause(callCtx)
 	defer abandon(nil)
-	go s.watchResponsible(callCtx, abandon, host)
+	go s.watchResponsible(callCtx, abandon, host, target)
 	ask := AdmitRequest{PlacementRequest: newPlacementRequest(s.peers.self.ID, s.service.Name, now, r), Caller: request.Caller, TimeLeft: s.timeLeft(now)}
 	reply, err := peers.Admit(callCtx, host, ask)
 	if err == nil {
@@ -222,7 +238,7 @@
 }
 
 // watchResponsible ends a call when its host is no longer the responsible one.
-func (s *streamExchange) watchResponsible(ctx context.Context, abandon context.CancelCauseFunc, host Peer) {
+func (s *streamExchange) watchResponsible(ctx context.Context, abandon context.CancelCauseFunc, host Peer, target cell.ID) {
 	tick := time.NewTicker(admissionCheckInterval)
 	defer tick.Stop()
 	for {
@@ -230,7 +246,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if s.responsibleForAdmission(s.now(), s.service.Name).ID != host.ID {
+			if s.responsibleForAdmission(s.now(), s.service.Name, target).ID != host.ID {
 				abandon(errNotResponsible)
 				return
 			}
--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/admission"
+	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -92,7 +93,7 @@
 		go f.Run(ctx)
 	}
 	time.Sleep(1100 * time.Millisecond)
-	first := z.hosts["10.1.0.1:1"].responsibleForAdmission(time.Now(), "llm").ID
+	first := z.hosts["10.1.0.1:1"].responsibleForAdmission(time.Now(), "llm", cell.ID{Zone: "z1"}).ID
 	for _, f := range z.hosts {
 		switch {
 		case f.peers.self.ID == first:
@@ -221,7 +222,7 @@
 		time.Sleep(sameCellSilenceTimeout)
 		is.Equal(ownQueueLength(z.near), 1) // long before the caller's wait ends
 		next := z.near
-		if z.near.responsibleForAdmission(time.Now(), "llm").ID == z.far.peers.self.ID {
+		if z.near.responsibleForAdmission(time.Now(), "llm", cell.ID{Zone: "z1"}).ID == z.far.peers.self.ID {
 			next = z.far
 		}
 		later := z.ask(t.Context(), z.far, "s")
@@ -365,3 +366,35 @@
 	told := s.placementRefusal(t.Context(), policy.Decision{Reason: admission.ReasonForecast, RetryAfter: 9 * time.Second})
 	is.Equal(told, Refusal{Code: CodeOverloaded, RetryAfter: 9 * time.Second})
 }
+
+func (p *remoteZonePeer) Admit(ctx context.Context, _ Peer, r AdmitRequest) (AdmitReply, error) {
+	return p.remote.OnAdmit(ctx, r), nil
+}
+
+// TestDrainedZoneAsksAnother guards against hosts of a zone without engines that bypass the queues of
+// the others, or are refused because they have only their own.
+func TestDrainedZoneAsksAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far, _ := newTwoZoneHosts(t)
+		for _, f := range []*Forwarder{near, far} {
+			f.settings.Placement.ZoneAdmission = true
+			f.fleet.ApplyZoneOrders(time.Now(), []ZoneOrder{outOfService("z1", 3)})
+			f.updatePlacementEngines(time.Now(), f.Table())
+		}
+		fillEngine(t, far, "far1")
+		fillEngine(t, far, "far2")
+		full := far.engines.pools["llm"].ownRuns["fill-far2"]
+		for _, run := range far.engines.pools["llm"].ownRuns {
+			far.engines.recordFirstToken(time.Now(), "llm", run)
+		}
+		z := &admissionZone{objective: 39 * time.Second}
+		got := z.ask(t.Context(), near, "r")
+		is.Equal(far.ZoneQueueLength(), 1)
+		far.engines.finish(time.Now(), "llm", full, false)
+		result := <-got
+		is.Equal(result.decision.Verdict, policy.Granted)
+		is.Equal(result.upstream.ID, member.UpstreamID("far2"))
+		is.Equal(far.ZoneQueueLength(), 0)
+	})
+}
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -357,9 +357,9 @@
 // admissionDuty is the duty for which the responsible host of a cell is determined.
 func admissionDuty(service ServiceName) string { return "admission/" + string(service) }
 
-// responsibleForAdmission returns the host that keeps the queue of a service in this host's cell.
-func (f *Forwarder) responsibleForAdmission(now time.Time, service ServiceName) Peer {
-	return f.peers.responsibleHost(now, admissionDuty(service), f.ownCell())
+// responsibleForAdmission returns the host that keeps the queue of a service in a cell.
+func (f *Forwarder) responsibleForAdmission(now time.Time, service ServiceName, target cell.ID) Peer {
+	return f.peers.responsibleHost(now, admissionDuty(service), target)
 }
 
 // inOwnCell reports whether a peer is in this host's cell; an undivided zone is one cell.
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -72,17 +72,18 @@
 	nopMetrics struct{}
 )
 
-func (nopLog) Request(forward.RequestID, string, ...any)             {}
-func (nopLog) HostEvent(string, ...any)                              {}
-func (nopMetrics) Answered(forward.Kind, string, time.Duration)      {}
-func (nopMetrics) FirstEvent(time.Duration)                          {}
-func (nopMetrics) EventGap(time.Duration)                            {}
-func (nopMetrics) Repeated(string)                                   {}
-func (nopMetrics) Moved(string, time.Duration)                       {}
-func (nopMetrics) UnreadableEntries(int)                             {}
-func (nopMetrics) ConnectionBroken(bool)                             {}
+func (nopLog) Request(forward.RequestID, string, ...any)        {}
+func (nopLog) HostEvent(string, ...any)                         {}
+func (nopMetrics) Answered(forward.Kind, string, time.Duration) {}
+func (nopMetrics) FirstEvent(time.Duration)                     {}
+func (nopMetrics) EventGap(time.Duration)                       {}
+func (nopMetrics) Repeated(string)                              {}
+func (nopMetrics) Moved(string, time.Duration)                  {}
+func (nopMetrics) UnreadableEntries(int)                        {}
+func (nopMetrics) ConnectionBroken(bool)                        {}
+func (nopMetrics) Permit(permit.Outcome)                        {}
+func (nopMetrics) Send(eligibility.Verdict)                     {}
+func (nopMetrics) Signal(forward.SignalKind)                    {}
+func (nopMetrics) Suspended(time.Duration)                      {}
+
 func (nopMetrics) Admission(forward.AdmissionOutcome, time.Duration) {}
-func (nopMetrics) Permit(permit.Outcome)                             {}
-func (nopMetrics) Send(eligibility.Verdict)                          {}
-func (nopMetrics) Signal(forward.SignalKind)                         {}
-func (nopMetrics) Suspended(time.Duration)                           {}
