--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -123,20 +123,12 @@
 	return marks[:min(len(marks), pace.MaxMarks)]
 }
 
-// isInOwnCell reports whether a peer is known and in this host's cell; an undivided zone is one cell.
-func (p *peerSet) isInOwnCell(id member.HostID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.known[id]
-	return s != nil && s.sameCell
-}
-
 // pacesForReply returns the marks for the reply to a share: all of them for a host that has just
 // started, and the new ones where this host may send no share itself because the peer's share is the
 // exchange of both. Hosts of other cells don't place on the same engines.
 func (f *Forwarder) pacesForReply(now time.Time, s Share) []pace.Mark {
 	joins := s.List.IsZero()
-	if !f.engines.paceEnabled || !f.peers.isInOwnCell(s.From.ID) || !joins && !f.peers.zonesDivided() {
+	if !f.engines.paceEnabled || !f.peers.inOwnCell(s.From.ID) || !joins && !f.peers.zonesDivided() {
 		return nil
 	}
 	return f.engines.paceMarks(now, joins)
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -162,6 +162,8 @@
 func (silentObserver) Signal(SignalKind)                    {}
 func (silentObserver) Moved(string, time.Duration)          {}
 
+func (silentObserver) Admission(AdmissionOutcome, time.Duration) {}
+
 // testConfig returns a configuration with a route of each kind; "/llm/" leads to engines.
 func testConfig(version Version) Config {
 	engine := &Engine{
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -72,6 +72,9 @@
 	ReportRequests []enginereport.Request
 	// ZoneLoad is the load of the host's zone. Only shares with hosts of other zones have any.
 	ZoneLoad []ZoneLoad
+	// Waiting are the requests that wait for room at the host, where it is responsible for the
+	// zone's requests. The reply to a share has none.
+	Waiting []WaitingMark
 }
 
 // Peers is the interface to the other hosts.
@@ -93,6 +96,8 @@
 	// Turn waits at an arbiter for the turn to move a run; EndTurn returns it.
 	Turn(ctx context.Context, to Peer, r TurnRequest) error
 	EndTurn(ctx context.Context, to Peer, r TurnRequest) error
+	// Admit waits at the host that is responsible for the zone's requests for a place.
+	Admit(ctx context.Context, to Peer, r AdmitRequest) (AdmitReply, error)
 }
 
 // Timing of the exchange between hosts. An undivided zone is one cell.
@@ -213,6 +218,7 @@
 	s := f.newShareWithoutRuns(now)
 	s.Runs, s.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
 	s.Paces = f.engines.paceMarks(now, false)
+	s.Waiting = f.admissions.marks()
 	return s
 }
 
@@ -233,7 +239,7 @@
 	defer cancel()
 	var upTo uint64
 	share.Crashes, upTo = f.crashes.UnsentMarks(f.now(), to.ID)
-	if !f.peers.isInOwnCell(to.ID) {
+	if !f.peers.inOwnCell(to.ID) {
 		share.Paces = nil
 	}
 	f.addEngineReports(f.now(), &share, to.ID)
@@ -313,6 +319,9 @@
 	f.engines.replacePeerRuns(f.now(), s.From.ID, s.Runs, s.EndedRuns)
 	f.receiveShare(s)
 	now := f.now()
+	if f.peers.inOwnCell(s.From.ID) {
+		f.admissions.receiveMarks(now, s.From.ID, s.Waiting)
+	}
 	reply := f.newShareWithoutRuns(now)
 	if f.peers.inSameCell(s.From.ID) {
 		reply.Runs, reply.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -25,6 +25,7 @@
 	OnConfig(have forward.Version) forward.ConfigReply
 	OnAsk(a forward.PlacementRequest) forward.PlacementGrant
 	OnPermit(a permit.GrantRequest) permit.GrantReply
+	OnAdmit(ctx context.Context, r forward.AdmitRequest) forward.AdmitReply
 	OnRollout(r rollout.Report) rollout.Status
 	Rollouts() []forward.RolloutEntry
 	OnTurn(ctx context.Context, r forward.TurnRequest) error
@@ -78,6 +79,8 @@
 		return wirePlacementGrant{Engine: string(grant.Engine), First: grant.TimeToFirstToken.Milliseconds()}, nil
 	case kindPermit:
 		return onPermit(f, body)
+	case kindAdmit:
+		return onAdmit(ctx, f, body)
 	case kindRollout:
 		return onRollout(f, body)
 	case kindRollouts:
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -89,3 +89,5 @@
 func (nopMetrics) Suspended(time.Duration)                      {}
 func (nopMetrics) ZoneShift(zoneload.Outcome)                   {}
 func (nopMetrics) EngineReport(enginereport.Outcome)            {}
+
+func (nopMetrics) Admission(forward.AdmissionOutcome, time.Duration) {}
--- a/internal/peer/shareextension.go
+++ b/internal/peer/shareextension.go
@@ -22,17 +22,19 @@
 	Reports        []wireEngineReport  `msgpack:",omitempty"`
 	ReportRequests []wireReportRequest `msgpack:",omitempty"`
 	ZoneLoad       []wireZoneLoad      `msgpack:",omitempty"`
+	Waiting        []wireWaiting       `msgpack:",omitempty"`
 }
 
 func toWireShareExtension(s forward.Share) wireShareExtension {
 	return wireShareExtension{
 		Paces: toWirePaces(s.Paces), Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests), ZoneLoad: toWireZoneLoads(s.ZoneLoad),
+		Waiting: toWireWaiting(s.Waiting),
 	}
 }
 
 // isEmpty reports whether the extension has no fields to send.
 func (e *wireShareExtension) isEmpty() bool {
-	return len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad) == 0
+	return len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad)+len(e.Waiting) == 0
 }
 
 // plainShare is a wireShare without the methods that add the extension.
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -47,6 +47,7 @@
 	unloggedRequests   prometheus.Counter
 	engineReports      *prometheus.CounterVec
 	zoneShifts         *prometheus.CounterVec
+	admissions         *prometheus.HistogramVec
 }
 
 var (
@@ -73,6 +74,7 @@
 	f.signals = f.counter("upstream_signals_total", "Signals that upstreams gave about themselves in their answers, by kind.", "signal")
 	f.withheldSends = f.counter("sends_kept_back_total", "Sends to a chosen upstream that were withheld, by reason.", "reason")
 	f.sendsDespiteReason = f.counter("sends_despite_total", "Sends that were made despite a reason against them, because a run would have been lost otherwise, by reason.", "reason")
+	f.admissions = f.histogram("zone_admission_seconds", "Time for which requests that found no room waited for their zone's decision, by outcome.", callBuckets, "outcome")
 	f.unloggedRequests = f.counter("unlogged_requests_total", "Request log lines that were left out by sampling.").WithLabelValues()
 	f.engineReports = f.counter("engine_reports_total", "Requests for an engine's own report of its load, and unusable ones from peers, by outcome.", "outcome")
 	f.zoneShifts = f.counter("zone_shifts_total", "Short answers that were requested in an emptier zone, and unusable loads of other zones, by outcome.", "outcome")
@@ -156,6 +158,11 @@
 	f.engineReports.WithLabelValues(string(o)).Inc()
 }
 
+// Admission records how long a request waited for room in its zone, by its outcome.
+func (f *Forward) Admission(o forward.AdmissionOutcome, waited time.Duration) {
+	f.admissions.WithLabelValues(string(o)).Observe(waited.Seconds())
+}
+
 // Permit counts the outcome of a request for a permit to send to a bounded upstream.
 func (f *Forward) Permit(o permit.Outcome) { f.permits.WithLabelValues(string(o)).Inc() }
 
@@ -218,6 +225,12 @@
 	f.Gauge("peers", "Other hosts that this host heard from recently.", func() float64 { return float64(read()) })
 }
 
+// WatchZoneQueue registers a metric for the requests that wait at this host for room in its zone.
+// read is called at each scrape.
+func (f *Forward) WatchZoneQueue(read func() int) {
+	f.Gauge("zone_queue", "Requests that wait at this host for room in its zone.", func() float64 { return float64(read()) })
+}
+
 // WatchEra registers metrics for the era of the platform's store as this host knows it and for
 // the number of live peers that know another era. The functions are called at each scrape.
 func (f *Forward) WatchEra(era func() history.Era, disagreeing func() int) {
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -107,6 +107,9 @@
 	for _, o := range []permit.Outcome{permit.Granted, permit.Deferred, permit.OwnTurn, permit.NoTurn} {
 		f.Permit(o)
 	}
+	for n, o := range []forward.AdmissionOutcome{forward.AdmissionGranted, forward.AdmissionRefused, forward.AdmissionLeft, forward.AdmissionFallback} {
+		f.Admission(o, time.Duration(n+26)*time.Second)
+	}
 	for _, k := range []forward.SignalKind{forward.SignalLeaving, forward.SignalBackoff, forward.SignalLimit, forward.SignalUnusable} {
 		f.Signal(k)
 	}
@@ -129,6 +132,7 @@
 		}
 	}, func() []backoff.Status { return []backoff.Status{{Remaining: 1}, {Remaining: 2}, {}} })
 	f.WatchPeers(func() int { return 16 })
+	f.WatchZoneQueue(func() int { return 30 })
 	f.WatchEra(func() history.Era { return 17 }, func() int { return 18 })
 	f.WatchLearnt(func() []forward.EngineEstimate {
 		return []forward.EngineEstimate{{Service: "service-1", PrefillRate: 19, PrefillSamples: 20, StepTime: 21 * time.Second, StepSamples: 22, Age: 23 * time.Second}}
