--- a/policy/pacesim_test.go
+++ b/policy/pacesim_test.go
@@ -213,7 +213,9 @@
 	// Short answers move to the slow engines, and few are late for it.
 	is.True(own.shortOnSlow*100 > pooled.shortOnSlow*120)
 	is.True(short.inTime*100 > pooled.kinds["short"].inTime*95)
-	// The slow engines are a last resort in the burst, and the others keep room for runs that move.
+	// The slow engines are a last resort in the burst. Fuller fast engines must not lose what is
+	// gained: runs are cut there when they find no room to move to, or not in time.
 	is.True(own.longOnSlow*100 < pooled.longOnSlow*85 && own.longOnSlow*4 > pooled.longOnSlow)
 	is.True(long.interrupted*100 <= pooled.kinds["long"].interrupted*110)
+	is.True((long.longTokenGap+long.interrupted)*100 < (pooled.kinds["long"].longTokenGap+pooled.kinds["long"].interrupted)*80)
 }
