--- a/policy/pace_test.go
+++ b/policy/pace_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -266,7 +267,7 @@
 	is := is.New(t)
 	p := newPacePool(1)
 	length := float64(p.MeanLength(&Request{Route: "long", Account: "a"}))
-	is.True(p.completionsPerSecond()-(1/0.017+1/0.010+1/0.006)/length < 1e-9)
+	is.True(math.Abs(p.completionsPerSecond()-(1/0.017+1/0.010+1/0.006)/length) < 1e-9)
 }
 
 // TestRunPace checks what the log gets of an engine's pace.
