policy, forward: leave room for runs on departing engines

Runs that must move compete with new requests for the same memory, and are cut with their engine when they find no place within its notice, while new requests are placed. With Settings.RoomForMoves, a new request is placed only if enough places are left for the runs on its zone's departing engines.

--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -24,6 +24,8 @@
 	zone member.Zone
 	// clock gives the current time; nil stands for the system clock.
 	clock *clock.Clock
+	// roomForMoves is PlacementSettings.RoomForMoves.
+	roomForMoves bool
 
 	mu    sync.Mutex
 	pools map[ServiceName]*enginePool
@@ -60,6 +62,9 @@
 	// the engines was last observed.
 	stepSamples  uint64
 	lastObserved time.Time
+	// heldForMoves is how many attempts at placing a request had been held back for departing
+	// runs when that was last logged.
+	heldForMoves uint64
 }
 
 // expectedStep is how long a decoding step is expected to take.
@@ -149,7 +154,7 @@
 		}
 		p.spec = *s.Engine
 		settings := poolSettings(p.spec, t.ShortestGapObjective(name))
-		settings.DeciderID = string(e.self)
+		settings.DeciderID, settings.RoomForMoves = string(e.self), e.roomForMoves && p.spec.Moves
 		p.pool.SetSettings(settings)
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -192,6 +192,7 @@
 		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}), relistRequested: make(chan struct{}, 1),
 		fingerprintsToStore: make(chan quarantine.Fingerprint, saveQueueSize),
 	}
+	f.engines.roomForMoves = s.Placement.RoomForMoves
 	f.limiter = permit.New(s.Self, permitSite{f}, f.now)
 	f.retries.setLimit(s.RetryLimit)
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
@@ -308,6 +309,7 @@
 	f.fleet.SetLayout(layout, own)
 	for name, s := range t.Services() {
 		if s.Engine != nil {
+			f.updateDepartures(now, s)
 			f.engines.setAvailable(now, name, f.placementEngines(now, name, layout, own))
 		}
 	}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -37,6 +37,7 @@
 
 func (p *Pool) chooseWhere(now time.Time, r *Request, eligible func(*engine) bool) *engine {
 	s := engineSearch{now: now, oldestReport: now.Add(-maxReportAge), request: r, growth: p.forecastRequest(r), stepLine: p.stepTimes.fit()}
+	s.leaveRoom = r.startsNewAnswer() && p.refreshDepartures(now)
 	far := false
 	for _, e := range p.engines {
 		if e.zone != r.Zone {
@@ -52,6 +53,7 @@
 		}
 	}
 	if !far || r.SameZoneOnly {
+		p.countHeld(&s)
 		return s.best
 	}
 	for _, e := range p.engines {
@@ -63,6 +65,7 @@
 			s.consider(e, cost.total()+r.CrossZoneCost)
 		}
 	}
+	p.countHeld(&s)
 	return s.best
 }
 
@@ -77,6 +80,9 @@
 	sameZoneLoad meanLoad
 	best         *engine
 	lowestCost   float64
+	// leaveRoom is set if the request must leave room for departing runs, and held if
+	// it found room only where they need it.
+	leaveRoom, held bool
 }
 
 func (s *engineSearch) consider(e *engine, cost float64) {
@@ -120,7 +126,12 @@
 	if !s.request.allows(e) {
 		return engineCost{}, false
 	}
-	return p.costOn(s.now, e, s.request, &s.growth, s.stepLine)
+	cost, fits := p.costOn(s.now, e, s.request, &s.growth, s.stepLine)
+	if fits && s.leaveRoom && !p.leavesRoomForMoves(s.now, e, &s.growth) {
+		s.held = true
+		return cost, false
+	}
+	return cost, fits
 }
 
 // allows reports whether an engine is in the zones and groups to which the
--- a/policy/engine.go
+++ b/policy/engine.go
@@ -96,6 +96,11 @@
 	// the pool's meanLogSlowness. It is valid if slownessLearned.
 	logSlowness     float64
 	slownessLearned bool
+	// movePlaces is how many departing runs of its zone the engine has room for, and
+	// departing what its own runs contribute to these if it departs itself. Both are as
+	// of the last refresh of the pool's departures.
+	movePlaces int
+	departing  departingRuns
 }
 
 func newEngine(id EngineID) *engine {
--- a/policy/memorysim_test.go
+++ b/policy/memorysim_test.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"cmp"
 	"slices"
 	"testing"
 	"time"
@@ -33,6 +34,11 @@
 	rank func(r *Request) int
 	// settings are the settings of the hosts' pools.
 	settings Settings
+	// expectedNotice is the notice that hosts expect of a reclaimed engine; with zero they don't
+	// tell their pools that it departs.
+	expectedNotice time.Duration
+	// replacementDelay replaces simReplacementDelay unless it is zero.
+	replacementDelay time.Duration
 }
 
 const (
@@ -75,6 +81,8 @@
 	// preemptions counts how often the run was preempted.
 	preemptions int
 	ended       bool
+	// lackedRoom is set once the run had to wait with its move because no engine had room.
+	lackedRoom bool
 }
 
 func (m *memoryRun) memory() Tokens { return m.run.request.PromptTokens + m.generated }
@@ -101,6 +109,8 @@
 type memorySimResult struct {
 	inTime, lateFirstToken, longTokenGap, interrupted, preempted int
 	wasted                                                       Tokens
+	// withoutRoom counts the interrupted runs that had waited for room on another engine.
+	withoutRoom int
 }
 
 // memorySimulation is the state of a running simulation that covers the engines' memory.
@@ -109,11 +119,15 @@
 	config        memorySimConfig
 	engines       map[EngineID]*memoryEngine
 	memoryResults map[string]*memorySimResult
+	// departures is when the hosts expect each reclaimed engine to end.
+	departures map[EngineID]time.Time
+	// lackedRoom counts the attempts at a move that found no room.
+	lackedRoom int
 }
 
 // simulateMemory runs a simulation and returns it and its results by kind of request.
 func simulateMemory(c memorySimConfig) (*memorySimulation, map[string]*memorySimResult) {
-	s := &memorySimulation{simulation: newSimulation(c.simConfig), config: c, engines: map[EngineID]*memoryEngine{}, memoryResults: map[string]*memorySimResult{}}
+	s := &memorySimulation{simulation: newSimulation(c.simConfig), config: c, engines: map[EngineID]*memoryEngine{}, memoryResults: map[string]*memorySimResult{}, departures: map[EngineID]time.Time{}}
 	s.engineMemory, s.settings = c.engineMemory, c.settings
 	s.startOnEngine = s.enqueueRun
 	s.schedule(c.reclaimInterval/2, s.reclaimEngines)
@@ -282,6 +296,9 @@
 	switch {
 	case !completed:
 		r.interrupted++
+		if m.lackedRoom {
+			r.withoutRoom++
+		}
 	case m.run.firstTokenAt.Sub(request.ArrivedAt) > request.Objective:
 		r.lateFirstToken++
 	case m.longestGap > simMaxTokenGap:
@@ -311,11 +328,17 @@
 		notice := simMinReclaimNotice + time.Duration(s.decisionRand.Int64N(int64(500*time.Millisecond)))
 		s.schedule(simNotifyDelay, func() { s.moveNextRun(e) })
 		s.schedule(notice, func() { s.stopEngine(e) })
-		s.schedule(notice+simReplacementDelay, func() {
+		if s.config.expectedNotice > 0 {
+			s.departures[id] = s.now.Add(s.config.expectedNotice)
+		}
+		s.schedule(notice+cmp.Or(s.config.replacementDelay, simReplacementDelay), func() {
 			s.addEngine(zone)
 			s.listEnginesOnAllHosts()
 		})
 	}
+	for _, h := range s.hosts {
+		h.pool.SetDepartures(s.departures)
+	}
 	s.listEnginesOnAllHosts()
 	s.schedule(s.config.reclaimInterval, s.reclaimEngines)
 }
@@ -350,7 +373,13 @@
 			m = other
 		}
 	}
-	retry := func() { s.schedule(simMoveRetryDelay, func() { s.moveNextRun(e) }) }
+	retry := func() {
+		if m != nil {
+			m.lackedRoom = true
+			s.lackedRoom++
+		}
+		s.schedule(simMoveRetryDelay, func() { s.moveNextRun(e) })
+	}
 	if m == nil {
 		retry()
 		return
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,6 +170,9 @@
 	// MovableTokens is how many tokens of memory can be moved off an engine between
 	// the notice that it leaves and its end. Zero ignores the cost of moving.
 	MovableTokens Tokens
+	// RoomForMoves has new requests leave room for the runs on departing engines; see
+	// Pool.SetDepartures.
+	RoomForMoves bool
 }
 
 // Defaults for the fields of Settings.
--- a/policy/pool.go
+++ b/policy/pool.go
@@ -59,6 +59,8 @@
 	// reservedEngine is kept free for a request that found no room for a long time;
 	// nil if none is.
 	reservedEngine *engine
+	// departures holds the engines that depart and the room that their runs need.
+	departures departures
 	// queueBlocked reports that no queued request found room since the last change.
 	queueBlocked bool
 }
@@ -113,6 +115,7 @@
 	}
 	p.retainRemoved(enginesByID)
 	p.engines, p.enginesByID = engines, enginesByID
+	p.departures.refreshedAt = time.Time{}
 }
 
 // hasEngines reports whether the active engines are those given, in that order.
@@ -133,6 +136,7 @@
 		ended = append(ended, run.Run)
 		delete(p.runs, run.Run)
 	}
+	p.departures.refreshedAt = time.Time{}
 	fresh := newEngine(id)
 	fresh.zone, fresh.group = old.zone, old.group
 	if at := slices.Index(p.engines, old); at >= 0 {
@@ -264,6 +268,7 @@
 		e.addPrefill(now, run, p.expectedPrefillTime(now, e, &r))
 	}
 	run.startedAt = now.Add(-time.Duration(generatedTokens) * e.expectedStepTime())
+	p.updateDepartures(now, e)
 }
 
 // Submit asks for a place. For a run that is already known it changes nothing and
@@ -303,6 +308,7 @@
 	e.add(now, run)
 	e.addPrefill(now, run, p.expectedPrefillTime(now, e, r))
 	e.cache.put(now, r.Prefix, r.PrefixTokens)
+	p.updateDepartures(now, e)
 	return grantDecision(run, waited)
 }
 
@@ -359,6 +365,7 @@
 	}
 	run.engine.remove(run)
 	run.engine.refreshForecast(now)
+	p.updateDepartures(now, run.engine)
 	p.queueBlocked = false
 }
 
--- a/policy/pool_bench_test.go
+++ b/policy/pool_bench_test.go
@@ -110,3 +110,29 @@
 		p.Report(testStart.Add(time.Second), Report{Engine: "g7", TotalMemory: 100_000, UsedMemory: 20_000, Running: 40, StepTime: testStepTime})
 	}
 }
+
+// BenchmarkDecisionWhileEnginesDepart measures the choice of an engine for a new request that has
+// to leave room for the runs of one departing engine in forty.
+func BenchmarkDecisionWhileEnginesDepart(b *testing.B) {
+	for _, engines := range engineCounts {
+		b.Run(fmt.Sprint(engines), func(b *testing.B) {
+			p := newBusyPool(engines)
+			p.settings.RoomForMoves = true
+			endsAt := map[EngineID]time.Time{}
+			ids := p.Engines()
+			for _, id := range ids[:max(engines/40, 1)] {
+				endsAt[id] = testStart.Add(1800 * time.Millisecond)
+			}
+			p.SetEngines(ids[len(endsAt):])
+			p.SetDepartures(endsAt)
+			r := newRequest("new", 500)
+			r.ArrivedAt = testStart
+			b.ReportAllocs()
+			for b.Loop() {
+				if p.choose(testStart, &r) == nil {
+					b.Fatal("no engine has room for the request")
+				}
+			}
+		})
+	}
+}
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -110,9 +110,11 @@
 	run.engine.remove(run)
 	run.engine.refreshForecast(now)
 	run.placedAt, run.prefillPending, run.prefillTime = time.Time{}, false, 0
+	p.updateDepartures(now, run.engine)
 	began := run.startedAt
 	to.add(now, run)
 	run.startedAt = began
+	p.updateDepartures(now, to)
 	p.queueBlocked = false
 }
 
