notice, forward: learn how long departing engines serve on

Movers expected an engine to end DrainTime (3 s) after the first sign, where engines end after 1.5 to 2.1 s, so runs that waited for their turn were cut. Hosts now learn the notice of each service from the ends they observe, and use it in place of DrainTime where RoomForMoves is enabled.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -51,6 +51,7 @@
 	}
 	ended, err := x.checkUpstreamEnded(ctx, u)
 	x.observer.ConnectionBroken(ended)
+	x.recordBrokenDeparture(now, u, ended)
 	// An upstream that had announced that it leaves ended as announced.
 	announced := x.fleet.LeavingFor(now, u.ID) >= minLeavingNotice
 	keyvals := []any{"upstream", u.ID, "life", u.Incarnation, "ended", ended, "leaving", announced, "asks", x.fingerprint(), "runs_beside", x.engines.otherRuns(x.service.Name, u.ID, x.runID())}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -144,6 +144,7 @@
 	newestConfig atomic.Pointer[Config]
 	peers        *peerSet
 	turns        turnQueues
+	notices      noticeLearner
 	// peerTransport is set by RunPeers under the lock of peers.
 	peerTransport Peers
 	// crashes holds the requests under which upstreams ended.
--- a/forward/move.go
+++ b/forward/move.go
@@ -221,7 +221,8 @@
 // copy. A nil result means that there is nothing left to move.
 func (m *mover) evacuate(ctx context.Context, x *exchange, run *ownRun) *handover {
 	now := x.now()
-	goneAt := x.fleet.ExpectedEnd(m.source.ID, now, x.settings.DrainTime)
+	goneAt := x.fleet.ExpectedEnd(m.source.ID, now, x.expectedNotice(now, x.service))
+	x.learnNotice(m.source)
 	x.journal.Request(x.call.ID, "engine leaves", "upstream", m.source.ID, "foreseen_left", goneAt.Sub(now), "list_revision", x.fleet.Revision())
 	// Engines often leave together; the notices of the others arrive a moment later.
 	PauseFor(ctx, noticeGatherDelay)
--- a/forward/roomformoves.go
+++ b/forward/roomformoves.go
@@ -46,7 +46,7 @@
 	if !f.settings.Placement.RoomForMoves || !service.Engine.Moves {
 		return
 	}
-	endsAt := f.fleet.departures(now, service.Name, f.settings.DrainTime)
+	endsAt := f.fleet.departures(now, service.Name, f.expectedNotice(now, service))
 	zones, held := f.engines.setDepartures(now, service.Name, endsAt)
 	for _, z := range zones {
 		f.journal.HostEvent("new requests wait for moves", "service", service.Name, "zone", z.Zone, "runs", z.Runs, "memory", z.Memory, "places", z.Places, "engines", len(endsAt), "held", held, "age", z.Age)
@@ -80,11 +80,20 @@
 	Runs, Places float64
 	// Held is how many attempts at placing a request found room only where those runs need it.
 	Held uint64
+	// Notice is how long an engine is expected to serve on after the first sign that it departs,
+	// and Departures how many departures that was learned from.
+	Notice     time.Duration
+	Departures int
 }
 
 // MoveStatus returns the status of each service whose engines support moves, sorted by name.
 func (f *Forwarder) MoveStatus() []MoveStatus {
-	return f.engines.moveStatus(f.now())
+	now := f.now()
+	all := f.engines.moveStatus(now)
+	for i := range all {
+		all[i].Notice, all[i].Departures = f.notices.expected(now, all[i].Service, f.settings.DrainTime)
+	}
+	return all
 }
 
 func (e *enginePlacer) moveStatus(now time.Time) []MoveStatus {
--- a/internal/telemetry/moves.go
+++ b/internal/telemetry/moves.go
@@ -13,7 +13,7 @@
 type moveCollector struct {
 	read func() []forward.MoveStatus
 
-	runs, places, held *prometheus.Desc
+	runs, places, held, notice, departures *prometheus.Desc
 }
 
 // WatchMoves registers metrics for the runs that have to move. read is called at each scrape.
@@ -22,16 +22,18 @@
 		return prometheus.NewDesc(prometheus.BuildFQName(namespace, "moves", name), help, []string{"service"}, nil)
 	}
 	f.promRegistry.MustRegister(&moveCollector{
-		read:   read,
-		runs:   desc("departing_runs", "Runs on departing engines that are expected to have to move, as far as this host knows."),
-		places: desc("places", "How many of the departing runs fit on the other engines of their zones."),
-		held:   desc("held_total", "Attempts at placing a request that found room only where departing runs need it."),
+		read:       read,
+		runs:       desc("departing_runs", "Runs on departing engines that are expected to have to move, as far as this host knows."),
+		places:     desc("places", "How many of the departing runs fit on the other engines of their zones."),
+		held:       desc("held_total", "Attempts at placing a request that found room only where departing runs need it."),
+		notice:     desc("notice_seconds", "How long a departing engine is expected to serve on after the first sign that it departs."),
+		departures: desc("notice_departures", "Number of departures from which the expected notice was learned; the drain time is used if they are too few."),
 	})
 }
 
 // Describe sends the descriptors of the collector's metrics.
 func (c *moveCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.runs, c.places, c.held} {
+	for _, d := range []*prometheus.Desc{c.runs, c.places, c.held, c.notice, c.departures} {
 		to <- d
 	}
 }
@@ -45,5 +47,7 @@
 		send(c.runs, prometheus.GaugeValue, m.Runs)
 		send(c.places, prometheus.GaugeValue, m.Places)
 		send(c.held, prometheus.CounterValue, float64(m.Held))
+		send(c.notice, prometheus.GaugeValue, m.Notice.Seconds())
+		send(c.departures, prometheus.GaugeValue, float64(m.Departures))
 	}
 }
