rebalance, forward, policy: move runs off engines that are too slow for them

A run on an engine whose pauses exceed what its caller allows, or that won't be complete by its deadline, continues on a faster engine of its zone, under PlacementSettings.PaceMoves and once estimates of the engines' pace are connected (paceMoves.paceOf).

TestMovesOffDegradedEngine: 0 answers miss their deadline instead of 8.

--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -65,6 +65,8 @@
 	// heldForMoves is how many attempts at placing a request had been held back for departing
 	// runs when that was last logged.
 	heldForMoves uint64
+	// paceMoved and paceFailed count the moves for pace that were tried.
+	paceMoved, paceFailed uint64
 }
 
 // expectedStep is how long a decoding step is expected to take.
@@ -92,6 +94,10 @@
 	firstTokenAt time.Time
 	// generatedTokens counts the tokens passed on to the caller so far.
 	generatedTokens atomic.Int64
+	// longestGap is the longest time between two of its events, in nanoseconds.
+	longestGap atomic.Int64
+	// pace is what its moves for pace depend on.
+	pace paceHistory
 }
 
 // Placement settings.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -147,6 +147,7 @@
 	notices      noticeLearner
 	// peerTransport is set by RunPeers under the lock of peers.
 	peerTransport Peers
+	paceMoves     paceMoves
 	// crashes holds the requests under which upstreams ended.
 	crashes quarantine.Register
 	// fingerprintsToStore queues the requests whose quarantine the origin is to store.
--- a/forward/move.go
+++ b/forward/move.go
@@ -64,8 +64,13 @@
 	source Upstream
 	stop   context.CancelFunc
 	done   chan struct{}
+	// movedAt is when the run was moved to the source; zero if it started there.
+	movedAt time.Time
 
 	mu sync.Mutex
+	// abortable is set while the run is moved for pace, which a sign that the source departs
+	// ends.
+	abortable bool
 	// runStopping is set once the source was asked to stop the run. The end of the stream isn't
 	// the end of the answer then.
 	runStopping bool
@@ -80,6 +85,9 @@
 func (s *streamExchange) startMover(ctx context.Context, u Upstream, a *Response) *mover {
 	ctx, stop := context.WithCancel(ctx)
 	m := &mover{source: u, stop: stop, done: make(chan struct{})}
+	if s.moveCount > 0 {
+		m.movedAt = s.now()
+	}
 	if s.service.Engine == nil || !s.service.Engine.Moves || s.run == nil {
 		close(m.done)
 		return m
@@ -122,6 +130,9 @@
 			if next := m.leaveFailing(ctx, x, run); next != nil || m.isRunStopping() {
 				return next
 			}
+			if next := m.leaveSlow(ctx, x, run, leaving); next != nil || m.isRunStopping() {
+				return next
+			}
 		}
 	}
 }
@@ -343,9 +354,9 @@
 		// The run isn't stopped yet and can still move elsewhere.
 		return nil, &notSentError{v}
 	}
-	m.mu.Lock()
-	m.runStopping = true
-	m.mu.Unlock()
+	if err := m.beginStop(ctx); err != nil {
+		return nil, err
+	}
 	stoppedAt := x.now()
 	moved, err := m.copyMemory(ctx, x, to, true)
 	switch {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -218,6 +218,7 @@
 	} else if !s.lastEventAt.IsZero() {
 		gap := now.Sub(s.lastEventAt)
 		s.longestGap = max(s.longestGap, gap)
+		s.noteGap(gap)
 		s.observer.EventGap(gap)
 		s.recordStep(now, gap)
 	}
--- a/forward/roomformoves.go
+++ b/forward/roomformoves.go
@@ -84,6 +84,8 @@
 	// and Departures how many departures that was learned from.
 	Notice     time.Duration
 	Departures int
+	// PaceMoved and PaceFailed count the moves for pace that were tried.
+	PaceMoved, PaceFailed uint64
 }
 
 // MoveStatus returns the status of each service whose engines support moves, sorted by name.
@@ -104,7 +106,7 @@
 		if !p.spec.Moves {
 			continue
 		}
-		status := MoveStatus{Service: name}
+		status := MoveStatus{Service: name, PaceMoved: p.paceMoved, PaceFailed: p.paceFailed}
 		zones, held := p.pool.DepartingRuns(now)
 		for _, z := range zones {
 			status.Runs, status.Places = status.Runs+z.Runs, status.Places+float64(z.Places)
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -125,7 +125,7 @@
 		return []forward.EngineEstimate{{Service: "service-1", PrefillRate: 19, PrefillSamples: 20, StepTime: 21 * time.Second, StepSamples: 22, Age: 23 * time.Second}}
 	})
 	f.WatchMoves(func() []forward.MoveStatus {
-		return []forward.MoveStatus{{Service: "service-1", Runs: 26, Places: 27, Held: 28, Notice: 29 * time.Second, Departures: 30}}
+		return []forward.MoveStatus{{Service: "service-1", Runs: 26, Places: 27, Held: 28, Notice: 29 * time.Second, Departures: 30, PaceMoved: 31, PaceFailed: 32}}
 	})
 	f.WatchLimits(func() []ratelimit.LimitStatus {
 		return []ratelimit.LimitStatus{{Upstream: "upstream-1", NamedRate: 24, EffectiveRate: 25}}
--- a/internal/telemetry/moves.go
+++ b/internal/telemetry/moves.go
@@ -13,7 +13,7 @@
 type moveCollector struct {
 	read func() []forward.MoveStatus
 
-	runs, places, held, notice, departures *prometheus.Desc
+	runs, places, held, notice, departures, paceMoved, paceFailed *prometheus.Desc
 }
 
 // WatchMoves registers metrics for the runs that have to move. read is called at each scrape.
@@ -28,12 +28,14 @@
 		held:       desc("held_total", "Attempts at placing a request that found room only where departing runs need it."),
 		notice:     desc("notice_seconds", "How long a departing engine is expected to serve on after the first sign that it departs."),
 		departures: desc("notice_departures", "Number of departures from which the expected notice was learned; the drain time is used if they are too few."),
+		paceMoved:  desc("pace_moved_total", "Runs that this host moved to a faster engine."),
+		paceFailed: desc("pace_failed_total", "Moves to a faster engine that this host tried and gave up."),
 	})
 }
 
 // Describe sends the descriptors of the collector's metrics.
 func (c *moveCollector) Describe(to chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{c.runs, c.places, c.held, c.notice, c.departures} {
+	for _, d := range []*prometheus.Desc{c.runs, c.places, c.held, c.notice, c.departures, c.paceMoved, c.paceFailed} {
 		to <- d
 	}
 }
@@ -49,5 +51,7 @@
 		send(c.held, prometheus.CounterValue, float64(m.Held))
 		send(c.notice, prometheus.GaugeValue, m.Notice.Seconds())
 		send(c.departures, prometheus.GaugeValue, float64(m.Departures))
+		send(c.paceMoved, prometheus.CounterValue, float64(m.PaceMoved))
+		send(c.paceFailed, prometheus.CounterValue, float64(m.PaceFailed))
 	}
 }
