--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -24,6 +24,8 @@
 	zone member.Zone
 	// clock gives the current time; nil stands for the system clock.
 	clock *clock.Clock
+	// roomForMoves is PlacementSettings.RoomForMoves.
+	roomForMoves bool
 
 	// paceEnabled enables placement by pace; it is set before the first configuration.
 	paceEnabled bool
@@ -73,6 +75,11 @@
 	balance *zoneBalance
 	// reports is that of the placer.
 	reports *engineReports
+	// heldForMoves is how many attempts at placing a request had been held back for departing
+	// runs when that was last logged.
+	heldForMoves uint64
+	// paceMoved and paceFailed count the moves for pace that were tried.
+	paceMoved, paceFailed uint64
 }
 
 // expectedStep is how long a decoding step is expected to take.
@@ -100,6 +107,10 @@
 	firstTokenAt time.Time
 	// generatedTokens counts the tokens passed on to the caller so far.
 	generatedTokens atomic.Int64
+	// longestGap is the longest time between two of its events, in nanoseconds.
+	longestGap atomic.Int64
+	// pace is what its moves for pace depend on.
+	pace paceHistory
 }
 
 // Placement settings.
@@ -169,7 +180,7 @@
 			p.pace.configure(t.ShortestGapObjective(name), p.spec)
 		}
 		settings := poolSettings(p.spec, t.ShortestGapObjective(name))
-		settings.DeciderID = string(e.self)
+		settings.DeciderID, settings.RoomForMoves = string(e.self), e.roomForMoves && p.spec.Moves
 		p.pool.SetSettings(settings)
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -159,8 +159,10 @@
 	reports engineReports
 	// admissions are the queues of the zone's requests, where zone admission is enabled.
 	admissions zoneAdmissions
+	notices    noticeLearner
 	// peerTransport is set by RunPeers under the lock of peers.
 	peerTransport Peers
+	paceMoves     paceMoves
 	// crashes holds the requests under which upstreams ended.
 	crashes quarantine.Register
 	// fingerprintsToStore queues the requests whose quarantine the origin is to store.
@@ -208,6 +210,8 @@
 		fingerprintsToStore: make(chan quarantine.Fingerprint, saveQueueSize),
 	}
 	f.engines.paceEnabled = s.Placement.Pace
+	f.engines.roomForMoves = s.Placement.RoomForMoves
+	f.paceMoves.paceOf = f.engines.paceForMoves
 	f.limiter = permit.New(s.Self, permitSite{f}, f.now)
 	f.retries.setLimit(s.RetryLimit)
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
@@ -326,6 +330,7 @@
 	f.fleet.SetLayout(layout, own)
 	for name, s := range t.Services() {
 		if s.Engine != nil {
+			f.updateDepartures(now, s)
 			f.engines.setAvailable(now, name, f.placementEngines(now, name, layout, own))
 		}
 	}
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -145,6 +145,9 @@
 	f.WatchPacePlacements(func() []forward.PacePlacements {
 		return []forward.PacePlacements{{Service: "service-1", PacePlacements: policy.PacePlacements{WithinBound: 26, LastResort: 27, Unknown: 28}}}
 	})
+	f.WatchMoves(func() []forward.MoveStatus {
+		return []forward.MoveStatus{{Service: "service-1", Runs: 26, Places: 27, Held: 28, Notice: 29 * time.Second, Departures: 30, PaceMoved: 31, PaceFailed: 32}}
+	})
 	f.WatchLimits(func() []ratelimit.LimitStatus {
 		return []ratelimit.LimitStatus{{Upstream: "upstream-1", NamedRate: 24, EffectiveRate: 25}}
 	})
--- a/pace/activity.go
+++ b/pace/activity.go
@@ -44,10 +44,9 @@
 }
 
 // Foreseen returns the pause that one event in a thousand exceeds on an engine. An answer of two hundred
-// events has such a pause with a probability of a fifth. The tail of the steps is taken to be exponential:
-// one in a thousand exceeds the usual step by three times as much as one in ten does.
+// events has such a pause with a probability of a fifth.
 func (l Limit) Foreseen(e Estimate) time.Duration {
-	return (3*e.SlowStep - 2*e.Step) * time.Duration(max(l.EventTokens, 1))
+	return e.TailStep() * time.Duration(max(l.EventTokens, 1))
 }
 
 // Reason is why placement by pace is active or not.
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -51,6 +51,10 @@
 	Age     time.Duration
 }
 
+// TailStep returns the step that one in a thousand exceeds. The tail of the steps is taken to be
+// exponential: it exceeds the usual step by three times as much as one in ten does.
+func (e Estimate) TailStep() time.Duration { return 3*e.SlowStep - 2*e.Step }
+
 const (
 	// maxStep is the longest step that counts, and maxAge the age at which samples and marks are
 	// dropped. An engine that stands still for longer is failing rather than slow.
--- a/policy/memorysim_test.go
+++ b/policy/memorysim_test.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -36,6 +37,11 @@
 	settings Settings
 	// eventTokens is how many tokens a caller gets at a time; zero stands for one.
 	eventTokens Tokens
+	// expectedNotice is the notice that hosts expect of a reclaimed engine; with zero they don't
+	// tell their pools that it departs.
+	expectedNotice time.Duration
+	// replacementDelay replaces simReplacementDelay unless it is zero.
+	replacementDelay time.Duration
 }
 
 const (
@@ -78,6 +84,8 @@
 	// preemptions counts how often the run was preempted.
 	preemptions int
 	ended       bool
+	// lackedRoom is set once the run had to wait with its move because no engine had room.
+	lackedRoom bool
 }
 
 func (m *memoryRun) memory() Tokens { return m.run.request.PromptTokens + m.generated }
@@ -107,6 +115,8 @@
 	ended  int
 	took   time.Duration
 	wasted Tokens
+	// withoutRoom counts the interrupted runs that had waited for room on another engine.
+	withoutRoom int
 }
 
 // memorySimulation is the state of a running simulation that covers the engines' memory.
@@ -122,6 +132,10 @@
 	observeGap func(m *memoryRun, gap time.Duration)
 	// reclaimRand draws the engines that are reclaimed, and their notices.
 	reclaimRand *rand.Rand
+	// departures is when the hosts expect each reclaimed engine to end.
+	departures map[EngineID]time.Time
+	// lackedRoom counts the attempts at a move that found no room.
+	lackedRoom int
 }
 
 // simulateMemory runs a simulation and returns it and its results by kind of request.
@@ -132,7 +146,7 @@
 }
 
 func newMemorySimulation(c memorySimConfig) *memorySimulation {
-	s := &memorySimulation{simulation: newSimulation(c.simConfig), config: c, engines: map[EngineID]*memoryEngine{}, memoryResults: map[string]*memorySimResult{}}
+	s := &memorySimulation{simulation: newSimulation(c.simConfig), config: c, engines: map[EngineID]*memoryEngine{}, memoryResults: map[string]*memorySimResult{}, departures: map[EngineID]time.Time{}}
 	s.engineMemory, s.settings = c.engineMemory, c.settings
 	s.startOnEngine, s.reclaimRand = s.enqueueRun, s.decisionRand
 	s.schedule(c.reclaimInterval/2, s.reclaimEngines)
@@ -308,6 +322,9 @@
 	switch {
 	case !completed:
 		r.interrupted++
+		if m.lackedRoom {
+			r.withoutRoom++
+		}
 	case m.run.firstTokenAt.Sub(request.ArrivedAt) > request.Objective:
 		r.lateFirstToken++
 	case m.longestGap > simMaxTokenGap:
@@ -337,11 +354,17 @@
 		notice := simMinReclaimNotice + time.Duration(s.reclaimRand.Int64N(int64(500*time.Millisecond)))
 		s.schedule(simNotifyDelay, func() { s.moveNextRun(e) })
 		s.schedule(notice, func() { s.stopEngine(e) })
-		s.schedule(notice+simReplacementDelay, func() {
+		if s.config.expectedNotice > 0 {
+			s.departures[id] = s.now.Add(s.config.expectedNotice)
+		}
+		s.schedule(notice+cmp.Or(s.config.replacementDelay, simReplacementDelay), func() {
 			s.addEngine(zone)
 			s.listEnginesOnAllHosts()
 		})
 	}
+	for _, h := range s.hosts {
+		h.pool.SetDepartures(s.departures)
+	}
 	s.listEnginesOnAllHosts()
 	s.schedule(s.config.reclaimInterval, s.reclaimEngines)
 }
@@ -376,7 +399,13 @@
 			m = other
 		}
 	}
-	retry := func() { s.schedule(simMoveRetryDelay, func() { s.moveNextRun(e) }) }
+	retry := func() {
+		if m != nil {
+			m.lackedRoom = true
+			s.lackedRoom++
+		}
+		s.schedule(simMoveRetryDelay, func() { s.moveNextRun(e) })
+	}
 	if m == nil {
 		retry()
 		return
--- a/policy/relocate.go
+++ b/policy/relocate.go
@@ -112,9 +112,11 @@
 	run.engine.refreshForecast(now)
 	run.placedAt, run.prefillPending, run.prefillTime = time.Time{}, false, 0
 	from, began := run.engine, run.startedAt
+	p.updateDepartures(now, from)
 	to.add(now, run)
 	run.startedAt = began
 	to.keepMovedProgress(now, run, from)
+	p.updateDepartures(now, to)
 	p.queueBlocked = false
 }
 
