forward: the route's urgency orders requests of equally urgent accounts

Where a tenant's priority replaces the route's, all requests had one rank, and answers with an objective of 1.5 s waited behind those with 4 s.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -194,8 +194,7 @@
 	p := s.call.Prompt
 	r := policy.Request{
 		Run: s.runID(), Route: policyRoute(s.route), Account: s.account.Name,
-		// A more urgent request has a lower urgency, but a higher priority in the policy.
-		Priority:     int(LeastUrgent - s.urgency),
+		Priority:     s.placementPriority(),
 		PromptTokens: max(p.Tokens, 1), MaxOutputTokens: p.MaxOutputTokens, Prefix: p.PrefixHash, PrefixTokens: p.PrefixTokens,
 		QueueBytes: len(s.call.Body), Objective: s.route.Objective, ExcludedEngines: s.excluded, AllowedZones: s.zones,
 		OnlyGroup: string(s.versions.get().Only), ExcludedGroup: string(s.versions.get().Except),
@@ -216,6 +215,18 @@
 	return u, Refusal{}, true
 }
 
+// placementPriority returns the request's priority in the policy, where more urgent requests have a
+// higher one. In a zone's queue, the route's urgency decides between requests of the same urgency:
+// an account's urgency replaces that of the route, and routes with different objectives would
+// otherwise be equal for accounts that have one.
+func (s *streamExchange) placementPriority() int {
+	priority := int(LeastUrgent - s.urgency)
+	if !s.settings.Placement.ZoneAdmission {
+		return priority
+	}
+	return priority*(int(LeastUrgent)+1) + int(LeastUrgent-s.route.Urgency)
+}
+
 // placePlain picks an upstream for a stream whose service isn't run by engines.
 func (s *streamExchange) placePlain(ctx context.Context) (Upstream, Refusal, bool) {
 	u, none, found := s.selectUpstream(ctx, s.excluded, s.attempts > 0)
