policy: an engine off the list keeps a valid slowness without other paces

Cause: paceSlowness divides by the sum of the active engines' step times. An engine off the list keeps its last report; when no active engine reported its pace, the result was NaN. Its prefill times became invalid durations, and once it was back on the list, the slowness of all engines was NaN. Change: it counts as 1 then. Result: TestPaceOfRemovedEngine fails before and passes after.

--- a/policy/pace.go
+++ b/policy/pace.go
@@ -188,11 +188,13 @@
 }
 
 // paceSlowness returns an engine's step time relative to the mean of the engines
-// that report their pace; one if the engine reports none. It stands in for the
-// engine's prefill slowness until that is learned: an engine that decodes slowly
-// reads prompts slowly, too, and short answers placed there would be late.
+// that report their pace; one if the engine or all active ones report none. It
+// stands in for the engine's prefill slowness until that is learned: an engine that
+// decodes slowly reads prompts slowly, too, and short answers placed there would be
+// late.
 func (p *Pool) paceSlowness(e *engine) float64 {
-	if e.report.SlowStepTime <= 0 || e.report.StepTime <= 0 {
+	// A removed engine keeps its last report, which paces doesn't include.
+	if e.report.SlowStepTime <= 0 || e.report.StepTime <= 0 || p.paces.step <= 0 {
 		return 1
 	}
 	ratio := float64(e.report.StepTime) * float64(p.paces.engines) / float64(p.paces.step)
--- a/policy/pace_test.go
+++ b/policy/pace_test.go
@@ -281,3 +281,23 @@
 	pace, _ = p.RunPace(testStart, "fast0")
 	is.True(pace.LongestStep < pace.MaxStepTime)
 }
+
+// TestPaceOfRemovedEngine guards against an engine off the list whose last report has a pace while no
+// engine on the list reports one: its slowness was no number, and once it was back on the list, that of
+// all engines was none either.
+func TestPaceOfRemovedEngine(t *testing.T) {
+	is := is.New(t)
+	p := newPacePool(0)
+	p.Adopt(testStart, shortRequest("before"), "slow", 0)
+	p.SetEngines([]EngineID{"usual", "fast"})
+	reportPaces(p, 0)
+	p.Adopt(testStart, shortRequest("after"), "slow", 0)
+	is.True(p.runs["after"].prefillTime > 0)
+	p.UpdatePrefill(testStart, "before", testStart.Add(400*time.Millisecond))
+	p.SetEngines([]EngineID{"slow", "usual", "fast"})
+	p.UpdatePrefill(testStart, "after", testStart.Add(800*time.Millisecond))
+	for _, e := range p.engines {
+		slowness := p.slowness(e)
+		is.True(slowness >= 1/maxSlowness && slowness <= maxSlowness)
+	}
+}
