policy: the count of departing runs isn't reduced by runs that don't count

Cause: a departing engine whose end has passed kept its contribution from an earlier count. When its runs ended, that was subtracted from the runs of other departing engines of the zone, so new requests took their room for up to 100 ms. After all runs had ended, a rounding error could be left, for which a place was required. Change: the contribution is reset at each count, and a count below that of one run is zero. Result: TestEndedEngineDoesNotReduceRoom and TestRoundingNeedsNoPlace fail before and pass after.

--- a/policy/departing.go
+++ b/policy/departing.go
@@ -96,10 +96,12 @@
 		return len(d.zones) > 0
 	}
 	d.zones, d.refreshedAt, d.stepLine = nil, now, p.stepTimes.fit()
+	for _, e := range p.removedEngines {
+		e.departing = departingRuns{} // also of those that no longer depart or should have ended
+	}
 	// The order is fixed so that sums, and decisions with them, don't depend on that of a map.
 	for _, id := range slices.Sorted(maps.Keys(d.endsAt)) {
 		if e := p.removedEngines[id]; e != nil {
-			e.departing = departingRuns{}
 			p.countDeparting(now, e)
 		}
 	}
@@ -193,6 +195,9 @@
 	}
 	// The mean run is kept until the next refresh; only the counts change.
 	z.runs, z.tokens = z.runs-e.departing.runs, z.tokens-e.departing.tokens
+	if z.runs < minOutlastingProbability {
+		z.runs, z.tokens = 0, 0 // what is left is a rounding error, which must not need a place
+	}
 	oneRun := z.oneRun
 	e.departing = departingRuns{}
 	p.countDeparting(now, e)
--- a/policy/departing_test.go
+++ b/policy/departing_test.go
@@ -160,6 +160,51 @@
 	is.True(z.runs > fresh.runs-0.01 && z.runs < fresh.runs+0.01)
 }
 
+// TestEndedEngineDoesNotReduceRoom guards against runs of an engine that should have ended, which no longer
+// count, being taken off those of another departing engine when they end: new requests took their room.
+func TestEndedEngineDoesNotReduceRoom(t *testing.T) {
+	is := is.New(t)
+	p := newDepartingPool(Settings{RoomForMoves: true, MaxWaitFraction: 1})
+	p.SetEngines([]EngineID{"g1", "g2", "g4"})
+	p.Adopt(testStart, newRequest("g4-0", 2500), "g4", 10)
+	p.Adopt(testStart, newRequest("g4-1", 2500), "g4", 10)
+	p.SetZone("g4", "z1")
+	p.SetEngines([]EngineID{"g1", "g2"})
+	end := testStart.Add(1800 * time.Millisecond)
+	p.SetDepartures(map[EngineID]time.Time{"g3": end, "g4": end})
+	p.refreshDepartures(testStart)
+	p.SetDepartures(map[EngineID]time.Time{"g3": end})
+	p.refreshDepartures(testStart)
+	p.Finish(testStart, Finish{Run: "g4-0"})
+	p.Finish(testStart, Finish{Run: "g4-1"})
+	is.Equal(p.Submit(testStart, newArrival("new", 2500)).Verdict, Queued)
+}
+
+// TestRoundingNeedsNoPlace guards against a rounding error that needs a place after all departing runs of
+// a zone have ended.
+func TestRoundingNeedsNoPlace(t *testing.T) {
+	is := is.New(t)
+	p := newDepartingPool(Settings{RoomForMoves: true, MaxWaitFraction: 1})
+	p.SetEngines([]EngineID{"g1", "g2", "g4"})
+	p.SetZone("g4", "z1")
+	p.SetEngines([]EngineID{"g1", "g2"})
+	runs := []RunID{"g3-0", "g3-1"}
+	for n, generated := range []Tokens{3, 170, 290, 410, 430, 450, 470} {
+		r := newRequest(fmt.Sprint("g4-", n), 2500)
+		p.Adopt(testStart, r, "g4", generated)
+		runs = append(runs, r.Run)
+	}
+	end := testStart.Add(1800 * time.Millisecond)
+	p.SetDepartures(map[EngineID]time.Time{"g3": end, "g4": end.Add(-300 * time.Millisecond)})
+	p.refreshDepartures(testStart)
+	z := p.departures.zones["z1"]
+	for n := range runs {
+		p.Finish(testStart, Finish{Run: runs[(n+3)%len(runs)]})
+	}
+	is.Equal(z.runs, 0.0)
+	is.Equal(p.Submit(testStart, newArrival("new", 2500)).Verdict, Granted)
+}
+
 // departingLoad returns a load that fills the memory of the engines to about 0.9 while a sixth of
 // them departs every 3.3 s and is replaced some seconds after its end. Runs hold some 3,500 tokens.
 func departingLoad(seed uint64, replacement time.Duration) memorySimConfig {
