policy: places for departing runs are those that moves find

Cause: the places were counted with the pool's line of step times also while engines report their own pace, where a move doesn't apply it, and an idle engine counted as a place although memory that no known run explains fills it. New requests were held back without need, or took the last place. Change: movePlaces applies the bounds of costOn.

--- a/policy/departing.go
+++ b/policy/departing.go
@@ -33,7 +33,8 @@
 	// means that they have to be recomputed.
 	zones       map[member.Zone]*zoneDepartures
 	refreshedAt time.Time
-	// stepLine is the step-time line as of refreshedAt.
+	// stepLine is the step-time line as of refreshedAt; zero while engines report their
+	// own pace.
 	stepLine stepLine
 	// held counts the attempts at placing a request that found room only where
 	// departing runs need it.
@@ -95,7 +96,10 @@
 	if age := now.Sub(d.refreshedAt); age >= 0 && age < departureRefreshInterval {
 		return len(d.zones) > 0
 	}
-	d.zones, d.refreshedAt, d.stepLine = nil, now, p.stepTimes.fit()
+	d.zones, d.refreshedAt, d.stepLine = nil, now, stepLine{}
+	if p.paces.engines == 0 { // otherwise costOn doesn't apply the line
+		d.stepLine = p.stepTimes.fit()
+	}
 	for _, e := range p.removedEngines {
 		e.departing = departingRuns{} // also of those that no longer depart or should have ended
 	}
@@ -205,7 +209,7 @@
 }
 
 // movePlaces returns how many of a zone's departing runs an engine has room for,
-// after a candidate if one is given.
+// after a candidate if one is given. The bounds are those of costOn.
 func (p *Pool) movePlaces(now time.Time, e *engine, z *zoneDepartures, candidate *memoryForecast) int {
 	if !e.acceptsWork(now.Add(-maxReportAge)) {
 		return 0
@@ -221,7 +225,7 @@
 	for n := range limit {
 		load.addForecast(&z.oneRun)
 		_, fits := e.forecastWith(&load, p.settings.HeadroomDeviations, budget)
-		if batch+n > 0 && (!fits || p.departures.stepLine.at(batch+n+1) > float64(p.settings.MaxStepTime)) {
+		if (batch+n > 0 || e.holdsUnknownMemory()) && (!fits || p.departures.stepLine.at(batch+n+1) > float64(p.settings.MaxStepTime)) {
 			return n
 		}
 	}
--- a/policy/departing_test.go
+++ b/policy/departing_test.go
@@ -205,6 +205,42 @@
 	is.Equal(p.Submit(testStart, newArrival("new", 2500)).Verdict, Granted)
 }
 
+// TestPlacesAreThoseOfMoves guards against places for departing runs that a move wouldn't find, or that it
+// would find although they don't count.
+func TestPlacesAreThoseOfMoves(t *testing.T) {
+	for name, prepare := range map[string]func(p *Pool){
+		"an idle engine is full of memory of unknown runs": func(p *Pool) {
+			p.Finish(testStart, Finish{Run: "g1-0"})
+			p.Finish(testStart, Finish{Run: "g1-1"})
+			p.ApplyLoad(EngineLoad{Engine: "g1", TakenAt: testStart, UsedMemory: 9000})
+		},
+		"steps are too long by the line of the pool": func(p *Pool) { reportLongSteps(p, 0) },
+		"own paces replace that line":                func(p *Pool) { reportLongSteps(p, 100*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newDepartingPool(Settings{RoomForMoves: true, MaxStepTime: 40 * time.Millisecond})
+			prepare(p)
+			p.SetDepartures(map[EngineID]time.Time{"g3": testStart.Add(1800 * time.Millisecond)})
+			zones, _ := p.DepartingRuns(testStart)
+			found := 0
+			for _, run := range []RunID{"g3-0", "g3-1"} {
+				if _, moved := p.Relocate(testStart, run, Target{}); moved {
+					found++
+				}
+			}
+			is.Equal(zones[0].Places, found)
+		})
+	}
+}
+
+// reportLongSteps reports steps of 50 ms.
+func reportLongSteps(p *Pool, slowStep time.Duration) {
+	for _, id := range p.Engines() {
+		p.Report(testStart, Report{Engine: id, TotalMemory: 10_000, StepTime: 50 * time.Millisecond, SlowStepTime: slowStep, Running: 2})
+	}
+}
+
 // departingLoad returns a load that fills the memory of the engines to about 0.9 while a sixth of
 // them departs every 3.3 s and is replaced some seconds after its end. Runs hold some 3,500 tokens.
 func departingLoad(seed uint64, replacement time.Duration) memorySimConfig {
