pace: an engine counts as slow only after an unbroken unevenTime

Cause: the time since when an engine is slow was kept while it had too few samples to be known, so it activated placement by pace at once when it was known again. The number of runs of an expired own sample was kept as well, so 8 samples of one peer made an estimate where 12 are needed. Change: both are reset. Model.Active, which nothing used, is removed. Result: TestActivityNeedsUnbrokenTime and TestPruneForgetsBatch fail before and pass after.

--- a/pace/activity.go
+++ b/pace/activity.go
@@ -117,9 +117,6 @@
 	return found
 }
 
-// Active reports the result of the last UpdateActivity.
-func (m *Model) Active() bool { return m.activity.active }
-
 // findSlowEngine checks the condition at one time, and updates since when each engine is slow.
 func (m *Model) findSlowEngine(now time.Time, limit Limit) Activity {
 	if limit.Pause <= 0 {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -264,12 +264,14 @@
 }
 
 // known returns the estimates of the known engines, sorted by Step. The result is valid until the next
-// call.
+// call. An engine that isn't known isn't slower than the others.
 func (m *Model) known(now time.Time) []engineEstimate {
 	m.estimates = m.estimates[:0]
 	for id, r := range m.engines {
 		if e, ok := r.estimate(now); ok {
 			m.estimates = append(m.estimates, engineEstimate{id, e})
+		} else {
+			r.unevenSince = time.Time{}
 		}
 	}
 	slices.SortFunc(m.estimates, func(a, b engineEstimate) int {
@@ -355,7 +357,7 @@
 			}
 		}
 		if !r.own.isEmpty() && r.own.age(now) > maxAge {
-			r.own = sampleSet{}
+			r.own, r.batch = sampleSet{}, 0
 		}
 		if r.own.isEmpty() && len(r.peers) == 0 {
 			delete(m.engines, id)
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -168,6 +168,39 @@
 	}
 }
 
+// TestActivityNeedsUnbrokenTime guards against engines that count as slow at once because they were so before
+// a time in which they had too few samples to be known.
+func TestActivityNeedsUnbrokenTime(t *testing.T) {
+	is, m, limit := is.New(t), &Model{}, Limit{Pause: 100 * ms, EventTokens: 4}
+	activeAt := time.Duration(0)
+	for at := time.Duration(0); at < 20*time.Second && activeAt == 0; at += 50 * ms {
+		now := start.Add(at)
+		m.Observe(now, "fast1", 1, 10*ms, 1)
+		m.Observe(now, "fast2", 1, 10*ms, 1)
+		// A second of events, then one in 900 ms, and all events again from 12 s on.
+		if at < time.Second || at >= 12*time.Second || at%(900*ms) == 0 {
+			m.Observe(now, "slow1", 1, 30*ms, 5)
+			m.Observe(now, "slow2", 1, 30*ms, 5)
+		}
+		if m.UpdateActivity(now, limit).Active {
+			activeAt = at
+		}
+	}
+	is.True(activeAt >= 12*time.Second+unevenTime)
+}
+
+// TestPruneForgetsBatch guards against an estimate from few samples of one peer because of an own sample that
+// has expired, which was of the only run on the engine.
+func TestPruneForgetsBatch(t *testing.T) {
+	is, m := is.New(t), &Model{}
+	m.Observe(start, "e", 1, 10*ms, 1)
+	now := start.Add(maxAge + time.Second)
+	m.ReceiveMarks(now, "h2", []Mark{{Engine: "e", Incarnation: 1, BaseStep: ms, Step: 10 * ms, SlowStep: 20 * ms, Samples: 8}})
+	m.Prune(now)
+	_, known := m.Estimate(now, "e")
+	is.True(!known)
+}
+
 // TestObserveAllocatesNothing guards the cost of an event.
 func TestObserveAllocatesNothing(t *testing.T) {
 	m, now := &Model{}, observe(&Model{}, start, "e", 1, 1, ms, 1)
