policy: departing runs may use an engine that is reserved for a waiting request

Cause: a request that is held back for departing runs gets an engine reserved after half of its time, as one that finds no room does. The reserved engine is the one with the most room, and moves were kept off it, too. Change: while runs must move, a run that moves may use it. Without RoomForMoves nothing changes. Result: TestMovesUseReservedEngine fails before with the setting on and passes after.

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -123,7 +123,7 @@
 // evaluate returns the cost of an engine for a request, and whether the engine
 // may take it.
 func (p *Pool) evaluate(s *engineSearch, e *engine) (engineCost, bool) {
-	if e == p.reservedEngine || !e.acceptsWork(s.oldestReport) || e.id == s.request.PreviousEngine || slices.Contains(s.request.ExcludedEngines, e.id) {
+	if p.isReserved(e, s.request) || !e.acceptsWork(s.oldestReport) || e.id == s.request.PreviousEngine || slices.Contains(s.request.ExcludedEngines, e.id) {
 		return engineCost{}, false
 	}
 	if !s.request.allows(e) {
--- a/policy/departing.go
+++ b/policy/departing.go
@@ -249,6 +249,13 @@
 	}
 }
 
+// isReserved reports whether an engine is kept free for another request than the
+// given one. A run that moves may use it while runs must move off departing engines:
+// requests wait because of these runs, and their engine must not stay closed to them.
+func (p *Pool) isReserved(e *engine, r *Request) bool {
+	return e == p.reservedEngine && (r.startsNewAnswer() || len(p.departures.zones) == 0)
+}
+
 // startsNewAnswer reports whether a request is for an answer that has not begun. A
 // request for a run that moves has no arrival time.
 func (r *Request) startsNewAnswer() bool { return !r.ArrivedAt.IsZero() }
--- a/policy/departing_test.go
+++ b/policy/departing_test.go
@@ -241,6 +241,31 @@
 	}
 }
 
+// TestMovesUseReservedEngine guards against a departing run that finds no room because an engine is reserved
+// for a request that waits for such runs.
+func TestMovesUseReservedEngine(t *testing.T) {
+	for name, c := range map[string]struct{ room, moved bool }{"room for moves": {true, true}, "setting off": {false, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newDepartingPool(Settings{RoomForMoves: c.room, MaxWaitFraction: 1})
+			p.SetDepartures(map[EngineID]time.Time{"g3": testStart.Add(1800 * time.Millisecond)})
+			waiting := newArrival("new", 2500)
+			if !c.room {
+				waiting.PromptTokens = 6000 // more than there is room for
+			}
+			waiting.Objective = time.Minute
+			is.Equal(p.Submit(testStart, waiting).Verdict, Queued)
+			p.queue.items[0].queuedAt = testStart.Add(-20 * time.Second) // most of its time is over
+			p.queueBlocked = false
+			is.Equal(len(p.Advance(testStart)), 0)
+			is.True(p.reservedEngine != nil)
+			full := map[EngineID]EngineID{"g1": "g2", "g2": "g1"}[p.reservedEngine.id]
+			_, moved := p.Relocate(testStart, "g3-0", Target{ExcludedEngines: []EngineID{full}})
+			is.Equal(moved, c.moved)
+		})
+	}
+}
+
 // departingLoad returns a load that fills the memory of the engines to about 0.9 while a sixth of
 // them departs every 3.3 s and is replaced some seconds after its end. Runs hold some 3,500 tokens.
 func departingLoad(seed uint64, replacement time.Duration) memorySimConfig {
