--- a/notice/notice.go
+++ b/notice/notice.go
@@ -28,7 +28,7 @@
 	maxDepartures = 32
 	// lowerEnd is the fraction of the departures that may be shorter than the
 	// estimate. A single short one, whose first sign came late, doesn't count once
-	// there are more than ten.
+	// there are ten.
 	lowerEnd = 0.1
 	// minNotice is the shortest notice that is assumed. Copying a run of 3,500 tokens
 	// takes 0.2 s, and final copies begin 0.5 s before the expected end; with less,
--- a/pace/activity.go
+++ b/pace/activity.go
@@ -14,9 +14,9 @@
 	// engine to count as slow. Engines that are alike differ less: with 24 runs a step takes 1.39 times as
 	// long as with one. Engines of 0.6 and 1.0 of the usual speed differ by 1.67.
 	unevenRatio = 1.5
-	// unevenTime is how long an engine must have been slow before it counts. Engines
-	// slow down for 0.6 s at a time, and hosts and links for about a second, and the estimate of an engine
-	// that came meanwhile needs as long again to follow.
+	// unevenTime is how long an engine must have been slow before it counts. Engines slow down for 0.6 s
+	// at a time, and hosts and links for about a second, and the estimate of an engine that came meanwhile
+	// needs as long again to follow.
 	unevenTime = 3 * time.Second
 	// loneUnevenTime is the same time if only one engine is slow. Of many equal engines one now and then
 	// prefills for several seconds, and is slow meanwhile.
@@ -93,17 +93,16 @@
 	lastTrueAt time.Time
 }
 
-// UpdateActivity decides whether placement by pace is active. It is to be called several times a
-// second. Active becomes true if the BaseStep of some engines has been unevenRatio times that of the fast
-// engines for unevenTime, or that of one engine for loneUnevenTime, on new samples, and the pause foreseen
-// on one of them exceeds the limit. It becomes
-// false holdTime after that was last so, and at once if there is no limit.
+// UpdateActivity decides whether placement by pace is active. It is to be called several times a second.
+// Active becomes true if the BaseStep of some engines has been unevenRatio times that of the fast engines for
+// unevenTime, or that of one engine for loneUnevenTime, on new samples, and the pause foreseen on one of them
+// exceeds the limit. It becomes false holdTime after that was last so, and at once if there is no limit.
 //
-// The comparison with the other engines keeps it false while all engines are slow together; the time and
-// the new samples keep it false after a short slow period of one engine; BaseStep keeps it false while
-// some engines of the same speed prefill more than others; and minActivitySamples after single slow
-// steps. The fast engines are the lower quartile rather than the
-// median, because in a zone of fifteen engines more than half may be slow ones.
+// The comparison with the other engines keeps it false while all engines are slow together; the time and the
+// new samples keep it false after a short slow period of one engine; BaseStep keeps it false while some
+// engines of the same speed prefill more than others; and minActivitySamples after single slow steps. The fast
+// engines are the lower quartile rather than the median, because in a zone of fifteen engines more than half
+// may be slow ones.
 func (m *Model) UpdateActivity(now time.Time, limit Limit) Activity {
 	found := m.findSlowEngine(now, limit)
 	switch {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -56,11 +56,12 @@
 func (e Estimate) TailStep() time.Duration { return 3*e.SlowStep - 2*e.Step }
 
 const (
-	// maxStep is the longest step that counts, and maxAge the age at which samples and marks are
-	// dropped. An engine that stands still for longer is failing rather than slow.
+	// maxStep is the longest step that counts. An engine that stands still for longer is failing rather
+	// than slow.
 	maxStep = 10 * time.Second
-	// An engine's speed is mostly that of its machine, so that what is known of it holds longer than its
-	// slow periods: an engine without recent runs isn't taken for a typical one again.
+	// maxAge is the age at which samples and marks are dropped. An engine's speed is mostly that of its
+	// machine, so what is known of it holds longer than its slow periods: an engine without recent runs
+	// isn't taken for a typical one again.
 	maxAge = 30 * time.Second
 	// minStep is the shortest step that counts. Events that arrive together were delayed on the way
 	// and show nothing of the engine; no engine decodes a token in less.
--- a/policy/pace.go
+++ b/policy/pace.go
@@ -36,9 +36,8 @@
 	prefillPauseWeight = 20.0
 	// exposureWeight is the cost of an answer that runs for meanEngineLife. Then its
 	// engine most likely departs under it, and it must be moved or is cut, and its
-	// memory is in use for longer. In the simulated load, more long answers are in
-	// time at this weight than at 1 or 1.5; at 4, a quarter more runs are cut because
-	// the fast engines are too full.
+	// memory is in use for longer. At 1 or 1.5 fewer long answers are in time; at 4 a
+	// quarter more runs are cut because the fast engines are too full.
 	exposureWeight = 2.0
 	// meanEngineLife is how long an engine lives if a sixth of all departs every 3.3 s.
 	meanEngineLife = 20 * time.Second
