forward: a test's comment states the time that it simulates

Cause: observeEngines records 14 s since a lone slow engine activates after 12 s; its comment said seven. Change: the comment. Result: no code is changed.

--- a/forward/enginepace_test.go
+++ b/forward/enginepace_test.go
@@ -26,7 +26,7 @@
 	return f
 }
 
-// observeEngines records seven seconds of events on llm1, with the given step, and on llm2, with one of
+// observeEngines records 14 seconds of events on llm1, with the given step, and on llm2, with one of
 // 10 ms, and updates the placement after each. It returns the time of the last.
 func observeEngines(f *Forwarder, step time.Duration) time.Time {
 	now := time.Now()
