--- a/policy/departing.go
+++ b/policy/departing.go
@@ -33,7 +33,8 @@
 	// means that they have to be recomputed.
 	zones       map[member.Zone]*zoneDepartures
 	refreshedAt time.Time
-	// stepLine is the step-time line as of refreshedAt.
+	// stepLine is the step-time line as of refreshedAt; zero while engines report their
+	// own pace.
 	stepLine stepLine
 	// held counts the attempts at placing a request that found room only where
 	// departing runs need it.
@@ -95,11 +96,16 @@
 	if age := now.Sub(d.refreshedAt); age >= 0 && age < departureRefreshInterval {
 		return len(d.zones) > 0
 	}
-	d.zones, d.refreshedAt, d.stepLine = nil, now, p.stepTimes.fit()
+	d.zones, d.refreshedAt, d.stepLine = nil, now, stepLine{}
+	if p.paces.engines == 0 { // otherwise costOn doesn't apply the line
+		d.stepLine = p.stepTimes.fit()
+	}
+	for _, e := range p.removedEngines {
+		e.departing = departingRuns{} // also of those that no longer depart or should have ended
+	}
 	// The order is fixed so that sums, and decisions with them, don't depend on that of a map.
 	for _, id := range slices.Sorted(maps.Keys(d.endsAt)) {
 		if e := p.removedEngines[id]; e != nil {
-			e.departing = departingRuns{}
 			p.countDeparting(now, e)
 		}
 	}
@@ -193,6 +199,9 @@
 	}
 	// The mean run is kept until the next refresh; only the counts change.
 	z.runs, z.tokens = z.runs-e.departing.runs, z.tokens-e.departing.tokens
+	if z.runs < minOutlastingProbability {
+		z.runs, z.tokens = 0, 0 // what is left is a rounding error, which must not need a place
+	}
 	oneRun := z.oneRun
 	e.departing = departingRuns{}
 	p.countDeparting(now, e)
@@ -200,7 +209,7 @@
 }
 
 // movePlaces returns how many of a zone's departing runs an engine has room for,
-// after a candidate if one is given.
+// after a candidate if one is given. The bounds are those of costOn.
 func (p *Pool) movePlaces(now time.Time, e *engine, z *zoneDepartures, candidate *memoryForecast) int {
 	if !e.acceptsWork(now.Add(-maxReportAge)) {
 		return 0
@@ -216,7 +225,7 @@
 	for n := range limit {
 		load.addForecast(&z.oneRun)
 		_, fits := e.forecastWith(&load, p.settings.HeadroomDeviations, budget)
-		if batch+n > 0 && (!fits || p.departures.stepLine.at(batch+n+1) > float64(p.settings.MaxStepTime)) {
+		if (batch+n > 0 || e.holdsUnknownMemory()) && (!fits || p.departures.stepLine.at(batch+n+1) > float64(p.settings.MaxStepTime)) {
 			return n
 		}
 	}
@@ -240,6 +249,13 @@
 	}
 }
 
+// isReserved reports whether an engine is kept free for another request than the
+// given one. A run that moves may use it while runs must move off departing engines:
+// requests wait because of these runs, and their engine must not stay closed to them.
+func (p *Pool) isReserved(e *engine, r *Request) bool {
+	return e == p.reservedEngine && (r.startsNewAnswer() || len(p.departures.zones) == 0)
+}
+
 // startsNewAnswer reports whether a request is for an answer that has not begun. A
 // request for a run that moves has no arrival time.
 func (r *Request) startsNewAnswer() bool { return !r.ArrivedAt.IsZero() }
--- a/policy/departing_test.go
+++ b/policy/departing_test.go
@@ -160,6 +160,112 @@
 	is.True(z.runs > fresh.runs-0.01 && z.runs < fresh.runs+0.01)
 }
 
+// TestEndedEngineDoesNotReduceRoom guards against runs of an engine that should have ended, which no longer
+// count, being taken off those of another departing engine when they end: new requests took their room.
+func TestEndedEngineDoesNotReduceRoom(t *testing.T) {
+	is := is.New(t)
+	p := newDepartingPool(Settings{RoomForMoves: true, MaxWaitFraction: 1})
+	p.SetEngines([]EngineID{"g1", "g2", "g4"})
+	p.Adopt(testStart, newRequest("g4-0", 2500), "g4", 10)
+	p.Adopt(testStart, newRequest("g4-1", 2500), "g4", 10)
+	p.SetZone("g4", "z1")
+	p.SetEngines([]EngineID{"g1", "g2"})
+	end := testStart.Add(1800 * time.Millisecond)
+	p.SetDepartures(map[EngineID]time.Time{"g3": end, "g4": end})
+	p.refreshDepartures(testStart)
+	p.SetDepartures(map[EngineID]time.Time{"g3": end})
+	p.refreshDepartures(testStart)
+	p.Finish(testStart, Finish{Run: "g4-0"})
+	p.Finish(testStart, Finish{Run: "g4-1"})
+	is.Equal(p.Submit(testStart, newArrival("new", 2500)).Verdict, Queued)
+}
+
+// TestRoundingNeedsNoPlace guards against a rounding error that needs a place after all departing runs of
+// a zone have ended.
+func TestRoundingNeedsNoPlace(t *testing.T) {
+	is := is.New(t)
+	p := newDepartingPool(Settings{RoomForMoves: true, MaxWaitFraction: 1})
+	p.SetEngines([]EngineID{"g1", "g2", "g4"})
+	p.SetZone("g4", "z1")
+	p.SetEngines([]EngineID{"g1", "g2"})
+	runs := []RunID{"g3-0", "g3-1"}
+	for n, generated := range []Tokens{3, 170, 290, 410, 430, 450, 470} {
+		r := newRequest(fmt.Sprint("g4-", n), 2500)
+		p.Adopt(testStart, r, "g4", generated)
+		runs = append(runs, r.Run)
+	}
+	end := testStart.Add(1800 * time.Millisecond)
+	p.SetDepartures(map[EngineID]time.Time{"g3": end, "g4": end.Add(-300 * time.Millisecond)})
+	p.refreshDepartures(testStart)
+	z := p.departures.zones["z1"]
+	for n := range runs {
+		p.Finish(testStart, Finish{Run: runs[(n+3)%len(runs)]})
+	}
+	is.Equal(z.runs, 0.0)
+	is.Equal(p.Submit(testStart, newArrival("new", 2500)).Verdict, Granted)
+}
+
+// TestPlacesAreThoseOfMoves guards against places for departing runs that a move wouldn't find, or that it
+// would find although they don't count.
+func TestPlacesAreThoseOfMoves(t *testing.T) {
+	for name, prepare := range map[string]func(p *Pool){
+		"an idle engine is full of memory of unknown runs": func(p *Pool) {
+			p.Finish(testStart, Finish{Run: "g1-0"})
+			p.Finish(testStart, Finish{Run: "g1-1"})
+			p.ApplyLoad(EngineLoad{Engine: "g1", TakenAt: testStart, UsedMemory: 9000})
+		},
+		"steps are too long by the line of the pool": func(p *Pool) { reportLongSteps(p, 0) },
+		"own paces replace that line":                func(p *Pool) { reportLongSteps(p, 100*time.Millisecond) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newDepartingPool(Settings{RoomForMoves: true, MaxStepTime: 40 * time.Millisecond})
+			prepare(p)
+			p.SetDepartures(map[EngineID]time.Time{"g3": testStart.Add(1800 * time.Millisecond)})
+			zones, _ := p.DepartingRuns(testStart)
+			found := 0
+			for _, run := range []RunID{"g3-0", "g3-1"} {
+				if _, moved := p.Relocate(testStart, run, Target{}); moved {
+					found++
+				}
+			}
+			is.Equal(zones[0].Places, found)
+		})
+	}
+}
+
+// reportLongSteps reports steps of 50 ms.
+func reportLongSteps(p *Pool, slowStep time.Duration) {
+	for _, id := range p.Engines() {
+		p.Report(testStart, Report{Engine: id, TotalMemory: 10_000, StepTime: 50 * time.Millisecond, SlowStepTime: slowStep, Running: 2})
+	}
+}
+
+// TestMovesUseReservedEngine guards against a departing run that finds no room because an engine is reserved
+// for a request that waits for such runs.
+func TestMovesUseReservedEngine(t *testing.T) {
+	for name, c := range map[string]struct{ room, moved bool }{"room for moves": {true, true}, "setting off": {false, false}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newDepartingPool(Settings{RoomForMoves: c.room, MaxWaitFraction: 1})
+			p.SetDepartures(map[EngineID]time.Time{"g3": testStart.Add(1800 * time.Millisecond)})
+			waiting := newArrival("new", 2500)
+			if !c.room {
+				waiting.PromptTokens = 6000 // more than there is room for
+			}
+			waiting.Objective = time.Minute
+			is.Equal(p.Submit(testStart, waiting).Verdict, Queued)
+			p.queue.items[0].queuedAt = testStart.Add(-20 * time.Second) // most of its time is over
+			p.queueBlocked = false
+			is.Equal(len(p.Advance(testStart)), 0)
+			is.True(p.reservedEngine != nil)
+			full := map[EngineID]EngineID{"g1": "g2", "g2": "g1"}[p.reservedEngine.id]
+			_, moved := p.Relocate(testStart, "g3-0", Target{ExcludedEngines: []EngineID{full}})
+			is.Equal(moved, c.moved)
+		})
+	}
+}
+
 // departingLoad returns a load that fills the memory of the engines to about 0.9 while a sixth of
 // them departs every 3.3 s and is replaced some seconds after its end. Runs hold some 3,500 tokens.
 func departingLoad(seed uint64, replacement time.Duration) memorySimConfig {
--- a/policy/pace.go
+++ b/policy/pace.go
@@ -36,9 +36,8 @@
 	prefillPauseWeight = 20.0
 	// exposureWeight is the cost of an answer that runs for meanEngineLife. Then its
 	// engine most likely departs under it, and it must be moved or is cut, and its
-	// memory is in use for longer. In the simulated load, more long answers are in
-	// time at this weight than at 1 or 1.5; at 4, a quarter more runs are cut because
-	// the fast engines are too full.
+	// memory is in use for longer. At 1 or 1.5 fewer long answers are in time; at 4 a
+	// quarter more runs are cut because the fast engines are too full.
 	exposureWeight = 2.0
 	// meanEngineLife is how long an engine lives if a sixth of all departs every 3.3 s.
 	meanEngineLife = 20 * time.Second
@@ -188,11 +187,13 @@
 }
 
 // paceSlowness returns an engine's step time relative to the mean of the engines
-// that report their pace; one if the engine reports none. It stands in for the
-// engine's prefill slowness until that is learned: an engine that decodes slowly
-// reads prompts slowly, too, and short answers placed there would be late.
+// that report their pace; one if the engine or all active ones report none. It
+// stands in for the engine's prefill slowness until that is learned: an engine that
+// decodes slowly reads prompts slowly, too, and short answers placed there would be
+// late.
 func (p *Pool) paceSlowness(e *engine) float64 {
-	if e.report.SlowStepTime <= 0 || e.report.StepTime <= 0 {
+	// A removed engine keeps its last report, which paces doesn't include.
+	if e.report.SlowStepTime <= 0 || e.report.StepTime <= 0 || p.paces.step <= 0 {
 		return 1
 	}
 	ratio := float64(e.report.StepTime) * float64(p.paces.engines) / float64(p.paces.step)
