pace: old observations don't make an engine look fast

BaseStep was the least of all hosts' marks for up to 30 s, so an engine that became slower for good kept the pace that a host had seen before.

--- a/pace/pace.go
+++ b/pace/pace.go
@@ -226,10 +226,6 @@
 		}
 		weight := float64(samples) * math.Exp(-float64(age)/float64(decayTime))
 		baseSteps += weight * float64(base)
-		if samples >= minSamples && (e.BaseStep == 0 || base < e.BaseStep) {
-			// A host that saw only a slow period must not raise it.
-			e.BaseStep = base
-		}
 		steps += weight * float64(step)
 		slowSteps += weight * float64(slow)
 		weights += weight
@@ -252,12 +248,28 @@
 		return Estimate{}, false
 	}
 	e.Step, e.SlowStep = time.Duration(steps/weights), time.Duration(slowSteps/weights)
-	if e.BaseStep == 0 {
+	if e.BaseStep = r.leastBaseStep(now, e.Age+decayTime); e.BaseStep == 0 {
 		e.BaseStep = time.Duration(baseSteps / weights)
 	}
 	return e, true
 }
 
+// leastBaseStep returns the least BaseStep of the hosts with enough samples that aren't older than a
+// given age; zero if there are none. A host that saw only a slow period must not raise the result, and
+// an engine that has become slower must not look fast because of what hosts saw before.
+func (r *record) leastBaseStep(now time.Time, oldest time.Duration) time.Duration {
+	least := time.Duration(0)
+	if r.own.samples() >= minSamples && r.own.age(now) <= oldest {
+		least, _, _ = r.own.quantiles()
+	}
+	for _, p := range r.peers {
+		if p.Samples >= minSamples && p.age(now) <= oldest && (least == 0 || p.BaseStep < least) {
+			least = p.BaseStep
+		}
+	}
+	return least
+}
+
 // engineEstimate is the estimate of one engine.
 type engineEstimate struct {
 	engine Engine
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -210,3 +210,14 @@
 		m.Observe(now, "e", 1, 10*ms, 5)
 	}), 0.0)
 }
+
+// TestEngineBecomesSlower guards against an engine that looks fast because of what a host saw before it
+// became slower for good.
+func TestEngineBecomesSlower(t *testing.T) {
+	is, m := is.New(t), &Model{}
+	m.ReceiveMarks(start, "h2", []Mark{{Engine: "e", Incarnation: 1, BaseStep: 10 * ms, Step: 10 * ms, SlowStep: 10 * ms, Samples: 20}})
+	last := observe(m, start.Add(2*decayTime), "e", 1, 20, 80*ms, 1)
+	e, known := m.Estimate(last, "e")
+	is.True(known)
+	is.True(near(e.BaseStep, 80*ms))
+}
