internal/peer: times in a share's extension neither wrap around nor end early

Cause: engine reports, report requests and zone loads multiplied the milliseconds of the wire without a check, so that a time that doesn't fit wrapped around to any other, also a valid one; and a request with less than a millisecond left was sent as zero, which the peer counts and logs as an impossible value. Change: the conversion of pace marks is used for them too, and the remaining time is rounded up. Result: TestShareExtensionTimes fails without the change and passes with it; go test ./internal/peer passes.

--- a/internal/peer/enginereport.go
+++ b/internal/peer/enginereport.go
@@ -19,7 +19,8 @@
 	Age                  int64
 }
 
-// wireReportRequest encodes enginereport.Request; For is the remaining time in milliseconds.
+// wireReportRequest encodes enginereport.Request; For is the remaining time in milliseconds, rounded up:
+// peers count a request that has no time left as unusable.
 type wireReportRequest struct {
 	Engine string
 	For    int64
@@ -37,7 +38,7 @@
 	var marks []enginereport.Mark
 	for _, m := range w {
 		marks = append(marks, enginereport.Mark{
-			Engine: member.UpstreamID(m.Engine), Incarnation: m.Life, Age: time.Duration(m.Age) * time.Millisecond,
+			Engine: member.UpstreamID(m.Engine), Incarnation: m.Life, Age: duration(m.Age, time.Millisecond),
 			Load: enginereport.Load{Used: policy.Tokens(m.Used), Active: m.Active, Queued: m.Queued},
 		})
 	}
@@ -47,7 +48,7 @@
 func toWireReportRequests(requests []enginereport.Request) []wireReportRequest {
 	var w []wireReportRequest
 	for _, r := range requests {
-		w = append(w, wireReportRequest{Engine: string(r.Engine), For: r.Remaining.Milliseconds()})
+		w = append(w, wireReportRequest{Engine: string(r.Engine), For: (r.Remaining + time.Millisecond - 1).Milliseconds()})
 	}
 	return w
 }
@@ -55,7 +56,7 @@
 func reportRequests(w []wireReportRequest) []enginereport.Request {
 	var requests []enginereport.Request
 	for _, r := range w {
-		requests = append(requests, enginereport.Request{Engine: member.UpstreamID(r.Engine), Remaining: time.Duration(r.For) * time.Millisecond})
+		requests = append(requests, enginereport.Request{Engine: member.UpstreamID(r.Engine), Remaining: duration(r.For, time.Millisecond)})
 	}
 	return requests
 }
--- a/internal/peer/shareextension_test.go
+++ b/internal/peer/shareextension_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/pace"
 )
@@ -51,3 +53,22 @@
 	is.NoErr(err)
 	is.Equal(len(read(append(plain, later...)).Paces), 0)
 }
+
+// TestShareExtensionTimes guards against times that become valid or impossible on the wire: one that doesn't
+// fit a time.Duration must not wrap around to a recent age, and a request that still has some time left must
+// not arrive as one that is over, which the peer would count as unusable.
+func TestShareExtensionTimes(t *testing.T) {
+	is := is.New(t)
+	const wraps = 1 << 45 // milliseconds, more than a time.Duration holds
+	marks := engineReports([]wireEngineReport{{Engine: "e", Age: wraps}, {Engine: "e", Age: -wraps}})
+	is.Equal(marks[0].Age, time.Duration(math.MaxInt64))
+	is.Equal(marks[1].Age, time.Duration(math.MinInt64))
+	is.Equal(reportRequests([]wireReportRequest{{For: -wraps}})[0].Remaining, time.Duration(math.MinInt64))
+	loads := zoneLoads([]wireZoneLoad{{Backlog: wraps, Age: -wraps}})
+	is.Equal(loads[0].Backlog, time.Duration(math.MaxInt64))
+	is.Equal(loads[0].Age, time.Duration(math.MinInt64))
+
+	sent := []enginereport.Request{{Engine: "e", Remaining: 1}, {Engine: "f", Remaining: time.Second}}
+	received := reportRequests(toWireReportRequests(sent))
+	is.Equal(received, []enginereport.Request{{Engine: "e", Remaining: time.Millisecond}, {Engine: "f", Remaining: time.Second}})
+}
--- a/internal/peer/zoneload.go
+++ b/internal/peer/zoneload.go
@@ -34,7 +34,7 @@
 	for _, l := range w {
 		loads = append(loads, forward.ZoneLoad{Service: forward.ServiceName(l.Service), Load: zoneload.Load{
 			Zone: member.Zone(l.Zone), Used: l.Used, Forecast: l.Forecast,
-			Backlog: time.Duration(l.Backlog) * time.Millisecond, Age: time.Duration(l.Age) * time.Millisecond,
+			Backlog: duration(l.Backlog, time.Millisecond), Age: duration(l.Age, time.Millisecond),
 		}})
 	}
 	return loads
