forward: the end that an engine states is known before moves off it start

Cause: the departure was recorded first, by a header of the same answer or by the report, and wakes the moves, which then took the usual notice for the engine's end. With such a header the stated time was never recorded. Peers ignored the time where the engine itself declares its departure. Expired reasons are dropped also before the first configuration.

--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -65,8 +65,11 @@
 
 // askEngines starts a request to each engine that this host arbitrates and has a reason to ask.
 func (f *Forwarder) askEngines(ctx context.Context, now time.Time, asking *sync.WaitGroup) {
+	if !f.reports.hasReason(now) {
+		return
+	}
 	t := f.table.Load()
-	if t == nil || !f.reports.hasReason(now) {
+	if t == nil {
 		return
 	}
 	// An engine that refused a copy is suspect, so that it isn't among those that take work.
@@ -109,18 +112,23 @@
 	f.journal.HostEvent("engine report", "upstream", u.ID, "life", u.Incarnation, "why", reason, "used", answer.Used, "total", answer.Total,
 		"active", answer.Active, "queued", answer.Queued, "runs_counted", f.engines.otherRuns(u.Service, u.ID, ""))
 	if answer.Leaving && f.fleet.RecordSelfReportedLeaving(now, u.ID, u.Incarnation, true) {
-		f.fleet.setExpectedEnd(now, u.ID, answer.LeavesIn)
 		f.journal.HostEvent("upstream says that it leaves", "upstream", u.ID, "life", u.Incarnation, "answer_to", answerToReport, "in", answer.LeavesIn)
 		f.peers.notifyAll()
 	}
 }
 
 // setExpectedEnd records that an upstream stated for how much longer it will serve; zero states
-// nothing.
-func (f *Fleet) setExpectedEnd(now time.Time, id member.UpstreamID, remaining time.Duration) {
+// nothing. It is called before the departure itself is recorded, because that starts the moves off
+// the upstream, which depend on its end. An end that is known for the same departure stays, so that
+// it isn't put off by the delays of the messages that repeat it.
+func (f *Fleet) setExpectedEnd(now time.Time, id member.UpstreamID, incarnation Incarnation, remaining time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if k := f.upstreams[id]; k != nil && remaining > 0 {
+	k := f.upstreams[id]
+	if k == nil || incarnation != 0 && k.Incarnation != incarnation || remaining <= 0 {
+		return
+	}
+	if k.leavingSince.IsZero() || k.expectedEnd.IsZero() {
 		k.expectedEnd = now.Add(remaining)
 	}
 }
@@ -143,7 +151,7 @@
 // addEngineReports adds the reports that this host got and its reasons to a share, if it goes to a
 // host of the same cell: others don't place runs on these engines.
 func (f *Forwarder) addEngineReports(now time.Time, s *Share, to member.HostID) {
-	if !f.reports.enabled || !f.peers.sharesCell(to) {
+	if !f.reports.enabled || !f.peers.inOwnCell(to) {
 		return
 	}
 	f.reports.mu.Lock()
@@ -154,7 +162,7 @@
 // receiveEngineReports processes what a peer of the cell reports about engines, and learns from its
 // runs whether it had runs before this host started. The state of other peers is ignored.
 func (f *Forwarder) receiveEngineReports(now time.Time, s Share) {
-	if !f.reports.enabled || !f.peers.sharesCell(s.From.ID) {
+	if !f.reports.enabled || !f.peers.inOwnCell(s.From.ID) {
 		return
 	}
 	unusable := 0
@@ -187,15 +195,6 @@
 	}
 }
 
-// sharesCell reports whether a known peer is in this host's cell, which is its zone where that isn't
-// divided.
-func (p *peerSet) sharesCell(id member.HostID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.known[id]
-	return s != nil && s.sameCell
-}
-
 func (r *engineReports) hasReason(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -137,22 +137,51 @@
 	}
 }
 
-// TestReportSaysLeaving checks that an engine that reports its departure gets no new work, and that
-// the time it states is used.
+// TestReportSaysLeaving checks that an engine that reports its departure gets no new work, and that the
+// time that it states is used here and at peers, also if a header of the answer reports the departure,
+// which is processed first.
 func TestReportSaysLeaving(t *testing.T) {
+	for name, header := range map[string]bool{"only in the report": false, "also in a header": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) {
+					r := loadOf(1)
+					r.Leaving, r.LeavesIn, r.Signals.Leaving = true, 1200*time.Millisecond, header
+					return r, nil
+				}}, true)
+				u, _ := f.fleet.Upstream("llm1")
+				service, _ := f.Table().Service("llm")
+				f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
+				u, _ = f.fleet.Upstream("llm1")
+				is.True(u.Leaving)
+				end := time.Now().Add(1200 * time.Millisecond)
+				is.Equal(f.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), end)
+
+				peer, without := reportingForwarder(t, &fakeTransport{}, true), reportingForwarder(t, &fakeTransport{}, false)
+				marks := f.fleet.LeavingMarks(time.Now())
+				peer.OnShare(Share{From: f.peers.self, Leaving: marks})
+				time.Sleep(time.Millisecond) // a repetition that travels for longer doesn't put the end off
+				peer.OnShare(Share{From: f.peers.self, Leaving: marks})
+				is.Equal(peer.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), end)
+				without.OnShare(Share{From: f.peers.self, Leaving: marks})
+				is.Equal(without.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), time.Now().Add(3*time.Second))
+			})
+		})
+	}
+}
+
+// TestReportLogLimiterIsPruned guards against a limiter that keeps every engine that there ever was:
+// engines depart and join under new IDs all the time.
+func TestReportLogLimiterIsPruned(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) {
-			r := loadOf(1)
-			r.Leaving, r.LeavesIn = true, 1200*time.Millisecond
-			return r, nil
-		}}, true)
-		u, _ := f.fleet.Upstream("llm1")
-		service, _ := f.Table().Service("llm")
-		f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
-		u, _ = f.fleet.Upstream("llm1")
-		is.True(u.Leaving)
-		is.Equal(f.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), time.Now().Add(1200*time.Millisecond))
+		f := reportingForwarder(t, &fakeTransport{}, true)
+		refuse(f, "llm1")
+		is.Equal(len(f.reports.logLimiter.lastAllowed), 1)
+		time.Sleep(eventInterval)
+		f.pruneLimits(time.Now())
+		is.Equal(len(f.reports.logLimiter.lastAllowed), 0)
 	})
 }
 
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -106,6 +106,9 @@
 	}
 	isNew := false
 	if mark.Declared {
+		if f.reports.enabled {
+			f.fleet.setExpectedEnd(now, mark.Upstream, mark.Incarnation, mark.Remaining)
+		}
 		isNew = f.fleet.RecordSelfReportedLeaving(now, mark.Upstream, mark.Incarnation, false)
 	} else {
 		isNew = f.fleet.MarkLeaving(now, mark.Upstream, mark.Remaining, false)
--- a/forward/send.go
+++ b/forward/send.go
@@ -198,6 +198,9 @@
 	}
 	report, err := f.transport.Report(ctx, u)
 	if err == nil {
+		if report.Leaving && report.Check() == nil {
+			f.fleet.setExpectedEnd(f.now(), u.ID, u.Incarnation, report.LeavesIn)
+		}
 		f.applySignals(sent, u, answerToReport, report.Signals)
 	}
 	return report, err
