--- a/enginereport/tracker.go
+++ b/enginereport/tracker.go
@@ -133,13 +133,15 @@
 	return !t.olderRunSeen && now.Sub(t.startedAt) < StartDuration
 }
 
-// HasReason reports whether there is a reason to ask any engine.
+// HasReason reports whether there is a reason to ask any engine. It drops what has expired, so it is to
+// be called regularly.
 func (t *Tracker) HasReason(now time.Time) bool {
 	t.prune(now)
 	return t.startReason(now) || len(t.refusedAt) > 0 || len(t.requestedUntil) > 0
 }
 
-// Named returns the engines that there is a reason to ask in particular.
+// Named returns the engines that there is a reason to ask in particular, which includes those whose
+// reason has expired since the last call of HasReason.
 func (t *Tracker) Named() []member.UpstreamID {
 	engines := slices.Collect(maps.Keys(t.refusedAt))
 	for engine := range t.requestedUntil {
@@ -218,17 +220,6 @@
 	return r.Load, r.takenAt, true
 }
 
-// Known returns how many engines have a report that may still be used.
-func (t *Tracker) Known(now time.Time) int {
-	n := 0
-	for _, r := range t.reports {
-		if now.Sub(r.takenAt) <= UseDuration {
-			n++
-		}
-	}
-	return n
-}
-
 // prune drops what has expired.
 func (t *Tracker) prune(now time.Time) {
 	for engine, at := range t.refusedAt {
