zoneload: a zone with few engines left isn't told as impossible

Cause: a zone most of whose engines depart has more than ten times what the others hold; peers reject a forecast above ten, log it, and keep sending by the older and emptier value for up to 3 s. Change: the forecast that is told is bounded by the same constant. Result: the new case of TestForecast fails without the change; go test ./zoneload passes.

--- a/zoneload/zoneload.go
+++ b/zoneload/zoneload.go
@@ -67,8 +67,8 @@
 	return l.Zone != "" && l.Used >= 0 && l.Forecast >= 0 && l.Forecast <= maxFullness && l.Backlog >= 0 && l.Age >= 0 && l.Age <= MaxAge
 }
 
-// maxFullness bounds the fullness that is accepted as possible. A zone whose engines depart may have
-// more than its remaining engines hold.
+// maxFullness bounds the fullness that is told and accepted. A zone whose engines depart may have more
+// than its remaining engines hold; beyond the bound, the exact value makes no difference.
 const maxFullness = 10.0
 
 // sample is the load at a time.
@@ -112,6 +112,7 @@
 		l.Forecast = max(last.used+min(max((last.used-first.used)*part, -maxTrend), maxTrend), 0)
 		l.Backlog = max(last.backlog+time.Duration(min(max(float64(last.backlog-first.backlog)*part, -limit), limit)), 0)
 	}
+	l.Forecast = min(l.Forecast, maxFullness)
 	return l, l.Age <= MaxAge
 }
 
--- a/zoneload/zoneload_test.go
+++ b/zoneload/zoneload_test.go
@@ -18,7 +18,8 @@
 
 func at(d time.Duration) time.Time { return start.Add(d) }
 
-// TestForecast guards against forecasts that ignore the trend, or follow a jump too far.
+// TestForecast guards against forecasts that ignore the trend, or follow a jump too far, and against
+// loads that other zones take for impossible.
 func TestForecast(t *testing.T) {
 	for name, c := range map[string]struct {
 		// perSecond is the change of the used fraction, and of the backlog in seconds.
@@ -32,6 +33,7 @@
 		"falling":           {0.9, -0.1, 0.3, -0.2, 31, 0.4, 0},
 		"too few samples":   {0.5, 0.1, 0, 0, 9, 0.58, 0},
 		"a jump":            {0.2, 0.3, 0, 0, 31, 1.35, 0},
+		"few engines left":  {14, 0, 0, 0, 31, maxFullness, 0},
 		"no sample":         {0, 0, 0, 0, 0, 0, 0},
 		"the last is older": {0.5, 0, 0, 0, -31, 0, 0},
 	} {
@@ -50,6 +52,7 @@
 			is.Equal(known, c.samples > 0)
 			if known {
 				is.True(math.Abs(l.Forecast-c.want) < 1e-6)
+				is.True(new(Balancer).Receive(now, l)) // other zones accept what a zone tells
 				is.True((l.Backlog - max(c.wantBacklog, 0)).Abs() < time.Millisecond)
 			}
 		})
