forward: the time after a request to an emptier zone is read anew

Cause: the zone's queue got the time from before the request to the other zone, up to 40 ms earlier. Change: the time is read again, as after the queue.

--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -156,6 +156,7 @@
 		if placed, ok := s.placeInEmptierZone(ctx, now, otherZones, r, throttled); ok {
 			return placed
 		}
+		now = s.now()
 	}
 	if s.settings.Placement.ZoneAdmission {
 		if p, decided := s.placeInZone(ctx, now, r, throttled, inOwnZone, otherZones); decided {
