forward: the log line of an engine's report counts only known runs

Cause: runs_counted included those that the engine's previous report had shown, so that from the second report on the line no longer showed the runs of hosts that are gone. Change: runs_counted is the number of known runs, as OPERATIONS.md says. Result: TestReportLogNamesKnownRuns fails without the change and passes with it.

--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -110,7 +110,7 @@
 	}
 	f.reports.receiveAnswer(now, u, answer.Load)
 	f.journal.HostEvent("engine report", "upstream", u.ID, "life", u.Incarnation, "why", reason, "used", answer.Used, "total", answer.Total,
-		"active", answer.Active, "queued", answer.Queued, "runs_counted", f.engines.otherRuns(u.Service, u.ID, ""))
+		"active", answer.Active, "queued", answer.Queued, "runs_counted", f.engines.knownRuns(u.Service, u.ID))
 	if answer.Leaving && f.fleet.RecordSelfReportedLeaving(now, u.ID, u.Incarnation, true) {
 		f.journal.HostEvent("upstream says that it leaves", "upstream", u.ID, "life", u.Incarnation, "answer_to", answerToReport, "in", answer.LeavesIn)
 		f.peers.notifyAll()
@@ -269,6 +269,17 @@
 	return engines
 }
 
+// knownRuns returns how many runs on an engine this host knows, without those that only the engine
+// reports.
+func (e *enginePlacer) knownRuns(service ServiceName, id member.UpstreamID) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.pools[service]; p != nil {
+		return p.pool.KnownRunCount(id)
+	}
+	return 0
+}
+
 // applyLoads passes the engines' own reports that may be used to the policy pool, after the refresh of
 // the engines' state, which discards the earlier ones.
 func (p *enginePool) applyLoads(now time.Time) {
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -185,6 +186,29 @@
 	})
 }
 
+// TestReportLogNamesKnownRuns guards against a log line that doesn't show runs of hosts that are gone: the
+// second report of an engine must not count those that the first one has shown.
+func TestReportLogNamesKnownRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) { return loadOf(5), nil }}, true)
+		journal := &recordingJournal{}
+		f.journal = journal
+		u, _ := f.fleet.Upstream("llm1")
+		service, _ := f.Table().Service("llm")
+		for range 2 {
+			f.updatePlacementEngines(time.Now(), f.Table())
+			f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
+		}
+		is.Equal(f.engines.otherRuns("llm", "llm1", ""), 5)
+		lines := journal.linesWithPrefix("engine report")
+		is.Equal(len(lines), 2)
+		for _, line := range lines {
+			is.True(strings.Contains(line, "runs_counted=0"))
+		}
+	})
+}
+
 // TestReportsAfterOutage checks that a host that starts asks all engines if no peer has older runs, and
 // that the placement then leaves out engines that are full of runs of hosts that are gone.
 func TestReportsAfterOutage(t *testing.T) {
--- a/policy/engineload.go
+++ b/policy/engineload.go
@@ -83,6 +83,15 @@
 	return memory, runs
 }
 
+// KnownRunCount returns how many runs on an engine are known, without those that only the engine's own
+// load shows.
+func (p *Pool) KnownRunCount(id EngineID) int {
+	if e := p.knownEngine(id); e != nil {
+		return len(e.orderedRuns)
+	}
+	return 0
+}
+
 // memoryAt returns the memory that a run held at an earlier time than the one as of which its
 // generated tokens are known.
 func (e *engine) memoryAt(earlier, known time.Time, promptTokens, generatedTokens Tokens) Tokens {
--- a/policy/engineload_test.go
+++ b/policy/engineload_test.go
@@ -120,6 +120,7 @@
 			e := p.activeEngine("g1")
 			is.Equal(e.unattributedMemory, c.wantMemory)
 			is.Equal(e.unattributedRuns, c.wantRuns)
+			is.Equal(p.KnownRunCount("g1"), 2)
 		})
 	}
 }
