forward: refusals and unusable zone loads don't hide the lines about reports

Cause: one limiter per engine bounded 'engine had no room' and 'no engine report', which follows it within a second, and one for no engine bounded two kinds of peers' messages. Change: each has its own limiter.

--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -29,8 +29,9 @@
 
 	mu      sync.Mutex
 	tracker enginereport.Tracker
-	// logLimiter bounds the log lines about engines that refuse or don't report.
-	logLimiter eventLimiter
+	// logLimiter bounds the log lines about reports that didn't come or aren't usable, and
+	// refusalLogLimiter those about engines that refuse something.
+	logLimiter, refusalLogLimiter eventLimiter
 }
 
 // reportCheckInterval is how often a host checks which engines it is to ask. It bounds how late an
@@ -239,10 +240,12 @@
 	r.mu.Lock()
 	r.tracker.RecordRefusal(now, u.ID)
 	r.mu.Unlock()
-	r.log(j, now, u.ID, "engine had no room", "what", what)
+	if r.refusalLogLimiter.allow(now, u.ID) {
+		j.HostEvent("engine had no room", "upstream", u.ID, "what", what)
+	}
 }
 
-// log logs an event about an engine, unless one was logged shortly before. The empty ID stands for events
+// log logs that a report isn't there or isn't usable, unless that was logged shortly before. The empty ID stands for events
 // about no engine.
 func (r *engineReports) log(j Journal, now time.Time, id member.UpstreamID, event string, keyvals ...any) {
 	if !r.logLimiter.allow(now, id) {
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -172,17 +172,32 @@
 	}
 }
 
-// TestReportLogLimiterIsPruned guards against a limiter that keeps every engine that there ever was:
-// engines depart and join under new IDs all the time.
-func TestReportLogLimiterIsPruned(t *testing.T) {
+// TestReportLogLimiters guards against limiters that keep every engine that there ever was, as engines
+// depart and join under new IDs all the time, and against refusals that hide why a report didn't come.
+func TestReportLogLimiters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := reportingForwarder(t, &fakeTransport{}, true)
-		refuse(f, "llm1")
-		is.Equal(len(f.reports.logLimiter.lastAllowed), 1)
+		f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) {
+			return EngineReport{}, enginereport.ErrUnusable
+		}}, true)
+		journal := &recordingJournal{}
+		f.journal = journal
+		u, _ := f.fleet.Upstream("llm1")
+		service, _ := f.Table().Service("llm")
+		for range 2 {
+			refuse(f, "llm1")
+			f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
+		}
+		is.Equal(len(journal.linesWithPrefix("engine had no room")), 1)
+		is.Equal(len(journal.linesWithPrefix("no engine report")), 1)
+		for _, l := range []*eventLimiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
+			is.Equal(len(l.lastAllowed), 1)
+		}
 		time.Sleep(eventInterval)
 		f.pruneLimits(time.Now())
-		is.Equal(len(f.reports.logLimiter.lastAllowed), 0)
+		for _, l := range []*eventLimiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
+			is.Equal(len(l.lastAllowed), 0)
+		}
 	})
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -136,7 +136,9 @@
 	signalLogLimiter eventLimiter
 	// paceLogLimiter bounds the log lines about invalid pace marks, by service.
 	paceLogLimiter eventLimiter
-	retries        retryBudget
+	// zoneLoadLogLimiter bounds the log lines about unusable loads of other zones.
+	zoneLoadLogLimiter eventLimiter
+	retries            retryBudget
 	// contactProvedAt is when this host last had proof that its configuration is the newest.
 	contactProvedAt latestTime
 	// originProvedAt is when the origin last proved that the list of upstreams is up to date,
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -75,6 +75,7 @@
 	f.signalLogLimiter.prune(now)
 	f.backoffNoticeLimiter.prune(now)
 	f.reports.logLimiter.prune(now)
+	f.reports.refusalLogLimiter.prune(now)
 	f.limiter.Prune(now, func(id member.UpstreamID) bool {
 		_, named := f.limiter.NamedLimits.EffectiveRate(now, id)
 		return named || f.fleet.IsCold(now, id)
--- a/forward/zoneload.go
+++ b/forward/zoneload.go
@@ -77,7 +77,9 @@
 	for _, l := range s.ZoneLoad {
 		if s.From.Zone == f.peers.self.Zone || l.Zone != s.From.Zone || !f.engines.receiveZoneLoad(now, l) {
 			f.observer.ZoneShift(zoneload.Unusable)
-			f.reports.log(f.journal, now, "", "peer's zone load not usable", "peer", s.From.ID, "zone", l.Zone, "used", l.Used, "forecast", l.Forecast, "backlog", l.Backlog, "age", l.Age)
+			if f.zoneLoadLogLimiter.allow(now, "") {
+				f.journal.HostEvent("peer's zone load not usable", "peer", s.From.ID, "zone", l.Zone, "used", l.Used, "forecast", l.Forecast, "backlog", l.Backlog, "age", l.Age)
+			}
 		}
 	}
 }
