--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -29,8 +29,9 @@
 
 	mu      sync.Mutex
 	tracker enginereport.Tracker
-	// logLimiter bounds the log lines about engines that refuse or don't report.
-	logLimiter eventLimiter
+	// logLimiter bounds the log lines about reports that didn't come or aren't usable, and
+	// refusalLogLimiter those about engines that refuse something.
+	logLimiter, refusalLogLimiter eventLimiter
 }
 
 // reportCheckInterval is how often a host checks which engines it is to ask. It bounds how late an
@@ -65,8 +66,11 @@
 
 // askEngines starts a request to each engine that this host arbitrates and has a reason to ask.
 func (f *Forwarder) askEngines(ctx context.Context, now time.Time, asking *sync.WaitGroup) {
+	if !f.reports.hasReason(now) {
+		return
+	}
 	t := f.table.Load()
-	if t == nil || !f.reports.hasReason(now) {
+	if t == nil {
 		return
 	}
 	// An engine that refused a copy is suspect, so that it isn't among those that take work.
@@ -107,20 +111,25 @@
 	}
 	f.reports.receiveAnswer(now, u, answer.Load)
 	f.journal.HostEvent("engine report", "upstream", u.ID, "life", u.Incarnation, "why", reason, "used", answer.Used, "total", answer.Total,
-		"active", answer.Active, "queued", answer.Queued, "runs_counted", f.engines.otherRuns(u.Service, u.ID, ""))
+		"active", answer.Active, "queued", answer.Queued, "runs_counted", f.engines.knownRuns(u.Service, u.ID))
 	if answer.Leaving && f.fleet.RecordSelfReportedLeaving(now, u.ID, u.Incarnation, true) {
-		f.fleet.setExpectedEnd(now, u.ID, answer.LeavesIn)
 		f.journal.HostEvent("upstream says that it leaves", "upstream", u.ID, "life", u.Incarnation, "answer_to", answerToReport, "in", answer.LeavesIn)
 		f.peers.notifyAll()
 	}
 }
 
 // setExpectedEnd records that an upstream stated for how much longer it will serve; zero states
-// nothing.
-func (f *Fleet) setExpectedEnd(now time.Time, id member.UpstreamID, remaining time.Duration) {
+// nothing. It is called before the departure itself is recorded, because that starts the moves off
+// the upstream, which depend on its end. An end that is known for the same departure stays, so that
+// it isn't put off by the delays of the messages that repeat it.
+func (f *Fleet) setExpectedEnd(now time.Time, id member.UpstreamID, incarnation Incarnation, remaining time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if k := f.upstreams[id]; k != nil && remaining > 0 {
+	k := f.upstreams[id]
+	if k == nil || incarnation != 0 && k.Incarnation != incarnation || remaining <= 0 {
+		return
+	}
+	if k.leavingSince.IsZero() || k.expectedEnd.IsZero() {
 		k.expectedEnd = now.Add(remaining)
 	}
 }
@@ -143,7 +152,7 @@
 // addEngineReports adds the reports that this host got and its reasons to a share, if it goes to a
 // host of the same cell: others don't place runs on these engines.
 func (f *Forwarder) addEngineReports(now time.Time, s *Share, to member.HostID) {
-	if !f.reports.enabled || !f.peers.sharesCell(to) {
+	if !f.reports.enabled || !f.peers.inOwnCell(to) {
 		return
 	}
 	f.reports.mu.Lock()
@@ -154,7 +163,7 @@
 // receiveEngineReports processes what a peer of the cell reports about engines, and learns from its
 // runs whether it had runs before this host started. The state of other peers is ignored.
 func (f *Forwarder) receiveEngineReports(now time.Time, s Share) {
-	if !f.reports.enabled || !f.peers.sharesCell(s.From.ID) {
+	if !f.reports.enabled || !f.peers.inOwnCell(s.From.ID) {
 		return
 	}
 	unusable := 0
@@ -187,15 +196,6 @@
 	}
 }
 
-// sharesCell reports whether a known peer is in this host's cell, which is its zone where that isn't
-// divided.
-func (p *peerSet) sharesCell(id member.HostID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.known[id]
-	return s != nil && s.sameCell
-}
-
 func (r *engineReports) hasReason(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -240,10 +240,12 @@
 	r.mu.Lock()
 	r.tracker.RecordRefusal(now, u.ID)
 	r.mu.Unlock()
-	r.log(j, now, u.ID, "engine had no room", "what", what)
+	if r.refusalLogLimiter.allow(now, u.ID) {
+		j.HostEvent("engine had no room", "upstream", u.ID, "what", what)
+	}
 }
 
-// log logs an event about an engine, unless one was logged shortly before. The empty ID stands for events
+// log logs that a report isn't there or isn't usable, unless that was logged shortly before. The empty ID stands for events
 // about no engine.
 func (r *engineReports) log(j Journal, now time.Time, id member.UpstreamID, event string, keyvals ...any) {
 	if !r.logLimiter.allow(now, id) {
@@ -270,6 +272,17 @@
 	return engines
 }
 
+// knownRuns returns how many runs on an engine this host knows, without those that only the engine
+// reports.
+func (e *enginePlacer) knownRuns(service ServiceName, id member.UpstreamID) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p := e.pools[service]; p != nil {
+		return p.pool.KnownRunCount(id)
+	}
+	return 0
+}
+
 // applyLoads passes the engines' own reports that may be used to the policy pool, after the refresh of
 // the engines' state, which discards the earlier ones.
 func (p *enginePool) applyLoads(now time.Time) {
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -137,22 +138,89 @@
 	}
 }
 
-// TestReportSaysLeaving checks that an engine that reports its departure gets no new work, and that
-// the time it states is used.
+// TestReportSaysLeaving checks that an engine that reports its departure gets no new work, and that the
+// time that it states is used here and at peers, also if a header of the answer reports the departure,
+// which is processed first.
 func TestReportSaysLeaving(t *testing.T) {
+	for name, header := range map[string]bool{"only in the report": false, "also in a header": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) {
+					r := loadOf(1)
+					r.Leaving, r.LeavesIn, r.Signals.Leaving = true, 1200*time.Millisecond, header
+					return r, nil
+				}}, true)
+				u, _ := f.fleet.Upstream("llm1")
+				service, _ := f.Table().Service("llm")
+				f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
+				u, _ = f.fleet.Upstream("llm1")
+				is.True(u.Leaving)
+				end := time.Now().Add(1200 * time.Millisecond)
+				is.Equal(f.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), end)
+
+				peer, without := reportingForwarder(t, &fakeTransport{}, true), reportingForwarder(t, &fakeTransport{}, false)
+				marks := f.fleet.LeavingMarks(time.Now())
+				peer.OnShare(Share{From: f.peers.self, Leaving: marks})
+				time.Sleep(time.Millisecond) // a repetition that travels for longer doesn't put the end off
+				peer.OnShare(Share{From: f.peers.self, Leaving: marks})
+				is.Equal(peer.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), end)
+				without.OnShare(Share{From: f.peers.self, Leaving: marks})
+				is.Equal(without.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), time.Now().Add(3*time.Second))
+			})
+		})
+	}
+}
+
+// TestReportLogLimiters guards against limiters that keep every engine that there ever was, as engines
+// depart and join under new IDs all the time, and against refusals that hide why a report didn't come.
+func TestReportLogLimiters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) {
-			r := loadOf(1)
-			r.Leaving, r.LeavesIn = true, 1200*time.Millisecond
-			return r, nil
+			return EngineReport{}, enginereport.ErrUnusable
 		}}, true)
+		journal := &recordingJournal{}
+		f.journal = journal
+		u, _ := f.fleet.Upstream("llm1")
+		service, _ := f.Table().Service("llm")
+		for range 2 {
+			refuse(f, "llm1")
+			f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
+		}
+		is.Equal(len(journal.linesWithPrefix("engine had no room")), 1)
+		is.Equal(len(journal.linesWithPrefix("no engine report")), 1)
+		for _, l := range []*eventLimiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
+			is.Equal(len(l.lastAllowed), 1)
+		}
+		time.Sleep(eventInterval)
+		f.pruneLimits(time.Now())
+		for _, l := range []*eventLimiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
+			is.Equal(len(l.lastAllowed), 0)
+		}
+	})
+}
+
+// TestReportLogNamesKnownRuns guards against a log line that doesn't show runs of hosts that are gone: the
+// second report of an engine must not count those that the first one has shown.
+func TestReportLogNamesKnownRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := reportingForwarder(t, &fakeTransport{report: func(context.Context, Upstream) (EngineReport, error) { return loadOf(5), nil }}, true)
+		journal := &recordingJournal{}
+		f.journal = journal
 		u, _ := f.fleet.Upstream("llm1")
 		service, _ := f.Table().Service("llm")
-		f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
-		u, _ = f.fleet.Upstream("llm1")
-		is.True(u.Leaving)
-		is.Equal(f.fleet.ExpectedEnd("llm1", time.Now(), 3*time.Second), time.Now().Add(1200*time.Millisecond))
+		for range 2 {
+			f.updatePlacementEngines(time.Now(), f.Table())
+			f.askEngine(t.Context(), &service, u, enginereport.ReasonRefusal)
+		}
+		is.Equal(f.engines.otherRuns("llm", "llm1", ""), 5)
+		lines := journal.linesWithPrefix("engine report")
+		is.Equal(len(lines), 2)
+		for _, line := range lines {
+			is.True(strings.Contains(line, "runs_counted=0"))
+		}
 	})
 }
 
