--- a/internal/peer/admit.go
+++ b/internal/peer/admit.go
@@ -63,7 +63,7 @@
 
 func (w wireAdmitRequest) request() forward.AdmitRequest {
 	return forward.AdmitRequest{
-		PlacementRequest: w.Place.request(), Caller: admission.Caller(w.Caller), TimeLeft: time.Duration(w.Left) * time.Millisecond, Withdraw: w.Withdraw,
+		PlacementRequest: w.Place.request(), Caller: admission.Caller(w.Caller), TimeLeft: duration(w.Left, time.Millisecond), Withdraw: w.Withdraw,
 	}
 }
 
@@ -76,9 +76,9 @@
 
 func (w wireAdmitReply) reply() forward.AdmitReply {
 	return forward.AdmitReply{
-		PlacementGrant: forward.PlacementGrant{Engine: member.UpstreamID(w.Engine), TimeToFirstToken: time.Duration(w.First) * time.Millisecond},
+		PlacementGrant: forward.PlacementGrant{Engine: member.UpstreamID(w.Engine), TimeToFirstToken: duration(w.First, time.Millisecond)},
 		Refused:        w.Refused, Reason: policy.Reason(w.Reason),
-		RetryAfter: time.Duration(w.RetryAfter) * time.Millisecond, Waited: time.Duration(w.Waited) * time.Millisecond, Forecast: time.Duration(w.Late) * time.Millisecond,
+		RetryAfter: duration(w.RetryAfter, time.Millisecond), Waited: duration(w.Waited, time.Millisecond), Forecast: duration(w.Late, time.Millisecond),
 	}
 }
 
