forward: requests that no engine can take don't wait in the zone's queue

With zone admission, a prompt longer than any engine's memory waited until its objective had passed, and kept less urgent requests of the zone waiting. So did a request at a responsible host that knows no engine of the service in its zone, for example because its configuration is older.

The first is now refused at once, as by a host's own queue. In the second case, the responsible host replies that it keeps no queue for the request, which then goes to its host's own queue.

TestUnservableRequest fails without the change (refused after the whole objective with reason zone_forecast) and passes with it.

--- a/forward/zoneadmission.go
+++ b/forward/zoneadmission.go
@@ -88,6 +88,9 @@
 	if throttled.allExcluded(r.ExcludedEngines, target.Zone) {
 		return placementResult{decision: policy.Decision{Run: r.Run, Verdict: policy.Refused, Reason: policy.ReasonQueueFull, RetryAfter: throttled.shortestWait}}, true
 	}
+	if s.engines.tooLong(service, r) {
+		return placementResult{decision: policy.Decision{Run: r.Run, Verdict: policy.Refused, Reason: policy.ReasonTooLong}}, true
+	}
 	return s.askResponsible(ctx, r, request, target)
 }
 
--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -298,6 +298,38 @@
 	})
 }
 
+// TestUnservableRequest guards against a request that waits, and keeps less urgent ones waiting, until
+// its objective has passed although no engine can ever take it, or although the responsible host knows
+// no engine.
+func TestUnservableRequest(t *testing.T) {
+	t.Run("prompt longer than any engine's memory", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			z := newAdmissionZone(t, true)
+			now := time.Now()
+			s := &streamExchange{exchange: &exchange{Forwarder: z.near, call: call("/llm/"), deadline: now.Add(z.objective)}}
+			s.service, _ = z.near.Table().Service("llm")
+			result := s.findPlacement(t.Context(), now, policy.Request{
+				Run: "r", Route: "/llm/", PromptTokens: s.service.Engine.Memory, Objective: z.objective, ArrivedAt: now, Deadline: now.Add(z.objective),
+			}, throttledSet{})
+			is.Equal(result.decision.Reason, policy.ReasonTooLong)
+			is.Equal(time.Since(now), time.Duration(0))
+			is.Equal(len(z.asked), 0)
+		})
+	})
+	t.Run("responsible host knows no engine", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			z := newAdmissionZone(t, true)
+			ask := AdmitRequest{PlacementRequest: PlacementRequest{From: "h9", Service: "other", Run: "r", PromptTokens: 3000, Objective: time.Second}}
+			began := time.Now()
+			is.Equal(z.responsible.OnAdmit(t.Context(), ask), AdmitReply{})
+			is.Equal(time.Since(began), time.Duration(0))
+			is.Equal(len(z.responsible.admissions.queues), 0)
+		})
+	})
+}
+
 // TestWaitingMarks guards against hosts that bypass the zone's queue, and against hosts that hold
 // requests back because of a mark that isn't renewed.
 func TestWaitingMarks(t *testing.T) {
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -199,6 +199,10 @@
 	if !f.settings.Placement.ZoneAdmission {
 		return AdmitReply{}
 	}
+	if inOwnZone, _ := f.engines.zonesWithEngines(r.Service); !inOwnZone {
+		// This host knows no engine that the request could wait for.
+		return AdmitReply{}
+	}
 	request := f.engines.admissionRequest(r.Service, r.policyRequest(f.now()))
 	request.Caller, request.Restricted = r.Caller, len(r.ExcludedEngines) > 0 || r.OnlyGroup != "" || r.ExcludedGroup != ""
 	if r.TimeLeft > 0 {
@@ -413,6 +417,14 @@
 	return nil
 }
 
+// tooLong reports whether no engine known here could ever take a request.
+func (e *enginePlacer) tooLong(service ServiceName, r policy.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	return p != nil && p.pool.TooLong(&r)
+}
+
 // hasRoom reports whether an engine of the own zone could take a request.
 func (e *enginePlacer) hasRoom(now time.Time, service ServiceName, r policy.Request) bool {
 	e.mu.Lock()
--- a/policy/refusal.go
+++ b/policy/refusal.go
@@ -27,17 +27,25 @@
 	if len(p.engines) == 0 {
 		return Decision{Run: r.Run, Verdict: Refused, Reason: ReasonNoEngine, RetryAfter: noEngineRetryAfter}, true
 	}
-	largest, allKnown := Tokens(0), true
-	for _, e := range p.engines {
-		largest = max(largest, e.report.TotalMemory)
-		allKnown = allKnown && e.capacityKnown()
-	}
-	if allKnown && r.PromptTokens >= largest {
+	if p.TooLong(&r) {
 		return Decision{Run: r.Run, Verdict: Refused, Reason: ReasonTooLong}, true
 	}
 	return Decision{}, false
 }
 
+// TooLong reports whether a request's prompt fits no engine of the pool. It returns false while the
+// capacity of an engine isn't known.
+func (p *Pool) TooLong(r *Request) bool {
+	largest := Tokens(0)
+	for _, e := range p.engines {
+		if !e.capacityKnown() {
+			return false
+		}
+		largest = max(largest, e.report.TotalMemory)
+	}
+	return len(p.engines) > 0 && r.PromptTokens >= largest
+}
+
 func (p *Pool) enqueueOrRefuse(now time.Time, w *queuedRequest, position int) Decision {
 	if wait := p.backlogWait(now, &w.Request); wait > 0 {
 		return p.refuse(w, ReasonLate, wait)
