admission, policy: the forecast knows that an idle engine takes any request

A request whose expected memory exceeds what admission fills of an engine is placed only on an engine without runs. The forecast counted no engine for it, so it was never refused early: it waited until its objective had passed and kept all less urgent requests of the zone waiting.

The forecast now plans it for when the last known run of an engine ends, except where the engine states memory that no known run explains.

The new case of TestForecast fails without the change.

--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -42,19 +42,18 @@
 	return engine, placed, first, ok
 }
 
-// roomAt returns when an engine has room for a run that uses the given memory.
+// roomAt returns when an engine has room for a run that uses the given memory. An engine without
+// runs takes one of any size.
 func roomAt(e *policy.EngineOutlook, memory policy.Tokens) (time.Duration, bool) {
 	free, slots := e.Free, e.Slots
-	if free >= memory && slots > 0 {
-		return 0, true
-	}
+	at := time.Duration(0)
 	for _, end := range e.Ends {
-		free, slots = free+end.Memory, slots+1
 		if free >= memory && slots > 0 {
-			return end.In, true
+			return at, true
 		}
+		at, free, slots = end.In, free+end.Memory, slots+1
 	}
-	return 0, false
+	return at, slots > 0 && (free >= memory || !e.UnknownMemory)
 }
 
 // reserve counts a request on the engine on which it was planned.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -121,6 +121,8 @@
 		"room too late":                       {request("r", nil), 4 * time.Second, true, 4 * time.Second},
 		"room too late for a short one":       {request("r", urgent), 1200 * time.Millisecond, true, 1200 * time.Millisecond},
 		"longer than the caller follows":      {request("r", urgent), 5 * time.Second, true, 2 * time.Second},
+		"needs an idle engine":                {request("r", func(r *Request) { r.Memory = 30_000 }), 3 * time.Second, false, 0},
+		"an idle engine comes too late":       {request("r", func(r *Request) { r.Memory = 30_000 }), 4 * time.Second, true, 4 * time.Second},
 		"no objective, waits to its deadline": {request("r", func(r *Request) { r.Objective = 0 }), 20 * time.Second, false, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -171,6 +173,15 @@
 		q.Submit(start, request("s", func(r *Request) { r.Objective = 500 * time.Millisecond }))
 		is.Equal(q.Decide(start, zone, noRoom)[0].Forecast, unknownWait/2+400*time.Millisecond)
 	})
+	t.Run("an engine that never becomes idle", func(t *testing.T) {
+		is := is.New(t)
+		zone := full(time.Second)
+		zone.Engines[0].UnknownMemory = true
+		f := newForecast(zone.Engines)
+		r := request("r", func(r *Request) { r.Memory = 30_000 })
+		_, _, _, ok := f.plan(&r)
+		is.True(!ok)
+	})
 	t.Run("those refused don't return together", func(t *testing.T) {
 		is := is.New(t)
 		zone := full(5 * time.Second)
--- a/policy/outlook.go
+++ b/policy/outlook.go
@@ -23,6 +23,9 @@
 	Slots int
 	// Backlog is how long the engine still reads the prompts placed on it.
 	Backlog time.Duration
+	// UnknownMemory is set if the engine states memory that no known run explains, so that it still
+	// has runs when the known ones have ended.
+	UnknownMemory bool
 	// Ends are the expected ends of the known runs, the earliest first.
 	Ends []RunEnd
 }
@@ -46,7 +49,7 @@
 		}
 		o := EngineOutlook{
 			Engine: e.id, Free: Tokens(p.memoryBudget(e)) - e.unattributedMemory, Slots: unboundedSlots, Backlog: e.prefillBacklog(now),
-			Ends: make([]RunEnd, 0, len(e.orderedRuns)),
+			UnknownMemory: e.holdsUnknownMemory(), Ends: make([]RunEnd, 0, len(e.orderedRuns)),
 		}
 		if p.settings.MaxBatchSize > 0 {
 			o.Slots = p.settings.MaxBatchSize - e.batchSize()
