forward: forget responsible hosts that failed long ago; pass the time

A host that failed to answer was remembered until it was asked again, which never happens to one that is replaced under another name.

admissionRequest read the clock itself; it now gets the time as an argument. Two errors named their cause in unclear words.

--- a/forward/zoneadmission.go
+++ b/forward/zoneadmission.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -47,8 +48,8 @@
 
 var (
 	errNotResponsible  = errors.New("the host is no longer responsible")
-	errAdmissionFailed = errors.New("the host didn't answer before")
-	errTooManyAsked    = errors.New("too many requests wait there")
+	errAdmissionFailed = errors.New("the host failed to answer a recent request")
+	errTooManyAsked    = errors.New("too many requests of this host wait at others")
 )
 
 // placeInZone places a new run in the order of the zone's queue. It places the run itself while
@@ -65,7 +66,7 @@
 		target = cell.ID{Zone: otherZones[0]}
 	}
 	service := s.service.Name
-	request := s.engines.admissionRequest(service, r)
+	request := s.engines.admissionRequest(now, service, r)
 	yields := s.admissions.observe(now, service, &request)
 	if inOwnZone && !s.admissions.blocks(now, service, r.Priority) {
 		if result, ok := s.tryOwnZone(now, r, yields); ok {
@@ -278,11 +279,8 @@
 func (a *zoneAdmissions) beginAsk(now time.Time, host member.HostID) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if until, failed := a.failedUntil[host]; failed {
-		if now.Before(until) {
-			return errAdmissionFailed
-		}
-		delete(a.failedUntil, host)
+	if now.Before(a.failedUntil[host]) {
+		return errAdmissionFailed
 	}
 	if a.asked >= maxAdmissionsAsked {
 		return errTooManyAsked
@@ -304,5 +302,6 @@
 	if a.failedUntil == nil {
 		a.failedUntil = map[member.HostID]time.Time{}
 	}
+	maps.DeleteFunc(a.failedUntil, func(_ member.HostID, until time.Time) bool { return !now.Before(until) })
 	a.failedUntil[host] = now.Add(admissionFailurePause)
 }
--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -245,6 +245,8 @@
 	is.NoErr(a.beginAsk(now.Add(admissionFailurePause), "h1"))
 	a.asked = maxAdmissionsAsked
 	is.Equal(a.beginAsk(now, "h2"), errTooManyAsked)
+	a.recordFailure(now.Add(admissionFailurePause), "h3")
+	is.Equal(len(a.failedUntil), 1) // hosts that are gone aren't remembered
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		z := newAdmissionZone(t, true)
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -182,7 +182,7 @@
 	if f.admissions.blocks(now, r.Service, r.Priority) {
 		return false
 	}
-	request := f.engines.admissionRequest(r.Service, r.policyRequest(now))
+	request := f.engines.admissionRequest(now, r.Service, r.policyRequest(now))
 	if f.admissions.observe(now, r.Service, &request) {
 		r.ExcludedEngines = append(slices.Clone(r.ExcludedEngines), f.engines.readingEngines(now, r.Service)...)
 	}
@@ -203,10 +203,11 @@
 		// This host knows no engine that the request could wait for.
 		return AdmitReply{}
 	}
-	request := f.engines.admissionRequest(r.Service, r.policyRequest(f.now()))
+	now := f.now()
+	request := f.engines.admissionRequest(now, r.Service, r.policyRequest(now))
 	request.Caller, request.Restricted = r.Caller, len(r.ExcludedEngines) > 0 || r.OnlyGroup != "" || r.ExcludedGroup != ""
 	if r.TimeLeft > 0 {
-		request.Deadline = f.now().Add(r.TimeLeft)
+		request.Deadline = now.Add(r.TimeLeft)
 	}
 	place := func(now time.Time, idleOnly bool) (PlacementGrant, bool) {
 		attempt := r.PlacementRequest
@@ -331,7 +332,7 @@
 }
 
 // serveZoneQueue decides about the requests of a queue and notifies the hosts of the cell if it
-// begins or ends to block a rank. The mutex of admissions is held.
+// begins or ends to block a priority. The mutex of admissions is held.
 func (f *Forwarder) serveZoneQueue(now time.Time, service ServiceName, q *zoneQueue) {
 	zone := f.engines.zoneOutlook(now, service)
 	decided := q.queue.Decide(now, zone, func(r *admission.Request, idleOnly bool) bool { return q.waiters[r.Run].place(now, idleOnly) })
@@ -380,14 +381,14 @@
 }
 
 // admissionRequest returns a request for the zone's queue, with what this host expects of it.
-func (e *enginePlacer) admissionRequest(service ServiceName, r policy.Request) admission.Request {
+func (e *enginePlacer) admissionRequest(now time.Time, service ServiceName, r policy.Request) admission.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := admission.Request{
 		Run: r.Run, Account: r.Account, Priority: r.Priority, Memory: r.PromptTokens, Objective: r.Objective, ArrivedAt: r.ArrivedAt,
 	}
 	if a.ArrivedAt.IsZero() {
-		a.ArrivedAt = e.now()
+		a.ArrivedAt = now
 	}
 	if p := e.pools[service]; p != nil {
 		length := p.pool.MeanLength(&r)
