--- a/admission/loadsim_test.go
+++ b/admission/loadsim_test.go
@@ -365,7 +365,6 @@
 
 // TestZoneQueueUnderLoad compares the zone's queue with a queue for each host on the same requests.
 // It guards against urgent answers that are late or refused because less urgent ones take the room.
-// The thresholds of the package were chosen on the seeds 0 to 11, which aren't used here.
 func TestZoneQueueUnderLoad(t *testing.T) {
 	is := is.New(t)
 	sums := map[string]*simOutcome{}
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -16,7 +16,7 @@
 // Queue holds the requests of a zone's hosts that wait for room on the engines of one service.
 // The zero value is empty and ready to use. It isn't safe for concurrent use.
 type Queue struct {
-	// Ranks are the priorities that arrive at this queue and its host.
+	// Ranks are the priorities of the requests that were submitted.
 	Ranks Ranks
 
 	items []*item
--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -143,7 +143,7 @@
 // addEngineReports adds the reports that this host got and its reasons to a share, if it goes to a
 // host of the same cell: others don't place runs on these engines.
 func (f *Forwarder) addEngineReports(now time.Time, s *Share, to member.HostID) {
-	if !f.reports.enabled || !f.peers.sharesCell(to) {
+	if !f.reports.enabled || !f.peers.inOwnCell(to) {
 		return
 	}
 	f.reports.mu.Lock()
@@ -154,7 +154,7 @@
 // receiveEngineReports processes what a peer of the cell reports about engines, and learns from its
 // runs whether it had runs before this host started. The state of other peers is ignored.
 func (f *Forwarder) receiveEngineReports(now time.Time, s Share) {
-	if !f.reports.enabled || !f.peers.sharesCell(s.From.ID) {
+	if !f.reports.enabled || !f.peers.inOwnCell(s.From.ID) {
 		return
 	}
 	unusable := 0
@@ -187,15 +187,6 @@
 	}
 }
 
-// sharesCell reports whether a known peer is in this host's cell, which is its zone where that isn't
-// divided.
-func (p *peerSet) sharesCell(id member.HostID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.known[id]
-	return s != nil && s.sameCell
-}
-
 func (r *engineReports) hasReason(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/forward/neighbours.go
+++ b/forward/neighbours.go
@@ -218,6 +218,14 @@
 	return p.layout.Divided() && s != nil && s.sameCell
 }
 
+// inOwnCell reports whether a peer is known and in this host's cell; an undivided zone is one cell.
+func (p *peerSet) inOwnCell(id member.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.known[id]
+	return s != nil && s.sameCell
+}
+
 // zonesDivided reports whether any zone has more than one cell.
 func (p *peerSet) zonesDivided() bool {
 	p.mu.Lock()
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -367,14 +367,6 @@
 	return f.peers.responsibleHost(now, admissionDuty(service), target)
 }
 
-// inOwnCell reports whether a peer is in this host's cell; an undivided zone is one cell.
-func (p *peerSet) inOwnCell(id member.HostID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.known[id]
-	return s != nil && s.sameCell
-}
-
 func (f *Forwarder) ownCell() cell.ID {
 	_, own := f.peers.cellLayout()
 	return own
--- a/internal/peer/admit.go
+++ b/internal/peer/admit.go
@@ -50,11 +50,11 @@
 
 // wireAdmitReply encodes forward.AdmitReply; times are in milliseconds.
 type wireAdmitReply struct {
-	Engine                   string
-	First                    int64
-	Refused                  bool
-	Reason                   string
-	RetryAfter, Waited, Late int64
+	Engine                       string
+	First                        int64
+	Refused                      bool
+	Reason                       string
+	RetryAfter, Waited, Forecast int64
 }
 
 func toWireAdmitRequest(r forward.AdmitRequest) wireAdmitRequest {
@@ -70,7 +70,7 @@
 func toWireAdmitReply(r forward.AdmitReply) wireAdmitReply {
 	return wireAdmitReply{
 		Engine: string(r.Engine), First: r.TimeToFirstToken.Milliseconds(), Refused: r.Refused, Reason: string(r.Reason),
-		RetryAfter: r.RetryAfter.Milliseconds(), Waited: r.Waited.Milliseconds(), Late: r.Forecast.Milliseconds(),
+		RetryAfter: r.RetryAfter.Milliseconds(), Waited: r.Waited.Milliseconds(), Forecast: r.Forecast.Milliseconds(),
 	}
 }
 
@@ -78,7 +78,7 @@
 	return forward.AdmitReply{
 		PlacementGrant: forward.PlacementGrant{Engine: member.UpstreamID(w.Engine), TimeToFirstToken: time.Duration(w.First) * time.Millisecond},
 		Refused:        w.Refused, Reason: policy.Reason(w.Reason),
-		RetryAfter: time.Duration(w.RetryAfter) * time.Millisecond, Waited: time.Duration(w.Waited) * time.Millisecond, Forecast: time.Duration(w.Late) * time.Millisecond,
+		RetryAfter: time.Duration(w.RetryAfter) * time.Millisecond, Waited: time.Duration(w.Waited) * time.Millisecond, Forecast: time.Duration(w.Forecast) * time.Millisecond,
 	}
 }
 
