forward: new requests without an objective respect the zone's queue elsewhere

A host that asked another for a place sent no time since the arrival of a request without an objective when that was below a millisecond, and the asked host took every request without an objective for a run that moves: it passed by the requests that wait in the zone and used the room kept for departing runs.

Such a request now states at least one millisecond, and the asked host takes it for a new one. Nothing changes for requests with an objective and for moves.

TestAskRespectsZoneQueue fails without the change (granted far2) and passes with it. TestPlacementPriority checks the order of the zone's queue, which had no test.

--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -69,6 +69,11 @@
 	}
 	if !r.ArrivedAt.IsZero() {
 		a.Objective, a.Elapsed = r.Objective, now.Sub(r.ArrivedAt)
+		if a.Objective <= 0 {
+			// Only the time since its arrival tells a new request without an objective from one for
+			// a run that moves. It is sent in milliseconds.
+			a.Elapsed = max(a.Elapsed, time.Millisecond)
+		}
 	}
 	return a
 }
@@ -79,13 +84,18 @@
 		Run: a.Run, Route: a.Route, Account: a.Account, Priority: a.Priority, PromptTokens: a.PromptTokens, MaxOutputTokens: a.MaxOutputTokens,
 		Objective: a.Objective, ExcludedEngines: a.ExcludedEngines, OnlyGroup: a.OnlyGroup, ExcludedGroup: a.ExcludedGroup,
 	}
-	if a.Objective > 0 {
+	if a.startsNewAnswer() {
 		request.ArrivedAt = now.Add(-a.Elapsed)
+	}
+	if a.Objective > 0 {
 		request.Deadline = request.ArrivedAt.Add(a.Objective)
 	}
 	return request
 }
 
+// startsNewAnswer reports whether the request isn't for a run that moves.
+func (a PlacementRequest) startsNewAnswer() bool { return a.Objective > 0 || a.Elapsed > 0 }
+
 // OnAsk reserves a place for a run of a host of another zone. It returns an empty grant if
 // no engine of this zone has room.
 func (f *Forwarder) OnAsk(request PlacementRequest) PlacementGrant {
--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -388,11 +388,30 @@
 	is.Equal(far.OnAsk(ask).Engine, member.UpstreamID(""))
 	ask.Priority = 2
 	is.True(far.OnAsk(ask).Engine != "")
+	noObjective := newPlacementRequest("h1", "llm", time.Now(), policy.Request{Run: "s", PromptTokens: 3000, ArrivedAt: time.Now()})
+	is.Equal(far.OnAsk(noObjective).Engine, member.UpstreamID(""))
+	is.True(!noObjective.policyRequest(time.Now()).ArrivedAt.IsZero()) // takes no room kept for runs that move
 	move := ask
 	move.Run, move.Priority, move.Objective = "moving", 0, 0
 	is.True(far.OnAsk(move).Engine != "") // a run that must move has a caller who reads
 }
 
+// TestPlacementPriority guards against short answers that are queued as equal to long ones because
+// their accounts have an urgency, and against any other order without zone admission.
+func TestPlacementPriority(t *testing.T) {
+	is := is.New(t)
+	priority := func(enabled bool, account, route Urgency) int {
+		f := &Forwarder{}
+		f.settings.Placement.ZoneAdmission = enabled
+		return (&streamExchange{exchange: &exchange{Forwarder: f, urgency: account, route: Route{Urgency: route}}}).placementPriority()
+	}
+	is.True(priority(true, 3, 2) > priority(true, 3, 7))
+	is.True(priority(true, 3, LeastUrgent) > priority(true, 4, 0)) // the account's urgency goes first
+	is.Equal(priority(true, LeastUrgent, LeastUrgent), 0)
+	is.Equal(priority(false, 3, 2), priority(false, 3, 7))
+	is.Equal(priority(false, 3, 2), int(LeastUrgent-3))
+}
+
 // TestForecastRefusal guards against a forecast that the caller isn't told because refusals bound it.
 func TestForecastRefusal(t *testing.T) {
 	is := is.New(t)
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -176,7 +176,7 @@
 // constrainAsk applies the rules of the zone's queue to a request of another zone for a new run.
 // It reports whether the request may be granted at all.
 func (f *Forwarder) constrainAsk(now time.Time, r *PlacementRequest) bool {
-	if !f.settings.Placement.ZoneAdmission || r.Objective <= 0 {
+	if !f.settings.Placement.ZoneAdmission || !r.startsNewAnswer() {
 		return true
 	}
 	if f.admissions.blocks(now, r.Service, r.Priority) {
