admission: priorities and pending retries are named as such

Ranks held priorities, and a promise was a refused request that is expected to return; the code used rank and priority for the same thing. The field of Queue isn't used by other packages and is unexported. No change of behaviour: go test ./admission passes.

--- a/admission/loadsim_test.go
+++ b/admission/loadsim_test.go
@@ -68,26 +68,26 @@
 }
 
 type simZone struct {
-	rand     *rand.Rand
-	now      time.Time
-	pools    []*policy.Pool
-	engines  map[policy.EngineID]*simEngine
-	ids      []policy.EngineID
-	runs     map[policy.RunID]*simCaller
-	queued   map[policy.RunID]*simCaller
-	events   map[int64][]func()
-	queue    *Queue // nil: each host has its own queue
-	waiting  [2]int // count and highest priority as the hosts know them
-	ranks    []Ranks
-	outcomes map[string]*simOutcome
-	attempt  int
+	rand       *rand.Rand
+	now        time.Time
+	pools      []*policy.Pool
+	engines    map[policy.EngineID]*simEngine
+	ids        []policy.EngineID
+	runs       map[policy.RunID]*simCaller
+	queued     map[policy.RunID]*simCaller
+	events     map[int64][]func()
+	queue      *Queue // nil: each host has its own queue
+	waiting    [2]int // count and highest priority as the hosts know them
+	priorities []RecentPriorities
+	outcomes   map[string]*simOutcome
+	attempt    int
 }
 
 func newSimZone(seed uint64, queue *Queue, kinds []simKind) *simZone {
 	z := &simZone{
 		rand: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0), queue: queue, engines: map[policy.EngineID]*simEngine{},
 		runs: map[policy.RunID]*simCaller{}, queued: map[policy.RunID]*simCaller{}, events: map[int64][]func(){}, outcomes: map[string]*simOutcome{},
-		ranks: make([]Ranks, simHosts),
+		priorities: make([]RecentPriorities, simHosts),
 	}
 	for n := range simEngines {
 		id := policy.EngineID(fmt.Sprintf("e%02d", n))
@@ -210,9 +210,9 @@
 		Run: c.run, Caller: Caller(fmt.Sprintf("%p", c)), Account: c.account, Priority: r.Priority, Memory: r.PromptTokens + length, Prefill: p.IdlePrefillTime(r.PromptTokens),
 		Decode: time.Duration(length) * 9 * time.Millisecond, Objective: r.Objective, ArrivedAt: z.now, Deadline: c.firstAt.Add(c.kind.patience),
 	}
-	z.ranks[c.host].Observe(z.now, a.Priority)
+	z.priorities[c.host].Observe(z.now, a.Priority)
 	if z.waiting[0] == 0 || z.waiting[1] < a.Priority {
-		if z.place(c.host, c, r, z.ranks[c.host].Yields(z.now, &a)) {
+		if z.place(c.host, c, r, z.priorities[c.host].Yields(z.now, &a)) {
 			return
 		}
 	}
@@ -405,5 +405,5 @@
 		is.Equal(o.inTime, o.callers)
 		is.Equal(o.waits, time.Duration(0))
 	}
-	is.Equal(queue.Ranks, Ranks{}) // nothing was submitted
+	is.Equal(queue.priorities, RecentPriorities{}) // nothing was submitted
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -16,12 +16,12 @@
 // Queue holds the requests of a zone's hosts that wait for room on the engines of one service.
 // The zero value is empty and ready to use. It isn't safe for concurrent use.
 type Queue struct {
-	// Ranks are the priorities of the requests that were submitted.
-	Ranks Ranks
+	// priorities are the priorities of the requests that were submitted.
+	priorities RecentPriorities
 
 	items []*item
-	// promises holds the refused requests that were told when to return, by caller.
-	promises map[Caller]promise
+	// pendingRetries holds the refused requests that were told when to return, by caller.
+	pendingRetries map[Caller]pendingRetry
 	// reviewedAt is when the forecast was last applied to all requests.
 	reviewedAt time.Time
 }
@@ -36,8 +36,8 @@
 	reviewed bool
 }
 
-// promise is a refused request that is expected to return.
-type promise struct {
+// pendingRetry is a refused request that is expected to return.
+type pendingRetry struct {
 	Request
 	firstArrivedAt, returnAt time.Time
 }
@@ -48,10 +48,10 @@
 	// maxLength bounds the queue. With an objective of 4 s and some 20 answers a second in a zone,
 	// the forecast refuses requests long before that.
 	maxLength = 512
-	// maxPromises bounds the refused requests that are remembered, and maxPlannedPromises those
+	// maxPendingRetries bounds the refused requests that are remembered, and maxPlannedRetries those
 	// that one forecast considers, which bounds its cost.
-	maxPromises        = 4096
-	maxPlannedPromises = 128
+	maxPendingRetries = 4096
+	maxPlannedRetries = 128
 	// maxAttempts bounds the requests that find no room in one pass.
 	maxAttempts = 16
 	// reviewInterval is how often the forecast is applied to requests that already wait.
@@ -101,13 +101,13 @@
 // earlier wait: while it can still have its first token within the objective of its first attempt,
 // it precedes those who came after that.
 func (q *Queue) Submit(now time.Time, r Request) {
-	q.Ranks.Observe(now, r.Priority)
+	q.priorities.Observe(now, r.Priority)
 	if q.index(r.Run) >= 0 {
 		return
 	}
 	w := &item{Request: r, queuedAt: now, firstArrivedAt: r.ArrivedAt}
-	if p, found := q.promises[r.Caller]; found && r.Caller != "" {
-		delete(q.promises, r.Caller)
+	if p, found := q.pendingRetries[r.Caller]; found && r.Caller != "" {
+		delete(q.pendingRetries, r.Caller)
 		if !now.After(p.returnAt.Add(creditSlack)) && p.firstArrivedAt.Before(w.firstArrivedAt) {
 			w.firstArrivedAt = p.firstArrivedAt
 		}
@@ -229,7 +229,7 @@
 			i++
 			continue
 		}
-		yields := q.Ranks.Yields(now, &w.Request)
+		yields := q.priorities.Yields(now, &w.Request)
 		switch {
 		case yields && noneIdle:
 			i++
@@ -297,7 +297,7 @@
 	if len(refused) == 0 {
 		return nil
 	}
-	q.planPromises(now, &plan)
+	q.planRetries(now, &plan)
 	var decided []Decision
 	for _, r := range refused {
 		retryAfter := max(r.first-r.w.Prefill, next)
@@ -306,7 +306,7 @@
 			retryAfter = max(first-r.w.Prefill, next)
 		}
 		retryAfter = r.w.boundRetryAfter(now, retryAfter)
-		q.promise(now, r.w, retryAfter)
+		q.addRetry(now, r.w, retryAfter)
 		decided = append(decided, Decision{
 			Run: r.w.Run, Verdict: Refused, Waited: now.Sub(r.w.queuedAt), Reason: ReasonForecast, RetryAfter: retryAfter, Forecast: r.first,
 		})
@@ -323,37 +323,37 @@
 	return max(min(d, longest), minRetryAfter)
 }
 
-// planPromises counts the refused requests that will return, so that callers aren't told to
+// planRetries counts the refused requests that will return, so that callers aren't told to
 // return all at the same time.
-func (q *Queue) planPromises(now time.Time, plan *forecast) {
-	var expected []promise
-	for caller, p := range q.promises {
+func (q *Queue) planRetries(now time.Time, plan *forecast) {
+	var expected []pendingRetry
+	for caller, p := range q.pendingRetries {
 		if now.After(p.returnAt.Add(creditSlack)) {
-			delete(q.promises, caller)
+			delete(q.pendingRetries, caller)
 			continue
 		}
 		expected = append(expected, p)
 	}
-	slices.SortFunc(expected, func(a, b promise) int {
+	slices.SortFunc(expected, func(a, b pendingRetry) int {
 		return cmp.Or(a.returnAt.Compare(b.returnAt), cmp.Compare(a.Run, b.Run))
 	})
-	for _, p := range expected[:min(len(expected), maxPlannedPromises)] {
+	for _, p := range expected[:min(len(expected), maxPlannedRetries)] {
 		if engine, _, first, ok := plan.plan(&p.Request); ok {
 			plan.reserve(&p.Request, engine, first)
 		}
 	}
 }
 
-// promise remembers a refused request, for its credit and for the forecast.
-func (q *Queue) promise(now time.Time, w *item, retryAfter time.Duration) {
+// addRetry remembers a refused request, for its credit and for the forecast.
+func (q *Queue) addRetry(now time.Time, w *item, retryAfter time.Duration) {
 	caller := w.Caller
 	if caller == "" {
 		caller = Caller(w.Run)
 	}
-	if q.promises == nil {
-		q.promises = map[Caller]promise{}
+	if q.pendingRetries == nil {
+		q.pendingRetries = map[Caller]pendingRetry{}
 	}
-	if len(q.promises) < maxPromises {
-		q.promises[caller] = promise{Request: w.Request, firstArrivedAt: w.firstArrivedAt, returnAt: now.Add(retryAfter)}
+	if len(q.pendingRetries) < maxPendingRetries {
+		q.pendingRetries[caller] = pendingRetry{Request: w.Request, firstArrivedAt: w.firstArrivedAt, returnAt: now.Add(retryAfter)}
 	}
 }
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -48,13 +48,13 @@
 		now       time.Duration
 		want      []policy.RunID
 	}{
-		"more urgent first":         {[]Request{request("long", nil), request("short", urgent)}, nil, 0, []policy.RunID{"short", "long"}},
-		"more urgent, more time":    {[]Request{request("long", nil), request("short", func(r *Request) { urgent(r); r.Objective = 9 * time.Second })}, nil, 0, []policy.RunID{"short", "long"}},
-		"less time left first":      {[]Request{request("new", later), request("old", nil)}, nil, time.Second, []policy.RunID{"old", "new"}},
-		"late ones last":            {[]Request{request("late", func(r *Request) { r.Objective = 500 * time.Millisecond }), request("in time", later)}, nil, time.Second, []policy.RunID{"in time", "late"}},
-		"accounts alternate":        {[]Request{request("a1", nil), request("a2", nil), request("b1", account("b"))}, nil, 0, []policy.RunID{"a1", "b1", "a2"}},
-		"account that holds more":   {[]Request{request("a1", nil), request("a2", nil), request("b1", account("b"))}, map[resource.Account]policy.Tokens{"a": 5000}, 0, []policy.RunID{"b1", "a1", "a2"}},
-		"rank precedes the account": {[]Request{request("b1", account("b")), request("a1", urgent)}, map[resource.Account]policy.Tokens{"a": 50_000}, 0, []policy.RunID{"a1", "b1"}},
+		"more urgent first":             {[]Request{request("long", nil), request("short", urgent)}, nil, 0, []policy.RunID{"short", "long"}},
+		"more urgent, more time":        {[]Request{request("long", nil), request("short", func(r *Request) { urgent(r); r.Objective = 9 * time.Second })}, nil, 0, []policy.RunID{"short", "long"}},
+		"less time left first":          {[]Request{request("new", later), request("old", nil)}, nil, time.Second, []policy.RunID{"old", "new"}},
+		"late ones last":                {[]Request{request("late", func(r *Request) { r.Objective = 500 * time.Millisecond }), request("in time", later)}, nil, time.Second, []policy.RunID{"in time", "late"}},
+		"accounts alternate":            {[]Request{request("a1", nil), request("a2", nil), request("b1", account("b"))}, nil, 0, []policy.RunID{"a1", "b1", "a2"}},
+		"account that holds more":       {[]Request{request("a1", nil), request("a2", nil), request("b1", account("b"))}, map[resource.Account]policy.Tokens{"a": 5000}, 0, []policy.RunID{"b1", "a1", "a2"}},
+		"priority precedes the account": {[]Request{request("b1", account("b")), request("a1", urgent)}, map[resource.Account]policy.Tokens{"a": 50_000}, 0, []policy.RunID{"a1", "b1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -82,11 +82,11 @@
 		now   time.Duration
 		want  int // how many of the two are tried
 	}{
-		"less urgent":                   {request("first", urgent), small, 0, 1},
-		"same rank, smaller":            {request("first", nil), small, 0, 2},
-		"same rank, as large":           {request("first", nil), nil, 0, 1},
-		"same rank, smaller, but later": {request("first", nil), small, 2 * time.Second, 1},
-		"the first is restricted":       {request("first", func(r *Request) { urgent(r); r.Restricted = true }), nil, 0, 2},
+		"less urgent":                       {request("first", urgent), small, 0, 1},
+		"same priority, smaller":            {request("first", nil), small, 0, 2},
+		"same priority, as large":           {request("first", nil), nil, 0, 1},
+		"same priority, smaller, but later": {request("first", nil), small, 2 * time.Second, 1},
+		"the first is restricted":           {request("first", func(r *Request) { urgent(r); r.Restricted = true }), nil, 0, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -243,7 +243,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var r Ranks
+			var r RecentPriorities
 			long := request("r", nil)
 			r.Observe(start.Add(c.urgentAt), 3)
 			r.Observe(start, long.Priority)
--- a/admission/ranks.go
+++ b/admission/recentpriorities.go
@@ -5,8 +5,8 @@
 
 import "time"
 
-// Ranks remembers which priorities have been arriving. The zero value is ready to use.
-type Ranks struct {
+// RecentPriorities remembers which priorities have been arriving. The zero value is ready to use.
+type RecentPriorities struct {
 	lastSeen map[int]time.Time
 }
 
@@ -15,7 +15,7 @@
 const arrivingWindow = 10 * time.Second
 
 // Observe records that a request arrived.
-func (r *Ranks) Observe(now time.Time, priority int) {
+func (r *RecentPriorities) Observe(now time.Time, priority int) {
 	if r.lastSeen == nil {
 		r.lastSeen = map[int]time.Time{}
 	}
@@ -26,7 +26,7 @@
 // requests. An engine reads one prompt after another, so the request would wait there, too; while
 // it waits in the queue instead, an urgent prompt that arrives meanwhile precedes it. It yields
 // only for the first part of the time that it can wait.
-func (r *Ranks) Yields(now time.Time, q *Request) bool {
+func (r *RecentPriorities) Yields(now time.Time, q *Request) bool {
 	if now.Sub(q.ArrivedAt) >= time.Duration(yieldFraction*float64(q.slack(entryFraction))) {
 		return false
 	}
--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -226,7 +226,7 @@
 			next = z.far
 		}
 		later := z.ask(t.Context(), z.far, "s")
-		is.Equal(next.ZoneQueueLength(), 1) // the next host in rank
+		is.Equal(next.ZoneQueueLength(), 1) // the next host by rendezvous hashing
 		z.free()
 		is.Equal((<-got).decision.Verdict, policy.Granted)
 		is.Equal((<-later).decision.Verdict, policy.Granted)
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -69,8 +69,8 @@
 	queues map[ServiceName]*zoneQueue
 	// peerMarks are the marks of each peer of the cell.
 	peerMarks map[member.HostID]peerMarks
-	// ranks are the priorities that arrive at this host.
-	ranks map[ServiceName]*admission.Ranks
+	// priorities are the priorities that arrive at this host.
+	priorities map[ServiceName]*admission.RecentPriorities
 	// failedUntil is until when a responsible host that didn't answer isn't asked.
 	failedUntil map[member.HostID]time.Time
 	// asked counts the requests of this host that wait at another.
@@ -161,16 +161,16 @@
 func (a *zoneAdmissions) observe(now time.Time, service ServiceName, r *admission.Request) (yields bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ranks == nil {
-		a.ranks = map[ServiceName]*admission.Ranks{}
+	if a.priorities == nil {
+		a.priorities = map[ServiceName]*admission.RecentPriorities{}
 	}
-	ranks := a.ranks[service]
-	if ranks == nil {
-		ranks = &admission.Ranks{}
-		a.ranks[service] = ranks
+	priorities := a.priorities[service]
+	if priorities == nil {
+		priorities = &admission.RecentPriorities{}
+		a.priorities[service] = priorities
 	}
-	ranks.Observe(now, r.Priority)
-	return ranks.Yields(now, r)
+	priorities.Observe(now, r.Priority)
+	return priorities.Yields(now, r)
 }
 
 // constrainAsk applies the rules of the zone's queue to a request of another zone for a new run.
