--- a/forward/zoneadmission_test.go
+++ b/forward/zoneadmission_test.go
@@ -226,7 +226,7 @@
 			next = z.far
 		}
 		later := z.ask(t.Context(), z.far, "s")
-		is.Equal(next.ZoneQueueLength(), 1) // the next host in rank
+		is.Equal(next.ZoneQueueLength(), 1) // the next host by rendezvous hashing
 		z.free()
 		is.Equal((<-got).decision.Verdict, policy.Granted)
 		is.Equal((<-later).decision.Verdict, policy.Granted)
@@ -245,6 +245,8 @@
 	is.NoErr(a.beginAsk(now.Add(admissionFailurePause), "h1"))
 	a.asked = maxAdmissionsAsked
 	is.Equal(a.beginAsk(now, "h2"), errTooManyAsked)
+	a.recordFailure(now.Add(admissionFailurePause), "h3")
+	is.Equal(len(a.failedUntil), 1) // hosts that are gone aren't remembered
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		z := newAdmissionZone(t, true)
@@ -298,6 +300,38 @@
 	})
 }
 
+// TestUnservableRequest guards against a request that waits, and keeps less urgent ones waiting, until
+// its objective has passed although no engine can ever take it, or although the responsible host knows
+// no engine.
+func TestUnservableRequest(t *testing.T) {
+	t.Run("prompt longer than any engine's memory", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			z := newAdmissionZone(t, true)
+			now := time.Now()
+			s := &streamExchange{exchange: &exchange{Forwarder: z.near, call: call("/llm/"), deadline: now.Add(z.objective)}}
+			s.service, _ = z.near.Table().Service("llm")
+			result := s.findPlacement(t.Context(), now, policy.Request{
+				Run: "r", Route: "/llm/", PromptTokens: s.service.Engine.Memory, Objective: z.objective, ArrivedAt: now, Deadline: now.Add(z.objective),
+			}, throttledSet{})
+			is.Equal(result.decision.Reason, policy.ReasonTooLong)
+			is.Equal(time.Since(now), time.Duration(0))
+			is.Equal(len(z.asked), 0)
+		})
+	})
+	t.Run("responsible host knows no engine", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			z := newAdmissionZone(t, true)
+			ask := AdmitRequest{PlacementRequest: PlacementRequest{From: "h9", Service: "other", Run: "r", PromptTokens: 3000, Objective: time.Second}}
+			began := time.Now()
+			is.Equal(z.responsible.OnAdmit(t.Context(), ask), AdmitReply{})
+			is.Equal(time.Since(began), time.Duration(0))
+			is.Equal(len(z.responsible.admissions.queues), 0)
+		})
+	})
+}
+
 // TestWaitingMarks guards against hosts that bypass the zone's queue, and against hosts that hold
 // requests back because of a mark that isn't renewed.
 func TestWaitingMarks(t *testing.T) {
@@ -354,11 +388,30 @@
 	is.Equal(far.OnAsk(ask).Engine, member.UpstreamID(""))
 	ask.Priority = 2
 	is.True(far.OnAsk(ask).Engine != "")
+	noObjective := newPlacementRequest("h1", "llm", time.Now(), policy.Request{Run: "s", PromptTokens: 3000, ArrivedAt: time.Now()})
+	is.Equal(far.OnAsk(noObjective).Engine, member.UpstreamID(""))
+	is.True(!noObjective.policyRequest(time.Now()).ArrivedAt.IsZero()) // takes no room kept for runs that move
 	move := ask
 	move.Run, move.Priority, move.Objective = "moving", 0, 0
 	is.True(far.OnAsk(move).Engine != "") // a run that must move has a caller who reads
 }
 
+// TestPlacementPriority guards against short answers that are queued as equal to long ones because
+// their accounts have an urgency, and against any other order without zone admission.
+func TestPlacementPriority(t *testing.T) {
+	is := is.New(t)
+	priority := func(enabled bool, account, route Urgency) int {
+		f := &Forwarder{}
+		f.settings.Placement.ZoneAdmission = enabled
+		return (&streamExchange{exchange: &exchange{Forwarder: f, urgency: account, route: Route{Urgency: route}}}).placementPriority()
+	}
+	is.True(priority(true, 3, 2) > priority(true, 3, 7))
+	is.True(priority(true, 3, LeastUrgent) > priority(true, 4, 0)) // the account's urgency goes first
+	is.Equal(priority(true, LeastUrgent, LeastUrgent), 0)
+	is.Equal(priority(false, 3, 2), priority(false, 3, 7))
+	is.Equal(priority(false, 3, 2), int(LeastUrgent-3))
+}
+
 // TestForecastRefusal guards against a forecast that the caller isn't told because refusals bound it.
 func TestForecastRefusal(t *testing.T) {
 	is := is.New(t)
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -69,8 +69,8 @@
 	queues map[ServiceName]*zoneQueue
 	// peerMarks are the marks of each peer of the cell.
 	peerMarks map[member.HostID]peerMarks
-	// ranks are the priorities that arrive at this host.
-	ranks map[ServiceName]*admission.Ranks
+	// priorities are the priorities that arrive at this host.
+	priorities map[ServiceName]*admission.RecentPriorities
 	// failedUntil is until when a responsible host that didn't answer isn't asked.
 	failedUntil map[member.HostID]time.Time
 	// asked counts the requests of this host that wait at another.
@@ -161,28 +161,28 @@
 func (a *zoneAdmissions) observe(now time.Time, service ServiceName, r *admission.Request) (yields bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ranks == nil {
-		a.ranks = map[ServiceName]*admission.Ranks{}
+	if a.priorities == nil {
+		a.priorities = map[ServiceName]*admission.RecentPriorities{}
 	}
-	ranks := a.ranks[service]
-	if ranks == nil {
-		ranks = &admission.Ranks{}
-		a.ranks[service] = ranks
+	priorities := a.priorities[service]
+	if priorities == nil {
+		priorities = &admission.RecentPriorities{}
+		a.priorities[service] = priorities
 	}
-	ranks.Observe(now, r.Priority)
-	return ranks.Yields(now, r)
+	priorities.Observe(now, r.Priority)
+	return priorities.Yields(now, r)
 }
 
 // constrainAsk applies the rules of the zone's queue to a request of another zone for a new run.
 // It reports whether the request may be granted at all.
 func (f *Forwarder) constrainAsk(now time.Time, r *PlacementRequest) bool {
-	if !f.settings.Placement.ZoneAdmission || r.Objective <= 0 {
+	if !f.settings.Placement.ZoneAdmission || !r.startsNewAnswer() {
 		return true
 	}
 	if f.admissions.blocks(now, r.Service, r.Priority) {
 		return false
 	}
-	request := f.engines.admissionRequest(r.Service, r.policyRequest(now))
+	request := f.engines.admissionRequest(now, r.Service, r.policyRequest(now))
 	if f.admissions.observe(now, r.Service, &request) {
 		r.ExcludedEngines = append(slices.Clone(r.ExcludedEngines), f.engines.readingEngines(now, r.Service)...)
 	}
@@ -199,10 +199,15 @@
 	if !f.settings.Placement.ZoneAdmission {
 		return AdmitReply{}
 	}
-	request := f.engines.admissionRequest(r.Service, r.policyRequest(f.now()))
+	if inOwnZone, _ := f.engines.zonesWithEngines(r.Service); !inOwnZone {
+		// This host knows no engine that the request could wait for.
+		return AdmitReply{}
+	}
+	now := f.now()
+	request := f.engines.admissionRequest(now, r.Service, r.policyRequest(now))
 	request.Caller, request.Restricted = r.Caller, len(r.ExcludedEngines) > 0 || r.OnlyGroup != "" || r.ExcludedGroup != ""
 	if r.TimeLeft > 0 {
-		request.Deadline = f.now().Add(r.TimeLeft)
+		request.Deadline = now.Add(r.TimeLeft)
 	}
 	place := func(now time.Time, idleOnly bool) (PlacementGrant, bool) {
 		attempt := r.PlacementRequest
@@ -327,7 +332,7 @@
 }
 
 // serveZoneQueue decides about the requests of a queue and notifies the hosts of the cell if it
-// begins or ends to block a rank. The mutex of admissions is held.
+// begins or ends to block a priority. The mutex of admissions is held.
 func (f *Forwarder) serveZoneQueue(now time.Time, service ServiceName, q *zoneQueue) {
 	zone := f.engines.zoneOutlook(now, service)
 	decided := q.queue.Decide(now, zone, func(r *admission.Request, idleOnly bool) bool { return q.waiters[r.Run].place(now, idleOnly) })
@@ -362,28 +367,20 @@
 	return f.peers.responsibleHost(now, admissionDuty(service), target)
 }
 
-// inOwnCell reports whether a peer is in this host's cell; an undivided zone is one cell.
-func (p *peerSet) inOwnCell(id member.HostID) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := p.known[id]
-	return s != nil && s.sameCell
-}
-
 func (f *Forwarder) ownCell() cell.ID {
 	_, own := f.peers.cellLayout()
 	return own
 }
 
 // admissionRequest returns a request for the zone's queue, with what this host expects of it.
-func (e *enginePlacer) admissionRequest(service ServiceName, r policy.Request) admission.Request {
+func (e *enginePlacer) admissionRequest(now time.Time, service ServiceName, r policy.Request) admission.Request {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	a := admission.Request{
 		Run: r.Run, Account: r.Account, Priority: r.Priority, Memory: r.PromptTokens, Objective: r.Objective, ArrivedAt: r.ArrivedAt,
 	}
 	if a.ArrivedAt.IsZero() {
-		a.ArrivedAt = e.now()
+		a.ArrivedAt = now
 	}
 	if p := e.pools[service]; p != nil {
 		length := p.pool.MeanLength(&r)
@@ -413,6 +410,14 @@
 	return nil
 }
 
+// tooLong reports whether no engine known here could ever take a request.
+func (e *enginePlacer) tooLong(service ServiceName, r policy.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[service]
+	return p != nil && p.pool.TooLong(&r)
+}
+
 // hasRoom reports whether an engine of the own zone could take a request.
 func (e *enginePlacer) hasRoom(now time.Time, service ServiceName, r policy.Request) bool {
 	e.mu.Lock()
