--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -43,9 +43,13 @@
 	p.limit = pace.Limit{Pause: shortestPause, EventTokens: int(max(e.EventTokens, 1))}
 }
 
-// update decides whether placement by pace is active, at most once in half of poolRefreshInterval.
+// paceCheckInterval is how often it is decided whether placement by pace is active. The decision needs
+// slow engines for seconds, and a check compares all engines.
+const paceCheckInterval = 400 * time.Millisecond
+
+// update decides whether placement by pace is active, at most once in paceCheckInterval.
 func (p *servicePace) update(now time.Time) {
-	if p.model == nil || now.Sub(p.updatedAt) < poolRefreshInterval/2 {
+	if p.model == nil || now.Sub(p.updatedAt) < paceCheckInterval {
 		return
 	}
 	p.updatedAt = now
@@ -164,9 +168,10 @@
 
 // updatePaces drops what is known of engines that are gone, and logs what has changed.
 func (f *Forwarder) updatePaces(now time.Time) {
-	if !f.engines.paceEnabled {
+	if !f.engines.paceEnabled || now.Sub(f.pacesUpdatedAt) < paceCheckInterval {
 		return
 	}
+	f.pacesUpdatedAt = now
 	f.engines.forgetPaces(f.fleet.goneAmong(f.engines.prunePaces(now)))
 	f.engines.takePaceChanges(func(name ServiceName, p *servicePace) {
 		if c := p.unloggedChange; c != nil {
--- a/forward/enginepace_test.go
+++ b/forward/enginepace_test.go
@@ -53,7 +53,7 @@
 
 	f = newPaceForwarder(t, &fakeTransport{}, true)
 	now, p = observeEngines(f, 13*time.Millisecond), f.engines.pools["llm"]
-	marks := f.newShare(now).Paces
+	marks := f.engines.paceMarks(now, false)
 	is.Equal(len(marks), 2)
 	is.Equal(p.report(now, "llm1"), policy.Report{Engine: "llm1", TotalMemory: p.spec.Memory, StepTime: assumedStep}) // the engines are alike
 
@@ -65,7 +65,7 @@
 	u, _ := f.fleet.Upstream("llm1")
 	is.Equal(u.Incarnation, Incarnation(7))
 	is.Equal(p.report(now, "llm1"), policy.Report{Engine: "llm1", TotalMemory: p.spec.Memory, StepTime: assumedStep})
-	is.Equal(len(f.newShare(now).Paces)+len(f.Paces()), 0)
+	is.Equal(len(f.engines.paceMarks(now, false))+len(f.Paces()), 0)
 }
 
 // sharedWith records the share that a peer receives.
@@ -89,12 +89,14 @@
 	for peer, want := range map[Peer]int{near: 2, far: 0} {
 		from.peers.recordShare(now, Share{From: peer})
 		sent := &sharedWith{}
-		from.shareWith(t.Context(), sent, peer, from.newShare(now))
+		share := from.newShare(now)
+		share.Paces = from.engines.paceMarks(now, false)
+		from.shareWith(t.Context(), sent, peer, share)
 		is.Equal(len(sent.share.Paces), want)
 		is.Equal(len(from.pacesForReply(now, Share{From: peer})), want)
 		is.Equal(len(from.pacesForReply(now, Share{From: peer, List: rev(1)})), 0) // gets this host's shares
 	}
-	marks := from.newShare(now).Paces
+	marks := from.engines.paceMarks(now, false)
 	to.fleet.Replace(now, []Upstream{{ID: "llm1", Service: "llm", Incarnation: 7, Revision: rev(2)}, {ID: "llm2", Service: "llm", Revision: rev(2)}}, rev(2))
 	marks[0].Incarnation, marks[1].Incarnation = 6, 0
 	marks[0].Engine, marks[1].Engine = "llm1", "llm2"
@@ -167,6 +169,6 @@
 		f.engines.forgetPaces([]member.UpstreamID{"llm1"})
 		s.noteSpoolDelay(time.Now().Add(-held))
 		s.recordPace(time.Now(), 20*time.Millisecond)
-		is.Equal(len(f.newShare(time.Now()).Paces), marks)
+		is.Equal(len(f.engines.paceMarks(time.Now(), false)), marks)
 	}
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -136,6 +136,8 @@
 	signalLogLimiter eventLimiter
 	// paceLogLimiter bounds the log lines about invalid pace marks, by service.
 	paceLogLimiter eventLimiter
+	// pacesUpdatedAt is when Run last updated the pace of engines.
+	pacesUpdatedAt time.Time
 	// zoneLoadLogLimiter bounds the log lines about unusable loads of other zones.
 	zoneLoadLogLimiter eventLimiter
 	retries            retryBudget
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -168,6 +168,9 @@
 		f.engines.forgetUnknownPeers(now, f.peers.isKnown)
 		f.engines.updateKnownParts(now, f.peers.zoneByHost())
 		share := f.newShare(now)
+		if period {
+			share.Paces = f.engines.paceMarks(now, false)
+		}
 		for _, to := range f.peers.shareTargets(now, period, all, f.crashes.LacksLocalChanges) {
 			pending.Go(func() { f.shareWith(ctx, peers, to, share) })
 		}
@@ -213,11 +216,11 @@
 	}
 }
 
-// newShare returns this host's state for a share to a peer.
+// newShare returns this host's state for a share to a peer, except the pace of engines, which only
+// periodic shares have: to summarize it for each change of a run costs more than all else in a share.
 func (f *Forwarder) newShare(now time.Time) Share {
 	s := f.newShareWithoutRuns(now)
 	s.Runs, s.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
-	s.Paces = f.engines.paceMarks(now, false)
 	s.Waiting = f.admissions.marks()
 	return s
 }
