--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -285,24 +285,24 @@
 	return all
 }
 
-// movePace gives the moves for pace the estimates of one service's engines.
-type movePace struct {
+// poolPaceEstimator gives the moves for pace the estimates of one service's engines.
+type poolPaceEstimator struct {
 	placer  *enginePlacer
 	service ServiceName
 }
 
 // paceForMoves returns the estimates of a service's engines; nil while placement by pace isn't active.
-func (e *enginePlacer) paceForMoves(service ServiceName) enginePace {
+func (e *enginePlacer) paceForMoves(service ServiceName) paceEstimator {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p := e.pools[service]; p == nil || !p.pace.activity.Active {
 		return nil
 	}
-	return movePace{e, service}
+	return poolPaceEstimator{e, service}
 }
 
-// Estimate implements enginePace.
-func (m movePace) Estimate(now time.Time, engine member.UpstreamID) (step, slowStep time.Duration, ok bool) {
+// Estimate implements paceEstimator.
+func (m poolPaceEstimator) Estimate(now time.Time, engine member.UpstreamID) (step, slowStep time.Duration, ok bool) {
 	m.placer.mu.Lock()
 	defer m.placer.mu.Unlock()
 	e, ok := m.placer.pools[m.service].pace.model.Intrinsic(now, engine)
--- a/forward/pacemove.go
+++ b/forward/pacemove.go
@@ -13,9 +13,9 @@
 	"github.com/shedpath/shedpath/rebalance"
 )
 
-// enginePace estimates how fast the engines of one service decode: the typical time of a step, and
+// paceEstimator estimates how fast the engines of one service decode: the typical time of a step, and
 // the time that one step in a thousand exceeds. ok is false if that isn't known.
-type enginePace interface {
+type paceEstimator interface {
 	Estimate(now time.Time, engine member.UpstreamID) (step, slowStep time.Duration, ok bool)
 }
 
@@ -23,7 +23,7 @@
 type paceMoves struct {
 	// paceOf returns the estimates for a service; nil while placement by pace isn't active for it.
 	// It is set before the forwarder serves.
-	paceOf func(ServiceName) enginePace
+	paceOf func(ServiceName) paceEstimator
 }
 
 // paceHistory is what a run's moves for pace depend on. It is used by one mover at a time.
@@ -91,7 +91,7 @@
 	return deadline.Sub(now)
 }
 
-func estimatePace(estimates enginePace, now time.Time, id member.UpstreamID) rebalance.Pace {
+func estimatePace(estimates paceEstimator, now time.Time, id member.UpstreamID) rebalance.Pace {
 	step, slow, known := estimates.Estimate(now, id)
 	if !known {
 		return rebalance.Pace{}
@@ -149,7 +149,7 @@
 }
 
 // relocateForPace finds a faster engine with room in the zone of the run's engine.
-func (x *exchange) relocateForPace(ctx context.Context, now time.Time, run *ownRun, r rebalance.Run, source rebalance.Pace, estimates enginePace) (Upstream, bool) {
+func (x *exchange) relocateForPace(ctx context.Context, now time.Time, run *ownRun, r rebalance.Run, source rebalance.Pace, estimates paceEstimator) (Upstream, bool) {
 	from, zone := run.engine, x.peers.self.Zone
 	avoid, anySuits := x.throttledEngines(now).sameZone, false
 	for _, u := range x.acceptingUpstreams(now) {
--- a/forward/pacemove_test.go
+++ b/forward/pacemove_test.go
@@ -51,9 +51,9 @@
 		"moves":           {to: "llm2", moved: 1},
 		"setting off":     {prepare: func(s *scene) { s.f.settings.Placement.PaceMoves = false }},
 		"pace not known":  {prepare: func(s *scene) { s.f.paceMoves.paceOf = nil }},
-		"pace not active": {prepare: func(s *scene) { s.f.paceMoves.paceOf = func(ServiceName) enginePace { return nil } }},
+		"pace not active": {prepare: func(s *scene) { s.f.paceMoves.paceOf = func(ServiceName) paceEstimator { return nil } }},
 		"none is faster": {prepare: func(s *scene) {
-			s.f.paceMoves.paceOf = func(ServiceName) enginePace { return fakePace{"llm1": 25 * time.Millisecond} }
+			s.f.paceMoves.paceOf = func(ServiceName) paceEstimator { return fakePace{"llm1": 25 * time.Millisecond} }
 		}},
 		"in another zone":  {prepare: func(s *scene) { s.zone = "z2" }},
 		"link is used":     {prepare: func(s *scene) { useLink(s.f, "llm2") }},
@@ -89,7 +89,7 @@
 				f := newForwarder(t, transport)
 				s.f = f
 				f.settings.Placement.PaceMoves = true
-				f.paceMoves.paceOf = func(ServiceName) enginePace {
+				f.paceMoves.paceOf = func(ServiceName) paceEstimator {
 					return fakePace{"llm1": 25 * time.Millisecond, "llm2": 10 * time.Millisecond, "llm3": 24 * time.Millisecond}
 				}
 				now := time.Now()
--- a/policy/departing_test.go
+++ b/policy/departing_test.go
@@ -284,8 +284,8 @@
 
 // TestRoomForMovesUnderLoad compares, with and without room for moves, how many runs are cut with
 // their engine and how many new requests are refused. It guards against room that doesn't reach
-// the runs that have to move, and against refusals out of proportion to that. The rule was chosen with
-// these seeds among others, so the figures aren't an estimate of the gain; docs/design/moves.md has one.
+// the runs that have to move, and against refusals out of proportion to that. The figures
+// of these seeds aren't an estimate of the gain; docs/design/moves.md has one.
 func TestRoomForMovesUnderLoad(t *testing.T) {
 	type outcome struct {
 		requests, cut, cutWithoutRoom, lackedRoom, refused, inTime int
--- a/rebalance/load_test.go
+++ b/rebalance/load_test.go
@@ -233,7 +233,7 @@
 	is.True(with.returns*20 <= with.moves)
 }
 
-// simSeeds is the number of seeds, from simFirstSeed on. Seeds 0 to 2 were used to choose the rules.
+// simSeeds is the number of seeds, from simFirstSeed on.
 const simSeeds, simFirstSeed = 4, 10
 
 func (t *simTotals) add(s simTotals) {
