entry: a temporary claim doesn't hide a lost one from its repair

Cause: the first attempt after a restore can't know of it yet. It creates a claim of its own, learns of the restore from the answer, gives up and removes its claim. The entry that holds the lost claim wrote it again only where the key was absent, so it took the temporary claim for its own success; with the removal nothing was left.

Fix: the repair replaces the claim of any other attempt, and ends only once it has read its own. That is safe because no other attempt may hold the key: each was released, or was made after the restore and gives up. For that an entry has to know which of its claims it released, as these must not come back: they are remembered as released and removed again, and their removal is tried for a minute instead of once.

--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -6,17 +6,20 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/shedpath/shedpath/claim"
 	"github.com/shedpath/shedpath/history"
 )
 
-// A platform that was restored from an older copy has lost the newest claims. Each entry writes its
-// own recent claims again, and makes no new ones until every entry has had time to do so.
+// A platform that was restored from an older copy has lost the newest claims, and may hold claims
+// again that had been removed. Each entry repairs its own recent claims, and no entry makes new ones
+// until every entry has had time to do so.
 
 const (
 	// claimRetention is how long an entry remembers its claims. A copy that the platform is
@@ -28,6 +31,8 @@
 	// maxRecentClaims bounds the number of remembered claims. The platform accepts no more than
 	// that within a minute.
 	maxRecentClaims = 8192
+	// claimRepairConcurrency bounds the claims of one entry that are repaired at once.
+	claimRepairConcurrency = 16
 )
 
 // claimHistory holds this entry's recent claims, and how long a restore of the platform blocks new
@@ -38,20 +43,25 @@
 	newestEra history.Era
 	// blockedUntil is the end of the time in which no claim may be made.
 	blockedUntil time.Time
-	// claims are this entry's recent claims, oldest first.
-	claims []recentClaim
+	// repairs is the number of repairs under way.
+	repairs int
+	// claims are this entry's recent claims, in the order of madeAt.
+	claims []*recentClaim
 }
 
-// recentClaim is a claim that this entry made, kept to be written again after a restore.
+// recentClaim is a claim that this entry made, kept to be repaired after a restore. The fields
+// below key are guarded by the mutex of the claimHistory.
 type recentClaim struct {
 	key    string
 	record claim.Record
-	madeAt time.Time
+	// released reports whether the call was not sent and the claim is to be removed.
+	released bool
+	madeAt   time.Time
 }
 
 // observeEra records a reported era. If it is newer than a known one, the platform was restored:
-// observeEra blocks new claims for restoreSettleTime and returns the claims to write again.
-func (k *claimHistory) observeEra(now time.Time, era history.Era) []recentClaim {
+// observeEra blocks new claims for restoreSettleTime and returns the claims to repair.
+func (k *claimHistory) observeEra(now time.Time, era history.Era) []*recentClaim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if era <= k.newestEra {
@@ -64,7 +74,7 @@
 	}
 	k.blockedUntil = now.Add(restoreSettleTime)
 	k.dropExpired(now)
-	return append([]recentClaim(nil), k.claims...)
+	return append([]*recentClaim(nil), k.claims...)
 }
 
 func (k *claimHistory) knownEra() history.Era {
@@ -73,19 +83,65 @@
 	return k.newestEra
 }
 
+// repairBegins and repairEnds enclose a repair of this entry's claims, during which it makes no new
+// ones.
+func (k *claimHistory) repairBegins() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.repairs++
+}
+
+func (k *claimHistory) repairEnds() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.repairs--
+}
+
 // blockedFor returns how much longer no claim may be made; zero if claims may be made now.
 func (k *claimHistory) blockedFor(now time.Time) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return max(k.blockedUntil.Sub(now), 0)
+	remaining := max(k.blockedUntil.Sub(now), 0)
+	if k.repairs > 0 {
+		remaining = max(remaining, claimRetryAfter)
+	}
+	return remaining
 }
 
 // remember records a claim that this entry has made.
-func (k *claimHistory) remember(now time.Time, key string, r claim.Record) {
+func (k *claimHistory) remember(now time.Time, key string, r claim.Record) *recentClaim {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.add(now, key, r)
+}
+
+// add records a claim. The caller holds the mutex.
+func (k *claimHistory) add(now time.Time, key string, r claim.Record) *recentClaim {
 	k.dropExpired(now)
-	k.claims = append(k.claims, recentClaim{key, r, now})
+	c := &recentClaim{key: key, record: r, madeAt: now}
+	k.claims = append(k.claims, c)
+	return c
+}
+
+// addReleased records a claim that may have been made and is to be removed.
+func (k *claimHistory) addReleased(now time.Time, key string, r claim.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.add(now, key, r).released = true
+}
+
+// release marks a claim whose call was not sent.
+func (k *claimHistory) release(c *recentClaim) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c.released = true
+}
+
+// state returns the record of a claim, and whether the claim was released.
+func (k *claimHistory) state(c *recentClaim) (r claim.Record, released bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return c.record, c.released
 }
 
 // dropExpired drops claims older than claimRetention, and the oldest beyond maxRecentClaims. The
@@ -102,29 +158,64 @@
 // if none was reported.
 func (e *Entry) Era() history.Era { return max(e.store.Era(), e.claimHistory.knownEra()) }
 
-// observeEra records a platform era that the platform or a peer reported, and starts writing this
-// entry's recent claims again if the era shows a restore.
+// observeEra records a platform era that the platform or a peer reported, and starts to repair this
+// entry's recent claims if the era shows a restore.
 func (e *Entry) observeEra(era history.Era) {
 	claims := e.claimHistory.observeEra(e.now(), era)
 	if len(claims) == 0 {
 		return
 	}
-	_ = level.Warn(e.logger).Log("msg", "the platform was restored from a copy", "era", era, "claims_written_again", len(claims))
-	e.spawn(func(ctx context.Context) { e.rewriteClaims(ctx, claims) })
-}
-
-// rewriteClaims writes claims again that the platform may have lost.
-func (e *Entry) rewriteClaims(ctx context.Context, claims []recentClaim) {
-	ctx, cancel := context.WithTimeout(ctx, claimCleanupTimeout)
-	defer cancel()
-	for _, c := range claims {
-		text, _ := json.Marshal(c.record)
-		// Version 0 writes only if the key is absent: an existing claim stays, whoever made it.
-		for _, err := e.claims.Swap(ctx, c.key, text, 0); err != nil; _, err = e.claims.Swap(ctx, c.key, text, 0) {
-			if !sleepContext(ctx, jitter(claimAttemptDelay)) {
-				_ = level.Error(e.logger).Log("msg", "claim not written again", "key", c.key, "err", err)
-				return
+	_ = level.Warn(e.logger).Log("msg", "the platform was restored from a copy", "era", era, "claims_to_repair", len(claims))
+	e.claimHistory.repairBegins()
+	e.spawn(func(ctx context.Context) {
+		defer e.claimHistory.repairEnds()
+		e.repairClaims(ctx, claims)
+	})
+	e.members.requestHeartbeats()
+}
+
+// repairClaims repairs the claims after a restore, the newest first: their callers are the most
+// likely to call again.
+func (e *Entry) repairClaims(ctx context.Context, claims []*recentClaim) {
+	workers := pool.New().WithMaxGoroutines(claimRepairConcurrency)
+	for _, c := range slices.Backward(claims) {
+		workers.Go(func() {
+			for {
+				done, err := e.repairClaim(ctx, c)
+				if done {
+					return
+				}
+				if err != nil && !sleepContext(ctx, jitter(claimAttemptDelay)) {
+					_ = level.Error(e.logger).Log("msg", "claim not repaired", "key", c.key, "err", err)
+					return
+				}
 			}
-		}
+		})
+	}
+	workers.Wait()
+}
+
+// repairClaim takes one step to write a claim again, or to remove it if it was released. It reports
+// whether the platform's state is right. It replaces a claim of another attempt: that attempt was
+// released, or created its claim after the restore and will release it.
+func (e *Entry) repairClaim(ctx context.Context, c *recentClaim) (done bool, err error) {
+	record, released := e.claimHistory.state(c)
+	if released {
+		err := e.removeClaim(ctx, c.key, record.Claimant)
+		return err == nil, err
+	}
+	item, err := e.claims.Get(ctx, c.key)
+	if err != nil {
+		return false, err
+	}
+	var stored claim.Record
+	if item.Found() && json.Unmarshal(item.Value, &stored) == nil && stored.Claimant == record.Claimant {
+		// The claim may have been released since its state was read.
+		_, released = e.claimHistory.state(c)
+		return !released, nil
 	}
+	text, _ := json.Marshal(record)
+	// The next step reads what was written.
+	_, err = e.claims.Swap(ctx, c.key, text, item.Version)
+	return false, err
 }
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -15,12 +15,6 @@
 	"github.com/shedpath/shedpath/claim"
 )
 
-// callClaim is a claim that this entry holds for a call.
-type callClaim struct {
-	key    string
-	record claim.Record
-}
-
 const (
 	// claimTimeout bounds the claiming of a call, and the recording of its outcome.
 	claimTimeout = 2 * time.Second
@@ -29,13 +23,12 @@
 	// claimRetryAfter is when a caller may retry a call that could not be claimed, and the
 	// interval at which an abandoned claim's removal is retried.
 	claimRetryAfter = 2 * time.Second
-	// claimCleanupTimeout bounds the background removal of an abandoned claim, and the rewriting of
-	// claims after a restore.
+	// claimCleanupTimeout bounds the background removal of a claim whose call is not sent.
 	claimCleanupTimeout = time.Minute
 )
 
 // claimCall claims a call. If it returns no failure, the call may be sent once.
-func (e *Entry) claimCall(ctx context.Context, r ServiceRequest) (*callClaim, *Failure) {
+func (e *Entry) claimCall(ctx context.Context, r ServiceRequest) (*recentClaim, *Failure) {
 	now := e.now()
 	key := claim.Key(r.Account, r.Route, r.IdempotencyKey)
 	attempt := claim.NewAttempt(claim.Record{
@@ -46,8 +39,7 @@
 		e.observeEra(e.claims.Era())
 		step := attempt.Next(e.now())
 		if blocked := e.claimHistory.blockedFor(e.now()); blocked > 0 && step != claim.RejectDuplicate {
-			e.abandonClaim(key, attempt)
-			return nil, newFailure(CodeClaimUnavailable, NotRun, "the call could not be claimed: the platform was restored, and may lack claims").withRetryAfter(blocked)
+			return nil, e.failBlockedClaim(key, attempt, blocked)
 		}
 		switch step {
 		case claim.Create:
@@ -55,8 +47,7 @@
 		case claim.Read:
 			e.readClaim(ctx, key, attempt)
 		case claim.Send:
-			e.claimHistory.remember(e.now(), key, attempt.Record())
-			return &callClaim{key: key, record: attempt.Record()}, nil
+			return e.claimHistory.remember(e.now(), key, attempt.Record()), nil
 		case claim.RejectDuplicate:
 			return nil, duplicateFailure(attempt.Record(), attempt.ConflictingClaim())
 		case claim.GiveUp:
@@ -70,6 +61,12 @@
 	}
 }
 
+// failBlockedClaim gives up an attempt because new claims are blocked after a restore.
+func (e *Entry) failBlockedClaim(key string, a *claim.Attempt, blocked time.Duration) *Failure {
+	e.abandonClaim(key, a)
+	return newFailure(CodeClaimUnavailable, NotRun, "the call could not be claimed: the platform was restored, and may lack claims").withRetryAfter(blocked)
+}
+
 func (e *Entry) createClaim(ctx context.Context, key string, a *claim.Attempt) {
 	text, _ := json.Marshal(a.Record())
 	wrote, err := e.claims.Swap(ctx, key, text, 0)
@@ -116,42 +113,53 @@
 }
 
 // abandonClaim removes the claim of an attempt that was given up, so that the caller can try again.
-// Removal is safe at any later time, because the attempt never sends its call.
 func (e *Entry) abandonClaim(key string, a *claim.Attempt) {
 	if !a.MayHaveClaimed() {
 		return
 	}
-	claimant := a.Record().Claimant
+	e.claimHistory.addReleased(e.now(), key, a.Record())
+	e.removeUnsentClaim(key, a.Record().Claimant)
+}
+
+// releaseClaim removes the claim of a call that was not sent, so that the caller can try again.
+func (e *Entry) releaseClaim(c *recentClaim) {
+	e.claimHistory.release(c)
+	e.removeUnsentClaim(c.key, c.record.Claimant)
+}
+
+// removeUnsentClaim removes a claim in the background. Removal is safe at any later time, because
+// the call is never sent for this claim.
+func (e *Entry) removeUnsentClaim(key, claimant string) {
 	e.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, claimCleanupTimeout)
 		defer cancel()
-		for {
-			if e.removeClaim(ctx, key, claimant) || !sleepContext(ctx, jitter(claimRetryAfter)) {
+		for e.removeClaim(ctx, key, claimant) != nil {
+			if !sleepContext(ctx, jitter(claimRetryAfter)) {
 				return
 			}
 		}
 	})
 }
 
-// removeClaim deletes the claim if this claimant made it. It reports whether the key certainly no
+// removeClaim deletes the claim if this claimant made it. Without an error the key certainly no
 // longer holds this claimant's claim.
-func (e *Entry) removeClaim(ctx context.Context, key, claimant string) bool {
+func (e *Entry) removeClaim(ctx context.Context, key, claimant string) error {
 	item, err := e.claims.Get(ctx, key)
 	if err != nil {
-		return false
+		return err
 	}
 	var stored claim.Record
 	if !item.Found() || json.Unmarshal(item.Value, &stored) != nil || stored.Claimant != claimant {
-		return true
+		return nil
 	}
 	_, err = e.claims.Delete(ctx, key, item.Version)
-	return err == nil
+	return err
 }
 
 // recordOutcome adds the status of the upstream's answer to the claim if the platform accepts the
 // write. The status is only reported to a second caller with the same key; nothing else depends on
 // it.
-func (e *Entry) recordOutcome(c *callClaim, status int) {
+func (e *Entry) recordOutcome(c *recentClaim, status int) {
 	if status < http.StatusOK {
 		return
 	}
@@ -162,8 +170,9 @@
 		if err != nil || !item.Found() {
 			return
 		}
-		c.record.Status = status
-		text, _ := json.Marshal(c.record)
+		record, _ := e.claimHistory.state(c)
+		record.Status = status
+		text, _ := json.Marshal(record)
 		// Without the status, a second caller only learns that the outcome is unknown.
 		_, _ = e.outcomes.Swap(ctx, c.key, text, item.Version)
 	})
--- a/entry/fakestore_test.go
+++ b/entry/fakestore_test.go
@@ -65,7 +65,7 @@
 	}
 	item := s.items[key]
 	item.Index, item.Era = s.index, s.era
-	s.reportedEra = s.era
+	s.reportedEra = max(s.reportedEra, s.era)
 	return item, nil
 }
 
@@ -97,24 +97,26 @@
 }
 
 func (s *fakeStore) Swap(_ context.Context, key string, value []byte, v Version) (bool, error) {
-	written, delay, err := s.swap(key, value, v)
+	written, delay, era, err := s.swap(key, value, v)
 	time.Sleep(delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportedEra = max(s.reportedEra, era)
 	return written, err
 }
 
-func (s *fakeStore) swap(key string, value []byte, v Version) (written bool, delay time.Duration, err error) {
+func (s *fakeStore) swap(key string, value []byte, v Version) (written bool, delay time.Duration, era history.Era, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	fault, down := faultNone, s.down
-	s.reportedEra = s.era
 	if s.faultFor != nil {
 		fault = s.faultFor(key)
 	}
 	switch {
 	case down || fault == faultNotSent:
-		return false, s.writeDelay, fmt.Errorf("the store is down: %w", ErrNotSent)
+		return false, s.writeDelay, s.era, fmt.Errorf("the store is down: %w", ErrNotSent)
 	case fault == faultWriteLost:
-		return false, s.writeDelay, errAnswerLost
+		return false, s.writeDelay, s.era, errAnswerLost
 	}
 	written = s.items[key].Version == v
 	if written {
@@ -124,9 +126,9 @@
 		s.changed = make(chan struct{})
 	}
 	if fault == faultAnswerLost {
-		return false, s.writeDelay, errAnswerLost
+		return false, s.writeDelay, s.era, errAnswerLost
 	}
-	return written, s.writeDelay, nil
+	return written, s.writeDelay, s.era, nil
 }
 
 func (s *fakeStore) Delete(_ context.Context, key string, v Version) (bool, error) {
--- a/entry/golden_test.go
+++ b/entry/golden_test.go
@@ -59,7 +59,7 @@
 		second.CreateFinished(claim.OutcomeUnknown, false)
 		e.readClaim(t.Context(), key, second)
 		golden.Equal(t, "claim", second.ConflictingClaim(), record)
-		e.recordOutcome(&callClaim{key, record}, 201)
+		e.recordOutcome(&recentClaim{key: key, record: record}, 201)
 		synctest.Wait()
 		record.Status = 201
 		s.store.items[key] = Item{Value: stored("claim with an outcome", key), Version: 4}
--- a/entry/members.go
+++ b/entry/members.go
@@ -164,6 +164,7 @@
 // buildHeartbeat returns the heartbeat for a peer. Once the peer has received it, the peer knows
 // all changes of the crash marks up to the returned number.
 func (m *members) buildHeartbeat(now time.Time, peer member.Entry, pools []PoolStatus) (Heartbeat, uint64) {
+	m.entry.observeEra(m.entry.store.Era())
 	revision, to := m.entry.config.Catalog().Revision(), peer.Zone
 	crashes, upTo := m.entry.crashes.UnsentMarks(now, peer.ID)
 	m.mu.Lock()
--- a/entry/service.go
+++ b/entry/service.go
@@ -108,11 +108,7 @@
 		e.recordOutcome(claimed, answer.Status)
 	case failure.RunState == NotRun:
 		// Nothing was sent, so the caller may retry with the same key.
-		e.spawn(func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-			defer cancel()
-			e.removeClaim(ctx, claimed.key, claimed.record.Claimant)
-		})
+		e.releaseClaim(claimed)
 	}
 	return answer, failure
 }
