entry: a claim isn't held once a restore is known

What callers would see: a call that runs twice after a restore. Cause: whether claims are blocked was checked before the claim was remembered. A restore that another goroutine learned of in between started its repair without this claim, and the call was sent all the same. The window is some instructions wide; no run showed it.

Both are one step under one lock now (TestHoldDuringRestore).

--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -101,6 +101,11 @@
 func (k *claimHistory) blockedFor(now time.Time) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	return k.remainingBlock(now)
+}
+
+// remainingBlock is blockedFor for callers that hold the mutex.
+func (k *claimHistory) remainingBlock(now time.Time) time.Duration {
 	remaining := max(k.blockedUntil.Sub(now), 0)
 	if k.repairs > 0 {
 		remaining = max(remaining, claimRetryAfter)
@@ -108,11 +113,15 @@
 	return remaining
 }
 
-// remember records a claim that this entry has made.
-func (k *claimHistory) remember(now time.Time, key string, r claim.Record) *recentClaim {
+// hold records a claim that this entry has made, unless new claims are blocked. A claim that is
+// held is part of every later repair.
+func (k *claimHistory) hold(now time.Time, key string, r claim.Record) (c *recentClaim, blocked time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.add(now, key, r)
+	if blocked = k.remainingBlock(now); blocked > 0 {
+		return nil, blocked
+	}
+	return k.add(now, key, r), 0
 }
 
 // add records a claim. The caller holds the mutex.
--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// TestHoldDuringRestore checks that a claim isn't held once a restore is known. Its call was sent,
+// and its claim was not part of the repair.
+func TestHoldDuringRestore(t *testing.T) {
+	is := is.New(t)
+	var k claimHistory
+	now := time.Now()
+	is.Equal(len(k.observeEra(now, 1)), 0)
+	held, blocked := k.hold(now, "k1", claim.Record{Claimant: "c1"})
+	is.Equal(blocked, time.Duration(0))
+	is.Equal(k.observeEra(now, 2), []*recentClaim{held})
+	held, blocked = k.hold(now, "k2", claim.Record{Claimant: "c2"})
+	is.True(held == nil)
+	is.Equal(blocked, restoreSettleTime)
+}
+
 // TestReleasedClaimAfterRestore checks that a caller who was told that the call did not run can
 // repeat it after a restore, whether or not the copy has the claim. The claim came back for good.
 func TestReleasedClaimAfterRestore(t *testing.T) {
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -47,7 +47,11 @@
 		case claim.Read:
 			e.readClaim(ctx, key, attempt)
 		case claim.Send:
-			return e.claimHistory.remember(e.now(), key, attempt.Record()), nil
+			held, blocked := e.claimHistory.hold(e.now(), key, attempt.Record())
+			if blocked > 0 {
+				return nil, e.failBlockedClaim(key, attempt, blocked)
+			}
+			return held, nil
 		case claim.RejectDuplicate:
 			return nil, duplicateFailure(attempt.Record(), attempt.ConflictingClaim())
 		case claim.GiveUp:
