entry: repaired claims keep their outcome, and are repaired after the next restore

What callers saw: after two restores within a minute or so a call could run twice, because a repaired claim was forgotten a minute after it was made, though a copy from before the repair could still be restored (TestSecondRestore failed before). After one restore a second caller was told that the outcome of its call is not known, though it was: the repair wrote the claim without the status of the answer (TestOutcomeSurvivesRestore failed before).

Same class as TestCallRunsTwiceAfterARestore: the repair doesn't write what was in force. Retention counts from the last repair, and a remembered claim has its status.

TestAtMostOnceAcrossRestores draws copies, restores, lost writes and failing services at random.

--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -45,7 +45,7 @@
 	blockedUntil time.Time
 	// repairs is the number of repairs under way.
 	repairs int
-	// claims are this entry's recent claims, in the order of madeAt.
+	// claims are this entry's recent claims, in the order of writtenAt.
 	claims []*recentClaim
 }
 
@@ -56,7 +56,8 @@
 	record claim.Record
 	// released reports whether the call was not sent and the claim is to be removed.
 	released bool
-	madeAt   time.Time
+	// writtenAt is when the claim was made or, if later, when its last repair began.
+	writtenAt time.Time
 }
 
 // observeEra records a reported era. If it is newer than a known one, the platform was restored:
@@ -74,6 +75,9 @@
 	}
 	k.blockedUntil = now.Add(restoreSettleTime)
 	k.dropExpired(now)
+	for _, c := range k.claims {
+		c.writtenAt = now
+	}
 	return append([]*recentClaim(nil), k.claims...)
 }
 
@@ -127,7 +131,7 @@
 // add records a claim. The caller holds the mutex.
 func (k *claimHistory) add(now time.Time, key string, r claim.Record) *recentClaim {
 	k.dropExpired(now)
-	c := &recentClaim{key: key, record: r, madeAt: now}
+	c := &recentClaim{key: key, record: r, writtenAt: now}
 	k.claims = append(k.claims, c)
 	return c
 }
@@ -146,6 +150,13 @@
 	c.released = true
 }
 
+// setStatus records the status of the upstream's answer to the claimed call.
+func (k *claimHistory) setStatus(c *recentClaim, status int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c.record.Status = status
+}
+
 // state returns the record of a claim, and whether the claim was released.
 func (k *claimHistory) state(c *recentClaim) (r claim.Record, released bool) {
 	k.mu.Lock()
@@ -157,7 +168,7 @@
 // caller holds the mutex.
 func (k *claimHistory) dropExpired(now time.Time) {
 	expired := max(len(k.claims)-maxRecentClaims, 0)
-	for expired < len(k.claims) && now.Sub(k.claims[expired].madeAt) > claimRetention {
+	for expired < len(k.claims) && now.Sub(k.claims[expired].writtenAt) > claimRetention {
 		expired++
 	}
 	k.claims = k.claims[expired:]
--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -117,6 +117,38 @@
 	}
 }
 
+// TestOutcomeSurvivesRestore checks that a second caller learns the status of the first call after
+// a restore. The repaired claim had lost it.
+func TestOutcomeSurvivesRestore(t *testing.T) {
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, entries []*Entry) {
+		items, index := s.store.snapshot()
+		_, err := entries[0].CallService(s.ctx, serviceCall("orders", "k"))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		s.store.restore(items, index)
+		var failure *Failure
+		is.True(errors.As(callUntilRun(s, entries[1], "k"), &failure))
+		is.Equal(failure.Code, CodeDuplicateRequest)
+		is.Equal(failure.RunState, NotRun)
+	})
+}
+
+// TestSecondRestore checks that a claim that was repaired is repaired again after another restore,
+// even if it was made longer ago than claimRetention.
+func TestSecondRestore(t *testing.T) {
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, entries []*Entry) {
+		items, index := s.store.snapshot()
+		_, err := entries[0].CallService(s.ctx, serviceCall("orders", "k"))
+		is.NoErr(err)
+		for range 4 {
+			time.Sleep(20 * time.Second)
+			s.store.restore(items, index)
+		}
+		is.True(callUntilRun(s, entries[1], "k") != nil)
+		is.Equal(s.services.count("k"), 1)
+	})
+}
+
 // TestAtMostOnceAcrossRestores sends calls repeatedly through several entries, while the store is
 // restored from copies of its past and writes and services fail. No call may run twice.
 func TestAtMostOnceAcrossRestores(t *testing.T) {
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -167,6 +167,7 @@
 	if status < http.StatusOK {
 		return
 	}
+	e.claimHistory.setStatus(c, status)
 	e.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 		defer cancel()
@@ -175,7 +176,6 @@
 			return
 		}
 		record, _ := e.claimHistory.state(c)
-		record.Status = status
 		text, _ := json.Marshal(record)
 		// Without the status, a second caller only learns that the outcome is unknown.
 		_, _ = e.outcomes.Swap(ctx, c.key, text, item.Version)
