entry: no claims are made while a peer's repair is unfinished

What callers would see: after a restore a call runs a second time, though the entry that ran it first is alive. Cause: claims were blocked for five seconds, however long the repair took: an entry with many claims wrote them one after another, and one whose writes failed was not waited for.

It is a call of its own, because heartbeats are arrays whose length an older host checks: such a host answers it with an error, and waits for the five seconds as before.

An entry that reaches its peers and can't write to the platform blocks all claims until it can, or until it is stopped: a caller is asked to come back rather than served twice.

--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/shedpath/shedpath/claim"
@@ -18,8 +19,9 @@
 )
 
 // A platform that was restored from an older copy has lost the newest claims, and may hold claims
-// again that had been removed. Each entry repairs its own recent claims, and no entry makes new ones
-// until every entry has had time to do so.
+// again that had been removed. Each entry repairs its own recent claims and tells its peers while it
+// does. No entry makes new claims until every entry has had time to learn of the restore, and until
+// no repair is unfinished.
 
 const (
 	// claimRetention is how long an entry remembers its claims. A copy that the platform is
@@ -28,6 +30,11 @@
 	// restoreSettleTime is how long no new claims are made after a restore. Heartbeats carry the
 	// new era to all entries within three seconds.
 	restoreSettleTime = 5 * time.Second
+	// repairReportInterval is how often an entry reports to its peers that its repair is unfinished.
+	repairReportInterval = time.Second
+	// peerRepairTimeout is how long such a report blocks new claims. It outlasts the loss of one
+	// report.
+	peerRepairTimeout = 3 * time.Second
 	// maxRecentClaims bounds the number of remembered claims. The platform accepts no more than
 	// that within a minute.
 	maxRecentClaims = 8192
@@ -101,6 +108,22 @@
 	k.repairs--
 }
 
+// repairState returns the state of this entry's repair for peers.
+func (k *claimHistory) repairState() ClaimRepair {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return ClaimRepair{Era: k.newestEra, Unfinished: k.repairs > 0}
+}
+
+// peerRepairs records that a peer hasn't finished its repair.
+func (k *claimHistory) peerRepairs(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if until := now.Add(peerRepairTimeout); until.After(k.blockedUntil) {
+		k.blockedUntil = until
+	}
+}
+
 // blockedFor returns how much longer no claim may be made; zero if claims may be made now.
 func (k *claimHistory) blockedFor(now time.Time) time.Duration {
 	k.mu.Lock()
@@ -188,10 +211,40 @@
 	_ = level.Warn(e.logger).Log("msg", "the platform was restored from a copy", "era", era, "claims_to_repair", len(claims))
 	e.claimHistory.repairBegins()
 	e.spawn(func(ctx context.Context) {
-		defer e.claimHistory.repairEnds()
+		ctx, cancel := context.WithCancel(ctx)
+		var reports conc.WaitGroup
+		reports.Go(func() { e.reportRepair(ctx) })
 		e.repairClaims(ctx, claims)
+		e.claimHistory.repairEnds()
+		cancel()
+		reports.Wait()
 	})
-	e.members.requestHeartbeats()
+}
+
+// reportRepair tells all peers that this entry's repair is unfinished, until the context ends.
+func (e *Entry) reportRepair(ctx context.Context) {
+	for {
+		e.exchangeRepairStates(ctx)
+		if !sleepContext(ctx, jitter(repairReportInterval)) {
+			return
+		}
+	}
+}
+
+// exchangeRepairStates tells all peers the state of this entry's repair, and records theirs.
+func (e *Entry) exchangeRepairStates(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	workers := pool.New().WithMaxGoroutines(heartbeatConcurrency)
+	for _, peer := range e.members.Peers() {
+		workers.Go(func() {
+			// A peer that can't be reached now is told again after repairReportInterval.
+			if answer, err := e.peers.ClaimRepair(ctx, peer, e.claimHistory.repairState()); err == nil {
+				e.OnClaimRepair(e.now(), answer)
+			}
+		})
+	}
+	workers.Wait()
 }
 
 // repairClaims repairs the claims after a restore, the newest first: their callers are the most
--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -149,6 +150,32 @@
 	})
 }
 
+// TestManyClaimsAreRepaired checks that no entry makes new claims while another one still repairs
+// its own. Claims were allowed again after a fixed time, when only a part had been written.
+func TestManyClaimsAreRepaired(t *testing.T) {
+	const calls = 3000
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, entries []*Entry) {
+		items, index := s.store.snapshot()
+		for n := range calls {
+			_, err := entries[0].CallService(s.ctx, serviceCall("orders", fmt.Sprint("k", n)))
+			is.NoErr(err)
+		}
+		s.store.mu.Lock()
+		s.store.writeDelay = 100 * time.Millisecond
+		s.store.mu.Unlock()
+		s.store.restore(items, index)
+		for until := time.Now().Add(time.Minute); time.Now().Before(until); time.Sleep(time.Second) {
+			for range 10 {
+				_, err := entries[1].CallService(s.ctx, serviceCall("orders", fmt.Sprint("k", rand.IntN(calls))))
+				is.True(err != nil)
+			}
+		}
+		for n := range calls {
+			is.Equal(s.services.count(fmt.Sprint("k", n)), 1)
+		}
+	})
+}
+
 // TestAtMostOnceAcrossRestores sends calls repeatedly through several entries, while the store is
 // restored from copies of its past and writes and services fail. No call may run twice.
 func TestAtMostOnceAcrossRestores(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -326,5 +326,14 @@
 // OnLog returns the part of the configuration log that a peer at the given revision lacks.
 func (e *Entry) OnLog(after resource.Revision) LogTail { return e.config.OnLog(after) }
 
+// OnClaimRepair records the state of a peer's repair of its claims, and returns this entry's own.
+func (e *Entry) OnClaimRepair(now time.Time, r ClaimRepair) ClaimRepair {
+	e.observeEra(r.Era)
+	if r.Unfinished {
+		e.claimHistory.peerRepairs(now)
+	}
+	return e.claimHistory.repairState()
+}
+
 // OnLinkDown records that a peer's link to this entry broke.
 func (e *Entry) OnLinkDown(from member.HostID) { e.members.OnLinkDown(from) }
--- a/entry/fakesite_test.go
+++ b/entry/fakesite_test.go
@@ -125,6 +125,18 @@
 	return e.OnRunning(ctx, p.from, pool, runs)
 }
 
+func (p *fakePeers) ClaimRepair(ctx context.Context, to member.Entry, r ClaimRepair) (ClaimRepair, error) {
+	if p.isFrozen(to.ID) {
+		<-ctx.Done()
+		return ClaimRepair{}, ctx.Err()
+	}
+	e, err := p.reach(to)
+	if err != nil {
+		return ClaimRepair{}, err
+	}
+	return e.OnClaimRepair(time.Now(), r), nil
+}
+
 func (p *fakePeers) Log(_ context.Context, to member.Entry, after resource.Revision) (LogTail, error) {
 	e, err := p.reach(to)
 	if err != nil {
--- a/entry/members.go
+++ b/entry/members.go
@@ -377,6 +377,13 @@
 	return m.view.PresumedDead(now, id)
 }
 
+// Peers lists all known entries but this one, alive or not.
+func (m *members) Peers() []member.Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Peers()
+}
+
 // Entry returns the entry with the given id.
 func (m *members) Entry(id member.HostID) (member.Entry, bool) {
 	m.mu.Lock()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// ClaimRepair is the state that entries exchange while claims are repaired after a restore of the
+// platform, and when an entry starts.
+type ClaimRepair struct {
+	// Era is the platform's era as the sender knows it.
+	Era history.Era
+	// Unfinished reports whether the sender is still repairing its claims.
+	Unfinished bool
+}
+
 // ZoneStatus is a zone's report as the sender of a heartbeat knows it.
 type ZoneStatus struct {
 	Zone     member.Zone
@@ -88,6 +97,8 @@
 	Finished(ctx context.Context, to member.Entry, pool resource.Name, finished []policy.Finish) error
 	// Running reports to a new coordinator the runs that hold places on its engines.
 	Running(ctx context.Context, to member.Entry, pool resource.Name, runs []PlacedRun) error
+	// ClaimRepair exchanges the states of the repair of claims.
+	ClaimRepair(ctx context.Context, to member.Entry, r ClaimRepair) (ClaimRepair, error)
 	// Log returns the configuration log after a revision.
 	Log(ctx context.Context, to member.Entry, after resource.Revision) (LogTail, error)
 }
@@ -99,6 +110,7 @@
 	OnDecided(ctx context.Context, from member.HostID, pool resource.Name, decisions []policy.Decision) error
 	OnFinished(ctx context.Context, pool resource.Name, finished []policy.Finish) error
 	OnRunning(ctx context.Context, from member.HostID, pool resource.Name, runs []PlacedRun) error
+	OnClaimRepair(now time.Time, r ClaimRepair) ClaimRepair
 	OnLog(after resource.Revision) LogTail
 	// OnLinkDown is called when the link on which a peer made its calls has broken.
 	OnLinkDown(from member.HostID)
--- a/internal/peer/calls.go
+++ b/internal/peer/calls.go
@@ -68,6 +68,15 @@
 	return m.call(ctx, to.PeerAddress, kindRunning, request, &answer)
 }
 
+// ClaimRepair exchanges the states of the repair of claims with a peer.
+func (m *Mesh) ClaimRepair(ctx context.Context, to member.Entry, r entry.ClaimRepair) (entry.ClaimRepair, error) {
+	var answer wireClaimRepair
+	if err := m.call(ctx, to.PeerAddress, kindClaimRepair, toWireClaimRepair(r), &answer); err != nil {
+		return entry.ClaimRepair{}, err
+	}
+	return answer.claimRepair(), nil
+}
+
 // Log fetches the part of the peer's configuration log that follows a revision.
 func (m *Mesh) Log(ctx context.Context, to member.Entry, after resource.Revision) (entry.LogTail, error) {
 	var answer wireLogTail
@@ -112,6 +121,8 @@
 		return onRunning(ctx, now, h, from, body)
 	case kindLog:
 		return onLog(h, body)
+	case kindClaimRepair:
+		return onClaimRepair(now, h, body)
 	default:
 		return nil, trace.BadParameter("unknown kind of call %d", k)
 	}
@@ -125,6 +136,14 @@
 	return toWireHeartbeat(h.OnHeartbeat(now, w.heartbeat())), nil
 }
 
+func onClaimRepair(now time.Time, h entry.PeerHandler, body []byte) (any, error) {
+	var w wireClaimRepair
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return toWireClaimRepair(h.OnClaimRepair(now, w.claimRepair())), nil
+}
+
 func onPlace(ctx context.Context, now time.Time, h entry.PeerHandler, from member.HostID, body []byte) (any, error) {
 	var w wirePlaceRequest
 	if err := msgpack.Unmarshal(body, &w); err != nil {
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -398,6 +398,10 @@
 	return nil
 }
 
+func (h goldenEntry) OnClaimRepair(_ time.Time, r entry.ClaimRepair) entry.ClaimRepair {
+	return h.on(r).(entry.ClaimRepair)
+}
+
 func (h goldenEntry) OnLog(after resource.Revision) entry.LogTail { return h.on(after).(entry.LogTail) }
 
 func serveGoldenEntry[Q, A any](_ *Mesh, on func(Q) A) callHandler {
@@ -469,6 +473,8 @@
 			func(m *Mesh, ctx context.Context, to member.Entry, p goldenPool[entry.PlacedRun]) (noReply, error) {
 				return none(m.Running(ctx, to, p.Pool, p.Told))
 			}, serveGoldenEntry, false)
+		repairs := []entry.ClaimRepair{{Era: 78, Unfinished: true}, {Era: 79}}
+		pin(t, b, "repair of claims", repairs[0], repairs[1], (*Mesh).ClaimRepair, serveGoldenEntry, false)
 		pin(t, b, "log of the configuration", 77, golden.Cases[entry.LogTail](f, nil)[0], (*Mesh).Log, serveGoldenEntry, false)
 	})
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -90,6 +90,10 @@
 	r.down = from
 }
 
+func (r *recordingHandler) OnClaimRepair(_ time.Time, state entry.ClaimRepair) entry.ClaimRepair {
+	return entry.ClaimRepair{Era: state.Era + 1, Unfinished: !state.Unfinished}
+}
+
 func (r *recordingHandler) OnLog(after resource.Revision) entry.LogTail {
 	if after == 0 {
 		return entry.LogTail{Snapshot: &resource.Snapshot{Revision: 3, Resources: []resource.Resource{
@@ -276,6 +280,7 @@
 	for k := kindHeartbeat; k <= kindLog; k++ {
 		f.Add(byte(k), []byte{0x91, 0xa1, 'x'})
 	}
+	f.Add(byte(kindClaimRepair), []byte{0x92, 0x01, 0xc3})
 	f.Fuzz(func(_ *testing.T, k byte, body []byte) {
 		h := &fuzzHandler{}
 		_, _ = dispatchEntryCall(context.Background(), time.Now(), h, "a", callKind(k), body)
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -32,6 +32,7 @@
 	kindRollout
 	kindRollouts
 	kindAdmit
+	kindClaimRepair
 )
 
 // The wire types are encoded as arrays, to keep heartbeats small: the order and number of their
@@ -53,6 +54,20 @@
 	Era      uint64
 }
 
+// wireClaimRepair encodes entry.ClaimRepair.
+type wireClaimRepair struct {
+	Era        uint64
+	Unfinished bool
+}
+
+func toWireClaimRepair(r entry.ClaimRepair) wireClaimRepair {
+	return wireClaimRepair{Era: uint64(r.Era), Unfinished: r.Unfinished}
+}
+
+func (w wireClaimRepair) claimRepair() entry.ClaimRepair {
+	return entry.ClaimRepair{Era: history.Era(w.Era), Unfinished: w.Unfinished}
+}
+
 // wireZone encodes entry.ZoneStatus.
 type wireZone struct {
 	Zone     string
--- a/member/view.go
+++ b/member/view.go
@@ -168,6 +168,15 @@
 	return listed
 }
 
+// Peers lists all known entries but this one, alive or not, in the order of their ids.
+func (v *View) Peers() []Entry {
+	var peers []Entry
+	for _, id := range slices.Sorted(maps.Keys(v.peers)) {
+		peers = append(peers, v.peers[id].entry)
+	}
+	return peers
+}
+
 // alive reports whether the link to the peer is intact and the last heartbeat is
 // no older than SuspectTimeout.
 func (p *peer) alive(now time.Time) bool {
