entry: a starting entry makes claims once its peers have repaired theirs

What callers saw: a call ran a second time when it was repeated through an entry that had started just after a restore (TestEntryStartedAfterRestore failed on the code before). Cause: the first era that an entry sees was taken for an old one, so it made claims at once, while the others were still repairing theirs.

Fix: an entry that has seen no earlier era asks all listed entries whether their repair is finished, which also tells them of the era, and makes claims once all have answered. A listed entry that is down delays it by five seconds at most. Calls that come meanwhile wait within the two seconds that a claim may take, and read their claim again before they are sent: a repair may have replaced it. Refusing them at once was tried first: TestAtMostOnce of e2e, which calls right after the start, failed.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -132,6 +132,14 @@
 	}
 }
 
+// Recheck makes an attempt that holds the claim read the key again before it sends, because the
+// platform may have lost the claim meanwhile.
+func (a *Attempt) Recheck() {
+	if a.step == Send {
+		a.step = Read
+	}
+}
+
 // ReadFinished records the outcome of a read and, if the platform answered,
 // whether the key was found and the record stored under it.
 func (a *Attempt) ReadFinished(result Result, found bool, stored Record) {
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -129,3 +129,28 @@
 	}
 	is.Equal(len(keys), 8)
 }
+
+// TestRecheck checks that an attempt that held the claim doesn't send if the platform has lost the
+// claim meanwhile and another attempt has made one.
+func TestRecheck(t *testing.T) {
+	for name, tt := range map[string]struct {
+		found  bool
+		stored Record
+		want   Step
+	}{
+		"still held":        {true, Record{Claimant: "a"}, Send},
+		"held by another":   {true, Record{Claimant: "b"}, RejectDuplicate},
+		"lost":              {false, Record{}, Create},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a := NewAttempt(Record{Claimant: "a"}, start.Add(time.Second))
+			a.CreateFinished(Answered, true)
+			is.Equal(a.Next(start), Send)
+			a.Recheck()
+			is.Equal(a.Next(start), Read)
+			a.ReadFinished(Answered, tt.found, tt.stored)
+			is.Equal(a.Next(start), tt.want)
+		})
+	}
+}
--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -35,6 +36,8 @@
 	// peerRepairTimeout is how long such a report blocks new claims. It outlasts the loss of one
 	// report.
 	peerRepairTimeout = 3 * time.Second
+	// joinRetryDelay is the delay before a starting entry asks its peers again.
+	joinRetryDelay = 200 * time.Millisecond
 	// maxRecentClaims bounds the number of remembered claims. The platform accepts no more than
 	// that within a minute.
 	maxRecentClaims = 8192
@@ -50,6 +53,12 @@
 	newestEra history.Era
 	// blockedUntil is the end of the time in which no claim may be made.
 	blockedUntil time.Time
+	// joining reports whether newestEra is the first era that this entry has seen, and may have
+	// begun just before: claims are blocked until all peers have finished their repairs.
+	joining bool
+	// peerRepairsUntil is the end of the time in which no claim may be made because of a peer's
+	// unfinished repair.
+	peerRepairsUntil time.Time
 	// repairs is the number of repairs under way.
 	repairs int
 	// claims are this entry's recent claims, in the order of writtenAt.
@@ -68,24 +77,41 @@
 }
 
 // observeEra records a reported era. If it is newer than a known one, the platform was restored:
-// observeEra blocks new claims for restoreSettleTime and returns the claims to repair.
-func (k *claimHistory) observeEra(now time.Time, era history.Era) []*recentClaim {
+// observeEra blocks new claims for restoreSettleTime and returns the claims to repair. The first era
+// blocks new claims until joined is called, for as long at most.
+func (k *claimHistory) observeEra(now time.Time, era history.Era) (repair []*recentClaim, isFirst bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if era <= k.newestEra {
-		return nil
+		return nil, false
 	}
-	isFirst := k.newestEra == 0
-	k.newestEra = era
+	isFirst = k.newestEra == 0
+	k.newestEra, k.joining = era, isFirst
+	k.blockedUntil = now.Add(restoreSettleTime)
 	if isFirst {
-		return nil
+		return nil, true
 	}
-	k.blockedUntil = now.Add(restoreSettleTime)
 	k.dropExpired(now)
 	for _, c := range k.claims {
 		c.writtenAt = now
 	}
-	return append([]*recentClaim(nil), k.claims...)
+	return append([]*recentClaim(nil), k.claims...), false
+}
+
+// isJoining reports whether claims are blocked because this entry has seen no earlier era.
+func (k *claimHistory) isJoining(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.joining && now.Before(k.blockedUntil)
+}
+
+// joined records that all peers have finished their repairs since this entry saw its first era.
+func (k *claimHistory) joined() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.joining {
+		k.joining, k.blockedUntil = false, time.Time{}
+	}
 }
 
 func (k *claimHistory) knownEra() history.Era {
@@ -119,8 +145,8 @@
 func (k *claimHistory) peerRepairs(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if until := now.Add(peerRepairTimeout); until.After(k.blockedUntil) {
-		k.blockedUntil = until
+	if until := now.Add(peerRepairTimeout); until.After(k.peerRepairsUntil) {
+		k.peerRepairsUntil = until
 	}
 }
 
@@ -133,7 +159,7 @@
 
 // remainingBlock is blockedFor for callers that hold the mutex.
 func (k *claimHistory) remainingBlock(now time.Time) time.Duration {
-	remaining := max(k.blockedUntil.Sub(now), 0)
+	remaining := max(k.blockedUntil.Sub(now), k.peerRepairsUntil.Sub(now), 0)
 	if k.repairs > 0 {
 		remaining = max(remaining, claimRetryAfter)
 	}
@@ -204,7 +230,10 @@
 // observeEra records a platform era that the platform or a peer reported, and starts to repair this
 // entry's recent claims if the era shows a restore.
 func (e *Entry) observeEra(era history.Era) {
-	claims := e.claimHistory.observeEra(e.now(), era)
+	claims, isFirst := e.claimHistory.observeEra(e.now(), era)
+	if isFirst {
+		e.spawn(e.joinClaims)
+	}
 	if len(claims) == 0 {
 		return
 	}
@@ -221,6 +250,20 @@
 	})
 }
 
+// joinClaims lets this entry make claims as soon as all listed entries say that they aren't
+// repairing theirs: the platform may have been restored just before this entry started.
+func (e *Entry) joinClaims(ctx context.Context) {
+	for e.claimHistory.isJoining(e.now()) {
+		if e.members.hasHostList() && e.exchangeRepairStates(ctx) {
+			e.claimHistory.joined()
+			return
+		}
+		if !sleepContext(ctx, jitter(joinRetryDelay)) {
+			return
+		}
+	}
+}
+
 // reportRepair tells all peers that this entry's repair is unfinished, until the context ends.
 func (e *Entry) reportRepair(ctx context.Context) {
 	for {
@@ -231,20 +274,29 @@
 	}
 }
 
-// exchangeRepairStates tells all peers the state of this entry's repair, and records theirs.
-func (e *Entry) exchangeRepairStates(ctx context.Context) {
+// exchangeRepairStates tells all peers the state of this entry's repair, and records theirs. It
+// reports whether all peers have answered and none has an unfinished repair.
+func (e *Entry) exchangeRepairStates(ctx context.Context) bool {
+	var pending atomic.Int64
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	workers := pool.New().WithMaxGoroutines(heartbeatConcurrency)
 	for _, peer := range e.members.Peers() {
 		workers.Go(func() {
-			// A peer that can't be reached now is told again after repairReportInterval.
-			if answer, err := e.peers.ClaimRepair(ctx, peer, e.claimHistory.repairState()); err == nil {
-				e.OnClaimRepair(e.now(), answer)
+			answer, err := e.peers.ClaimRepair(ctx, peer, e.claimHistory.repairState())
+			if err != nil {
+				// The caller tries again.
+				pending.Add(1)
+				return
+			}
+			if answer.Unfinished {
+				pending.Add(1)
 			}
+			e.OnClaimRepair(e.now(), answer)
 		})
 	}
 	workers.Wait()
+	return pending.Load() == 0
 }
 
 // repairClaims repairs the claims after a restore, the newest first: their callers are the most
--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -78,10 +78,13 @@
 	is := is.New(t)
 	var k claimHistory
 	now := time.Now()
-	is.Equal(len(k.observeEra(now, 1)), 0)
+	_, isFirst := k.observeEra(now, 1)
+	is.True(isFirst)
+	k.joined()
 	held, blocked := k.hold(now, "k1", claim.Record{Claimant: "c1"})
 	is.Equal(blocked, time.Duration(0))
-	is.Equal(k.observeEra(now, 2), []*recentClaim{held})
+	repair, _ := k.observeEra(now, 2)
+	is.Equal(repair, []*recentClaim{held})
 	held, blocked = k.hold(now, "k2", claim.Record{Claimant: "c2"})
 	is.True(held == nil)
 	is.Equal(blocked, restoreSettleTime)
@@ -150,6 +153,57 @@
 	})
 }
 
+// TestEntryStartedAfterRestore checks that an entry that starts after a restore makes no claims
+// until the others have repaired theirs. It took the restored era for an old one.
+func TestEntryStartedAfterRestore(t *testing.T) {
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, entries []*Entry) {
+		items, index := s.store.snapshot()
+		_, err := entries[0].CallService(s.ctx, serviceCall("orders", "k"))
+		is.NoErr(err)
+		s.stores["e1"].setDisconnected(true)
+		s.store.restore(items, index)
+		started := s.addEntry("e4", "az4")
+		for !started.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		s.stores["e1"].setDisconnected(false)
+		is.True(callUntilRun(s, started, "k") != nil)
+		is.Equal(s.services.count("k"), 1)
+	})
+}
+
+// TestEntryStartedInOldEra checks that an entry that starts long after a restore soon makes claims:
+// its peers say that the era is old.
+func TestEntryStartedInOldEra(t *testing.T) {
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, _ []*Entry) {
+		started := s.addEntry("e4", "az4")
+		time.Sleep(2 * time.Second)
+		_, err := started.CallService(s.ctx, serviceCall("orders", "k"))
+		is.NoErr(err)
+	})
+}
+
+// TestEntryStartedBesideDeadPeer checks that an entry that starts while a listed peer is down makes
+// claims after restoreSettleTime, and asks callers to come back until then.
+func TestEntryStartedBesideDeadPeer(t *testing.T) {
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, _ []*Entry) {
+		s.hosts.update(func(list *member.HostList) {
+			list.Entries = append(list.Entries, member.Entry{ID: "e9", Zone: "az1", PeerAddress: "e9"})
+		})
+		started := s.addEntry("e4", "az4")
+		time.Sleep(time.Second)
+		_, err := started.CallService(s.ctx, serviceCall("orders", "k"))
+		var failure *Failure
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Code, CodeClaimUnavailable)
+		is.Equal(failure.RunState, NotRun)
+		is.True(failure.RetryAfter > 0 && failure.RetryAfter <= restoreSettleTime)
+		time.Sleep(restoreSettleTime)
+		_, err = started.CallService(s.ctx, serviceCall("orders", "k"))
+		is.NoErr(err)
+	})
+}
+
 // TestManyClaimsAreRepaired checks that no entry makes new claims while another one still repairs
 // its own. Claims were allowed again after a fixed time, when only a part had been written.
 func TestManyClaimsAreRepaired(t *testing.T) {
--- a/entry/claims.go
+++ b/entry/claims.go
@@ -39,7 +39,16 @@
 		e.observeEra(e.claims.Era())
 		step := attempt.Next(e.now())
 		if blocked := e.claimHistory.blockedFor(e.now()); blocked > 0 && step != claim.RejectDuplicate {
-			return nil, e.failBlockedClaim(key, attempt, blocked)
+			if step == claim.GiveUp || !e.claimHistory.isJoining(e.now()) {
+				return nil, e.failBlockedClaim(key, attempt, blocked)
+			}
+			// The peers are being asked, and may answer before the deadline.
+			attempt.Recheck()
+			if !sleepContext(ctx, claimAttemptDelay) {
+				e.abandonClaim(key, attempt)
+				return nil, newFailure(CodeCancelled, NotRun, "the caller left before the call was claimed")
+			}
+			continue
 		}
 		switch step {
 		case claim.Create:
--- a/entry/members.go
+++ b/entry/members.go
@@ -31,6 +31,8 @@
 
 	mu   sync.Mutex
 	view *member.View
+	// hostListRead reports whether the platform's host list was read once.
+	hostListRead bool
 	// leaving reports whether this entry is stopping.
 	leaving bool
 	// coordinatedPools holds the states of the pools that this entry coordinates, as of the last
@@ -278,6 +280,7 @@
 		if err == nil {
 			m.mu.Lock()
 			m.view.UpdateHostList(m.entry.now(), list)
+			m.hostListRead = true
 			m.mu.Unlock()
 		}
 		if failing != (err != nil) {
@@ -377,6 +380,13 @@
 	return m.view.PresumedDead(now, id)
 }
 
+// hasHostList reports whether all listed entries are known.
+func (m *members) hasHostList() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hostListRead
+}
+
 // Peers lists all known entries but this one, alive or not.
 func (m *members) Peers() []member.Entry {
 	m.mu.Lock()
