--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -139,7 +139,13 @@
 // and waits until every entry serves calls.
 func newSite(t testing.TB, entries, engines int, engineArgs ...string) *site {
 	t.Helper()
-	s := &site{t: t, platform: start(t, "dev", "platform", "--listen", "127.0.0.1:0")}
+	return newSiteOn(t, start(t, "dev", "platform", "--listen", "127.0.0.1:0"), entries, engines, engineArgs...)
+}
+
+// newSiteOn is newSite with the given platform.
+func newSiteOn(t testing.TB, platform *process, entries, engines int, engineArgs ...string) *site {
+	t.Helper()
+	s := &site{t: t, platform: platform}
 	for i := range engines {
 		s.engines = append(s.engines, s.startEngine(i, engineArgs...))
 	}
