--- a/entry/claims.go
+++ b/entry/claims.go
@@ -38,32 +38,27 @@
 	for {
 		e.observeEra(e.claims.Era())
 		step := attempt.Next(e.now())
-		if blocked := e.claimHistory.blockedFor(e.now()); blocked > 0 && step != claim.RejectDuplicate {
-			if step == claim.GiveUp || !e.claimHistory.isJoining(e.now()) {
-				return nil, e.failBlockedClaim(key, attempt, blocked)
-			}
-			// The peers are being asked, and may answer before the deadline.
+		blocked := e.claimHistory.blockedFor(e.now())
+		switch {
+		case step == claim.RejectDuplicate:
+			return nil, duplicateFailure(attempt.Record(), attempt.ConflictingClaim())
+		case blocked > 0 && step != claim.GiveUp && e.claimHistory.isJoining(e.now()):
+			// The peers may say before the deadline that claims can be made.
 			attempt.Recheck()
-			if !sleepContext(ctx, claimAttemptDelay) {
-				e.abandonClaim(key, attempt)
-				return nil, newFailure(CodeCancelled, NotRun, "the caller left before the call was claimed")
-			}
-			continue
-		}
-		switch step {
-		case claim.Create:
+			sleepContext(ctx, claimAttemptDelay)
+		case blocked > 0:
+			return nil, e.failBlockedClaim(key, attempt, blocked)
+		case step == claim.Create:
 			e.createClaim(ctx, key, attempt)
-		case claim.Read:
+		case step == claim.Read:
 			e.readClaim(ctx, key, attempt)
-		case claim.Send:
+		case step == claim.Send:
 			held, blocked := e.claimHistory.hold(e.now(), key, attempt.Record())
 			if blocked > 0 {
 				return nil, e.failBlockedClaim(key, attempt, blocked)
 			}
 			return held, nil
-		case claim.RejectDuplicate:
-			return nil, duplicateFailure(attempt.Record(), attempt.ConflictingClaim())
-		case claim.GiveUp:
+		case step == claim.GiveUp:
 			e.abandonClaim(key, attempt)
 			return nil, newFailure(CodeClaimUnavailable, NotRun, "the call could not be claimed: the platform does not answer").withRetryAfter(claimRetryAfter)
 		}
