--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -138,9 +138,9 @@
 		stored Record
 		want   Step
 	}{
-		"still held":        {true, Record{Claimant: "a"}, Send},
-		"held by another":   {true, Record{Claimant: "b"}, RejectDuplicate},
-		"lost":              {false, Record{}, Create},
+		"still held":      {true, Record{Claimant: "a"}, Send},
+		"held by another": {true, Record{Claimant: "b"}, RejectDuplicate},
+		"lost":            {false, Record{}, Create},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
