--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -397,6 +397,13 @@
 // executionCount returns how often the plain service executed the request with
 // the given idempotency key.
 func (s *site) executionCount(key string) int {
+	s.t.Helper()
+	return s.executionCounts()[key]
+}
+
+// executionCounts returns how often the plain service executed requests, by
+// idempotency key.
+func (s *site) executionCounts() map[string]int {
 	s.t.Helper()
 	response, err := http.Get(s.services[0].url("listen", "/standin/counts"))
 	if err != nil {
@@ -407,5 +414,5 @@
 	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
 		s.t.Fatal(err)
 	}
-	return counts[key]
+	return counts
 }
--- a/e2e/soakclaims_test.go
+++ b/e2e/soakclaims_test.go
@@ -192,17 +192,8 @@
 
 // checkExecutions checks that calls ran, and none of them more than once.
 func (s *claimSoak) checkExecutions() {
-	response, err := http.Get(s.services[0].url("listen", "/standin/counts"))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	defer response.Body.Close()
-	counts := map[string]int{}
-	if err := json.NewDecoder(response.Body).Decode(&counts); err != nil {
-		s.t.Fatal(err)
-	}
 	ran := 0
-	for key, count := range counts {
+	for key, count := range s.executionCounts() {
 		if !strings.HasPrefix(key, "c") {
 			continue
 		}
