platform stand-in: an answer names the era in which its request took effect

Cause: the stand-in wrote the era into the answer when a request arrived; a restore that came before its effect (a delay of 300 ms is one of the faults) made a claim in the new era look like one of the old, and the entry sent the call.

TestEraOfDelayedRequest failed for 9 of 10 kinds of request before.

--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -166,6 +166,12 @@
 	}
 }
 
+// setEra puts the era into the response's header. A handler calls it while it holds the mutex for
+// its effect, because a restore may come between the request's arrival and its effect.
+func (s *Server) setEra(w http.ResponseWriter) {
+	w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
+}
+
 // discardResponse is a ResponseWriter that discards the response.
 type discardResponse struct{}
 
@@ -177,7 +183,7 @@
 	s.mu.Lock()
 	count(&s.counts)
 	faults := s.faults
-	w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
+	s.setEra(w)
 	s.mu.Unlock()
 	if faults.DelayMillis > 0 {
 		select {
@@ -231,7 +237,7 @@
 		s.mu.Lock()
 		entry, found := s.store.get(time.Now(), key)
 		index, changed, outage := s.store.index, s.changed, s.faults.Outage
-		w.Header().Set(headerEra, strconv.FormatUint(s.era, 10))
+		s.setEra(w)
 		s.mu.Unlock()
 		if outage {
 			http.Error(w, "outage", http.StatusServiceUnavailable)
@@ -271,6 +277,7 @@
 func (s *Server) listKeys(w http.ResponseWriter, prefix string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	responses := []keyResponse{}
 	for _, key := range s.store.list(time.Now(), prefix) {
 		responses = append(responses, newKeyResponse(key, s.store.entries[key]))
@@ -290,6 +297,7 @@
 	key, query := r.PathValue("key"), r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	ok, now := true, time.Now()
 	switch {
 	case query.Has("acquire"):
@@ -308,6 +316,7 @@
 	wantIndex, _ := strconv.ParseUint(r.URL.Query().Get("cas"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	ok := s.store.remove(time.Now(), r.PathValue("key"), wantIndex)
 	s.notifyWatches()
 	writeJSON(w, ok)
@@ -326,12 +335,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	writeJSON(w, map[string]string{"ID": s.store.createSession(time.Now(), ttl, request.Behavior == "delete")})
 }
 
 func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	if !s.store.renewSession(time.Now(), r.PathValue("id")) {
 		http.Error(w, "no such session", http.StatusNotFound)
 		return
@@ -342,6 +353,7 @@
 func (s *Server) destroySession(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	s.store.destroySession(r.PathValue("id"))
 	s.notifyWatches()
 	writeJSON(w, true)
@@ -355,12 +367,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	s.store.register(time.Now(), sv)
 }
 
-func (s *Server) deregister(_ http.ResponseWriter, r *http.Request) {
+func (s *Server) deregister(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	s.store.deregister(time.Now(), r.PathValue("id"))
 }
 
@@ -375,6 +389,7 @@
 func (s *Server) listServices(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	lag := time.Duration(s.faults.ListLagMillis) * time.Millisecond
 	responses := []serviceResponse{}
 	for _, sv := range s.store.services(time.Now().Add(-lag), r.PathValue("name")) {
