cli: SIGHUP is handled from before a host starts

Callers of a host that got SIGHUP as it started lost it: the process ended without a stop.

Cause: the goroutine that rereads the settings asked for the signal itself, and the host could start, and begin to stop, before that goroutine ran.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -52,11 +52,14 @@
 	}
 	stop, _, release := system.signalContexts(ctx)
 	defer release()
-	// Settings are reread until Run has returned. If nothing handled SIGHUP while the
-	// host stops, the signal's default action would end the process and every stream.
+	// SIGHUP is handled from before the host starts until Run has returned. Otherwise the
+	// signal's default action would end the process and every stream.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	reloadCtx, stopReloading := context.WithCancel(ctx)
 	defer stopReloading()
-	go reloadSettings(reloadCtx, path, d, t)
+	go reloadSettings(reloadCtx, hangups, path, d, t)
 	return d.Run(stop)
 }
 
@@ -64,12 +67,9 @@
 // no signal announces.
 const settingsPollInterval = 2 * time.Second
 
-// reloadSettings rereads the settings on SIGHUP and when the file has changed,
+// reloadSettings rereads the settings at each hangup and when the file has changed,
 // until ctx ends. If the file can't be read, the old settings stay in force.
-func reloadSettings(ctx context.Context, path string, d *platform.Daemon, t *telemetry.Forward) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reloadSettings(ctx context.Context, hangups <-chan os.Signal, path string, d *platform.Daemon, t *telemetry.Forward) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	lastModified := modificationTime(path)
