cli: a host's log is written before signals get their default action back

Operators missed the last lines of a host that got another signal at the very end of its stop: SIGHUP, SIGTERM and SIGINT had their default action again while the buffered log was still to be written.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -44,19 +44,19 @@
 		return usageError{err}
 	}
 	settings.Clock = clock.System()
+	// Signals are handled from before the host starts until its log is written. Otherwise
+	// their default action would end the process with every stream, or cut its log.
+	stop, _, release := system.signalContexts(ctx)
+	defer release()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	t := telemetry.NewForward(system.Stdout)
 	defer t.Close()
 	d, err := platform.New(settings, t)
 	if err != nil {
 		return err
 	}
-	stop, _, release := system.signalContexts(ctx)
-	defer release()
-	// SIGHUP is handled from before the host starts until Run has returned. Otherwise the
-	// signal's default action would end the process and every stream.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	reloadCtx, stopReloading := context.WithCancel(ctx)
 	defer stopReloading()
 	go reloadSettings(reloadCtx, hangups, path, d, t)
