--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -100,14 +100,17 @@
 				s.services.err, s.services.delay = ErrNotSent, 100*time.Millisecond
 				s.services.mu.Unlock()
 				items, index := s.store.snapshot()
-				time.AfterFunc(copiedAfter, func() {
-					if copiedAfter > 0 {
-						items, index = s.store.snapshot()
-					}
-				})
-				_, err := entries[0].CallService(s.ctx, serviceCall("orders", "k"))
+				called := make(chan error)
+				go func() {
+					_, err := entries[0].CallService(s.ctx, serviceCall("orders", "k"))
+					called <- err
+				}()
+				if copiedAfter > 0 {
+					time.Sleep(copiedAfter)
+					items, index = s.store.snapshot()
+				}
 				var failure *Failure
-				is.True(errors.As(err, &failure))
+				is.True(errors.As(<-called, &failure))
 				is.Equal(failure.RunState, NotRun)
 				time.Sleep(time.Second)
 				s.services.mu.Lock()
