--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -19,7 +19,7 @@
 )
 
 // A platform that was restored from an older copy has lost the newest claims, and may hold claims
-// again that had been removed. Each entry repairs its own recent claims and tells its peers while it
+// again that had been removed. Each entry repairs its own recent claims and reports to its peers while it
 // does. No entry makes new claims until every entry has had time to learn of the restore, and until
 // no repair is unfinished.
 
@@ -72,7 +72,7 @@
 	}
 }
 
-// reportRepair tells all peers that this entry's repair is unfinished, until the context ends.
+// reportRepair reports to all peers that this entry's repair is unfinished, until the context ends.
 func (e *Entry) reportRepair(ctx context.Context) {
 	for {
 		e.exchangeRepairStates(ctx)
@@ -82,7 +82,7 @@
 	}
 }
 
-// exchangeRepairStates tells all peers the state of this entry's repair, and records theirs. It
+// exchangeRepairStates sends all peers the state of this entry's repair, and records theirs. It
 // reports whether all peers have answered and none has an unfinished repair.
 func (e *Entry) exchangeRepairStates(ctx context.Context) bool {
 	var pending atomic.Int64
--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -90,7 +90,7 @@
 	is.Equal(blocked, restoreSettleTime)
 }
 
-// TestReleasedClaimAfterRestore checks that a caller who was told that the call did not run can
+// TestReleasedClaimAfterRestore checks that a caller whose call failed with not_run can
 // repeat it after a restore, whether or not the copy has the claim. The claim came back for good.
 func TestReleasedClaimAfterRestore(t *testing.T) {
 	for name, copiedAfter := range map[string]time.Duration{"copy without the claim": 0, "copy with the claim": 50 * time.Millisecond} {
