platform: attempts to connect to workers are counted

A host that reaches none of its upstreams couldn't be told from one whose upstreams answer late: a try names the error of one dial, and no metric counts them.

--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -37,6 +37,7 @@
 	moves              *prometheus.CounterVec
 	movePause          prometheus.Observer
 	storeCalls         *prometheus.CounterVec
+	connections        *prometheus.CounterVec
 	unreadableEntries  prometheus.Counter
 	brokenConnections  *prometheus.CounterVec
 	suspendedSeconds   prometheus.Counter
@@ -67,6 +68,7 @@
 	f.moves = f.counter("moves_total", "Stopped runs that were moved to another engine or lost, by outcome.", "outcome")
 	f.movePause = f.histogram("move_pause_seconds", "Time for which a moved or lost run made no progress.", pauseBuckets).WithLabelValues()
 	f.storeCalls = f.counter("store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome")
+	f.connections = f.counter("upstream_connections_total", "Attempts to connect to an upstream, by outcome.", "outcome")
 	f.unreadableEntries = f.counter("unread_entries_total", "Entries of the platform's store that could not be read or used.").WithLabelValues()
 	f.brokenConnections = f.counter("broken_connections_total", "Connections that an upstream ended before its answer was complete, by whether the upstream itself had ended.", "upstream")
 	f.suspendedSeconds = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
@@ -134,6 +136,9 @@
 	f.movePause.Observe(pause.Seconds())
 }
 
+// UpstreamConnected counts an attempt to connect to an upstream.
+func (f *Forward) UpstreamConnected(outcome string) { f.connections.WithLabelValues(outcome).Inc() }
+
 // UnreadableEntries counts entries of the platform's store that could not be read or used.
 func (f *Forward) UnreadableEntries(entries int) { f.unreadableEntries.Add(float64(entries)) }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -102,6 +102,7 @@
 	f.Suspended(5 * time.Second)
 	f.UnreadableEntries(6)
 	f.StoreCall("call-1", "outcome-3")
+	f.UpstreamConnected("outcome-4")
 	f.ConnectionBroken(true)
 	f.ConnectionBroken(false)
 	for _, o := range []permit.Outcome{permit.Granted, permit.Deferred, permit.OwnTurn, permit.NoTurn} {
