uplink: hosts that lost their links to upstreams connect through a peer

The host had no way to an upstream but its own link, and dialled for 400 ms up to three times a request, while its callers wait 600 ms; its peers reached the same upstreams.

A connection is now attempted over the own link and, when that fails or takes more than 50 ms, through up to four peers one after the other (as in RFC 8305); the first that is made is used. Later connections skip a link that failed, and one a second tries it again. The peer only passes bytes on: the host that the caller reached still decides and counts everything, so limits, retry budget, permits, quarantine and claims hold as before. A peer connects over its own link only, to upstreams on its own list that it may send to itself. An upstream that asks for backoff on such a connection asks the peer, which is told so.

Bytes from the upstream travel in frames with a last one, so that a peer that dies doesn't end an answer without a length. Whether an upstream ended is asked the same way: a link that refuses isn't an upstream that ended.

TestCallersOfCutOffHostsAreServedAtFirstTry fails in five of six cases without this, and passes with it: one host, a whole zone, all but one host.

--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
@@ -152,7 +153,8 @@
 func (p *fakeFollowedPeer) Admit(context.Context, Peer, AdmitRequest) (AdmitReply, error) {
 	return AdmitReply{}, errConnectionLost
 }
-func (p *fakeFollowedPeer) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
+func (p *fakeFollowedPeer) EndTurn(context.Context, Peer, TurnRequest) error  { return nil }
+func (p *fakeFollowedPeer) Backoff(context.Context, Peer, backoff.Mark) error { return nil }
 func (p *fakeFollowedPeer) Ask(context.Context, Peer, PlacementRequest) (PlacementGrant, error) {
 	return PlacementGrant{}, errConnectionLost
 }
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -3,7 +3,11 @@
 
 package forward
 
-import "time"
+import (
+	"time"
+
+	"github.com/shedpath/shedpath/member"
+)
 
 // Signals are what a response reports about its upstream, in addition to answering the
 // request.
@@ -18,6 +22,8 @@
 	RetryAfter time.Duration
 	// Limit is the rate limit that the upstream announces for all hosts together.
 	Limit AnnouncedLimit
+	// Via is the peer that carried the connection; empty for a connection of this host.
+	Via member.HostID
 	// FromUpstream says that the response is recognizably from the upstream itself.
 	FromUpstream bool
 	// Unusable holds an error for each part of the signals that cannot be used.
@@ -67,6 +73,9 @@
 	}
 	if s.RetryAfter > 0 {
 		f.observer.Signal(SignalBackoff)
+		if s.Via != "" {
+			f.notifyCarrier(s.Via, u, s.RetryAfter)
+		}
 		if f.recordBackoff(now, u, s.RetryAfter) {
 			f.logSignal(now, u, "upstream asks for backoff", "answer_to", to, "for", s.RetryAfter, "asked_ago", now.Sub(sent))
 		}
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
@@ -383,6 +384,9 @@
 	return AdmitReply{}, errConnectionLost
 }
 func (s sitePeers) EndTurn(context.Context, Peer, TurnRequest) error { return nil }
+func (s sitePeers) Backoff(_ context.Context, to Peer, m backoff.Mark) error {
+	return fmt.Errorf("no backoff of %s is passed on to %s here", m.Upstream, to.ID)
+}
 
 // siteDirectory is a directory that counts one host's writes.
 type siteDirectory struct{ writes *atomic.Int32 }
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
@@ -30,6 +31,7 @@
 	Rollouts() []forward.RolloutEntry
 	OnTurn(ctx context.Context, r forward.TurnRequest) error
 	OnEndTurn(r forward.TurnRequest)
+	OnBackoff(mark backoff.Mark)
 	OnQuarantine(release *quarantine.Fingerprint) ([]quarantine.Entry, bool)
 }
 
@@ -87,6 +89,13 @@
 		return onRollouts(f)
 	case kindQuarantine:
 		return onQuarantine(f, body)
+	case kindBackoff:
+		var w wireBackoff
+		if err := msgpack.Unmarshal(body, &w); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		f.OnBackoff(w.mark())
+		return true, nil
 	case kindTurn, kindEndTurn:
 		var w wireTurnRequest
 		if err := msgpack.Unmarshal(body, &w); err != nil {
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -20,6 +20,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
@@ -164,6 +165,8 @@
 
 func (h goldenHost) OnEndTurn(r forward.TurnRequest) { h.on(r) }
 
+func (h goldenHost) OnBackoff(m backoff.Mark) { h.on(m) }
+
 func (h goldenHost) OnQuarantine(release *quarantine.Fingerprint) ([]quarantine.Entry, bool) {
 	r := h.on(release).(goldenRelease)
 	return r.Entries, r.Released
@@ -283,6 +286,10 @@
 		func(m *Mesh, ctx context.Context, to member.Entry, r forward.TurnRequest) (noReply, error) {
 			return none(m.EndTurn(ctx, to, r))
 		}, serveGoldenHost, false)
+	pin(t, b, "pass a backoff on", golden.Cases[backoff.Mark](f, nil)[0], noReply{},
+		func(m *Mesh, ctx context.Context, to member.Entry, mark backoff.Mark) (noReply, error) {
+			return none(m.Backoff(ctx, to, mark))
+		}, serveGoldenHost, false)
 	pin(t, b, "a call that fails", noReply{}, "there is no such place",
 		func(m *Mesh, ctx context.Context, to member.Entry, _ noReply) (string, error) {
 			var failed *callError
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -33,6 +33,8 @@
 	dialing map[string]chan struct{}
 	// readers are the goroutines that read the replies of dialled connections.
 	readers conc.WaitGroup
+	// carrier connects to upstreams for peers; nil refuses to.
+	carrier TunnelCarrier
 	configs configPacker
 	lists   listPacker
 
@@ -194,6 +196,12 @@
 		if err != nil {
 			return from, nil
 		}
+		if f.Kind == kindTunnel {
+			// The connection serves nothing else. How it ends is the business of the host that
+			// opened the tunnel.
+			_ = m.serveTunnel(ctx, link, reader, f, from)
+			return from, nil
+		}
 		slots <- struct{}{}
 		calls.Go(func() {
 			defer func() { <-slots }()
--- a/internal/peer/places.go
+++ b/internal/peer/places.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
@@ -47,6 +48,12 @@
 	return m.call(ctx, to.PeerAddress, kindEndTurn, toWireTurnRequest(r), &answer)
 }
 
+// Backoff tells a peer that an upstream asked it for backoff, in an answer that it carried.
+func (m *Mesh) Backoff(ctx context.Context, to forward.Peer, mark backoff.Mark) error {
+	var answer bool
+	return m.call(ctx, to.PeerAddress, kindBackoff, toWireBackoff(mark), &answer)
+}
+
 // wirePlacementRequest encodes forward.PlacementRequest; times are in milliseconds.
 type wirePlacementRequest struct {
 	From, Service, Run, Route, Account string
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -48,6 +48,14 @@
 	Life, For int64
 }
 
+func toWireBackoff(m backoff.Mark) wireBackoff {
+	return wireBackoff{Upstream: string(m.Upstream), Life: m.Incarnation, For: m.Remaining.Milliseconds()}
+}
+
+func (w wireBackoff) mark() backoff.Mark {
+	return backoff.Mark{Upstream: member.UpstreamID(w.Upstream), Incarnation: w.Life, Remaining: time.Duration(w.For) * time.Millisecond}
+}
+
 // wireCold encodes forward.ColdMark; For is the remaining time in milliseconds.
 type wireCold struct {
 	Upstream  string
@@ -160,7 +168,7 @@
 		w.Leaving = append(w.Leaving, wireLeaving{Engine: string(mark.Upstream), Life: int64(mark.Incarnation), In: mark.Remaining.Milliseconds(), Said: mark.Declared})
 	}
 	for _, mark := range s.Backoffs {
-		w.Backoffs = append(w.Backoffs, wireBackoff{Upstream: string(mark.Upstream), Life: mark.Incarnation, For: mark.Remaining.Milliseconds()})
+		w.Backoffs = append(w.Backoffs, toWireBackoff(mark))
 	}
 	for _, mark := range s.Cold {
 		w.Cold = append(w.Cold, wireCold{Upstream: string(mark.Upstream), Life: int64(mark.Incarnation), For: mark.Remaining.Milliseconds()})
@@ -199,9 +207,7 @@
 		})
 	}
 	for _, mark := range w.Backoffs {
-		s.Backoffs = append(s.Backoffs, backoff.Mark{
-			Upstream: member.UpstreamID(mark.Upstream), Incarnation: mark.Life, Remaining: time.Duration(mark.For) * time.Millisecond,
-		})
+		s.Backoffs = append(s.Backoffs, mark.mark())
 	}
 	for _, mark := range w.Cold {
 		s.Cold = append(s.Cold, forward.ColdMark{
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -33,6 +33,8 @@
 	kindRollouts
 	kindAdmit
 	kindClaimRepair
+	kindTunnel
+	kindBackoff
 )
 
 // The wire types are encoded as arrays, to keep heartbeats small: the order and number of their
--- a/platform/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package socket
 
 import (
 	"net"
@@ -22,8 +22,8 @@
 	for _, c := range []struct {
 		silence            time.Duration
 		userTimeout, probe int
-	}{{storeSilenceTimeout, 3000, 1}, {workerSilenceTimeout, 8000, 3}} {
-		link, err := newDialer(time.Second, c.silence).Dial("tcp", l.Addr().String())
+	}{{3 * time.Second, 3000, 1}, {8 * time.Second, 8000, 3}} {
+		link, err := NewDialer(time.Second, c.silence).Dial("tcp", l.Addr().String())
 		is.NoErr(err)
 		defer link.Close()
 		raw, err := link.(*net.TCPConn).SyscallConn()
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -25,6 +25,7 @@
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
+	"github.com/shedpath/shedpath/uplink"
 	"github.com/shedpath/shedpath/zoneload"
 )
 
@@ -102,7 +103,8 @@
 	f.Suspended(5 * time.Second)
 	f.UnreadableEntries(6)
 	f.StoreCall("call-1", "outcome-3")
-	f.UpstreamConnected("outcome-4")
+	f.Connected("outcome-4")
+	f.Carried("h1", uplink.Target{}, uplink.ErrBusy)
 	f.ConnectionBroken(true)
 	f.ConnectionBroken(false)
 	for _, o := range []permit.Outcome{permit.Granted, permit.Deferred, permit.OwnTurn, permit.NoTurn} {
