forward: streams leave a link that broke under them

The host waited for events on the dead connection. Where it had moved the run (calls for that go through a peer now), it still waited for the stopped run's stream to end, which the dead link never showed.

A stream that is silent for a second has its link checked. If only a peer reaches the engine, the run moves to another one, and goes on through the peer; if the run is gone, the caller is told at once. The stream of a moved run is closed if its end doesn't arrive over a broken link. A link that broke isn't held against the engine any more: it was told to all hosts of the zone as failing, and counted as ended under the request.

TestStreamOverBrokenLink fails in its two cases of broken links without the check, and passes with it; an engine that is silent for one or four seconds keeps its run.

--- /dev/null
+++ b/forward/brokenlink.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+const (
+	// silentStreamCheck is how long a stream may be silent before its engine's link is checked. The
+	// engine itself may be silent for a second and go on.
+	silentStreamCheck = time.Second
+	// linkCheckTimeout bounds the check of a link.
+	linkCheckTimeout = 400 * time.Millisecond
+	// sourceEndTimeout is how long after the final copy the stream of a stopped run may stay open. It
+	// normally ends before the copy is done.
+	sourceEndTimeout = 250 * time.Millisecond
+)
+
+// leaveBrokenLink moves the run off an engine that works but can't be reached over this host's own
+// link any more: its events don't arrive. The calls for the move go through a peer. If the run isn't
+// there any more, the answer is closed.
+func (m *mover) leaveBrokenLink(ctx context.Context, x *exchange, run *ownRun) *handover {
+	now := x.now()
+	if made := run.generatedTokens.Load(); made != m.progress || m.progressAt.IsZero() {
+		m.progress, m.progressAt = made, now
+		return nil
+	}
+	if now.Sub(m.progressAt) < silentStreamCheck {
+		return nil
+	}
+	m.progressAt = now
+	if !x.linkBroken(ctx, m.source) {
+		return nil
+	}
+	next, err := m.tryMove(ctx, x, run, x.now().Add(moveTimeout))
+	if next == nil {
+		x.journal.Request(x.call.ID, "not moved off a broken link", "from", m.source.ID, "err", err)
+	}
+	if errors.Is(err, ErrRunNotFound) {
+		// The run has ended, and the rest of its events is lost with the connection.
+		closeBody(m.answer)
+	}
+	return next
+}
+
+// linkBroken reports whether an upstream is reached, but only through a peer.
+func (x *exchange) linkBroken(ctx context.Context, u Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
+	defer cancel()
+	direct, err := x.transport.CheckReachable(ctx, u)
+	return err == nil && !direct
+}
+
+// endBrokenStream closes the stream of a run that was moved if its end doesn't arrive because the
+// link is broken. The context ends when the stream has ended.
+func (m *mover) endBrokenStream(ctx context.Context, x *exchange) {
+	PauseFor(ctx, sourceEndTimeout)
+	if ctx.Err() == nil && x.linkBroken(ctx, m.source) {
+		closeBody(m.answer)
+	}
+}
--- /dev/null
+++ b/forward/brokenlink_test.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// silentBody yields some events, and then nothing until it is closed.
+type silentBody struct {
+	io.Reader
+	closeOnce sync.Once
+	closed    chan struct{}
+	// silence is how long it yields nothing; then it yields rest and ends.
+	silence time.Duration
+	rest    io.Reader
+}
+
+func (b *silentBody) Read(p []byte) (int, error) {
+	if n, err := b.Reader.Read(p); err == nil {
+		return n, nil
+	}
+	select {
+	case <-b.closed:
+		return 0, io.ErrClosedPipe
+	case <-time.After(b.silence):
+		b.silence = 0
+		return b.rest.Read(p)
+	}
+}
+
+func (b *silentBody) Close() error {
+	b.closeOnce.Do(func() { close(b.closed) })
+	return nil
+}
+
+// TestStreamOverBrokenLink guards against callers of streams that hear nothing more after their
+// host's link to the engine broke, and against moves off an engine that is merely silent for a while.
+func TestStreamOverBrokenLink(t *testing.T) {
+	events := func(from, to int) string {
+		var text strings.Builder
+		for i := from; i <= to; i++ {
+			text.WriteString(sseEvent(i))
+		}
+		return text.String()
+	}
+	for name, c := range map[string]struct {
+		linkBroken bool
+		silence    time.Duration
+		moveErr    error
+		// want is what the caller gets, and cut is whether its answer is incomplete.
+		want  string
+		cut   bool
+		moves int
+		// within is how long the answer takes at most.
+		within time.Duration
+	}{
+		"link broken, moved":              {linkBroken: true, silence: time.Hour, want: events(1, 9), moves: 2, within: 3 * time.Second},
+		"link broken, run not there":      {linkBroken: true, silence: time.Hour, moveErr: ErrRunNotFound, want: events(1, 4), cut: true, moves: 1, within: 3 * time.Second},
+		"silent for a second":             {silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
+		"silent for longer, then goes on": {silence: 4 * time.Second, want: events(1, 9), within: 4100 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				script := &engineScript{eventCount: 9}
+				transport := &fakeTransport{}
+				transport.linksBroken.Store(c.linkBroken)
+				transport.send = func(ctx context.Context, u Upstream, r *UpstreamRequest) (*Response, error) {
+					if r.Continue != nil {
+						return script.send(ctx, u, r)
+					}
+					a := answer(200, "")
+					a.Body = &silentBody{Reader: strings.NewReader(events(1, 4)), rest: strings.NewReader(events(5, 9)), silence: c.silence, closed: make(chan struct{})}
+					return a, nil
+				}
+				moves := 0
+				transport.move = func(context.Context, Upstream, MoveRequest) (MoveResult, error) {
+					moves++
+					return MoveResult{Handle: "h"}, c.moveErr
+				}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				began := time.Now()
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.True(time.Since(began) <= c.within)
+				is.Equal(sink.body.String(), c.want)
+				is.Equal(sink.truncated, c.cut)
+				is.Equal(moves, c.moves)
+				if c.linkBroken {
+					// The link is at fault, so the engine still gets work.
+					is.True(!f.fleet.IsFailing(time.Now(), "llm1") && !f.fleet.IsFailing(time.Now(), "llm2") && !f.fleet.IsFailing(time.Now(), "llm3"))
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -183,8 +183,9 @@
 	// answer can't be decoded.
 	Report(ctx context.Context, u Upstream) (EngineReport, error)
 	// CheckReachable opens a connection to an upstream and closes it. The error is ErrPortClosed if
-	// the upstream's machine responds but no process listens on the port.
-	CheckReachable(ctx context.Context, u Upstream) error
+	// the upstream's machine responds but no process listens on the port. direct says that this
+	// host's own link reached the upstream, not that of a peer.
+	CheckReachable(ctx context.Context, u Upstream) (direct bool, err error)
 	// Discard frees a copy of a run's memory that won't be used.
 	Discard(ctx context.Context, at Upstream, handle string) (Signals, error)
 }
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	report func(ctx context.Context, u Upstream) (EngineReport, error)
 	// checkReachable answers reachability checks; nil reports reachable.
 	checkReachable func(u Upstream) error
+	// linksBroken has upstreams be reached through a peer only.
+	linksBroken atomic.Bool
 	// sent are the upstreams that requests were sent to, in order.
 	sent []member.UpstreamID
 	// discarded are the handles of copies that were discarded.
@@ -79,11 +82,11 @@
 	return f.report(ctx, u)
 }
 
-func (f *fakeTransport) CheckReachable(_ context.Context, u Upstream) error {
+func (f *fakeTransport) CheckReachable(_ context.Context, u Upstream) (bool, error) {
 	if f.checkReachable == nil {
-		return nil
+		return !f.linksBroken.Load(), nil
 	}
-	return f.checkReachable(u)
+	return true, f.checkReachable(u)
 }
 
 func (f *fakeTransport) sentTo() []member.UpstreamID {
--- a/forward/move.go
+++ b/forward/move.go
@@ -62,11 +62,18 @@
 // or fails.
 type mover struct {
 	source Upstream
+	// answer is the stream that comes from the source.
+	answer *Response
 	stop   context.CancelFunc
 	done   chan struct{}
 	// movedAt is when the run was moved to the source; zero if it started there.
 	movedAt time.Time
 
+	// progress is the number of tokens passed on when watchEngine last looked, and progressAt is when
+	// it last changed or the link was last checked. Only watchEngine uses them.
+	progress   int64
+	progressAt time.Time
+
 	mu sync.Mutex
 	// abortable is set while the run is moved for pace, which a sign that the source departs
 	// ends.
@@ -84,7 +91,7 @@
 // answer when that instance of the engine is over.
 func (s *streamExchange) startMover(ctx context.Context, u Upstream, a *Response) *mover {
 	ctx, stop := context.WithCancel(ctx)
-	m := &mover{source: u, stop: stop, done: make(chan struct{})}
+	m := &mover{source: u, answer: a, stop: stop, done: make(chan struct{})}
 	if s.moveCount > 0 {
 		m.movedAt = s.now()
 	}
@@ -109,8 +116,11 @@
 		defer s.recoverPanic(func() {})
 		next := m.watchEngine(ctx, s.exchange, run, leaving)
 		m.mu.Lock()
-		defer m.mu.Unlock()
 		m.result = next
+		m.mu.Unlock()
+		if next != nil {
+			go m.endBrokenStream(ctx, s.exchange)
+		}
 	}()
 	return m
 }
@@ -127,6 +137,9 @@
 		case <-leaving:
 			return m.evacuate(ctx, x, run)
 		case <-tick.C:
+			if next := m.leaveBrokenLink(ctx, x, run); next != nil || m.isRunStopping() {
+				return next
+			}
 			if next := m.leaveFailing(ctx, x, run); next != nil || m.isRunStopping() {
 				return next
 			}
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -116,7 +116,7 @@
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), reachTimeout)
-		err := f.transport.CheckReachable(ctx, u)
+		_, err := f.transport.CheckReachable(ctx, u)
 		cancel()
 		switch {
 		case errors.Is(err, ErrPortClosed):
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -147,7 +147,7 @@
 func (x *exchange) checkUpstreamEnded(ctx context.Context, u Upstream) (ended bool, probeErr error) {
 	reach, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	err := x.transport.CheckReachable(reach, u)
+	_, err := x.transport.CheckReachable(reach, u)
 	if errors.Is(err, ErrPortClosed) {
 		return true, err
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -86,6 +86,10 @@
 		s.recordSurvival(s.now())
 	case s.callerErr == nil && ctx.Err() == nil:
 		now := s.now()
+		if s.linkBroken(ctx, lastEngine) {
+			s.journal.Request(s.call.ID, "link broke", "upstream", lastEngine.ID, "err", err)
+			break
+		}
 		s.recordRolloutAnswer(now, lastEngine, rollout.TimeToFirstEvent, true, 0)
 		s.recordBrokenStream(now, lastEngine.ID)
 		s.recordBrokenConnection(ctx, now, lastEngine, s.engineFirstEventAt, err)
--- a/forward/signalfleet_test.go
+++ b/forward/signalfleet_test.go
@@ -238,8 +238,8 @@
 	return EngineReport{}, ErrNotSent
 }
 
-func (t signalTransport) CheckReachable(_ context.Context, u Upstream) error {
-	return t.fakeFleet.checkReachable(u)
+func (t signalTransport) CheckReachable(_ context.Context, u Upstream) (bool, error) {
+	return true, t.fakeFleet.checkReachable(u)
 }
 
 func (t signalTransport) Discard(_ context.Context, u Upstream, _ string) (Signals, error) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -310,6 +310,9 @@
 		// The watch of the first event has marked the engine as failing, unless its other
 		// runs make progress.
 		return Refusal{Code: CodeLost, MayHaveRun: true}
+	case err != nil && s.linkBroken(ctx, u):
+		s.journal.Request(s.call.ID, "link broke", "upstream", u.ID, "err", err)
+		return Refusal{Code: CodeLost, MayHaveRun: true}
 	case err != nil:
 		s.recordEngineFailure(now, u.ID, "it lost a request")
 		s.recordBrokenConnection(ctx, now, u, time.Time{}, err)
--- a/uplink/target.go
+++ b/uplink/target.go
@@ -78,15 +78,16 @@
 }
 
 // PortClosed reports whether no process listens on the upstream's address. A link that is cut may
-// refuse connections as well, so a peer has to confirm it if one could be asked.
+// refuse connections as well, so no peer that was asked may have found the upstream silent. Peers that
+// can't tell, such as those of an older version, don't count.
 func (e *DialError) PortClosed() bool {
 	if !errors.Is(e.Direct, syscall.ECONNREFUSED) {
 		return false
 	}
 	for _, err := range e.Peers {
-		if errors.Is(err, ErrPortClosed) {
-			return true
+		if errors.Is(err, ErrUnreachable) {
+			return false
 		}
 	}
-	return len(e.Peers) == 0
+	return true
 }
