--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,6 +39,7 @@
 		"kept to a limit":                {tsPrefix + `1Z msg="kept back" request=r upstream=u1 per_second=4 wait=250ms` + "\n" + tsPrefix + `1Z msg=refused request=r code=overloaded kept_back=1 took=1ms`, CauseUpstreamsLimited},
 		"full, and none kept":            {tsPrefix + `1Z msg=refused request=r code=overloaded kept_back=0 took=1ms`, "refused: overloaded"},
 		"the link broke":                 {placed + tsPrefix + `2Z msg=answered request=r outcome=cut upstream=e1 err="read tcp: connection timed out"`, CauseLinkBroke},
+		"the link broke, by a check":     {placed + tsPrefix + `2Z msg="link broke" request=r upstream=e1` + "\n" + tsPrefix + `2Z msg=answered request=r outcome=cut upstream=e1 err="unexpected EOF"`, CauseLinkBroke},
 		"cut, and nothing tells why":     {placed + tsPrefix + `2Z msg=answered request=r outcome=cut upstream=e1 err=odd`, CauseCutUnknown},
 		"lines that came out of order":   {tsPrefix + `2Z msg=answered request=r outcome=ok` + "\n" + placed, CauseAnswered},
 	} {
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -54,6 +54,7 @@
 	eventRefused         = "refused"
 	eventEngineLeaves    = "engine leaves"
 	eventConnectionBroke = "connection broke"
+	eventLinkBroke       = "link broke"
 )
 
 // Timelines groups lines by request and determines how each request ended. The result
@@ -120,6 +121,8 @@
 	switch {
 	case s.sawEngineLeave(end.Field("upstream")):
 		return CauseEngineLeft
+	case s.sawLinkBreak(end.Field("upstream")):
+		return CauseLinkBroke
 	case s.sawEngineEnd(end.Field("upstream")):
 		return CauseEngineEnded
 	case strings.Contains(errText, "timed out"), strings.Contains(errText, "reset"), strings.Contains(errText, "no route"):
@@ -138,6 +141,13 @@
 	})
 }
 
+// sawLinkBreak reports whether the request's lines show that only the link to the engine broke.
+func (s *Timeline) sawLinkBreak(upstream string) bool {
+	return slices.ContainsFunc(s.Lines, func(l Line) bool {
+		return l.Event == eventLinkBroke && l.Field("upstream") == upstream
+	})
+}
+
 // sawEngineEnd reports whether the request's lines show that the engine ended without
 // leaving first.
 func (s *Timeline) sawEngineEnd(upstream string) bool {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -168,6 +168,9 @@
 		outcome = err.Error()
 	}
 	f.carried.WithLabelValues(outcome).Inc()
+	if t.Request == "" {
+		return
+	}
 	f.Request(forward.RequestID(t.Request), "connection for a peer", "peer", from, "upstream", t.ID, "outcome", outcome)
 }
 
