rejection: upstreams that fall over above a rate of rejections stay up

In virtual time at 1.5 times the load that three upstreams can bear they fell over 9 times in 5 s with nine hosts, and a third of what they could serve was served.

The host keeps to an equal part of what an upstream can take: its requests there and its rejections of the last 1.25 s are together no more than its part of the slots and the announced number. Where there are more hosts than that, the first in the upstream's own order of hosts send to it. So all hosts together can't have it reject more, whatever it lets wait and without messages between them; what hosts hear they tell each other with their shares. Of an engine no slot is certain, as memory may run out first.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
+	"github.com/shedpath/shedpath/rejection"
 	"github.com/shedpath/shedpath/rollout"
 	"github.com/shedpath/shedpath/spool"
 	"github.com/shedpath/shedpath/zoneload"
@@ -126,6 +127,9 @@
 	// bounds how often peers are notified of that at once.
 	backoffs             backoff.Table
 	backoffNoticeLimiter eventLimiter
+	// rejections bounds how many requests upstreams have to reject that say that they fall over
+	// above a limit.
+	rejections rejection.Budget
 	// relistRequested asks Run to pass the engines that take work to the placement.
 	relistRequested chan struct{}
 	// limiter obtains permits to send to bounded upstreams. limitLogLimiter bounds the log
@@ -298,6 +302,7 @@
 			f.crashes.Prune(f.now(), f.peers.isKnown)
 			f.pruneLimits(f.now())
 			f.backoffs.RemoveExpired(f.now())
+			f.rejections.Prune(f.now())
 			for _, c := range f.fleet.Settle(f.now()) {
 				if !c.Gone {
 					f.journal.HostEvent("upstream back", "upstream", c.ID, "why", "still on the restored list")
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -16,6 +16,7 @@
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
+	"github.com/shedpath/shedpath/rejection"
 	"github.com/shedpath/shedpath/rollout"
 	"github.com/shedpath/shedpath/roster"
 )
@@ -75,6 +76,8 @@
 	// Waiting are the requests that wait for room at the host, where it is responsible for the
 	// zone's requests. The reply to a share has none.
 	Waiting []WaitingMark
+	// RejectionLimits are what upstreams say of the rejections that they withstand.
+	RejectionLimits []rejection.Announcement
 }
 
 // Peers is the interface to the other hosts.
@@ -235,6 +238,7 @@
 		Leaving: f.fleet.LeavingMarks(now),
 		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), List: f.fleet.Revision(), Zones: f.fleet.ZoneOrdersSince(history.Point{}, true), Epoch: f.peers.epoch,
 		Limits: f.limiter.NamedLimits.PeerReports(now), Backoffs: f.backoffs.Marks(now),
+		RejectionLimits: f.rejections.Announcements(now),
 	}
 }
 
@@ -286,6 +290,7 @@
 	for _, mark := range s.Limits {
 		f.receivePeerLimit(now, s.From.ID, mark)
 	}
+	f.receiveRejectionLimits(now, s.From.ID, s.RejectionLimits)
 	for _, mark := range s.Backoffs {
 		f.receivePeerBackoff(now, s.From.ID, mark)
 	}
--- a/forward/permits.go
+++ b/forward/permits.go
@@ -33,7 +33,7 @@
 // mayBeThrottled reports whether a backoff or a rate limit may apply to some upstream of a
 // service.
 func (f *Forwarder) mayBeThrottled(now time.Time, s *Service) bool {
-	return f.backoffs.HasUpstreams() || f.limiter.NamedLimits.Any() || s.ColdRate > 0 && f.fleet.AnyCold(now)
+	return f.backoffs.HasUpstreams() || f.rejections.Active() || f.limiter.NamedLimits.Any() || s.ColdRate > 0 && f.fleet.AnyCold(now)
 }
 
 // permitRequest asks for permission to send something to an upstream.
@@ -74,7 +74,7 @@
 // sendDelay returns how long it is until this host may send to an upstream, or may ask for a
 // permit to do so; zero if it may now.
 func (f *Forwarder) sendDelay(now time.Time, s *Service, u Upstream) time.Duration {
-	wait := f.backoffs.Delay(now, u.ID)
+	wait := max(f.backoffs.Delay(now, u.ID), f.rejectionDelay(now, u))
 	if _, bounded := f.rateLimitFor(now, s, u); bounded {
 		wait = max(wait, f.limiter.Wait(now, u.ID))
 	}
--- a/forward/send.go
+++ b/forward/send.go
@@ -14,6 +14,7 @@
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/rejection"
 )
 
 // All requests to upstreams are sent from this file. It checks at the moment of sending
@@ -53,10 +54,10 @@
 }
 
 // eligibilityState returns what this host knows about whether requests may be sent to an upstream,
-// except for rate limits, which a permit covers.
+// except for announced rate limits, which a permit covers.
 func (f *Forwarder) eligibilityState(now time.Time, u Upstream) eligibility.State {
 	s := f.fleet.EligibilityState(now, u.ID)
-	s.Backoff = f.backoffs.Delay(now, u.ID)
+	s.Backoff, s.LimitWait = f.backoffs.Delay(now, u.ID), f.rejectionDelay(now, u)
 	return s
 }
 
@@ -103,10 +104,15 @@
 	sent := x.now()
 	v := x.checkEligibility(sent, u, purpose)
 	var ticket backoff.Ticket
+	var rejectable rejection.Ticket
 	if v.OK() {
+		force := v.Overridden != ""
 		var wait time.Duration
-		if ticket, wait = x.backoffs.Begin(sent, u.ID, v.Overridden != ""); wait > 0 {
+		if ticket, wait = x.backoffs.Begin(sent, u.ID, force); wait > 0 {
 			v = eligibility.Verdict{Reason: eligibility.Backoff, Wait: wait}
+		} else if rejectable, wait = x.beginRejectable(sent, u, force); wait > 0 {
+			x.backoffs.End(sent, u.ID, ticket, false)
+			v = eligibility.Verdict{Reason: eligibility.Limited, Wait: wait}
 		}
 	}
 	x.logVerdict(u, v)
@@ -114,6 +120,7 @@
 		return nil, &notSentError{v}
 	}
 	answer, err := x.transport.Send(ctx, u, out)
+	x.rejections.End(x.now(), rejectable, err == nil && answer.NotRun)
 	if err != nil || answer.WrongInstance {
 		x.backoffs.End(x.now(), u.ID, ticket, false)
 		return answer, err
@@ -178,7 +185,12 @@
 		f.observer.Send(v)
 		return Health{}, &notSentError{v}
 	}
+	rejectable, wait := f.beginRejectable(sent, u, false)
+	if wait > 0 {
+		return Health{}, &notSentError{eligibility.Verdict{Reason: eligibility.Limited, Wait: wait}}
+	}
 	health, err := f.transport.Health(ctx, u, s.HealthPath)
+	f.rejections.End(f.now(), rejectable, err == nil && health.Rejected)
 	if err == nil {
 		f.applySignals(sent, u, answerToHealth, health.Signals)
 	}
--- a/forward/signalday_test.go
+++ b/forward/signalday_test.go
@@ -38,6 +38,8 @@
 	storeLostAt, storeBackAt time.Duration
 	// disturb, if set, disturbs the site while the load runs.
 	disturb func(ctx context.Context, s *site, fleet *signalFleet)
+	// transport, if set, returns a host's transport in place of a signalTransport.
+	transport func(t signalTransport) Transport
 	// maxCallerRetries is how often a refused caller retries, after the delay that it is
 	// given, at another host of the zone.
 	maxCallerRetries int
@@ -137,6 +139,9 @@
 		s := newCrashSiteWith(fleet.fakeFleet, d.zones, d.hostsPerZone, d.upstreams)
 		for _, f := range s.hosts {
 			f.transport = signalTransport{fleet, f.settings.Self.ID}
+			if d.transport != nil {
+				f.transport = d.transport(signalTransport{fleet, f.settings.Self.ID})
+			}
 			f.SetRetryLimit(RetryLimit{Ratio: 0.2, Slack: max(60, 2.2*float64(len(s.hosts))), Window: 10 * time.Second})
 		}
 		s.serveAll(ctx)
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -24,12 +24,21 @@
 	Limit AnnouncedLimit
 	// Via is the peer that carried the connection; empty for a connection of this host.
 	Via member.HostID
+	// RejectionLimit is how many rejections a second the upstream says that it withstands.
+	RejectionLimit AnnouncedRejectionLimit
 	// FromUpstream says that the response is recognizably from the upstream itself.
 	FromUpstream bool
 	// Unusable holds an error for each part of the signals that cannot be used.
 	Unusable []error
 }
 
+// AnnouncedRejectionLimit is the number of requests that an upstream may have to reject in a second for
+// lack of room; above it, the upstream falls over.
+type AnnouncedRejectionLimit struct {
+	Announced bool
+	PerSecond int
+}
+
 // SignalKind names a signal for the metrics.
 type SignalKind string
 
@@ -39,6 +48,8 @@
 	SignalBackoff  SignalKind = "backoff"
 	SignalLimit    SignalKind = "limit"
 	SignalUnusable SignalKind = "unusable"
+	// SignalRejectionLimit is an announced RejectionLimit.
+	SignalRejectionLimit SignalKind = "rejection_limit"
 )
 
 // answerKind is the kind of response that carried a signal.
@@ -80,6 +91,9 @@
 			f.logSignal(now, u, "upstream asks for backoff", "answer_to", to, "for", s.RetryAfter, "asked_ago", now.Sub(sent))
 		}
 	}
+	if s.RejectionLimit.Announced || to == answerToRequest {
+		f.recordRejectionLimit(now, u, s)
+	}
 	if s.Limit.Announced {
 		f.observer.Signal(SignalLimit)
 	}
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -188,7 +188,7 @@
 		List: newPoint(w.ListEra, w.List), Zones: zoneOrders(now, w.Zones), Epoch: w.Epoch, Crashes: crashMarks(w.Crashes),
 		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced), Paces: paceMarks(w.extension.Paces),
 		Reports: engineReports(w.extension.Reports), ReportRequests: reportRequests(w.extension.ReportRequests),
-		ZoneLoad: zoneLoads(w.extension.ZoneLoad), Waiting: waitingMarks(w.extension.Waiting),
+		ZoneLoad: zoneLoads(w.extension.ZoneLoad), Waiting: waitingMarks(w.extension.Waiting), RejectionLimits: rejectionLimits(w.extension.Rejections),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
--- a/internal/peer/shareextension.go
+++ b/internal/peer/shareextension.go
@@ -23,18 +23,19 @@
 	ReportRequests []wireReportRequest `msgpack:",omitempty"`
 	ZoneLoad       []wireZoneLoad      `msgpack:",omitempty"`
 	Waiting        []wireWaiting       `msgpack:",omitempty"`
+	Rejections     []wireRejection     `msgpack:",omitempty"`
 }
 
 func toWireShareExtension(s forward.Share) wireShareExtension {
 	return wireShareExtension{
 		Paces: toWirePaces(s.Paces), Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests), ZoneLoad: toWireZoneLoads(s.ZoneLoad),
-		Waiting: toWireWaiting(s.Waiting),
+		Waiting: toWireWaiting(s.Waiting), Rejections: toWireRejections(s.RejectionLimits),
 	}
 }
 
 // isEmpty reports whether the extension has no fields to send.
 func (e *wireShareExtension) isEmpty() bool {
-	return len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad)+len(e.Waiting) == 0
+	return len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad)+len(e.Waiting)+len(e.Rejections) == 0
 }
 
 // plainShare is a wireShare without the methods that add the extension.
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -185,10 +185,10 @@
 		}
 		b.Bytes(name, sent.Bytes())
 	}
-	for name, part := range map[string]string{"a part": "part", "the last part": ""} {
+	for _, part := range []struct{ name, text string }{{"a part", "part"}, {"the last part", ""}} {
 		sent.Reset()
-		is.NoErr(m.writeTunnelPart(&sent, []byte(part)))
-		b.Bytes("answer, "+name, sent.Bytes())
+		is.NoErr(m.writeTunnelPart(&sent, []byte(part.text)))
+		b.Bytes("answer, "+part.name, sent.Bytes())
 	}
 }
 
