daemon: entries that lost their links to upstreams connect through a peer

They dial through uplink.Dialer now, and entries carry connections for each other.

Whether an upstream's port is closed is asked the same way, so reach.PortClosed has no user left; its test is now TestClosed, with the same three checks.

--- a/forward/uplink.go
+++ b/forward/uplink.go
@@ -38,18 +38,7 @@
 			far = append(far, p)
 		}
 	}
-	shuffle(near)
-	shuffle(far)
-	var peers []Peer
-	for i := range max(len(near), len(far)) {
-		peers = append(peers, near[min(i, len(near)):min(i+1, len(near))]...)
-		peers = append(peers, far[min(i, len(far)):min(i+1, len(far))]...)
-	}
-	return peers
-}
-
-func shuffle(peers []Peer) {
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return uplink.Alternate(rand.Shuffle, near, far)
 }
 
 // livePeers returns the peers that are live and not stopping.
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -72,10 +72,12 @@
 
 // demo is a running site: the stand-ins and one entry for each zone.
 type demo struct {
-	out        io.Writer
-	zones      []string
-	daemons    []*daemon.Daemon
-	goroutines conc.WaitGroup
+	out     io.Writer
+	zones   []string
+	daemons []*daemon.Daemon
+	// dialUpstream is each daemon's DialUpstream, by its number; nil for the default.
+	dialUpstream func(n int) func(ctx context.Context, network, address string) (net.Conn, error)
+	goroutines   conc.WaitGroup
 }
 
 func runDemo(stop, cut context.Context, out io.Writer, once bool) error {
@@ -149,13 +151,17 @@
 	if err != nil {
 		return err
 	}
-	entry, err := daemon.New(ctx, daemon.Settings{
+	settings := daemon.Settings{
 		Listen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Host: member.HostID(fmt.Sprintf("e%d", n)), Zone: member.Zone(zone), Platform: platformURL,
 		PlatformWriteRate: platformclient.PlatformWritesPerSecond, PlatformReadRate: platformclient.PlatformReadsPerSecond,
 		Register: true, PeerKey: demoPeerKey, AdminToken: demoAdminToken,
 		HostListInterval: time.Second,
-	}, log.NewNopLogger(), d.out)
+	}
+	if d.dialUpstream != nil {
+		settings.DialUpstream = d.dialUpstream(n)
+	}
+	entry, err := daemon.New(ctx, settings, log.NewNopLogger(), d.out)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,6 +32,7 @@
 	"github.com/shedpath/shedpath/internal/telemetry"
 	"github.com/shedpath/shedpath/internal/web"
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/uplink"
 )
 
 // Settings configures an entry process. Its zero value is not usable: hosts, keys
@@ -70,6 +71,8 @@
 	// HostListInterval, ConfigPollInterval and LoadInterval are the intervals between
 	// polls of the host list, the configuration and the engines' load.
 	HostListInterval, ConfigPollInterval, LoadInterval time.Duration
+	// DialUpstream opens connections to upstreams over the own link; nil dials over TCP.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Addresses holds the addresses that a running entry listens on.
@@ -88,6 +91,7 @@
 	clock          *clock.Clock
 	entry          *entry.Entry
 	mesh           *peer.Mesh
+	carrier        *uplink.Carrier
 	platformClient *consul.Client
 	platformBudget *consul.Budget
 	metrics        *telemetry.EntryMetrics
@@ -162,30 +166,31 @@
 		return trace.Wrap(err)
 	}
 	d.shutdownTraces = shutdown
-	d.metrics = telemetry.NewEntryMetrics()
+	d.metrics = telemetry.NewEntryMetrics(d.logger)
 	d.platformBudget = consul.NewBudget(s.PlatformWriteRate, s.PlatformReadRate)
 	d.platformClient = consul.New(s.Platform, consul.WithBudget(d.platformBudget), consul.WithObserver(d.metrics.PlatformCall))
-	d.mesh = peer.NewMesh(s.Host, []byte(s.PeerKey), peer.WithClock(d.clock))
+	dialer := &uplink.Dialer{Observer: d.metrics, Now: d.clock.Now}
+	d.carrier = &uplink.Carrier{Dialer: dialer, Carried: d.metrics.Carried}
+	d.mesh = peer.NewMesh(s.Host, []byte(s.PeerKey), peer.WithClock(d.clock), peer.WithTunnels(d.carrier))
+	network := &upstreamNetwork{Mesh: d.mesh, dialer: dialer, direct: s.DialUpstream}
+	if network.direct == nil {
+		network.direct = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	dialer.Network = network
 	d.entry = entry.New(entry.Settings{
 		Self: d.selfEntry(), Seeds: s.Peers, GenerationKey: deriveKey(s.PeerKey, "generation ids"), LocalPlacement: s.LocalPlacement,
 		HostListInterval: s.HostListInterval, ConfigPollInterval: s.ConfigPollInterval, LoadInterval: s.LoadInterval, Clock: d.clock,
 	}, entry.Dependencies{
 		Store: d.platformClient, Claims: d.platformClient.WithPriority(consul.ClaimCalls), Outcomes: d.platformClient.WithPriority(consul.StatusCalls),
 		Hosts: d.platformClient, Leases: d.platformClient, Peers: d.mesh,
-		Engines: engine.New(), Services: service.New(), Upstreams: upstreamProber{},
+		Engines: engine.New(engine.WithDialer(network.DialContext)), Services: service.New(service.WithDialer(network.DialContext)), Upstreams: network,
 		Observer: d.metrics, Logger: d.logger, Tracer: tracer,
 	})
+	network.entry, d.carrier.Authorize = d.entry, d.entry.AuthorizeUplink
 	d.registerGauges()
 	return d.newHTTPServers(web.NewCaller(d.entry, tracer), web.NewAdmin(d.entry, s.AdminToken, d.callerAcceptor.PersistentError, d.metrics.Handler()))
 }
 
-// upstreamProber checks whether an upstream's port is closed.
-type upstreamProber struct{}
-
-func (upstreamProber) Closed(ctx context.Context, u member.Upstream) (bool, error) {
-	return reach.PortClosed(ctx, u.Address)
-}
-
 // deriveKey derives a key for one purpose from the site's shared key.
 func deriveKey(key, use string) []byte {
 	mac := hmac.New(sha256.New, []byte(key))
--- /dev/null
+++ b/internal/daemon/uplink_test.go
@@ -0,0 +1,43 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/internal/telemetry"
+	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/uplink"
+)
+
+// lonelyNetwork is an upstreamNetwork without peers.
+type lonelyNetwork struct{ *upstreamNetwork }
+
+func (lonelyNetwork) Peers(uplink.Target) []member.Entry { return nil }
+
+// TestClosed checks that a port counts as closed only if its host refuses the connection.
+func TestClosed(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	u := member.Upstream{ID: "u", Address: listener.Addr().String()}
+	n := &upstreamNetwork{direct: (&net.Dialer{}).DialContext}
+	n.dialer = &uplink.Dialer{Network: lonelyNetwork{n}, Observer: telemetry.NewEntryMetrics(log.NewNopLogger()), Now: time.Now}
+	closed, err := n.Closed(t.Context(), u)
+	is.NoErr(err)
+	is.True(!closed) // the listener is open
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	closed, err = n.Closed(canceled, u)
+	is.True(err != nil && !closed) // a canceled attempt proves nothing
+	is.NoErr(listener.Close())
+	closed, _ = n.Closed(t.Context(), u)
+	is.True(closed)
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -31,7 +31,8 @@
 
 // Client calls the engines. Create it with New.
 type Client struct {
-	http *http.Client
+	http      *http.Client
+	transport *http.Transport
 	// idleTimeout is how long a stream may deliver no bytes.
 	idleTimeout time.Duration
 }
@@ -39,6 +40,11 @@
 // Option configures a Client.
 type Option func(*Client)
 
+// WithDialer sets how connections to engines are opened. The default is over TCP.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.transport.DialContext = dial }
+}
+
 // WithIdleTimeout sets how long a stream may deliver no bytes before it fails with
 // entry.ErrStreamIdle. The default is 2 s.
 func WithIdleTimeout(d time.Duration) Option { return func(c *Client) { c.idleTimeout = d } }
@@ -54,15 +60,13 @@
 
 // New returns a Client.
 func New(opts ...Option) *Client {
-	c := &Client{
-		idleTimeout: defaultIdleTimeout,
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost:   maxIdleConnsPerHost,
-			IdleConnTimeout:       30 * time.Second,
-			ResponseHeaderTimeout: headerTimeout,
-		}},
+	transport := &http.Transport{
+		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:   maxIdleConnsPerHost,
+		IdleConnTimeout:       30 * time.Second,
+		ResponseHeaderTimeout: headerTimeout,
 	}
+	c := &Client{idleTimeout: defaultIdleTimeout, transport: transport, http: &http.Client{Transport: transport}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/internal/reach/caller.go
+++ b/internal/reach/caller.go
@@ -1,6 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
+// Package reach checks whether the peer of a connection has closed it.
 package reach
 
 import (
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -37,14 +37,26 @@
 	maxBufferedBytes = 1 << 20
 )
 
+// Option configures a Client.
+type Option func(*Client)
+
+// WithDialer sets how connections to services are opened. The default is over TCP.
+func WithDialer(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.transport.DialContext = dial }
+}
+
 // New returns a Client.
-func New() *Client {
-	return &Client{transport: &http.Transport{
+func New(opts ...Option) *Client {
+	c := &Client{transport: &http.Transport{
 		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		DisableKeepAlives: true,
 		// The caller negotiates encodings with the service itself.
 		DisableCompression: true,
 	}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // nonReplayableBody is a request body that the transport can't send again: its
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -18,9 +18,7 @@
 	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
-	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
-	"github.com/shedpath/shedpath/uplink"
 	"github.com/shedpath/shedpath/zoneload"
 )
 
@@ -30,6 +28,7 @@
 	logger  log.Logger
 	sampler sampler
 	registry
+	*Uplinks
 
 	answers            *prometheus.CounterVec
 	requestDuration    *prometheus.HistogramVec
@@ -39,8 +38,6 @@
 	moves              *prometheus.CounterVec
 	movePause          prometheus.Observer
 	storeCalls         *prometheus.CounterVec
-	connections        *prometheus.CounterVec
-	carried            *prometheus.CounterVec
 	unreadableEntries  prometheus.Counter
 	brokenConnections  *prometheus.CounterVec
 	suspendedSeconds   prometheus.Counter
@@ -71,8 +68,7 @@
 	f.moves = f.counter("moves_total", "Stopped runs that were moved to another engine or lost, by outcome.", "outcome")
 	f.movePause = f.histogram("move_pause_seconds", "Time for which a moved or lost run made no progress.", pauseBuckets).WithLabelValues()
 	f.storeCalls = f.counter("store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome")
-	f.connections = f.counter("upstream_connections_total", "Attempts to connect to an upstream, by outcome.", "outcome")
-	f.carried = f.counter("carried_connections_total", "Connections to upstreams that peers asked this host for, by outcome.", "outcome")
+	f.Uplinks = newUplinks(&f.registry, f.log, f.sampled)
 	f.unreadableEntries = f.counter("unread_entries_total", "Entries of the platform's store that could not be read or used.").WithLabelValues()
 	f.brokenConnections = f.counter("broken_connections_total", "Connections that an upstream ended before its answer was complete, by whether the upstream itself had ended.", "upstream")
 	f.suspendedSeconds = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
@@ -96,11 +92,19 @@
 // Close writes the buffered log lines and stops the log.
 func (f *Forward) Close() { f.ringLog.Close() }
 
+// sampled reports whether a line about a request is to be logged.
+func (f *Forward) sampled(id string) bool {
+	if f.sampler.shouldLog(time.Now(), id) {
+		return true
+	}
+	f.unloggedRequests.Inc()
+	return false
+}
+
 // Request logs a decision about one request, unless the log is above its rate and the
 // request is not in the sample.
 func (f *Forward) Request(id forward.RequestID, event string, keyvals ...any) {
-	if !f.sampler.shouldLog(time.Now(), string(id)) {
-		f.unloggedRequests.Inc()
+	if !f.sampled(string(id)) {
 		return
 	}
 	f.log(append([]any{"msg", event, "request", id}, keyvals...))
@@ -140,40 +144,6 @@
 	f.movePause.Observe(pause.Seconds())
 }
 
-// Connected counts an attempt to connect to an upstream.
-func (f *Forward) Connected(outcome uplink.Outcome) {
-	f.connections.WithLabelValues(string(outcome)).Inc()
-}
-
-// Rerouted logs that a request goes through a peer.
-func (f *Forward) Rerouted(t uplink.Target, peer member.HostID, err error) {
-	if t.Request != "" {
-		f.Request(forward.RequestID(t.Request), "connected through a peer", "upstream", t.ID, "peer", peer, "err", err)
-	}
-}
-
-// LinksChanged logs that this host was cut off from a service, or reaches it again.
-func (f *Forward) LinksChanged(c uplink.Change) {
-	event := "service reached again"
-	if c.CutOff {
-		event = "cut off from a service"
-	}
-	f.HostEvent(event, "service", c.Service, "upstreams", c.Upstreams, "since", c.For)
-}
-
-// Carried logs and counts a connection that a peer asked for.
-func (f *Forward) Carried(from member.HostID, t uplink.Target, err error) {
-	outcome := "carried"
-	if err != nil {
-		outcome = err.Error()
-	}
-	f.carried.WithLabelValues(outcome).Inc()
-	if t.Request == "" {
-		return
-	}
-	f.Request(forward.RequestID(t.Request), "connection for a peer", "peer", from, "upstream", t.ID, "outcome", outcome)
-}
-
 // UnreadableEntries counts entries of the platform's store that could not be read or used.
 func (f *Forward) UnreadableEntries(entries int) { f.unreadableEntries.Add(float64(entries)) }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shedpath/shedpath/backoff"
@@ -75,7 +76,7 @@
 // process aren't this module's.
 func TestGoldenMetrics(t *testing.T) {
 	b := golden.Open(t, "metrics")
-	m := NewEntryMetrics()
+	m := NewEntryMetrics(log.NewNopLogger())
 	m.FirstToken("pool-1", time.Second)
 	m.BetweenTokens("pool-1", 2*time.Second)
 	m.Waited("pool-1", 3*time.Second)
@@ -89,6 +90,8 @@
 	m.Resumed("why-3")
 	m.Withheld("what-1")
 	m.PlatformCall("call-1", "outcome-1")
+	m.Connected("outcome-2")
+	m.Carried("h1", uplink.Target{}, uplink.ErrBusy)
 	b.Text("entry", metricsOf(t, m.promRegistry))
 
 	f := NewForward(io.Discard)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -8,6 +8,8 @@
 import (
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
@@ -19,6 +21,7 @@
 // EntryMetrics holds the metrics of an entry. Use NewEntryMetrics.
 type EntryMetrics struct {
 	registry
+	*Uplinks
 	firstToken       *prometheus.HistogramVec
 	betweenTokens    *prometheus.HistogramVec
 	stallSeconds     *prometheus.CounterVec
@@ -44,9 +47,11 @@
 	tokenBuckets      = []float64{.005, .01, .02, .03, .05, .07, .1, .2, .5, 1, 2, 5, 10}
 )
 
-// NewEntryMetrics returns an entry's metrics in a new registry.
-func NewEntryMetrics() *EntryMetrics {
+// NewEntryMetrics returns an entry's metrics in a new registry. Changes of its links are logged.
+func NewEntryMetrics(logger log.Logger) *EntryMetrics {
 	m := &EntryMetrics{registry: newRegistry()}
+	// The requests that this entry connects for have no ids here.
+	m.Uplinks = newUplinks(&m.registry, func(keyvals []any) { _ = level.Info(logger).Log(keyvals...) }, func(string) bool { return true })
 	m.firstToken = m.histogram("first_token_seconds", "Time from a caller's request to its first token.", firstTokenBuckets, "pool")
 	m.betweenTokens = m.histogram("between_tokens_seconds", "Time from one token to the next.", tokenBuckets, "pool")
 	m.stallSeconds = m.counter("stall_seconds_total", "Total time of gaps between tokens that lasted a second or more.", "pool")
--- a/uplink/dialer_test.go
+++ b/uplink/dialer_test.go
@@ -254,7 +254,7 @@
 					_, err := d.Dial(t.Context(), Target{ID: id, Service: "s"})
 					var failed *DialError
 					is.True(errors.As(err, &failed))
-					is.Equal(failed.PortClosed(), w.err != nil)
+					is.Equal(PortClosed(err), w.err != nil)
 				}
 				is.Equal(len(r.changes), 0)
 				time.Sleep(time.Second)
--- a/uplink/target.go
+++ b/uplink/target.go
@@ -77,10 +77,15 @@
 	return errs
 }
 
-// PortClosed reports whether no process listens on the upstream's address. A link that is cut may
-// refuse connections as well, so no peer that was asked may have found the upstream silent. Peers that
-// can't tell, such as those of an older version, don't count.
-func (e *DialError) PortClosed() bool {
+// PortClosed reports whether an error of Dial says that no process listens on the upstream's address.
+// A link that is cut may refuse connections as well, so no peer that was asked may have found the
+// upstream silent. Peers that can't tell, such as those of an older version, don't count.
+func PortClosed(err error) bool {
+	var failed *DialError
+	return errors.As(err, &failed) && failed.portClosed()
+}
+
+func (e *DialError) portClosed() bool {
 	if !errors.Is(e.Direct, syscall.ECONNREFUSED) {
 		return false
 	}
--- a/uplink/target_test.go
+++ b/uplink/target_test.go
@@ -27,7 +27,7 @@
 		"a peer of an older version": {syscall.ECONNREFUSED, map[member.HostID]error{"p": syscall.EINVAL}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			is.New(t).Equal((&DialError{Direct: c.direct, Peers: c.peers}).PortClosed(), c.want)
+			is.New(t).Equal(PortClosed(&DialError{Direct: c.direct, Peers: c.peers}), c.want)
 		})
 	}
 }
