forward: streams leave a link of the peer that carries them

A stream that a peer carried was checked by this host's own link, which may be back when the peer's breaks: the stream stayed silent until its caller left. It moves after 2 s of silence now, and its end isn't held against the engine.

event: the limiter of log lines and the broadcast have a package of their own.

--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -13,6 +13,9 @@
 	// silentStreamCheck is how long a stream may be silent before its engine's link is checked. The
 	// engine itself may be silent for a second and go on.
 	silentStreamCheck = time.Second
+	// carriedStreamSilence is how long a stream that a peer carries may be silent before its run moves:
+	// this host can't check the peer's link.
+	carriedStreamSilence = 2 * time.Second
 	// linkCheckTimeout bounds the check of a link.
 	linkCheckTimeout = 400 * time.Millisecond
 	// sourceEndTimeout is how long after the final copy the stream of a stopped run may stay open. It
@@ -20,20 +23,21 @@
 	sourceEndTimeout = 250 * time.Millisecond
 )
 
-// leaveBrokenLink moves the run off an engine that works but can't be reached over this host's own
-// link any more: its events don't arrive. The calls for the move go through a peer. If the run isn't
-// there any more, the answer is closed.
+// leaveBrokenLink moves the run off an engine that works but whose events don't arrive, because this
+// host's own link to it broke, or that of the peer that carries the stream. The calls for the move go
+// through a peer. If the run isn't there any more, the answer is closed.
 func (m *mover) leaveBrokenLink(ctx context.Context, x *exchange, run *ownRun) *handover {
 	now := x.now()
 	if made := run.generatedTokens.Load(); made != m.progress || m.progressAt.IsZero() {
 		m.progress, m.progressAt = made, now
 		return nil
 	}
-	if now.Sub(m.progressAt) < silentStreamCheck {
+	carried := m.answer.Signals.Via != ""
+	if silence := now.Sub(m.progressAt); silence < silentStreamCheck || carried && silence < carriedStreamSilence {
 		return nil
 	}
 	m.progressAt = now
-	if !x.linkBroken(ctx, m.source) {
+	if !carried && !x.linkBroken(ctx, m.source) {
 		return nil
 	}
 	next, err := m.tryMove(ctx, x, run, x.now().Add(moveTimeout))
@@ -59,7 +63,7 @@
 // link is broken. The context ends when the stream has ended.
 func (m *mover) endBrokenStream(ctx context.Context, x *exchange) {
 	PauseFor(ctx, sourceEndTimeout)
-	if ctx.Err() == nil && x.linkBroken(ctx, m.source) {
+	if ctx.Err() == nil && (m.answer.Signals.Via != "" || x.linkBroken(ctx, m.source)) {
 		closeBody(m.answer)
 	}
 }
--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // silentBody yields some events, and then nothing until it is closed.
@@ -55,8 +57,10 @@
 	}
 	for name, c := range map[string]struct {
 		linkBroken bool
-		silence    time.Duration
-		moveErr    error
+		// carrier is the peer that carries the stream.
+		carrier member.HostID
+		silence time.Duration
+		moveErr error
 		// want is what the caller gets, and cut is whether its answer is incomplete.
 		want  string
 		cut   bool
@@ -66,6 +70,8 @@
 	}{
 		"link broken, moved":              {linkBroken: true, silence: time.Hour, want: events(1, 9), moves: 2, within: 3 * time.Second},
 		"link broken, run not there":      {linkBroken: true, silence: time.Hour, moveErr: ErrRunNotFound, want: events(1, 4), cut: true, moves: 1, within: 3 * time.Second},
+		"a peer's link broke, moved":      {carrier: "h2", silence: time.Hour, want: events(1, 9), moves: 2, within: 4 * time.Second},
+		"carried, silent for a second":    {carrier: "h2", silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
 		"silent for a second":             {silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
 		"silent for longer, then goes on": {silence: 4 * time.Second, want: events(1, 9), within: 4100 * time.Millisecond},
 	} {
@@ -80,6 +86,7 @@
 						return script.send(ctx, u, r)
 					}
 					a := answer(200, "")
+					a.Signals.Via = c.carrier
 					a.Body = &silentBody{Reader: strings.NewReader(events(1, 4)), rest: strings.NewReader(events(5, 9)), silence: c.silence, closed: make(chan struct{})}
 					return a, nil
 				}
@@ -89,8 +96,11 @@
 					return MoveResult{Handle: "h"}, c.moveErr
 				}
 				f, sink := newForwarder(t, transport), &fakeSink{}
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.Run(ctx)
 				began := time.Now()
 				f.Serve(t.Context(), call("/llm/"), sink)
+				cancel()
 				is.True(time.Since(began) <= c.within)
 				is.Equal(sink.body.String(), c.want)
 				is.Equal(sink.truncated, c.cut)
--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -183,7 +183,7 @@
 				"samples", c.Estimate.Samples, "age", c.Estimate.Age, "pause_foreseen", c.Foreseen, "pause_allowed", p.limit.Pause, "fast_step", c.FastStep, "known", c.Known)
 			p.unloggedChange = nil
 		}
-		if n := p.model.IgnoredMarks(); n > p.loggedIgnored && f.paceLogLimiter.allow(now, member.UpstreamID(name)) {
+		if n := p.model.IgnoredMarks(); n > p.loggedIgnored && f.paceLogLimiter.Allow(now, member.UpstreamID(name)) {
 			f.journal.HostEvent("pace marks ignored", "service", name, "marks", n-p.loggedIgnored)
 			p.loggedIgnored = n
 		}
--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/enginereport"
+	"github.com/shedpath/shedpath/internal/event"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -31,7 +32,7 @@
 	tracker enginereport.Tracker
 	// logLimiter bounds the log lines about reports that didn't come or aren't usable, and
 	// refusalLogLimiter those about engines that refuse something.
-	logLimiter, refusalLogLimiter eventLimiter
+	logLimiter, refusalLogLimiter event.Limiter
 }
 
 // reportCheckInterval is how often a host checks which engines it is to ask. It bounds how late an
@@ -240,7 +241,7 @@
 	r.mu.Lock()
 	r.tracker.RecordRefusal(now, u.ID)
 	r.mu.Unlock()
-	if r.refusalLogLimiter.allow(now, u.ID) {
+	if r.refusalLogLimiter.Allow(now, u.ID) {
 		j.HostEvent("engine had no room", "upstream", u.ID, "what", what)
 	}
 }
@@ -248,7 +249,7 @@
 // log logs that a report isn't there or isn't usable, unless that was logged shortly before. The empty ID stands for events
 // about no engine.
 func (r *engineReports) log(j Journal, now time.Time, id member.UpstreamID, event string, keyvals ...any) {
-	if !r.logLimiter.allow(now, id) {
+	if !r.logLimiter.Allow(now, id) {
 		return
 	}
 	if id != "" {
--- a/forward/enginereport_test.go
+++ b/forward/enginereport_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/enginereport"
+	"github.com/shedpath/shedpath/internal/event"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -190,13 +191,13 @@
 		}
 		is.Equal(len(journal.linesWithPrefix("engine had no room")), 1)
 		is.Equal(len(journal.linesWithPrefix("no engine report")), 1)
-		for _, l := range []*eventLimiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
-			is.Equal(len(l.lastAllowed), 1)
+		for _, l := range []*event.Limiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
+			is.Equal(l.Len(), 1)
 		}
-		time.Sleep(eventInterval)
+		time.Sleep(event.Interval)
 		f.pruneLimits(time.Now())
-		for _, l := range []*eventLimiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
-			is.Equal(len(l.lastAllowed), 0)
+		for _, l := range []*event.Limiter{&f.reports.logLimiter, &f.reports.refusalLogLimiter} {
+			is.Equal(l.Len(), 0)
 		}
 	})
 }
--- a/forward/follow.go
+++ b/forward/follow.go
@@ -437,7 +437,7 @@
 	oldAge := f.OriginAge(now)
 	f.originProvedAt.advance(provedAt)
 	if oldAge-f.OriginAge(now) >= minProofAdvance {
-		f.originProofRenewed.wake()
+		f.originProofRenewed.Wake()
 	}
 }
 
--- a/forward/followpeer.go
+++ b/forward/followpeer.go
@@ -127,7 +127,7 @@
 		// A renewed proof ends the wait, too. Otherwise a proof could be 1.85 s old at the third
 		// host in a row, after a watch and the waits of a zone's leader and of its followers, while
 		// maxOriginProofAge is 1.6 s.
-		changed, proved := f.fleet.Changed(), f.originProofRenewed.wakeChannel()
+		changed, proved := f.fleet.Changed(), f.originProofRenewed.Channel()
 		if !f.fleet.Revision().After(r.ListRevision) && f.versionInForce() <= r.Version {
 			timer := time.NewTimer(r.Wait)
 			defer timer.Stop()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/shedpath/shedpath/clock"
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/enginereport"
+	"github.com/shedpath/shedpath/internal/event"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
@@ -126,7 +127,7 @@
 	// backoffs holds the upstreams that asked this host for backoff. backoffNoticeLimiter
 	// bounds how often peers are notified of that at once.
 	backoffs             backoff.Table
-	backoffNoticeLimiter eventLimiter
+	backoffNoticeLimiter event.Limiter
 	// rejections bounds how many requests upstreams have to reject that say that they fall over
 	// above a limit.
 	rejections rejection.Budget
@@ -135,15 +136,15 @@
 	// limiter obtains permits to send to bounded upstreams. limitLogLimiter bounds the log
 	// lines about the limits that upstreams name.
 	limiter         *permit.Limiter
-	limitLogLimiter eventLimiter
+	limitLogLimiter event.Limiter
 	// signalLogLimiter bounds the log lines about what upstreams report about themselves.
-	signalLogLimiter eventLimiter
+	signalLogLimiter event.Limiter
 	// paceLogLimiter bounds the log lines about invalid pace marks, by service.
-	paceLogLimiter eventLimiter
+	paceLogLimiter event.Limiter
 	// pacesUpdatedAt is when Run last updated the pace of engines.
 	pacesUpdatedAt time.Time
 	// zoneLoadLogLimiter bounds the log lines about unusable loads of other zones.
-	zoneLoadLogLimiter eventLimiter
+	zoneLoadLogLimiter event.Limiter
 	retries            retryBudget
 	// contactProvedAt is when this host last had proof that its configuration is the newest.
 	contactProvedAt latestTime
@@ -151,7 +152,7 @@
 	// to this host or to the one that it follows; never if neither has such a proof.
 	originProvedAt latestTime
 	// originProofRenewed wakes its waiters when originProvedAt advances.
-	originProofRenewed broadcast
+	originProofRenewed event.Broadcast
 	// originProofInherited is set if the proof came from a peer.
 	originProofInherited atomic.Bool
 	// followedPeerAnsweredAt is when the peer that this host follows last answered.
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -26,7 +26,7 @@
 func (f *Forwarder) recordAnswerLimit(sent time.Time, u Upstream, l AnnouncedLimit) {
 	now := f.now()
 	if l.Err != nil {
-		if f.limitLogLimiter.allow(now, u.ID) {
+		if f.limitLogLimiter.Allow(now, u.ID) {
 			f.journal.HostEvent("limit not read", "upstream", u.ID, "err", l.Err)
 		}
 		return
@@ -56,7 +56,7 @@
 	if c == ratelimit.LimitEnded {
 		f.limiter.LimitRaised(id)
 	}
-	if f.limitLogLimiter.allow(now, id) {
+	if f.limitLogLimiter.Allow(now, id) {
 		f.journal.HostEvent(c.String(), "upstream", id, "per_second", rate, "from", from, "age", age)
 	}
 }
@@ -71,11 +71,11 @@
 	for _, id := range f.limiter.NamedLimits.Prune(now, isKnown) {
 		f.journal.HostEvent(ratelimit.LimitEnded.String(), "upstream", id, "why", "no answer confirmed it")
 	}
-	f.limitLogLimiter.prune(now)
-	f.signalLogLimiter.prune(now)
-	f.backoffNoticeLimiter.prune(now)
-	f.reports.logLimiter.prune(now)
-	f.reports.refusalLogLimiter.prune(now)
+	f.limitLogLimiter.Prune(now)
+	f.signalLogLimiter.Prune(now)
+	f.backoffNoticeLimiter.Prune(now)
+	f.reports.logLimiter.Prune(now)
+	f.reports.refusalLogLimiter.Prune(now)
 	f.limiter.Prune(now, func(id member.UpstreamID) bool {
 		_, named := f.limiter.NamedLimits.EffectiveRate(now, id)
 		return named || f.fleet.IsCold(now, id)
--- a/forward/pacemove_test.go
+++ b/forward/pacemove_test.go
@@ -116,7 +116,7 @@
 				}()
 				source, _ := f.fleet.Upstream("llm1")
 				source.Zone = s.zone
-				m := &mover{source: source}
+				m := &mover{source: source, answer: &Response{}}
 				x := &exchange{Forwarder: f, service: f.Table().Services()["llm"], route: Route{GapObjective: 180 * time.Millisecond}, call: call("/llm/")}
 				next := m.watchEngine(ctx, x, run, f.fleet.LeavingStarted("llm1"))
 				cancel()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -86,7 +86,7 @@
 		s.recordSurvival(s.now())
 	case s.callerErr == nil && ctx.Err() == nil:
 		now := s.now()
-		if s.linkBroken(ctx, lastEngine) {
+		if s.carrier != "" || s.linkBroken(ctx, lastEngine) {
 			s.journal.Request(s.call.ID, "link broke", "upstream", lastEngine.ID, "err", err)
 			break
 		}
@@ -145,7 +145,7 @@
 	first := a
 	for {
 		m := s.startMover(ctx, u, a)
-		s.engineFirstEventAt, s.source = time.Time{}, u
+		s.engineFirstEventAt, s.source, s.carrier = time.Time{}, u, a.Signals.Via
 		err := s.relayEvents(ctx, first, a)
 		closeBody(a)
 		if err == nil && (a.Framed || !m.isRunStopping()) {
--- a/forward/send.go
+++ b/forward/send.go
@@ -231,7 +231,7 @@
 	f.requestRelist()
 	// Under overload, every upstream asks for backoff again and again. Notices to the peers are
 	// rate-limited; what isn't announced at once goes out with the next periodic share.
-	if f.backoffNoticeLimiter.allow(now, "") {
+	if f.backoffNoticeLimiter.Allow(now, "") {
 		f.peers.notifyAll()
 	}
 	return true
@@ -243,7 +243,7 @@
 		return
 	}
 	f.requestRelist()
-	if f.signalLogLimiter.allow(now, mark.Upstream) {
+	if f.signalLogLimiter.Allow(now, mark.Upstream) {
 		f.journal.HostEvent("upstream asks several hosts for backoff", "upstream", mark.Upstream, "peer", from, "for", mark.Remaining)
 	}
 }
--- a/forward/signals.go
+++ b/forward/signals.go
@@ -105,7 +105,7 @@
 
 // logSignal logs an upstream's signal, unless one was logged shortly before.
 func (f *Forwarder) logSignal(now time.Time, u Upstream, event string, keyvals ...any) {
-	if f.signalLogLimiter.allow(now, u.ID) {
+	if f.signalLogLimiter.Allow(now, u.ID) {
 		f.journal.HostEvent(event, append([]any{"upstream", u.ID, "life", u.Incarnation}, keyvals...)...)
 	}
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -38,6 +38,8 @@
 	// source is the engine that the stream comes from. While a move is prepared, the engine of run is
 	// the target already.
 	source Upstream
+	// carrier is the peer that carries the stream from there; empty for a connection of this host.
+	carrier member.HostID
 	// spoolDelayed says that the caller held up the last event.
 	spoolDelayed bool
 	// initialEngine is the engine to which a new run was last sent, and initialSentAt when that
--- a/forward/zoneload.go
+++ b/forward/zoneload.go
@@ -77,7 +77,7 @@
 	for _, l := range s.ZoneLoad {
 		if s.From.Zone == f.peers.self.Zone || l.Zone != s.From.Zone || !f.engines.receiveZoneLoad(now, l) {
 			f.observer.ZoneShift(zoneload.Unusable)
-			if f.zoneLoadLogLimiter.allow(now, "") {
+			if f.zoneLoadLogLimiter.Allow(now, "") {
 				f.journal.HostEvent("peer's zone load not usable", "peer", s.From.ID, "zone", l.Zone, "used", l.Used, "forecast", l.Forecast, "backlog", l.Backlog, "age", l.Age)
 			}
 		}
--- a/forward/eventlimiter.go
+++ b/internal/event/limiter.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-package forward
+package event
 
 import (
 	"sync"
@@ -10,23 +10,23 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-// eventInterval is the minimum interval between two log lines or other actions about one upstream:
+// Interval is the minimum interval between two log lines or other actions about one upstream:
 // an upstream that sends a signal with every second answer would fill the log.
-const eventInterval = time.Second
+const Interval = time.Second
 
-// eventLimiter limits how often this host acts on each upstream's events, such as by log lines. The
+// Limiter limits how often this host acts on each upstream's events, such as by log lines. The
 // empty ID stands for all upstreams. The zero value is ready to use.
-type eventLimiter struct {
+type Limiter struct {
 	mu sync.Mutex
 	// lastAllowed is when an action about each upstream was last allowed.
 	lastAllowed map[member.UpstreamID]time.Time
 }
 
-// allow reports whether an action about an upstream is allowed now, and if so records it.
-func (l *eventLimiter) allow(now time.Time, id member.UpstreamID) bool {
+// Allow reports whether an action about an upstream is allowed now, and if so records it.
+func (l *Limiter) Allow(now time.Time, id member.UpstreamID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, ever := l.lastAllowed[id]; ever && now.Sub(at) < eventInterval {
+	if at, ever := l.lastAllowed[id]; ever && now.Sub(at) < Interval {
 		return false
 	}
 	if l.lastAllowed == nil {
@@ -36,13 +36,20 @@
 	return true
 }
 
-// prune drops the upstreams about which an action is allowed again.
-func (l *eventLimiter) prune(now time.Time) {
+// Prune drops the upstreams about which an action is allowed again.
+func (l *Limiter) Prune(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, at := range l.lastAllowed {
-		if now.Sub(at) >= eventInterval {
+		if now.Sub(at) >= Interval {
 			delete(l.lastAllowed, id)
 		}
 	}
 }
+
+// Len returns the number of upstreams that are remembered.
+func (l *Limiter) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.lastAllowed)
+}
--- a/internal/telemetry/wallclock_test.go
+++ b/internal/telemetry/wallclock_test.go
@@ -27,7 +27,7 @@
 
 // suspensionAwarePackages decide by elapsed time that includes suspensions.
 var suspensionAwarePackages = []string{
-	"forward", "entry", "order", "claim", "member", "policy", "quarantine", "platform", "internal/peer", "internal/web",
+	"forward", "uplink", "rejection", "entry", "order", "claim", "member", "policy", "quarantine", "platform", "internal/peer", "internal/web",
 	"rollout", "roster", "cell", "spool",
 }
 
