--- a/rejection/budget.go
+++ b/rejection/budget.go
@@ -67,10 +67,9 @@
 }
 
 type announcement struct {
-	limit   int
-	heardAt time.Time
-	// ownAt is when an answer to this host last had no announcement.
-	endedAt time.Time
+	limit int
+	// heardAt is when an answer last had it; zero once an answer lacked it. endedAt is when that was.
+	heardAt, endedAt time.Time
 }
 
 // upstream is what this host has sent to one upstream.
--- a/uplink/dialer.go
+++ b/uplink/dialer.go
@@ -58,8 +58,9 @@
 }
 
 // Dialer connects to upstreams over the own link, and through a peer where that fails or takes long.
-// A Dialer without peers needs no more than Network. It is safe for concurrent use.
+// It is safe for concurrent use.
 type Dialer struct {
+	// Network and Observer are required, and set before the first Dial.
 	Network  Network
 	Observer Observer
 	// Now returns the time by which the dialer decides.
