uplink: where few hosts reach an upstream, they are found

A peer that is cut off itself doesn't count towards the four any more, and the peer that reached the service last is asked second.

--- a/uplink/dialer.go
+++ b/uplink/dialer.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,10 @@
 	headStart = 50 * time.Millisecond
 	// dialTimeout bounds all attempts to connect to an upstream together.
 	dialTimeout = 400 * time.Millisecond
-	// maxPeers bounds the peers that are asked to connect to one upstream.
+	// maxPeers bounds the peers that are asked to connect to one upstream, without those that are
+	// found cut off from it themselves. maxAsked bounds all of them.
 	maxPeers = 4
+	maxAsked = 16
 )
 
 // Outcome is how an attempt to connect to an upstream ended.
@@ -93,7 +96,7 @@
 		d.Observer.Connected(Skipped)
 		return nil, &DialError{Cause: ErrUnreachable}
 	}
-	r := race{dialer: d, target: t, results: make(chan attempt, maxPeers+1), failed: DialError{Peers: map[member.HostID]error{}}}
+	r := race{dialer: d, target: t, results: make(chan attempt, maxAsked+1), failed: DialError{Peers: map[member.HostID]error{}}}
 	c, err := r.run(ctx, plan)
 	now := d.Now()
 	if err != nil {
@@ -108,7 +111,7 @@
 		d.Observer.Connected(Direct)
 		return c, nil
 	}
-	if change, changed := d.paths.ReachedThroughPeer(now, t); changed {
+	if change, changed := d.paths.ReachedThroughPeer(now, c.Peer, t); changed {
 		d.Observer.LinksChanged(change)
 	}
 	d.Observer.Rerouted(t, c.Peer, r.failed.Direct)
@@ -157,7 +160,9 @@
 	// peers are the peers that are left to ask; nil before they are looked up.
 	peers       []member.Entry
 	peersListed bool
-	failed      DialError
+	// asked counts the peers that were asked and aren't known to be cut off themselves.
+	asked  int
+	failed DialError
 }
 
 // run returns the first connection that is made.
@@ -226,9 +231,10 @@
 	if !r.peersListed {
 		r.peers, r.peersListed = r.dialer.peers(r.target), true
 	}
-	if len(r.peers) == 0 {
+	if len(r.peers) == 0 || r.asked >= maxPeers {
 		return false
 	}
+	r.asked++
 	peer := r.peers[0]
 	r.peers = r.peers[1:]
 	r.pending++
@@ -239,19 +245,27 @@
 	return true
 }
 
-// peers returns the peers to ask, those last that recently didn't reach the service.
+// peers returns the peers to ask, those last that recently didn't reach the service. The one that did
+// so last is the second: where few reach it, it is found soon, and where many do, they share the load.
 func (d *Dialer) peers(t Target) []member.Entry {
 	now := d.Now()
-	var good, avoided []member.Entry
+	last := d.paths.LastCarrier(now, t.Service)
+	var peers, avoided []member.Entry
 	for _, p := range d.Network.Peers(t) {
-		if d.paths.Avoids(now, p.ID, t.Service) {
+		switch {
+		case p.ID == last:
+			peers = slices.Insert(peers, min(1, len(peers)), p)
+		case d.paths.Avoids(now, p.ID, t.Service):
 			avoided = append(avoided, p)
-		} else {
-			good = append(good, p)
+		default:
+			peers = append(peers, p)
 		}
 	}
-	peers := append(good, avoided...)
-	return peers[:min(len(peers), maxPeers)]
+	if len(peers) > 1 && peers[0].ID == last {
+		peers[0], peers[1] = peers[1], peers[0]
+	}
+	peers = append(peers, avoided...)
+	return peers[:min(len(peers), maxAsked)]
 }
 
 func (r *race) recordFailure(a attempt) {
@@ -260,8 +274,11 @@
 		return
 	}
 	r.failed.Peers[a.peer] = a.err
-	if errors.Is(a.err, ErrPortClosed) {
+	switch {
+	case errors.Is(a.err, ErrPortClosed):
 		return
+	case errors.Is(a.err, ErrUnreachable):
+		r.asked--
 	}
 	r.dialer.paths.PeerFailed(r.dialer.Now(), a.peer, r.target)
 }
--- a/uplink/paths.go
+++ b/uplink/paths.go
@@ -22,6 +22,8 @@
 	cutOffUpstreams = 2
 	// peerAvoidance is how long a peer that didn't reach an upstream of a service is asked last.
 	peerAvoidance = 2 * time.Second
+	// carrierLifetime is how long the peer that last reached a service is preferred.
+	carrierLifetime = 10 * time.Second
 	// maxPaths is the number of remembered upstreams at which unused ones are dropped, and
 	// pathLifetime is how long one counts as used.
 	maxPaths     = 4096
@@ -56,6 +58,13 @@
 	services  map[ServiceName]*serviceLinks
 	// avoided holds until when peers are asked last for a service.
 	avoided map[peerService]time.Time
+	// carriers holds the peer that last reached each service for this host.
+	carriers map[ServiceName]carriedBy
+}
+
+type carriedBy struct {
+	peer member.HostID
+	at   time.Time
 }
 
 type peerService struct {
@@ -171,9 +180,13 @@
 
 // ReachedThroughPeer records that a peer reached an upstream which the own link didn't reach. It
 // reports whether the host counts as cut off from the service from now on.
-func (p *Paths) ReachedThroughPeer(now time.Time, t Target) (Change, bool) {
+func (p *Paths) ReachedThroughPeer(now time.Time, peer member.HostID, t Target) (Change, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.carriers == nil {
+		p.carriers = map[ServiceName]carriedBy{}
+	}
+	p.carriers[t.Service] = carriedBy{peer: peer, at: now}
 	k := p.path(now, t.ID)
 	k.unreachableUntil = time.Time{}
 	if !k.directFailed {
@@ -220,6 +233,16 @@
 	p.path(now, t.ID).unreachableUntil = now.Add(unreachableDelay)
 }
 
+// LastCarrier returns the peer that recently reached a service for this host; empty if there is none.
+func (p *Paths) LastCarrier(now time.Time, service ServiceName) member.HostID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.carriers[service]; now.Sub(c.at) < carrierLifetime {
+		return c.peer
+	}
+	return ""
+}
+
 // PeerFailed records that a peer didn't reach an upstream.
 func (p *Paths) PeerFailed(now time.Time, peer member.HostID, t Target) {
 	p.mu.Lock()
@@ -233,6 +256,9 @@
 		}
 	}
 	p.avoided[peerService{peer, t.Service}] = now.Add(peerAvoidance)
+	if p.carriers[t.Service].peer == peer {
+		delete(p.carriers, t.Service)
+	}
 }
 
 // Avoids reports whether a peer recently didn't reach an upstream of the service.
