forward, uplink, rejection: comments in the usual terms

Ten comments read like the users' pages or needed a second reading; four dropped errors of tunnels get their reason.

--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -25,7 +25,7 @@
 
 // leaveBrokenLink moves the run off an engine that works but whose events don't arrive, because this
 // host's own link to it broke, or that of the peer that carries the stream. The calls for the move go
-// through a peer. If the run isn't there any more, the answer is closed.
+// through a peer. If the engine no longer has the run, the answer is closed.
 func (m *mover) leaveBrokenLink(ctx context.Context, x *exchange, run *ownRun) *handover {
 	now := x.now()
 	if made := run.generatedTokens.Load(); made != m.progress || m.progressAt.IsZero() {
--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -45,8 +45,8 @@
 	return nil
 }
 
-// TestStreamOverBrokenLink guards against callers of streams that hear nothing more after their
-// host's link to the engine broke, and against moves off an engine that is merely silent for a while.
+// TestStreamOverBrokenLink guards against streams that get no further events after their host's link to
+// the engine broke, and against moves off an engine that is merely silent for a while.
 func TestStreamOverBrokenLink(t *testing.T) {
 	events := func(from, to int) string {
 		var text strings.Builder
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -99,7 +99,7 @@
 	// Turn waits at an arbiter for the turn to move a run; EndTurn returns it.
 	Turn(ctx context.Context, to Peer, r TurnRequest) error
 	EndTurn(ctx context.Context, to Peer, r TurnRequest) error
-	// Backoff tells a peer that an upstream asked it for backoff, in an answer that it carried.
+	// Backoff reports a backoff to the peer that carried the answer in which an upstream asked for it.
 	Backoff(ctx context.Context, to Peer, mark backoff.Mark) error
 	// Admit waits at the host that is responsible for the zone's requests for a place.
 	Admit(ctx context.Context, to Peer, r AdmitRequest) (AdmitReply, error)
--- a/forward/rejections.go
+++ b/forward/rejections.go
@@ -57,7 +57,7 @@
 	return f.rejections.Begin(now, f.rejectionUpstream(u), rejectionSite{f}, force)
 }
 
-// recordRejectionLimit records how many rejections a second an upstream says that it withstands.
+// recordRejectionLimit records the limit that an upstream's answer announces, or that it announces none.
 func (f *Forwarder) recordRejectionLimit(now time.Time, u Upstream, s Signals) {
 	service := rejection.ServiceName(u.Service)
 	switch {
@@ -72,7 +72,7 @@
 	}
 }
 
-// receiveRejectionLimits records what a peer has heard.
+// receiveRejectionLimits records the limits that a peer reports.
 func (f *Forwarder) receiveRejectionLimits(now time.Time, from member.HostID, all []rejection.Announcement) {
 	for _, a := range all {
 		if f.rejections.Receive(now, a) {
--- a/forward/uplink.go
+++ b/forward/uplink.go
@@ -70,8 +70,8 @@
 	return UplinkTarget(u, t.Purpose, RequestID(t.Request)), nil
 }
 
-// notifyCarrier tells the peer through which an answer came that the upstream asked it for backoff:
-// to the upstream, the request was the peer's.
+// notifyCarrier reports a backoff to the peer that carried the answer. The upstream saw the request
+// come from that peer, so the backoff is the peer's.
 func (f *Forwarder) notifyCarrier(via member.HostID, u Upstream, d time.Duration) {
 	f.peers.mu.Lock()
 	peers, state := f.peerTransport, f.peers.known[via]
--- a/internal/peer/places.go
+++ b/internal/peer/places.go
@@ -48,7 +48,7 @@
 	return m.call(ctx, to.PeerAddress, kindEndTurn, toWireTurnRequest(r), &answer)
 }
 
-// Backoff tells a peer that an upstream asked it for backoff, in an answer that it carried.
+// Backoff reports a backoff to the peer that carried the answer in which an upstream asked for it.
 func (m *Mesh) Backoff(ctx context.Context, to forward.Peer, mark backoff.Mark) error {
 	var answer bool
 	return m.call(ctx, to.PeerAddress, kindBackoff, toWireBackoff(mark), &answer)
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -90,12 +90,14 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dialling peer %s", to.PeerAddress)
 	}
+	// Closing only ends the handshake, which reports the end of the context.
 	stop := context.AfterFunc(ctx, func() { _ = link.Close() })
 	c, err := m.openTunnel(link, t)
 	if !stop() {
 		err = context.Cause(ctx)
 	}
 	if err != nil {
+		// The error to report is why there is no tunnel.
 		_ = link.Close()
 		return nil, err
 	}
@@ -196,13 +198,15 @@
 			return trace.Wrap(err)
 		}
 	}
+	// Closing only ends the copies; their errors report what ended the tunnel.
 	stop := context.AfterFunc(ctx, func() { _ = upstream.Close() })
 	defer stop()
 	var toUpstream conc.WaitGroup
 	defer toUpstream.Wait()
 	defer link.Close()
 	toUpstream.Go(func() {
-		// A caller that leaves closes its connection; the upstream then stops working for it.
+		// A caller that leaves closes its connection; the upstream then stops working for it. An error
+		// ends the tunnel like the end of the connection does.
 		_, _ = io.Copy(upstream, reader)
 		_ = upstream.Close()
 	})
--- a/internal/socket/silence_test.go
+++ b/internal/socket/silence_test.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// mute has a connection's own end answer nothing any more, as behind a link that was cut.
+// mute makes one end of a connection drop all packets, as if its link were cut.
 func mute(t *testing.T, c *net.TCPConn) {
 	is := is.New(t)
 	raw, err := c.SyscallConn()
--- a/rejection/budget.go
+++ b/rejection/budget.go
@@ -33,7 +33,7 @@
 // Announcement tells peers that the upstreams of a service have announced a limit.
 type Announcement struct {
 	Service ServiceName
-	// Limit is how many rejections a second an upstream withstands.
+	// Limit is the number of rejections a second above which an upstream falls over.
 	Limit int
 	// Age is how long ago an answer announced it.
 	Age time.Duration
--- a/uplink/dialer.go
+++ b/uplink/dialer.go
@@ -143,7 +143,7 @@
 // CutOff returns the services that this host reaches through peers only.
 func (d *Dialer) CutOff() []ServiceName { return d.paths.CutOff() }
 
-// Wait waits until no attempt is under way for which Dial no longer waits.
+// Wait waits for the attempts that were still running when Dial returned.
 func (d *Dialer) Wait() { d.late.Wait() }
 
 // race attempts the ways to an upstream one after the other, each with a head start.
