forward, platform: broken connections are logged with the parts of the prompt

When an engine ends, the lines of the runs that it takes along name the request's fingerprint and the prompt's size. Whether lost requests have a part of their prompts in common that the others lack couldn't be seen.

No decision changes.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -54,7 +54,7 @@
 	x.recordBrokenDeparture(now, u, ended)
 	// An upstream that had announced that it leaves ended as announced.
 	announced := x.fleet.LeavingFor(now, u.ID) >= minLeavingNotice
-	keyvals := []any{"upstream", u.ID, "life", u.Incarnation, "ended", ended, "leaving", announced, "asks", x.fingerprint(), "runs_beside", x.engines.otherRuns(x.service.Name, u.ID, x.runID())}
+	keyvals := []any{"upstream", u.ID, "life", u.Incarnation, "ended", ended, "leaving", announced, "asks", x.fingerprint(), "account", x.account.Name, "parts", x.call.Prompt.SharedParts, "runs_beside", x.engines.otherRuns(x.service.Name, u.ID, x.runID())}
 	if !firstEventAt.IsZero() {
 		keyvals = append(keyvals, "first_event_ago", now.Sub(firstEventAt))
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -51,6 +52,9 @@
 	// share; both are zero if the caller named no shared prefix.
 	PrefixHash   uint64
 	PrefixTokens policy.Tokens
+	// SharedParts are the parts of the prompt, in order, that other prompts may share. The last part
+	// belongs to the request or its session and isn't among them.
+	SharedParts []quarantine.PartID
 }
 
 // Sink receives the response for the caller. Its methods return an error if the caller's
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -25,6 +25,9 @@
 // HeadDigest is the part of a Fingerprint that can be computed without reading the body.
 type HeadDigest [8]byte
 
+// PartID identifies a part of a prompt by its content, as callers name it.
+type PartID string
+
 // RequestIdentity holds the properties by which two requests count as the same.
 type RequestIdentity struct {
 	// Caller is the account, or the API key if there is no account.
