forward: a test of parts of prompts that crash upstreams, which fails

Requests with one part in common, no two of them alike, end engine after engine. TestSharedPartsOfEndingUpstreams passes and has to go on passing.

--- /dev/null
+++ b/forward/crashingpart_test.go
@@ -0,0 +1,197 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shedpath/shedpath/quarantine"
+)
+
+// partLoad is a load of requests of one account whose prompts share parts. Some prompts have a part
+// that crashes each engine which writes an answer on it; no two requests are alike.
+type partLoad struct {
+	path string
+	// crashing returns the parts of the nth prompt that crashes engines, and sound those of the nth
+	// other prompt.
+	crashing, sound             func(n int) []quarantine.PartID
+	crashingPerSecond, duration int
+	// each is called before each request, with its number, if it is set.
+	each func(fleet *fakeFleet, s *site, n int)
+}
+
+// partTally counts what became of the sound requests of a load.
+type partTally struct {
+	mu sync.Mutex
+	// sent, begun and held count the requests, those that were answered at the first attempt and
+	// those that were refused as quarantined; lateSent and lateBegun are the requests that were sent
+	// twice maxPropagationDelay after the fifth crash.
+	sent, begun, held, lateSent, lateBegun int
+}
+
+// soundPerSecond is the rate of sound requests.
+const soundPerSecond = 16
+
+// run plays the load on a site and returns its fleet and what became of the sound requests.
+func (l partLoad) run(t *testing.T, seed uint64) (*fakeFleet, *partTally) {
+	t.Helper()
+	fleet, tally := newFakeFleet(), &partTally{}
+	fleet.eventCount = 12
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := newCrashSite(fleet, 12)
+		s.serveAll(ctx)
+		time.Sleep(3 * time.Second)
+		random := rand.New(rand.NewPCG(seed, 0))
+		var calls sync.WaitGroup
+		every := func(perSecond int, job func(host, n int)) {
+			pause := time.Second / time.Duration(perSecond)
+			hosts := rand.New(rand.NewPCG(seed, random.Uint64()))
+			calls.Go(func() {
+				for n := range l.duration * perSecond {
+					host := hosts.IntN(6)
+					calls.Go(func() { job(host, n) })
+					time.Sleep(pause/2 + time.Duration(hosts.Int64N(int64(pause))))
+				}
+			})
+		}
+		every(soundPerSecond, func(host, n int) {
+			late, _ := fleet.sinceCrash(5)
+			sink := &fakeSink{}
+			s.hostAt(host).Serve(ctx, partCall(l.path, "sound", n, l.sound(n)), sink)
+			tally.record(sink, late > 2*maxPropagationDelay)
+		})
+		every(l.crashingPerSecond, func(host, n int) {
+			if l.each != nil {
+				l.each(fleet, s, n)
+			}
+			s.hostAt(host).Serve(ctx, partCall(l.path, "deadly", n, l.crashing(n)), &fakeSink{})
+		})
+		calls.Wait()
+		cancel()
+		synctest.Wait()
+	})
+	return fleet, tally
+}
+
+// partCall returns a call like no other, with the given parts in its prompt.
+func partCall(path, kind string, n int, parts []quarantine.PartID) *Call {
+	c := crashCall(path, fmt.Sprint(kind, n), n)
+	c.Prompt.SharedParts = parts
+	return c
+}
+
+func (t *partTally) record(s *fakeSink, late bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	begun := s.refused == nil
+	t.sent++
+	if begun {
+		t.begun++
+	}
+	if s.refused != nil && s.refused.Code == CodeQuarantined {
+		t.held++
+	}
+	if late {
+		t.lateSent++
+		if begun {
+			t.lateBegun++
+		}
+	}
+}
+
+// sinceCrash returns how long ago the nth crash of any cause was; false if there were fewer.
+func (f *fakeFleet) sinceCrash(nth int) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, ends := range f.crashes {
+		if len(ends) >= nth {
+			return time.Since(ends[nth-1]), true
+		}
+	}
+	return 0, false
+}
+
+// parts returns a function for partLoad that returns the same parts each time, but for "topic", of
+// which there are ten.
+func parts(names ...string) func(n int) []quarantine.PartID {
+	return func(n int) []quarantine.PartID {
+		var ids []quarantine.PartID
+		for _, name := range names {
+			if name == "topic" {
+				name = fmt.Sprint(name, n%10)
+			}
+			ids = append(ids, quarantine.PartID(name))
+		}
+		return ids
+	}
+}
+
+// TestPartThatCrashesUpstreams guards against a part of prompts that crashes engine after engine
+// because each request around it is another one.
+func TestPartThatCrashesUpstreams(t *testing.T) {
+	load := partLoad{path: "/llm/", crashing: parts("system", "crashing", "topic"), sound: parts("system", "topic"), crashingPerSecond: 3, duration: 20}
+	for name, change := range map[string]func(l *partLoad){
+		"stream":                       func(*partLoad) {},
+		"stream that may be resumed":   func(l *partLoad) { l.path = "/resumable/" },
+		"call that may be repeated":    func(l *partLoad) { l.path = "/status/" },
+		"call that may not":            func(l *partLoad) { l.path = "/order/" },
+		"the first part":               func(l *partLoad) { l.crashing = parts("crashing", "topic") },
+		"many a second":                func(l *partLoad) { l.crashingPerSecond = 8 },
+		"beside one that only it has":  func(l *partLoad) { l.crashing = parts("system", "companion", "crashing") },
+		"in sound requests' only part": func(l *partLoad) { l.sound = parts("system") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := load
+			change(&l)
+			fleet, tally := l.run(t, 1)
+			late, all := fleet.arrivalsAfter(crashingPrefix, 5, maxPropagationDelay)
+			if late > 3 {
+				t.Errorf("requests with the part reached upstreams %d times after it had ended five, at most 3 are allowed; it ended %d in all", late, all)
+			}
+			if all < 3 {
+				t.Errorf("the part ended %d upstreams, want at least 3", all)
+			}
+			if tally.held > 0 {
+				t.Errorf("%d of %d sound requests were held back, want none", tally.held, tally.sent)
+			}
+			if 2*tally.lateBegun < tally.lateSent {
+				t.Errorf("%d of %d sound requests began once the part was known, want at least half", tally.lateBegun, tally.lateSent)
+			}
+		})
+	}
+}
+
+// TestSharedPartsOfEndingUpstreams guards against holding parts that many prompts share because
+// engines end for reasons of their own.
+func TestSharedPartsOfEndingUpstreams(t *testing.T) {
+	for name, c := range map[string]struct {
+		every, together int
+	}{"one after the other": {1, 1}, "four at a time": {4, 4}, "all at once": {8, 12}} {
+		t.Run(name, func(t *testing.T) {
+			l := partLoad{path: "/llm/", crashing: parts("system", "topic"), sound: parts("system", "topic"), crashingPerSecond: 1, duration: 30}
+			next := 0
+			l.each = func(fleet *fakeFleet, s *site, n int) {
+				if n%c.every != 0 {
+					return
+				}
+				for range c.together {
+					fleet.endUpstream(s.origin.list[next%12].ID)
+					next++
+				}
+			}
+			_, tally := l.run(t, 2)
+			if tally.held > 0 {
+				t.Errorf("%d of %d requests were held back, want none", tally.held, tally.sent)
+			}
+		})
+	}
+}
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -30,16 +30,31 @@
 	fakeDowntime = 2500 * time.Millisecond
 )
 
-// crashingPrefix begins the body of a request that ends every upstream it reaches.
+// crashingPrefix begins the body of a request that ends every upstream it reaches, and the name of
+// a part of a prompt that does.
 const crashingPrefix = "crashing"
 
+// crashCause returns the body or the part of the prompt by which a request ends its upstream; empty
+// for a request that doesn't.
+func crashCause(c *Call) string {
+	if strings.HasPrefix(string(c.Body), crashingPrefix) {
+		return string(c.Body)
+	}
+	for _, part := range c.Prompt.SharedParts {
+		if strings.HasPrefix(string(part), crashingPrefix) {
+			return string(part)
+		}
+	}
+	return ""
+}
+
 // fakeFleet simulates all upstreams of a site.
 type fakeFleet struct {
 	mu        sync.Mutex
 	upstreams map[member.UpstreamID]*fakeUpstream
-	// arrivals are the arrivals of crashing requests at upstreams, by body.
+	// arrivals are the arrivals of crashing requests at upstreams, by cause.
 	arrivals map[string][]arrival
-	// crashes are the times at which an upstream ended because of a crashing request, by body.
+	// crashes are the times at which an upstream ended because of a crashing request, by cause.
 	crashes map[string][]time.Time
 	// eventCount is the number of events of a stream.
 	eventCount int
@@ -91,7 +106,7 @@
 
 // startRun records that a request reached an upstream. It reports false if the upstream is
 // down.
-func (f *fakeFleet) startRun(id member.UpstreamID, body string) (*fakeRun, bool) {
+func (f *fakeFleet) startRun(id member.UpstreamID, cause string) (*fakeRun, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	u := f.upstream(id)
@@ -100,8 +115,8 @@
 	}
 	run := &fakeRun{lost: make(chan struct{})}
 	u.runs[run] = true
-	if strings.HasPrefix(body, crashingPrefix) {
-		f.arrivals[body] = append(f.arrivals[body], arrival{time.Now(), id})
+	if cause != "" {
+		f.arrivals[cause] = append(f.arrivals[cause], arrival{time.Now(), id})
 	}
 	return run, true
 }
@@ -127,30 +142,30 @@
 }
 
 // crash ends an upstream because of a crashing request.
-func (f *fakeFleet) crash(id member.UpstreamID, body string) {
+func (f *fakeFleet) crash(id member.UpstreamID, cause string) {
 	f.mu.Lock()
-	f.crashes[body] = append(f.crashes[body], time.Now())
+	f.crashes[cause] = append(f.crashes[cause], time.Now())
 	f.mu.Unlock()
 	f.endUpstream(id)
 }
 
 // Send simulates an upstream's answer: a stream for the service "llm", otherwise a short body.
 func (f *fakeFleet) Send(ctx context.Context, u Upstream, out *UpstreamRequest) (*Response, error) {
-	body := string(out.Call.Body)
-	run, ok := f.startRun(u.ID, body)
+	cause := crashCause(out.Call)
+	run, ok := f.startRun(u.ID, cause)
 	if !ok {
 		return nil, ErrNotSent
 	}
 	if u.Service == "llm" {
 		read, write := io.Pipe()
-		go func() { _ = write.CloseWithError(f.stream(ctx, u.ID, run, body, write)) }()
+		go func() { _ = write.CloseWithError(f.stream(ctx, u.ID, run, cause, write)) }()
 		a := answer(200, "")
 		a.ContentLength, a.Body = -1, read
 		return a, nil
 	}
 	defer f.finishRun(u.ID, run)
-	if strings.HasPrefix(body, crashingPrefix) {
-		f.crash(u.ID, body)
+	if cause != "" {
+		f.crash(u.ID, cause)
 	}
 	if err := run.wait(ctx, fakeCallDuration); err != nil {
 		return nil, err
@@ -159,16 +174,16 @@
 }
 
 // stream writes a run's events and returns the error that ends its body.
-func (f *fakeFleet) stream(ctx context.Context, id member.UpstreamID, run *fakeRun, body string, to io.Writer) error {
+func (f *fakeFleet) stream(ctx context.Context, id member.UpstreamID, run *fakeRun, cause string, to io.Writer) error {
 	defer f.finishRun(id, run)
 	if err := run.wait(ctx, fakeFirstEventDelay); err != nil {
 		return err
 	}
-	if strings.HasPrefix(body, crashingPrefix) {
+	if cause != "" {
 		if err := run.wait(ctx, fakeCrashDelay); err != nil {
 			return err
 		}
-		f.crash(id, body)
+		f.crash(id, cause)
 		return io.ErrUnexpectedEOF
 	}
 	for n := range f.eventCount {
--- a/forward/signalfleet_test.go
+++ b/forward/signalfleet_test.go
@@ -170,7 +170,7 @@
 	if u.Service != "llm" {
 		return t.fakeFleet.Send(ctx, u, out)
 	}
-	run, ok := t.startRun(u.ID, string(out.Call.Body))
+	run, ok := t.startRun(u.ID, crashCause(out.Call))
 	if !ok {
 		return nil, ErrNotSent
 	}
