quarantine, forward: parts of prompts that crash upstreams are held

Cause: the quarantine counted ends by the digest of the whole request, so that each of these requests was a new one with one end against it.

What many sound prompts share is in every prompt that an engine loses, so that: - a part that ran well within 10 s at a host isn't suspected there, and clears what others suspect; - a part counts against a request only if everything else that was there at the same ends is in that request as well: any other request shows which of them it is; - an end counts after 100 ms, when all hosts have reported their runs on that engine; - one account's ends don't speak against another account's prompts. Requests in flight are ended by the same evidence as new ones are refused. Peers' messages and stored records are unchanged; a former host ignores the fingerprints of parts.

--- a/entry/quarantine.go
+++ b/entry/quarantine.go
@@ -87,10 +87,10 @@
 
 // mayProbe reports whether this request may be sent to find out whether upstreams now survive it.
 // Only one entry of the site sends such probes for a given request.
-func (e *Entry) mayProbe(r *trackedRequest) bool {
-	if !r.isProbe && e.members.ownsSiteDuty(e.now(), r.fingerprint.String()) && e.crashes.BeginTrial(e.now(), *r.fingerprint) {
+func (e *Entry) mayProbe(r *trackedRequest, cause quarantine.Fingerprint) bool {
+	if !r.isProbe && e.members.ownsSiteDuty(e.now(), cause.String()) && e.crashes.BeginTrial(e.now(), cause) {
 		r.isProbe = true
-		_ = level.Info(e.logger).Log("msg", "tried again", "asks", r.fingerprint)
+		_ = level.Info(e.logger).Log("msg", "tried again", "asks", cause)
 	}
 	return r.isProbe
 }
@@ -99,10 +99,10 @@
 func (e *Entry) checkQuarantine(r *trackedRequest) *Failure {
 	evidence, fingerprint := e.crashes.Evaluate(e.now(), r.RequestIdentity, r.fingerprint)
 	r.fingerprint = fingerprint
-	if evidence.Standing < quarantine.TrialDue || evidence.Standing == quarantine.TrialDue && e.mayProbe(r) {
+	if evidence.Standing < quarantine.TrialDue || evidence.Standing == quarantine.TrialDue && e.mayProbe(r, evidence.Cause) {
 		return nil
 	}
-	_ = level.Warn(e.logger).Log("msg", "held back", "asks", fingerprint, "upstreams_ended", evidence.UpstreamsEnded, "last_ended_ago", evidence.SinceLastEnd)
+	_ = level.Warn(e.logger).Log("msg", "held back", "asks", evidence.Cause, "part", evidence.Cause.Part(), "upstreams_ended", evidence.UpstreamsEnded, "last_ended_ago", evidence.SinceLastEnd)
 	return newFailure(CodeQuarantined, NotRun, "%d upstreams ended while this request began to run on them; it is not sent to another", evidence.UpstreamsEnded)
 }
 
@@ -126,19 +126,15 @@
 		f := r.Fingerprint()
 		r.fingerprint = &f
 	}
-	evidence := e.crashes.RecordCrash(now, *r.fingerprint, quarantine.Origin{Caller: r.Caller, Route: string(r.route)}, e.crashes.endedInstance(now, u.ID))
+	evidence := e.crashes.RecordCrash(now, r.RequestIdentity, *r.fingerprint, quarantine.Origin{Caller: r.Caller, Route: string(r.route)}, e.crashes.endedInstance(now, u.ID))
 	_ = level.Warn(e.logger).Log("msg", "upstream ended under it", "upstream", u.ID, "asks", r.fingerprint, "upstreams_ended", evidence.UpstreamsEnded, "held", evidence.Standing == quarantine.Held)
 	e.members.requestHeartbeats()
 }
 
-// recordSuccess records that an upstream ran the request and survived, which clears the request of
-// earlier ends.
+// recordSuccess records that an upstream ran the request and survived, which clears the request and
+// the parts of its prompt of earlier ends.
 func (e *Entry) recordSuccess(r *trackedRequest) {
-	evidence, fingerprint := e.crashes.Evaluate(e.now(), r.RequestIdentity, r.fingerprint)
-	r.fingerprint = fingerprint
-	if evidence.Standing != quarantine.Clear {
-		e.crashes.ClearCrashes(e.now(), *fingerprint)
-	}
+	e.crashes.RecordSurvival(e.now(), r.RequestIdentity, r.fingerprint)
 }
 
 // Quarantine returns the requests under which upstreams ended.
--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -29,10 +29,14 @@
 }
 
 // requestIdentity is what identifies the content of the request, so that repeats of it under
-// other request IDs are recognised.
+// other request IDs, and other requests with the same parts in their prompts, are recognised.
 func (x *exchange) requestIdentity() quarantine.RequestIdentity {
+	if known := x.identity.Load(); known != nil {
+		return *known
+	}
 	a := quarantine.RequestIdentity{
 		Caller: string(x.account.Name), Method: x.call.Method, Host: normalizeHost(x.call.Host), Target: x.call.Target, Body: x.call.Body,
+		Service: string(x.service.Name), SharedParts: x.call.Prompt.SharedParts,
 	}
 	if a.Caller == "" {
 		a.Caller = x.call.APIKey
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -40,6 +40,9 @@
 	zones []member.Zone
 	// versions restricts the upstream versions that may get the request.
 	versions versionConstraint
+	// identity is what quarantine knows the request by; nil until the request's account and service
+	// are known.
+	identity atomic.Pointer[quarantine.RequestIdentity]
 	// cachedFingerprint identifies what the request asks; nil until it is computed.
 	cachedFingerprint atomic.Pointer[quarantine.Fingerprint]
 	// quarantineTrialMu guards isQuarantineTrial, because parallel sends of the request are
@@ -130,6 +133,8 @@
 		return Refusal{Code: CodeNoUpstream, RetryAfter: defaultRetryAfter}, false
 	}
 	x.versions.set(x.drawVersions(now))
+	identity := x.requestIdentity()
+	x.identity.Store(&identity)
 	if x.mustHoldBack(now) {
 		return quarantineRefusal, false
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -6,13 +6,14 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/shedpath/shedpath/quarantine"
 )
 
-// Quarantine of requests under which upstreams ended: what this host has observed or learned
-// from peers, and what happens to such a request.
+// Quarantine of requests, and of parts of prompts, under which upstreams ended: what this host has
+// observed or learned from peers, and what happens to such a request.
 
 // crashAttributionWindow is how long after its first event at an upstream a run still counts
 // as starting there. Crashes are attributed to starting runs only. A run that has gone on for
@@ -40,7 +41,7 @@
 }
 
 // quarantineEvidence returns the evidence that upstreams end under the request.
-func (x *exchange) quarantineEvidence(now time.Time) quarantine.Evidence {
+func (x *exchange) quarantineEvidence(now time.Time) quarantine.Finding {
 	e, f := x.crashes.Evaluate(now, x.requestIdentity(), x.cachedFingerprint.Load())
 	x.cachedFingerprint.Store(f)
 	return e
@@ -51,22 +52,21 @@
 // move, a resumed stream, and the end of a wait.
 func (x *exchange) mustHoldBack(now time.Time) bool {
 	e := x.quarantineEvidence(now)
-	if e.Standing < quarantine.TrialDue || e.Standing == quarantine.TrialDue && x.claimQuarantineTrial(now) {
+	if e.Standing < quarantine.TrialDue || e.Standing == quarantine.TrialDue && x.claimQuarantineTrial(now, e) {
 		return false
 	}
-	x.journal.Request(x.call.ID, "held back", "asks", x.fingerprint(), "upstreams_ended", e.UpstreamsEnded, "last_ended_ago", e.SinceLastEnd)
+	x.journal.Request(x.call.ID, "held back", "asks", e.Cause, "part", e.Cause.Part(), "upstreams_ended", e.UpstreamsEnded, "last_ended_ago", e.SinceLastEnd)
 	return true
 }
 
-// claimQuarantineTrial reports whether this request is the trial that shows whether upstreams
-// can run the quarantined request by now. One host runs the trial for all hosts that reach
-// each other.
-func (x *exchange) claimQuarantineTrial(now time.Time) bool {
+// claimQuarantineTrial reports whether this request is the trial that shows whether upstreams can
+// run by now what is held back. One host runs the trial for all hosts that reach each other.
+func (x *exchange) claimQuarantineTrial(now time.Time, e quarantine.Finding) bool {
 	x.quarantineTrialMu.Lock()
 	defer x.quarantineTrialMu.Unlock()
-	if !x.isQuarantineTrial && x.peers.siteDutyHost(now, x.fingerprint().String()) == x.peers.self.ID && x.crashes.BeginTrial(now, x.fingerprint()) {
+	if !x.isQuarantineTrial && x.peers.siteDutyHost(now, e.Cause.String()) == x.peers.self.ID && x.crashes.BeginTrial(now, e.Cause) {
 		x.isQuarantineTrial = true
-		x.journal.Request(x.call.ID, "tried again", "asks", x.fingerprint())
+		x.journal.Request(x.call.ID, "tried again", "asks", e.Cause, "part", e.Cause.Part())
 	}
 	return x.isQuarantineTrial
 }
@@ -76,59 +76,74 @@
 var quarantineRefusal = Refusal{Code: CodeQuarantined}
 
 // recordCrash records that an upstream ended while the request was starting there. All peers
-// are notified at once, because the request may reach any of them next.
+// are notified at once, because the request, or another with the same part in its prompt, may reach
+// any of them next.
 func (x *exchange) recordCrash(now time.Time, u Upstream) {
 	f := x.fingerprint()
-	e := x.crashes.RecordCrash(now, f, quarantine.Origin{Caller: string(x.account.Name), Route: x.route.Name}, quarantine.Upstream{ID: u.ID, Incarnation: int64(u.Incarnation)})
-	x.journal.Request(x.call.ID, "upstream ended under it", "upstream", u.ID, "life", u.Incarnation, "asks", f, "upstreams_ended", e.UpstreamsEnded, "held", e.Standing == quarantine.Held)
+	origin := quarantine.Origin{Caller: string(x.account.Name), Route: x.route.Name}
+	e := x.crashes.RecordCrash(now, x.requestIdentity(), f, origin, quarantine.Upstream{ID: u.ID, Incarnation: int64(u.Incarnation)})
+	x.journal.Request(x.call.ID, "upstream ended under it", "upstream", u.ID, "life", u.Incarnation, "asks", f, "upstreams_ended", e.UpstreamsEnded, "held", e.Standing == quarantine.Held, "part", e.Cause.Part())
 	if e.Standing == quarantine.Held {
-		x.cancelQuarantined([]quarantine.Fingerprint{f})
-		x.queueSave(f)
+		x.queueSave(e.Cause)
 	}
+	x.applyNewHolds(now)
+	x.applyNewHoldsLater()
 	x.peers.notifyAll()
 }
 
+// applyNewHolds acts on everything that is held since the last call: it ends such requests in flight,
+// and has one host save what is held. Two hosts may each have observed only a part of the crashes
+// that led to it.
+func (f *Forwarder) applyNewHolds(now time.Time) {
+	held := f.crashes.NewlyHeld(now)
+	for _, e := range held {
+		f.journal.HostEvent("requests held back", "asks", e.Cause, "part", e.Cause.Part(), "upstreams_ended", e.UpstreamsEnded, "last_ended_ago", e.SinceLastEnd)
+		if f.peers.siteDutyHost(now, e.Cause.String()) == f.peers.self.ID {
+			f.queueSave(e.Cause)
+		}
+	}
+	if len(held) > 0 {
+		f.cancelQuarantined(now)
+	}
+}
+
+// applyNewHoldsLater calls applyNewHolds once the crashes that are known now have settled.
+func (f *Forwarder) applyNewHoldsLater() {
+	time.AfterFunc(quarantine.SettleTime, func() { f.applyNewHolds(f.now()) })
+}
+
 // recordSurvival records that an upstream ran the request and is still running.
 func (x *exchange) recordSurvival(now time.Time) {
-	e := x.quarantineEvidence(now)
-	if e.Standing == quarantine.Clear || !x.crashes.ClearCrashes(now, x.fingerprint()) {
-		return
-	}
-	x.journal.Request(x.call.ID, "ran well", "asks", x.fingerprint())
-	if e.Standing >= quarantine.TrialDue {
-		x.queueSave(x.fingerprint())
+	for _, e := range x.crashes.RecordSurvival(now, x.requestIdentity(), x.cachedFingerprint.Load()) {
+		if e.Standing == quarantine.Clear {
+			continue
+		}
+		x.journal.Request(x.call.ID, "ran well", "asks", e.Cause, "part", e.Cause.Part(), "upstreams_ended", e.UpstreamsEnded)
+		if e.Standing >= quarantine.TrialDue {
+			x.queueSave(e.Cause)
+		}
 	}
 }
 
 // receivePeerCrashes records the crashes that a peer reports.
 func (f *Forwarder) receivePeerCrashes(now time.Time, marks []quarantine.Mark) {
-	if held := f.crashes.Receive(now, marks); len(held) > 0 {
-		f.journal.HostEvent("requests held back", "number", len(held), "one_asks", held[0])
-		f.cancelQuarantined(held)
-		for _, print := range held {
-			// Two hosts may each have observed only a part of the crashes that led to the
-			// quarantine.
-			if f.peers.siteDutyHost(now, print.String()) == f.peers.self.ID {
-				f.queueSave(print)
-			}
-		}
+	if !f.crashes.Receive(now, marks) {
+		return
 	}
+	f.applyNewHolds(now)
+	f.applyNewHoldsLater()
 }
 
 // cancelQuarantined ends requests in flight that are now quarantined, unless a part of their
-// answer has been delivered. This spares upstreams that have not started on the request.
-func (f *Forwarder) cancelQuarantined(held []quarantine.Fingerprint) {
+// answer has been delivered. This spares upstreams that have not started on the request. A request
+// that isn't admitted yet is checked when it is.
+func (f *Forwarder) cancelQuarantined(now time.Time) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	for x, end := range f.inFlight {
-		print := x.cachedFingerprint.Load()
-		if print == nil || x.delivered.Load() {
-			continue
-		}
-		for _, h := range held {
-			if *print == h {
-				end(errQuarantined)
-			}
+	inFlight := maps.Clone(f.inFlight)
+	f.mu.Unlock()
+	for x, end := range inFlight {
+		if x.identity.Load() != nil && !x.delivered.Load() && x.quarantineEvidence(now).Standing == quarantine.Held {
+			end(errQuarantined)
 		}
 	}
 }
@@ -159,7 +174,7 @@
 func (f *Forwarder) Quarantined() []quarantine.Entry { return f.crashes.Entries(f.now()) }
 
 // OnQuarantine serves an operator. It lists the requests under which upstreams ended, after
-// releasing the given request if it is not nil. released reports whether there was evidence
+// releasing the given request or part if it is not nil. released reports whether there was evidence
 // against that request.
 func (f *Forwarder) OnQuarantine(release *quarantine.Fingerprint) (entries []quarantine.Entry, released bool) {
 	now := f.now()
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -183,7 +183,7 @@
 			f := newForwarder(t, &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) { return c.answer(), nil }})
 			asked := call("/order/")
 			x := &exchange{Forwarder: f, call: asked, account: Account{Name: "counter"}}
-			f.crashes.RecordCrash(f.now(), x.fingerprint(), quarantine.Origin{}, quarantine.Upstream{ID: "app9"})
+			f.crashes.RecordCrash(f.now(), x.requestIdentity(), x.fingerprint(), quarantine.Origin{}, quarantine.Upstream{ID: "app9"})
 			f.Serve(t.Context(), asked, &fakeSink{})
 			is.Equal(len(f.Quarantined()) == 0, c.cleared)
 		})
--- a/forward/signals_test.go
+++ b/forward/signals_test.go
@@ -46,7 +46,7 @@
 		f := newForwarder(t, &fakeTransport{})
 		x := &exchange{Forwarder: f, call: call("/status/")}
 		for _, id := range []string{"e1", "e2", "e3"} {
-			x.crashes.RecordCrash(f.now(), x.fingerprint(), quarantine.Origin{}, quarantine.Upstream{ID: member.UpstreamID(id)})
+			x.crashes.RecordCrash(f.now(), x.requestIdentity(), x.fingerprint(), quarantine.Origin{}, quarantine.Upstream{ID: member.UpstreamID(id)})
 		}
 		is.True(x.mustHoldBack(f.now()))
 		time.Sleep(2 * time.Minute)
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -147,7 +147,7 @@
 			"a request is held": {
 				func(f *Forwarder) {
 					for n := range 3 {
-						f.crashes.RecordCrash(f.now(), quarantine.Fingerprint{}, quarantine.Origin{}, quarantine.Upstream{ID: member.UpstreamID(fmt.Sprint("e", n))})
+						f.crashes.RecordCrash(f.now(), quarantine.RequestIdentity{}, quarantine.Fingerprint{}, quarantine.Origin{}, quarantine.Upstream{ID: member.UpstreamID(fmt.Sprint("e", n))})
 					}
 				},
 				func(f *Forwarder) bool {
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -4,16 +4,20 @@
 package quarantine
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"io"
+
+	"github.com/cespare/xxhash/v2"
 )
 
-// Fingerprint identifies a request by its content. Two requests of the same account with the same
-// content have the same fingerprint, whatever their request IDs, the hosts that receive them, and
-// the headers that differ between retries.
+// Fingerprint identifies what crashes of upstreams count against: a request by its content, or a
+// part of prompts. Two requests of the same account with the same content have the same
+// fingerprint, whatever their request IDs, the hosts that receive them, and the headers that differ
+// between retries.
 type Fingerprint struct {
 	// Head covers everything but the bytes of the body. It is a cheap way to see that a request
 	// isn't among the known ones.
@@ -28,7 +32,38 @@
 // PartID identifies a part of a prompt by its content, as callers name it.
 type PartID string
 
-// RequestIdentity holds the properties by which two requests count as the same.
+// partTag begins the Body of the fingerprint of each part; the beginning of the part's ID follows, so
+// that operators recognize the part at every host.
+const partTag = "part:"
+
+// PartFingerprint returns the fingerprint of a part of the prompts of a service. Accounts share it.
+// The digest needn't resist forgery, because any caller may name any part.
+func PartFingerprint(service string, part PartID) Fingerprint {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(service)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(string(part))
+	var f Fingerprint
+	binary.BigEndian.PutUint64(f.Head[:], digest.Sum64())
+	copy(f.Body[copy(f.Body[:], partTag):], part)
+	return f
+}
+
+// IsPart reports whether the fingerprint is that of a part.
+func (f Fingerprint) IsPart() bool { return string(f.Body[:len(partTag)]) == partTag }
+
+// Part returns the part's ID, of which it may have the beginning only; empty if the fingerprint isn't
+// that of a part.
+func (f Fingerprint) Part() PartID {
+	if !f.IsPart() {
+		return ""
+	}
+	return PartID(bytes.TrimRight(f.Body[len(partTag):], "\x00"))
+}
+
+// RequestIdentity holds the properties by which two requests count as the same, and the parts of
+// the request's prompt.
 type RequestIdentity struct {
 	// Caller is the account, or the API key if there is no account.
 	Caller string
@@ -36,6 +71,22 @@
 	// Host is the host name that the caller sent, and Target the path and query as sent.
 	Host, Target string
 	Body         []byte
+	// Service runs the request, and SharedParts are the parts of its prompt that other prompts may
+	// share. Neither is in the digests.
+	Service     string
+	SharedParts []PartID
+}
+
+// partFingerprints returns the fingerprints of the shared parts, in order.
+func (a *RequestIdentity) partFingerprints() []Fingerprint {
+	if len(a.SharedParts) == 0 {
+		return nil
+	}
+	parts := make([]Fingerprint, len(a.SharedParts))
+	for n, part := range a.SharedParts {
+		parts[n] = PartFingerprint(a.Service, part)
+	}
+	return parts
 }
 
 // HeadDigest returns the digest of everything but the bytes of the body; their number is
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// maxRequests bounds the requests on a list; each takes some 400 bytes.
+// maxRequests bounds the requests and parts on a list; each takes some 400 bytes.
 const maxRequests = 1024
 
-// List holds what a host knows of requests that crash upstreams. The zero value is an empty list
+// List holds what a host knows of requests, and parts of prompts, that crash upstreams. The zero value is an empty list
 // that is ready to use. It isn't safe for concurrent use.
 type List struct {
 	// HoldThreshold is how many crashes it takes to hold a request; zero means
@@ -22,7 +22,9 @@
 	records map[Fingerprint]*record
 	// recordsPerHead counts the records with each head digest.
 	recordsPerHead map[HeadDigest]int
-	// requestsByUpstream lists the requests that each upstream was running when it ended.
+	// partRecords counts the records of parts.
+	partRecords int
+	// requestsByUpstream lists the requests, and the parts of their prompts, that each upstream was running when it ended.
 	requestsByUpstream map[Upstream][]Fingerprint
 	// lastChange is the number of the last change of the list, and lastLocalChange that of the
 	// last change that this host observed itself.
@@ -38,6 +40,12 @@
 	SinceLastEnd   time.Duration
 }
 
+// Finding is the evidence against one cause: a request or a part of its prompt.
+type Finding struct {
+	Cause Fingerprint
+	Evidence
+}
+
 func (l *List) holdThreshold() int {
 	if l.HoldThreshold > 0 {
 		return l.HoldThreshold
@@ -59,26 +67,76 @@
 		return Evidence{}
 	}
 	var e Evidence
+	settled := 0
 	for _, c := range r.crashes {
 		if l.explainedByOther(f, r, c.Upstream) {
 			continue
 		}
-		if age := now.Sub(c.At); e.UpstreamsEnded == 0 || age < e.SinceLastEnd {
+		age := now.Sub(c.At)
+		if e.UpstreamsEnded == 0 || age < e.SinceLastEnd {
 			e.SinceLastEnd = age
 		}
+		if !f.IsPart() || age >= SettleTime {
+			settled++
+		}
 		e.UpstreamsEnded++
 	}
 	switch {
+	case e.UpstreamsEnded > 0 && settled < l.holdThreshold():
+		e.Standing = Suspect
 	case e.UpstreamsEnded >= l.holdThreshold() && e.SinceLastEnd < holdTime(e.UpstreamsEnded-l.holdThreshold()):
 		e.Standing = Held
 	case e.UpstreamsEnded >= l.holdThreshold():
 		e.Standing = TrialDue
-	case e.UpstreamsEnded > 0:
-		e.Standing = Suspect
 	}
 	return e
 }
 
+// EvaluateRequest returns the strongest evidence against sending a request. whole is the
+// request's fingerprint; nil if the request isn't on the list. A part that has reached the hold
+// threshold counts only if
+//   - crashes of this caller's requests are among those that count, or of more than one caller's, so
+//     that no caller can have a part held for others by naming it; and
+//   - everything that was there each time the part was is in this request, too. Otherwise the
+//     request shows which of them is the cause: it survives, or it ends an upstream without the
+//     others.
+//
+// The request as a whole doesn't count either if a part that it lacks was there each time.
+func (l *List) EvaluateRequest(now time.Time, whole *Fingerprint, parts []Fingerprint, caller string) Finding {
+	var worst Finding
+	add := func(f Fingerprint) {
+		e := l.Evaluate(now, f)
+		if e.Standing > Suspect && !l.appliesTo(f, whole, parts, caller) {
+			e.Standing = Suspect
+		}
+		if e.Standing > worst.Standing {
+			worst = Finding{f, e}
+		}
+	}
+	if whole != nil {
+		add(*whole)
+	}
+	for _, part := range parts {
+		add(part)
+	}
+	return worst
+}
+
+// appliesTo reports whether the crashes that count against a request or against one of its parts
+// speak against sending the request.
+func (l *List) appliesTo(f Fingerprint, whole *Fingerprint, parts []Fingerprint, caller string) bool {
+	r := l.records[f]
+	if only := r.onlyCaller(); only != "" && only != caller {
+		return false
+	}
+	return !slices.ContainsFunc(l.requestsByUpstream[r.crashes[0].Upstream], func(other Fingerprint) bool {
+		if other == f || whole != nil && other == *whole || slices.Contains(parts, other) {
+			return false
+		}
+		return (f.IsPart() || other.IsPart()) && l.records[other].hasAllCrashes(r)
+	})
+}
+
 // explainedByOther reports whether an upstream's end is blamed on another request that it was
 // running: one that has reached the hold threshold and has more crashes than this one. Requests
 // that only ran beside such a request are served again as soon as that is known.
@@ -124,7 +182,7 @@
 func (l *List) RecordCrash(now time.Time, f Fingerprint, o Origin, u Upstream) Evidence {
 	r := l.ensureRecord(now, f)
 	r.Origin = o
-	if l.addCrash(f, r, Crash{Upstream: u, At: now}) {
+	if l.addCrash(f, r, Crash{Upstream: u, At: now, Caller: o.Caller}) {
 		l.numberChange(r, true)
 	}
 	return l.Evaluate(now, f)
@@ -173,6 +231,9 @@
 	r := &record{}
 	l.records[f] = r
 	l.recordsPerHead[f.Head]++
+	if f.IsPart() {
+		l.partRecords++
+	}
 	return r
 }
 
@@ -191,6 +252,9 @@
 		l.unindexCrash(f, c.Upstream)
 	}
 	delete(l.records, f)
+	if f.IsPart() {
+		l.partRecords--
+	}
 	if l.recordsPerHead[f.Head]--; l.recordsPerHead[f.Head] <= 0 {
 		delete(l.recordsPerHead, f.Head)
 	}
@@ -231,16 +295,27 @@
 	l.removeRecord(evictedKey)
 }
 
-// Mark is a host's report to a peer about one request. It contains ages instead of times, because
+// Mark is a host's report to a peer about one request or part. It contains ages instead of times, because
 // the hosts' clocks differ.
 type Mark struct {
 	Request Fingerprint
+	// Origin has no caller if the crashes of a part were caused by more than one.
 	Origin  Origin
 	Crashes []CrashAge
 	// Cleared are the upstreams whose crashes no longer count.
 	Cleared []Upstream
 }
 
+// withCrashesCleared returns the mark with all crashes among the cleared ones.
+func (m Mark) withCrashesCleared() Mark {
+	m.Cleared = slices.Clone(m.Cleared)
+	for _, c := range m.Crashes {
+		m.Cleared = append(m.Cleared, c.Upstream)
+	}
+	m.Crashes = nil
+	return m
+}
+
 // CrashAge is a Crash with its age instead of its time.
 type CrashAge struct {
 	Upstream
@@ -283,33 +358,31 @@
 
 func (r *record) toMark(now time.Time, f Fingerprint) Mark {
 	m := Mark{Request: f, Origin: r.Origin, Cleared: slices.Clone(r.cleared)}
+	if f.IsPart() && len(r.crashes) > 0 {
+		m.Origin.Caller = r.onlyCaller()
+	}
 	for _, c := range r.crashes {
 		m.Crashes = append(m.Crashes, CrashAge{c.Upstream, max(now.Sub(c.At), 0)})
 	}
 	return m
 }
 
-// Receive merges a peer's marks into the list, and returns the requests that they caused to be
-// held.
-func (l *List) Receive(now time.Time, marks []Mark) []Fingerprint {
-	var held []Fingerprint
+// Receive merges a peer's marks into the list, and reports whether that changed anything.
+func (l *List) Receive(now time.Time, marks []Mark) bool {
+	changed := false
 	for _, m := range marks {
-		if l.receiveMark(now, m) {
-			held = append(held, m.Request)
-		}
+		changed = l.receiveMark(now, m) || changed
 	}
-	return held
+	return changed
 }
 
-// receiveMark merges one mark into the list, and reports whether it caused the request to be
-// held.
 func (l *List) receiveMark(now time.Time, m Mark) bool {
 	if l.records[m.Request] == nil && len(l.records) >= maxRequests && len(m.Crashes) < l.holdThreshold() {
 		// Otherwise full hosts would evict each other's suspects forever.
 		return false
 	}
 	r := l.ensureRecord(now, m.Request)
-	before, changed := l.Evaluate(now, m.Request).Standing, false
+	changed := false
 	if r.Origin == (Origin{}) {
 		r.Origin = m.Origin
 	}
@@ -317,22 +390,36 @@
 		changed = l.clearCrash(now, m.Request, r, u) || changed
 	}
 	for _, c := range m.Crashes {
-		changed = 0 <= c.Age && c.Age <= crashRetention && l.addCrash(m.Request, r, Crash{Upstream: c.Upstream, At: now.Add(-c.Age)}) || changed
+		changed = 0 <= c.Age && c.Age <= crashRetention && l.addCrash(m.Request, r, Crash{Upstream: c.Upstream, At: now.Add(-c.Age), Caller: m.Origin.Caller}) || changed
 	}
 	if changed {
 		l.numberChange(r, false)
 	}
-	return before != Held && l.Evaluate(now, m.Request).Standing == Held
+	return changed
+}
+
+// NewlyHeld returns the evidence against the requests and parts that are held and weren't at the
+// last call.
+func (l *List) NewlyHeld(now time.Time) []Finding {
+	var held []Finding
+	for f, r := range l.records {
+		e := l.Evaluate(now, f)
+		if e.Standing == Held && !r.wasHeld {
+			held = append(held, Finding{f, e})
+		}
+		r.wasHeld = e.Standing == Held
+	}
+	return held
 }
 
-// Entry is a request on the list, as shown to operators.
+// Entry is a request or part on the list, as shown to operators.
 type Entry struct {
 	Request Fingerprint
 	Origin
 	Evidence
 }
 
-// Entries returns the requests whose standing isn't Clear, held ones first.
+// Entries returns the requests and parts whose standing isn't Clear, held ones first.
 func (l *List) Entries(now time.Time) []Entry {
 	var entries []Entry
 	for f, r := range l.records {
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -233,7 +233,10 @@
 		b.RecordCrash(start, fingerprintOf(-1), Origin{Caller: "busy"}, testUpstream(n+maxRequests))
 	}
 	marks, _ := b.MarksSince(start, 0, math.MaxInt)
-	is.Equal(a.Receive(start, marks), []Fingerprint{fingerprintOf(-1)})
+	a.Receive(start, marks)
+	held := a.NewlyHeld(start)
+	is.Equal(len(held), 1)
+	is.Equal(held[0].Cause, fingerprintOf(-1))
 	last, _ := a.LastChanges()
 	is.Equal(last, uint64(maxRequests+1))
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -22,9 +22,11 @@
 type Crash struct {
 	Upstream
 	At time.Time
+	// Caller sent the request; empty if that isn't known.
+	Caller string
 }
 
-// Origin tells operators where a request comes from.
+// Origin tells operators where a request comes from. For a part, it is that of the last request.
 type Origin struct{ Caller, Route string }
 
 // Standing says whether a request is suspected of crashing upstreams, and whether it may be sent.
@@ -50,6 +52,10 @@
 	// DefaultHoldThreshold is how many crashes it takes to hold a request. A lower threshold
 	// would hold requests that only ran beside another.
 	DefaultHoldThreshold = 3
+	// SettleTime is how long after an end it counts towards holding a part. By then the hosts whose
+	// requests began there have reported theirs, and a part that many prompts share isn't mistaken
+	// for the one that only some have.
+	SettleTime = 100 * time.Millisecond
 	// initialHoldTime is how long after the last crash a request is held before a trial. Each
 	// further crash multiplies the hold time by holdTimeMultiplier. A popular request that was
 	// held by mistake is served again after the first hold time. One that does crash upstreams
@@ -66,11 +72,11 @@
 	clearedRetention = 5 * time.Minute
 	// maxCrashes and maxCleared bound the crashes and cleared upstreams kept per request; a
 	// further one replaces the oldest.
-	maxCrashes = 8
-	maxCleared = 16
+	maxCrashes = 32
+	maxCleared = 64
 )
 
-// record is what is known of one request. Hosts that receive the same reports, in any order and
+// record is what is known of one request or part. Hosts that receive the same reports, in any order and
 // any number of times, end up with the same crashes: each incarnation of an upstream crashes
 // once, and a crash that was cleared stays cleared.
 type record struct {
@@ -84,6 +90,8 @@
 	clearedAt time.Time
 	// lastTrialAt is when this host last began a trial of the request.
 	lastTrialAt time.Time
+	// wasHeld says that the record was held at the last call of List.NewlyHeld.
+	wasHeld bool
 	// lastChange is the number of the last change of this record, among all changes of the list.
 	lastChange uint64
 }
@@ -127,6 +135,22 @@
 	return last
 }
 
+// onlyCaller returns the caller whose requests caused all crashes; empty if there are several or it
+// isn't known.
+func (r *record) onlyCaller() string {
+	for _, c := range r.crashes {
+		if c.Caller != r.crashes[0].Caller {
+			return ""
+		}
+	}
+	return r.crashes[0].Caller
+}
+
+// hasAllCrashes reports whether every crash of another record is one of this record, too.
+func (r *record) hasAllCrashes(other *record) bool {
+	return !slices.ContainsFunc(other.crashes, func(c Crash) bool { return !r.hasCrash(c.Upstream) })
+}
+
 func (r *record) hasCrash(u Upstream) bool {
 	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Upstream == u })
 }
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -19,8 +19,10 @@
 // Register is a List that is safe for concurrent use, and records which changes have been sent to
 // each peer. The zero value is ready to use.
 type Register struct {
-	mu           sync.Mutex
-	list         List
+	mu   sync.Mutex
+	list List
+	// survivals holds what this host itself saw.
+	survivals    survivals
 	peerProgress map[member.HostID]sentProgress
 	// lastPruneAt is when the last pruning began.
 	lastPruneAt time.Time
@@ -39,23 +41,28 @@
 	r.list.HoldThreshold = n
 }
 
-// Evaluate returns the evidence against a request. For most requests there is none, which is
-// found out without reading their bodies. known is the request's fingerprint if it was computed
-// before; Evaluate returns it, or the one that it had to compute, or nil.
-func (r *Register) Evaluate(now time.Time, a RequestIdentity, known *Fingerprint) (Evidence, *Fingerprint) {
+// Evaluate returns the strongest evidence against a request and the parts of its prompt. For most
+// requests there is none, which is found out without reading their bodies. known is the request's
+// fingerprint if it was computed before; Evaluate returns it, or the one that it had to compute, or
+// nil.
+func (r *Register) Evaluate(now time.Time, a RequestIdentity, known *Fingerprint) (Finding, *Fingerprint) {
 	if !r.nonEmpty.Load() {
-		return Evidence{}, known
+		return Finding{}, known
 	}
-	if known == nil && !r.mayContain(a.HeadDigest()) {
-		return Evidence{}, nil
-	}
-	if known == nil {
+	if known == nil && r.mayContain(a.HeadDigest()) {
 		f := a.Fingerprint()
 		known = &f
 	}
+	var parts []Fingerprint
+	if r.hasParts() {
+		parts = a.partFingerprints()
+	}
+	if known == nil && len(parts) == 0 {
+		return Finding{}, nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.list.Evaluate(now, *known), known
+	return r.list.EvaluateRequest(now, known, parts, a.Caller), known
 }
 
 func (r *Register) mayContain(h HeadDigest) bool {
@@ -64,12 +71,60 @@
 	return r.list.MayContain(h)
 }
 
-// RecordCrash calls List.RecordCrash.
-func (r *Register) RecordCrash(now time.Time, f Fingerprint, o Origin, u Upstream) Evidence {
+// hasParts reports whether any part is on the list.
+func (r *Register) hasParts() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.partRecords > 0
+}
+
+// RecordCrash records that this host saw an upstream end while it ran a request. The crash counts
+// against the request, whose fingerprint is f, and against the parts of its prompt, except those
+// that have lately survived. It returns the strongest evidence against the request, that crash
+// included.
+func (r *Register) RecordCrash(now time.Time, a RequestIdentity, f Fingerprint, o Origin, u Upstream) Finding {
+	parts := a.partFingerprints()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nonEmpty.Store(true)
-	return r.list.RecordCrash(now, f, o, u)
+	r.list.RecordCrash(now, f, o, u)
+	for _, part := range parts {
+		if !r.survivals.has(now, part) {
+			r.list.RecordCrash(now, part, o, u)
+		}
+	}
+	return r.list.EvaluateRequest(now, &f, parts, a.Caller)
+}
+
+// NewlyHeld calls List.NewlyHeld.
+func (r *Register) NewlyHeld(now time.Time) []Finding {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.NewlyHeld(now)
+}
+
+// RecordSurvival records that an upstream ran a request without a crash. That clears the request and
+// the parts of its prompt of earlier crashes. It returns the evidence that there was against those
+// that it cleared. known is as for Evaluate.
+func (r *Register) RecordSurvival(now time.Time, a RequestIdentity, known *Fingerprint) []Finding {
+	if len(a.SharedParts) == 0 && !r.nonEmpty.Load() {
+		return nil
+	}
+	_, known = r.Evaluate(now, a, known)
+	subjects := a.partFingerprints()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.survivals.add(now, subjects)
+	if known != nil {
+		subjects = append(subjects, *known)
+	}
+	var cleared []Finding
+	for _, f := range subjects {
+		if e := r.list.Evaluate(now, f); r.list.ClearCrashes(now, f) {
+			cleared = append(cleared, Finding{f, e})
+		}
+	}
+	return cleared
 }
 
 // BeginTrial calls List.BeginTrial.
@@ -86,15 +141,23 @@
 	return r.list.ClearCrashes(now, f)
 }
 
-// Receive calls List.Receive.
-func (r *Register) Receive(now time.Time, marks []Mark) []Fingerprint {
+// Receive calls List.Receive. Crashes of parts that this host lately saw survive are received as
+// cleared, and so is what the host reports of them.
+func (r *Register) Receive(now time.Time, marks []Mark) bool {
 	if len(marks) == 0 {
-		return nil
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.nonEmpty.Store(true)
-	return r.list.Receive(now, marks)
+	received := make([]Mark, len(marks))
+	for n, m := range marks {
+		if m.Request.IsPart() && r.survivals.has(now, m.Request) {
+			m = m.withCrashesCleared()
+		}
+		received[n] = m
+	}
+	return r.list.Receive(now, received)
 }
 
 // Entries calls List.Entries.
--- a/quarantine/register_test.go
+++ b/quarantine/register_test.go
@@ -20,7 +20,7 @@
 	r.PeerSeen("h2", 1)
 	is.True(!r.LacksLocalChanges("h2")) // the list is empty
 	identity := RequestIdentity{Caller: "counter", Target: "/x"}
-	r.RecordCrash(start, identity.Fingerprint(), Origin{}, testUpstream(1))
+	r.RecordCrash(start, identity, identity.Fingerprint(), Origin{}, testUpstream(1))
 	is.True(r.LacksLocalChanges("h2"))
 	marks, upTo := r.UnsentMarks(start, "h2")
 	is.Equal(len(marks), 1)
@@ -50,7 +50,7 @@
 		r.PeerSeen(peer, 1)
 	}
 	identity := RequestIdentity{Caller: "counter", Target: "/x"}
-	r.RecordCrash(start, identity.Fingerprint(), Origin{}, testUpstream(1))
+	r.RecordCrash(start, identity, identity.Fingerprint(), Origin{}, testUpstream(1))
 	r.Prune(start.Add(time.Minute), func(id member.HostID) bool { return id == "h1" })
 	is.Equal(r.knownPeers(), []member.HostID{"h1"})
 	is.Equal(len(r.Entries(start)), 1)
@@ -58,6 +58,6 @@
 	r.Prune(later, func(member.HostID) bool { return true })
 	is.Equal(len(r.Entries(later)), 0)
 	e, fingerprint := r.Evaluate(later, identity, nil)
-	is.Equal(e, Evidence{})
+	is.Equal(e, Finding{})
 	is.Equal(fingerprint, nil) // no fingerprint was computed
 }
