quarantine: parts that only coincide with the cause aren't held

- A part counts against a request only if everything that may explain its crashes, but for one, is in that request, too; until then such a request shows what the cause is.
- While no prompt has lately run well at a host, it takes five ends there to hold a part.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -26,6 +26,8 @@
 	partRecords int
 	// requestsByUpstream lists the requests, and the parts of their prompts, that each upstream was running when it ended.
 	requestsByUpstream map[Upstream][]Fingerprint
+	// survivals holds what this host itself saw.
+	survivals survivals
 	// lastChange is the number of the last change of the list, and lastLocalChange that of the
 	// last change that this host observed itself.
 	lastChange, lastLocalChange uint64
@@ -66,6 +68,10 @@
 	if r == nil {
 		return Evidence{}
 	}
+	threshold := l.holdThreshold()
+	if f.IsPart() && !l.survivals.any(now) {
+		threshold += unprovenMargin
+	}
 	var e Evidence
 	settled := 0
 	for _, c := range r.crashes {
@@ -82,11 +88,12 @@
 		e.UpstreamsEnded++
 	}
 	switch {
-	case e.UpstreamsEnded > 0 && settled < l.holdThreshold():
+	case e.UpstreamsEnded == 0:
+	case settled < threshold:
 		e.Standing = Suspect
-	case e.UpstreamsEnded >= l.holdThreshold() && e.SinceLastEnd < holdTime(e.UpstreamsEnded-l.holdThreshold()):
+	case e.SinceLastEnd < holdTime(e.UpstreamsEnded-l.holdThreshold()):
 		e.Standing = Held
-	case e.UpstreamsEnded >= l.holdThreshold():
+	default:
 		e.Standing = TrialDue
 	}
 	return e
@@ -97,11 +104,10 @@
 // threshold counts only if
 //   - crashes of this caller's requests are among those that count, or of more than one caller's, so
 //     that no caller can have a part held for others by naming it; and
-//   - everything that was there each time the part was is in this request, too. Otherwise the
-//     request shows which of them is the cause: it survives, or it ends an upstream without the
-//     others.
+//   - everything else that may explain its crashes is in this request, too. Otherwise the request
+//     shows what the cause is: it survives, or it ends an upstream without the others.
 //
-// The request as a whole doesn't count either if a part that it lacks was there each time.
+// The request as a whole doesn't count either if a part that it lacks may explain its crashes.
 func (l *List) EvaluateRequest(now time.Time, whole *Fingerprint, parts []Fingerprint, caller string) Finding {
 	var worst Finding
 	add := func(f Fingerprint) {
@@ -129,12 +135,26 @@
 	if only := r.onlyCaller(); only != "" && only != caller {
 		return false
 	}
-	return !slices.ContainsFunc(l.requestsByUpstream[r.crashes[0].Upstream], func(other Fingerprint) bool {
+	isRival := func(other Fingerprint) bool {
 		if other == f || whole != nil && other == *whole || slices.Contains(parts, other) {
 			return false
 		}
-		return (f.IsPart() || other.IsPart()) && l.records[other].hasAllCrashes(r)
-	})
+		return (f.IsPart() || other.IsPart()) && l.mayExplain(l.records[other], r)
+	}
+	return !slices.ContainsFunc(r.crashes, func(c Crash) bool { return slices.ContainsFunc(l.requestsByUpstream[c.Upstream], isRival) })
+}
+
+// mayExplain reports whether a record may be that of the cause of another's crashes: it has reached
+// the hold threshold, and at most one of the other's crashes isn't its own, which may have a reason
+// of its own.
+func (l *List) mayExplain(r, explained *record) bool {
+	unexplained := 0
+	for _, c := range explained.crashes {
+		if !r.hasCrash(c.Upstream) {
+			unexplained++
+		}
+	}
+	return len(r.crashes) >= l.holdThreshold() && unexplained <= 1
 }
 
 // explainedByOther reports whether an upstream's end is blamed on another request that it was
@@ -403,6 +423,10 @@
 func (l *List) NewlyHeld(now time.Time) []Finding {
 	var held []Finding
 	for f, r := range l.records {
+		if len(r.crashes) < l.holdThreshold() {
+			r.wasHeld = false
+			continue
+		}
 		e := l.Evaluate(now, f)
 		if e.Standing == Held && !r.wasHeld {
 			held = append(held, Finding{f, e})
--- /dev/null
+++ b/quarantine/parts_test.go
@@ -0,0 +1,214 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// promptOf returns the nth request of a caller whose prompt has the given shared parts.
+func promptOf(caller string, n int, parts ...PartID) RequestIdentity {
+	return RequestIdentity{Caller: caller, Target: fmt.Sprint(n), Service: "llm", SharedParts: parts}
+}
+
+// TestEvaluateParts guards against sending requests with a part that crashes upstreams, and against
+// holding those that only share other parts with them.
+func TestEvaluateParts(t *testing.T) {
+	type step func(r *Register, now time.Time)
+	requests := 0
+	crash := func(upstream int, caller string, parts ...PartID) step {
+		return func(r *Register, now time.Time) {
+			requests++
+			a := promptOf(caller, requests, parts...)
+			r.RecordCrash(now, a, a.Fingerprint(), Origin{Caller: caller}, testUpstream(upstream))
+		}
+	}
+	ranWell := func(parts ...PartID) step {
+		return func(r *Register, now time.Time) { r.RecordSurvival(now, promptOf("any", 0, parts...), nil) }
+	}
+	others := ranWell("others")
+	for name, c := range map[string]struct {
+		steps  []step
+		caller string
+		parts  []PartID
+		want   Standing
+	}{
+		"in three crashes": {[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x")}, "a", []PartID{"x"}, Held},
+		"in two":           {[]step{others, crash(1, "a", "x"), crash(2, "a", "x")}, "a", []PartID{"x"}, Suspect},
+		"in three of one upstream": {
+			[]step{others, crash(1, "a", "x"), crash(1, "a", "x"), crash(1, "a", "x")}, "a", []PartID{"x"}, Suspect,
+		},
+		"another part": {[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x")}, "a", []PartID{"y"}, Clear},
+		"among other parts": {
+			[]step{others, crash(1, "a", "x", "y"), crash(2, "a", "z", "x"), crash(3, "a", "x")}, "a", []PartID{"s", "x", "t"}, Held,
+		},
+		"in three while nothing ran well": {[]step{crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x")}, "a", []PartID{"x"}, Suspect},
+		"in five while nothing ran well": {
+			[]step{crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x"), crash(4, "a", "x"), crash(5, "a", "x")}, "a", []PartID{"x"}, Held,
+		},
+		"it ran well before": {[]step{ranWell("x"), crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x")}, "a", []PartID{"x"}, Clear},
+		"it ran well between": {
+			[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), ranWell("x"), crash(3, "a", "x")}, "a", []PartID{"x"}, Clear,
+		},
+		"it ran well afterwards": {
+			[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x"), ranWell("y", "x")}, "a", []PartID{"x"}, Clear,
+		},
+		"another caller's crashes": {[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x")}, "b", []PartID{"x"}, Suspect},
+		"two callers' crashes": {
+			[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "b", "x")}, "c", []PartID{"x"}, Held,
+		},
+		"beside the cause each time, without it": {
+			[]step{others, crash(1, "a", "x", "y"), crash(2, "a", "x", "y"), crash(3, "a", "x", "y")}, "a", []PartID{"y"}, Suspect,
+		},
+		"beside the cause each time, with it": {
+			[]step{others, crash(1, "a", "x", "y"), crash(2, "a", "x", "y"), crash(3, "a", "x", "y")}, "a", []PartID{"x", "y"}, Held,
+		},
+		"beside the cause, and once without": {
+			[]step{others, crash(1, "a", "x", "y"), crash(2, "a", "x", "y"), crash(3, "a", "x", "y"), crash(4, "a", "y")}, "a", []PartID{"y"}, Suspect,
+		},
+		"the cause, which once ended one without the other": {
+			[]step{others, crash(1, "a", "x", "y"), crash(2, "a", "x", "y"), crash(3, "a", "x", "y"), crash(4, "a", "x"), crash(5, "a", "x")}, "a", []PartID{"x"}, Held,
+		},
+		"explained by one that crashed more": {
+			[]step{others, crash(1, "a", "x", "y"), crash(2, "a", "x", "y"), crash(3, "a", "x", "y"), crash(4, "a", "x"), crash(5, "a", "x")}, "a", []PartID{"y"}, Clear,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r Register
+			now := start
+			for _, s := range c.steps {
+				s(&r, now)
+				now = now.Add(time.Second)
+			}
+			found, _ := r.Evaluate(now, promptOf(c.caller, -1, c.parts...), nil)
+			is.Equal(found.Standing, c.want)
+			if found.Standing == Held {
+				is.True(found.Cause.IsPart())
+			}
+		})
+	}
+}
+
+// TestPartsOfEndsAtOnce guards against holding what all prompts share before all hosts have reported
+// what began on the engines that ended.
+func TestPartsOfEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	r.RecordSurvival(start, promptOf("a", 0, "others"), nil)
+	for n := range 3 {
+		a := promptOf("a", n, "x")
+		r.RecordCrash(start, a, a.Fingerprint(), Origin{Caller: "a"}, testUpstream(n))
+	}
+	is.Equal(len(r.NewlyHeld(start.Add(SettleTime-1))), 0)
+	held := r.NewlyHeld(start.Add(SettleTime))
+	is.Equal(len(held), 1)
+	is.Equal(held[0].Cause.Part(), PartID("x"))
+	is.Equal(len(r.NewlyHeld(start.Add(time.Second))), 0) // was returned before
+}
+
+// TestReceivedPartThatRanWell guards against holding a part that one host suspects and another one
+// runs well: the other one's reply clears it.
+func TestReceivedPartThatRanWell(t *testing.T) {
+	is := is.New(t)
+	var suspecting, running Register
+	running.RecordSurvival(start, promptOf("a", 0, "x"), nil)
+	for n := range 6 {
+		a := promptOf("a", n, "x")
+		suspecting.RecordCrash(start, a, a.Fingerprint(), Origin{Caller: "a"}, testUpstream(n))
+	}
+	standing := func(r *Register) Standing {
+		f, _ := r.Evaluate(start.Add(time.Second), promptOf("a", -1, "x"), nil)
+		return f.Standing
+	}
+	is.Equal(standing(&suspecting), Held)
+	marks, _ := suspecting.UnsentMarks(start, "running")
+	is.True(running.Receive(start, marks))
+	is.Equal(standing(&running), Clear)
+	reply, _ := running.UnsentMarks(start, "suspecting")
+	is.True(suspecting.Receive(start, reply))
+	is.Equal(standing(&suspecting), Clear)
+}
+
+// TestSurvivalsAreForgotten guards against trusting a part for ever that once ran well, and against a
+// list of survivals that grows with the load.
+func TestSurvivalsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var s survivals
+	x := PartFingerprint("llm", "x")
+	is.True(!s.any(start))
+	s.add(start, []Fingerprint{x})
+	is.True(s.has(start.Add(survivalMemory), x))
+	is.True(!s.has(start.Add(survivalMemory+1), x))
+	is.True(!s.any(start.Add(survivalMemory + 1)))
+	for n := range maxSurvivals {
+		s.add(start, []Fingerprint{PartFingerprint("llm", PartID(fmt.Sprint(n)))})
+	}
+	is.Equal(len(s.ring), maxSurvivals)
+	is.True(!s.has(start, x))
+	is.True(s.has(start, PartFingerprint("llm", "0")))
+	is.True(s.has(start, PartFingerprint("llm", PartID(fmt.Sprint(maxSurvivals-1)))))
+	is.True(!s.has(start, PartFingerprint("other", "0")))
+}
+
+// TestPartFingerprint checks that operators recognize a part by its fingerprint, and that no part is
+// taken for a request.
+func TestPartFingerprint(t *testing.T) {
+	for _, part := range []PartID{"5c1e07a2", "", "a part with a long ID", "ünï"} {
+		t.Run(string(part), func(t *testing.T) {
+			is := is.New(t)
+			f := PartFingerprint("llm", part)
+			is.True(f.IsPart())
+			is.Equal(f.Part(), part[:min(len(part), 11)])
+			parsed, err := ParseFingerprint(f.String())
+			is.NoErr(err)
+			is.Equal(parsed, f)
+		})
+	}
+	is := is.New(t)
+	is.True(!fingerprintOf(1).IsPart())
+	is.Equal(fingerprintOf(1).Part(), PartID(""))
+	is.True(PartFingerprint("llm", "a part with a long ID") != PartFingerprint("llm", "a part with a longer ID"))
+}
+
+// BenchmarkEvaluateParts measures the evaluation of a prompt of 30 parts while as many parts are
+// suspected as the list holds.
+func BenchmarkEvaluateParts(b *testing.B) {
+	var parts []PartID
+	for n := range 30 {
+		parts = append(parts, PartID(fmt.Sprintf("%08x", n)))
+	}
+	a := promptOf("a", 0, parts...)
+	var empty, full Register
+	for n := range maxRequests {
+		suspect := promptOf("b", n, PartID(fmt.Sprint("suspect", n)))
+		full.RecordCrash(start, suspect, suspect.Fingerprint(), Origin{}, testUpstream(n))
+	}
+	for name, r := range map[string]*Register{"empty": &empty, "full": &full} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Evaluate(start, a, nil)
+			}
+		})
+	}
+	b.Run("survival", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			empty.RecordSurvival(start, a, nil)
+		}
+	})
+	b.Run("crash while full", func(b *testing.B) {
+		b.ReportAllocs()
+		n := 0
+		for b.Loop() {
+			n++
+			full.RecordCrash(start, a, a.Fingerprint(), Origin{}, testUpstream(n))
+		}
+	})
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -52,6 +52,9 @@
 	// DefaultHoldThreshold is how many crashes it takes to hold a request. A lower threshold
 	// would hold requests that only ran beside another.
 	DefaultHoldThreshold = 3
+	// unprovenMargin is how many more crashes it takes to hold a part while no prompt has lately run
+	// well at this host. Such as all prompts share would be held when engines end for another reason.
+	unprovenMargin = 2
 	// SettleTime is how long after an end it counts towards holding a part. By then the hosts whose
 	// requests began there have reported theirs, and a part that many prompts share isn't mistaken
 	// for the one that only some have.
@@ -146,11 +149,6 @@
 	return r.crashes[0].Caller
 }
 
-// hasAllCrashes reports whether every crash of another record is one of this record, too.
-func (r *record) hasAllCrashes(other *record) bool {
-	return !slices.ContainsFunc(other.crashes, func(c Crash) bool { return !r.hasCrash(c.Upstream) })
-}
-
 func (r *record) hasCrash(u Upstream) bool {
 	return slices.ContainsFunc(r.crashes, func(c Crash) bool { return c.Upstream == u })
 }
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -19,10 +19,8 @@
 // Register is a List that is safe for concurrent use, and records which changes have been sent to
 // each peer. The zero value is ready to use.
 type Register struct {
-	mu   sync.Mutex
-	list List
-	// survivals holds what this host itself saw.
-	survivals    survivals
+	mu           sync.Mutex
+	list         List
 	peerProgress map[member.HostID]sentProgress
 	// lastPruneAt is when the last pruning began.
 	lastPruneAt time.Time
@@ -89,7 +87,7 @@
 	r.nonEmpty.Store(true)
 	r.list.RecordCrash(now, f, o, u)
 	for _, part := range parts {
-		if !r.survivals.has(now, part) {
+		if !r.list.survivals.has(now, part) {
 			r.list.RecordCrash(now, part, o, u)
 		}
 	}
@@ -114,7 +112,7 @@
 	subjects := a.partFingerprints()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.survivals.add(now, subjects)
+	r.list.survivals.add(now, subjects)
 	if known != nil {
 		subjects = append(subjects, *known)
 	}
@@ -152,7 +150,7 @@
 	r.nonEmpty.Store(true)
 	received := make([]Mark, len(marks))
 	for n, m := range marks {
-		if m.Request.IsPart() && r.survivals.has(now, m.Request) {
+		if m.Request.IsPart() && r.list.survivals.has(now, m.Request) {
 			m = m.withCrashesCleared()
 		}
 		received[n] = m
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// any reports whether any part survived within survivalMemory.
+func (s *survivals) any(now time.Time) bool {
+	if len(s.ring) == 0 {
+		return false
+	}
+	return now.Sub(s.ring[(s.next+len(s.ring)-1)%len(s.ring)].at) <= survivalMemory
+}
+
 // has reports whether a part survived within survivalMemory.
 func (s *survivals) has(now time.Time, part Fingerprint) bool {
 	for n := len(s.ring) - 1; n >= 0; n-- {
