quarantine: a held part stays held while nothing else runs

A part held after three or four ends was sent again once no prompt had run well at the host for 10 s, as the higher number of ends asked for then held again. Whether anything ran well is now asked from shortly before the part's first end on, so that it can only become true.

Table cases "long after others ran well" and "others ran well afterwards".

--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -32,6 +32,7 @@
 		return func(r *Register, now time.Time) { r.RecordSurvival(now, promptOf("any", 0, parts...), nil) }
 	}
 	others := ranWell("others")
+	pause := func(*Register, time.Time) {}
 	for name, c := range map[string]struct {
 		steps  []step
 		caller string
@@ -51,6 +52,12 @@
 		"in five while nothing ran well": {
 			[]step{crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x"), crash(4, "a", "x"), crash(5, "a", "x")}, "a", []PartID{"x"}, Held,
 		},
+		"long after others ran well": {
+			[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x"), pause, pause}, "a", []PartID{"x"}, Held,
+		},
+		"others ran well afterwards": {
+			[]step{crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x"), others}, "a", []PartID{"x"}, Held,
+		},
 		"it ran well before": {[]step{ranWell("x"), crash(1, "a", "x"), crash(2, "a", "x"), crash(3, "a", "x")}, "a", []PartID{"x"}, Clear},
 		"it ran well between": {
 			[]step{others, crash(1, "a", "x"), crash(2, "a", "x"), ranWell("x"), crash(3, "a", "x")}, "a", []PartID{"x"}, Clear,
@@ -84,7 +91,7 @@
 			now := start
 			for _, s := range c.steps {
 				s(&r, now)
-				now = now.Add(time.Second)
+				now = now.Add(survivalMemory / 5)
 			}
 			found, _ := r.Evaluate(now, promptOf(c.caller, -1, c.parts...), nil)
 			is.Equal(found.Standing, c.want)
@@ -141,11 +148,12 @@
 	is := is.New(t)
 	var s survivals
 	x := PartFingerprint("llm", "x")
-	is.True(!s.any(start))
+	is.True(!s.anySince(start))
 	s.add(start, []Fingerprint{x})
 	is.True(s.has(start.Add(survivalMemory), x))
 	is.True(!s.has(start.Add(survivalMemory+1), x))
-	is.True(!s.any(start.Add(survivalMemory + 1)))
+	is.True(s.anySince(start))
+	is.True(!s.anySince(start.Add(1)))
 	for n := range maxSurvivals {
 		s.add(start, []Fingerprint{PartFingerprint("llm", PartID(fmt.Sprint(n)))})
 	}
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -40,12 +40,12 @@
 	}
 }
 
-// any reports whether any part survived within survivalMemory.
-func (s *survivals) any(now time.Time) bool {
+// anySince reports whether any part survived at a time or later.
+func (s *survivals) anySince(at time.Time) bool {
 	if len(s.ring) == 0 {
 		return false
 	}
-	return now.Sub(s.ring[(s.next+len(s.ring)-1)%len(s.ring)].at) <= survivalMemory
+	return !s.ring[(s.next+len(s.ring)-1)%len(s.ring)].at.Before(at)
 }
 
 // has reports whether a part survived within survivalMemory.
