entry, web: messages of conversations are parts that may crash engines

All messages but the last are parts now, by their digest and the model's pool; at most 64 of a conversation.

TestPartThatCrashesEngines: red before (requests with the message are sent as long as engines are left), at most five engines end now and conversations with the other messages are served. Calls of services keep to the whole request.

--- a/entry/generation.go
+++ b/entry/generation.go
@@ -33,6 +33,8 @@
 	// PrefixHash is a hash of the first PrefixTokens tokens of the prompt.
 	PrefixHash   uint64
 	PrefixTokens policy.Tokens
+	// SharedParts are the parts of the prompt that other prompts may share.
+	SharedParts []quarantine.PartID
 }
 
 // Sink receives an answer and passes it on to the caller. Begin is called once, before the first
@@ -118,7 +120,7 @@
 		r.MaxOutputTokens = window - r.PromptTokens
 	}
 	g := &generation{entry: e, request: r, pool: model.Pool, sink: sink, requestedAt: e.now(), asking: trackedRequest{
-		RequestIdentity: quarantine.RequestIdentity{Caller: string(r.Account), Method: string(r.Shape), Target: string(r.Route), Body: r.Body}, route: r.Route,
+		RequestIdentity: quarantine.RequestIdentity{Caller: string(r.Account), Method: string(r.Shape), Target: string(r.Route), Body: r.Body, Service: string(model.Pool), SharedParts: r.SharedParts}, route: r.Route,
 	}}
 	return g.run(ctx, g.requestedAt.Add(time.Duration(route.Timeout)))
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/quarantine"
 )
 
 // These tests guard against a request that crashes every engine that starts it. An entry starts a
@@ -74,6 +75,41 @@
 	})
 }
 
+// TestPartThatCrashesEngines guards against a part of prompts that crashes engine after engine because
+// each request around it is another one.
+func TestPartThatCrashesEngines(t *testing.T) {
+	sound := script{events: append(tokenEvents(1, 5), endEvent(5))}
+	runInCrashSite(t, sound, true, func(is *is.I, s *fakeSite, entries []*Entry) {
+		generate := func(n int, parts ...quarantine.PartID) error {
+			request := quoteRequest()
+			request.Body, request.SharedParts = fmt.Append(nil, "another ", n), parts
+			_, err := entries[n%len(entries)].Generate(s.ctx, request, &fakeSink{})
+			return err
+		}
+		for n := range entries {
+			is.NoErr(generate(n, "system"))
+		}
+		soundStarts := s.engines.totalStarts()
+		s.engines.scripts = []script{{startErr: errLinkBroken, crashes: true}}
+		for n := range 12 {
+			err := generate(n, "system", "crashing", quarantine.PartID(fmt.Sprint("topic", n)))
+			var failure *Failure
+			is.True(errors.As(err, &failure))
+			if n > 2 {
+				is.Equal(failure.Code, CodeQuarantined)
+				is.Equal(failure.RunState, NotRun)
+			}
+			time.Sleep(2 * time.Second)
+		}
+		is.True(s.engines.totalStarts()-soundStarts <= 5)
+		s.engines.scripts = []script{sound}
+		clear(s.engines.crashed) // they are back
+		for n := range entries {
+			is.NoErr(generate(n, "system", "topic3"))
+		}
+	})
+}
+
 // TestServiceCallThatCrashesUpstreams checks that a service call under which three upstreams ended
 // is sent to no further upstream, while other calls are served.
 func TestServiceCallThatCrashesUpstreams(t *testing.T) {
--- a/internal/web/request.go
+++ b/internal/web/request.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -14,6 +15,7 @@
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/internal/reach"
 	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -108,9 +110,30 @@
 		request.PrefixHash = xxhash.Sum64String(parsed.Model + "\x00" + string(prompt[:prefixHashBytes]))
 		request.PrefixTokens = prefixHashBytes / bytesPerToken
 	}
+	if shape == entry.ShapeChat {
+		request.SharedParts = sharedMessages(parsed.Messages)
+	}
 	return request, parsed, nil
 }
 
+// maxSharedMessages bounds the messages of a conversation that are known to the quarantine.
+const maxSharedMessages = 64
+
+// sharedMessages returns the digests of all messages but the last, which belongs to the request
+// itself. Messages that aren't a list have none.
+func sharedMessages(text json.RawMessage) []quarantine.PartID {
+	var messages []json.RawMessage
+	if err := json.Unmarshal(text, &messages); err != nil || len(messages) < 2 {
+		return nil
+	}
+	messages = messages[:min(len(messages)-1, maxSharedMessages)]
+	parts := make([]quarantine.PartID, len(messages))
+	for n, m := range messages {
+		parts[n] = quarantine.PartID(fmt.Sprintf("%016x", xxhash.Sum64(m)))
+	}
+	return parts
+}
+
 // forceStream sets "stream" to true in a JSON body and leaves the other fields unchanged.
 func forceStream(text []byte) ([]byte, error) {
 	var fields map[string]json.RawMessage
--- a/internal/web/request_test.go
+++ b/internal/web/request_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/internal/reach"
+	"github.com/shedpath/shedpath/quarantine"
 )
 
 // TestParseGeneration checks that an invalid request is rejected with a message that names
@@ -71,3 +72,22 @@
 	is.Equal(err, io.EOF) // the close has arrived
 	is.Equal(read(), errCallerLeft)
 }
+
+// TestSharedMessages guards against two conversations that share a message being known by different
+// parts, and against the last message, which belongs to one request, being known as shared.
+func TestSharedMessages(t *testing.T) {
+	is := is.New(t)
+	parse := func(messages string) []quarantine.PartID {
+		request, _, failure := parseGeneration(entry.ShapeChat, "a", []byte(`{"model":"m","messages":`+messages+`}`))
+		is.True(failure == nil)
+		return request.SharedParts
+	}
+	one, other := parse(`["system", {"a": 1}, "x"]`), parse(`["other", {"a": 1}, "y", "x"]`)
+	is.Equal(len(one), 2)
+	is.Equal(len(other), 3)
+	is.True(one[0] != other[0])
+	is.Equal(one[1], other[1])
+	is.Equal(len(parse(`["x"]`)), 0)
+	is.Equal(len(parse(`"x"`)), 0)
+	is.Equal(len(parse(`[`+strings.Repeat(`"m",`, 2*maxSharedMessages)+`"x"]`)), maxSharedMessages)
+}
