quarantine, forward: a part is held at hosts where little runs, and mended parts return

A host where no prompt had run well shortly before the first end asked for five ends although its peers held the part after three. It asks for that now only until the first prompt has run well there since it started.

--- a/forward/crashingpart_test.go
+++ b/forward/crashingpart_test.go
@@ -214,3 +214,141 @@
 		})
 	}
 }
+
+// sendPart has a host serve a request like no other, with the crashing part in its prompt.
+func (d *crashScenario) sendPart(f *Forwarder, names ...string) *fakeSink {
+	n, sink := int(d.requestCount.Add(1)), &fakeSink{}
+	f.Serve(d.ctx, partCall("/llm/", "any", n, parts(names...)(n)), sink)
+	return sink
+}
+
+// crashWithPart has every host serve a sound request, and then has three upstreams end under different
+// requests with the crashing part.
+func (d *crashScenario) crashWithPart() {
+	for n := range 6 {
+		d.sendPart(d.hostAt(n), "system")
+	}
+	for n := range 3 {
+		d.sendPart(d.hostAt(n), "system", crashingPrefix)
+		time.Sleep(2 * quarantine.SettleTime)
+	}
+	if _, all := d.fleet.arrivalsAfter(crashingPrefix, 3, 0); all != 3 {
+		d.Fatalf("%d upstreams ended under requests with the part, want 3", all)
+	}
+}
+
+// checkPartHeld checks that a host refuses requests with the crashing part at once, and serves those
+// without it.
+func (d *crashScenario) checkPartHeld(f *Forwarder) {
+	d.Helper()
+	began := time.Now()
+	if sink := d.sendPart(f, "system", crashingPrefix); sink.refused == nil || *sink.refused != quarantineRefusal || time.Since(began) > time.Millisecond {
+		d.Errorf("the host answers a request with the part by %v after %v, want it refused as quarantined at once", sink.refused, time.Since(began))
+	}
+	if sink := d.sendPart(f, "system"); sink.refused != nil {
+		d.Errorf("the host refuses a request without the part: %v", sink.refused)
+	}
+}
+
+// TestHeldPartReachesEveryHost guards against a part that is sent again by a host which wasn't there
+// when upstreams ended under it.
+func TestHeldPartReachesEveryHost(t *testing.T) {
+	for name, play := range map[string]func(d *crashScenario){
+		"all that reach each other": func(d *crashScenario) {
+			d.crashWithPart()
+			for n := range 6 {
+				d.checkPartHeld(d.hostAt(n))
+			}
+		},
+		"one that was cut off": func(d *crashScenario) {
+			cut := d.hostAt(5)
+			d.makeUnreachable(cut.settings.Self.PeerAddress)
+			d.freeze(cut.settings.Self.PeerAddress)
+			time.Sleep(100 * time.Millisecond)
+			d.crashWithPart()
+			time.Sleep(10 * time.Second)
+			d.reconnect(cut.settings.Self.PeerAddress)
+			time.Sleep(maxPropagationDelay)
+			d.sendPart(cut, "system")
+			d.checkPartHeld(cut)
+		},
+		"one that starts": func(d *crashScenario) {
+			d.crashWithPart()
+			old := d.hostAt(5)
+			again := New(old.settings, old.transport, silentJournal{}, silentObserver{})
+			d.replaceHost(again)
+			d.start(d.ctx, again)
+			go again.Run(d.ctx)
+			time.Sleep(maxPropagationDelay)
+			d.sendPart(again, "system")
+			d.checkPartHeld(again)
+		},
+		"all, after all ended at once": func(d *crashScenario) {
+			d.crashWithPart()
+			time.Sleep(time.Second)
+			d.restartAll()
+			time.Sleep(maxPropagationDelay)
+			for n := range 6 {
+				d.sendPart(d.hostAt(n), "system")
+				d.checkPartHeld(d.hostAt(n))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) { runCrashScenario(t, play) })
+	}
+}
+
+// TestHeldPartEndsRequestsInFlight guards against requests that end one upstream more because they
+// arrived before their part was held.
+func TestHeldPartEndsRequestsInFlight(t *testing.T) {
+	runCrashScenario(t, func(d *crashScenario) {
+		for n := range 6 {
+			d.sendPart(d.hostAt(n), "system")
+		}
+		for n := range 2 {
+			d.sendPart(d.hostAt(n), crashingPrefix)
+			time.Sleep(2 * quarantine.SettleTime)
+		}
+		// Four more arrive 150 ms after the one that ends the third upstream.
+		go d.sendPart(d.hostAt(2), crashingPrefix)
+		time.Sleep(150 * time.Millisecond)
+		refused := make(chan *fakeSink, 4)
+		for n := range 4 {
+			go func() { refused <- d.sendPart(d.hostAt(n), crashingPrefix) }()
+		}
+		for range 4 {
+			if sink := <-refused; sink.refused == nil || sink.refused.Code != CodeQuarantined {
+				d.Errorf("a request in flight is answered by %v, want it refused as quarantined", sink.refused)
+			}
+		}
+		if _, all := d.fleet.arrivalsAfter(crashingPrefix, 3, 0); all != 3 {
+			d.Errorf("%d upstreams ended, want 3", all)
+		}
+	})
+}
+
+// TestMendedPartIsServedAgain guards against a part that stays held after the upstreams were mended, and
+// against more than one request in a minute to find that out.
+func TestMendedPartIsServedAgain(t *testing.T) {
+	runCrashScenario(t, func(d *crashScenario) {
+		d.crashWithPart()
+		for n := range 60 {
+			d.sendPart(d.hostAt(n), "system", crashingPrefix)
+			time.Sleep(990 * time.Millisecond)
+		}
+		if late, _ := d.fleet.arrivalsAfter(crashingPrefix, 3, 0); late > 0 {
+			d.Errorf("%d requests with the part reached upstreams within a minute, want none", late)
+		}
+		d.fleet.mended.Store(true)
+		served := 0
+		for n := range 20 {
+			if d.sendPart(d.hostAt(n), "system", crashingPrefix).refused == nil {
+				served++
+			}
+			time.Sleep(time.Second)
+		}
+		if served < 10 {
+			d.Errorf("%d of 20 requests with the part were served after the upstreams were mended, want at least 10", served)
+		}
+	})
+}
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -58,6 +59,8 @@
 	crashes map[string][]time.Time
 	// eventCount is the number of events of a stream.
 	eventCount int
+	// mended has no request end its upstream any more.
+	mended atomic.Bool
 }
 
 // arrival records that a request reached an upstream.
@@ -152,6 +155,9 @@
 // Send simulates an upstream's answer: a stream for the service "llm", otherwise a short body.
 func (f *fakeFleet) Send(ctx context.Context, u Upstream, out *UpstreamRequest) (*Response, error) {
 	cause := crashCause(out.Call)
+	if f.mended.Load() {
+		cause = ""
+	}
 	run, ok := f.startRun(u.ID, cause)
 	if !ok {
 		return nil, ErrNotSent
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -69,7 +69,7 @@
 		return Evidence{}
 	}
 	threshold := l.holdThreshold()
-	if f.IsPart() && !l.survivals.anySince(r.firstCrashAt().Add(-survivalMemory)) {
+	if f.IsPart() && !l.survivals.any() {
 		threshold += unprovenMargin
 	}
 	var e Evidence
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -53,8 +53,7 @@
 	// would hold requests that only ran beside another.
 	DefaultHoldThreshold = 3
 	// unprovenMargin is how many more crashes it takes to hold a part while no prompt has run well at
-	// this host since shortly before the first of them. A part that all prompts share would be held
-	// when engines end for another reason.
+	// this host yet. A part that all prompts share would be held when engines end for another reason.
 	unprovenMargin = 2
 	// SettleTime is how long after an end it counts towards holding a part. By then the hosts whose
 	// requests began there have reported theirs, and a part that many prompts share isn't mistaken
@@ -128,17 +127,6 @@
 	return true
 }
 
-// firstCrashAt returns the time of the earliest crash, or zero if there is none.
-func (r *record) firstCrashAt() time.Time {
-	var first time.Time
-	for _, c := range r.crashes {
-		if first.IsZero() || c.At.Before(first) {
-			first = c.At
-		}
-	}
-	return first
-}
-
 // lastCrashAt returns the time of the latest crash, or zero if there is none.
 func (r *record) lastCrashAt() time.Time {
 	var last time.Time
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -40,13 +40,8 @@
 	}
 }
 
-// anySince reports whether any part survived at a time or later.
-func (s *survivals) anySince(at time.Time) bool {
-	if len(s.ring) == 0 {
-		return false
-	}
-	return !s.ring[(s.next+len(s.ring)-1)%len(s.ring)].at.Before(at)
-}
+// any reports whether any part ever survived.
+func (s *survivals) any() bool { return len(s.ring) > 0 }
 
 // has reports whether a part survived within survivalMemory.
 func (s *survivals) has(now time.Time, part Fingerprint) bool {
