--- a/forward/signalday_test.go
+++ b/forward/signalday_test.go
@@ -40,6 +40,11 @@
 	disturb func(ctx context.Context, s *site, fleet *signalFleet)
 	// transport, if set, returns a host's transport in place of a signalTransport.
 	transport func(t signalTransport) Transport
+	// hostAt, if set, returns the number of the host that a request reaches first at a time; negative for
+	// any.
+	hostAt func(at time.Duration) int
+	// onFirstTry, if set, receives the answers to the first tries, with the time when they were sent.
+	onFirstTry func(at time.Duration, s *fakeSink)
 	// maxCallerRetries is how often a refused caller retries, after the delay that it is
 	// given, at another host of the zone.
 	maxCallerRetries int
@@ -162,13 +167,18 @@
 		pause := float64(time.Second) / d.requestsPerSecond
 		for n := 0; fleet.elapsed() < d.duration; n++ {
 			host := s.nthHost(random.IntN(d.zones * d.hostsPerZone))
+			if d.hostAt != nil {
+				if only := d.hostAt(fleet.elapsed()); only >= 0 {
+					host = s.nthHost(only)
+				}
+			}
 			for !host.Ready() {
 				// Callers aren't directed to a host that isn't ready.
 				host = s.nthHost(random.IntN(d.zones * d.hostsPerZone))
 			}
 			running.Go(func() {
 				var sink *fakeSink
-				began, tries := time.Now(), 0
+				began, at, tries := time.Now(), fleet.elapsed(), 0
 				for ; tries <= d.maxCallerRetries && (sink == nil || sink.refused != nil); tries++ {
 					if sink != nil {
 						time.Sleep(sink.refused.RetryAfter)
@@ -178,6 +188,9 @@
 					c.ID, c.Prompt = RequestID(fmt.Sprint("r", n, "-", tries)), Prompt{Tokens: 500, MaxOutputTokens: 300}
 					sink = &fakeSink{}
 					host.Serve(ctx, c, sink)
+					if tries == 0 && d.onFirstTry != nil {
+						d.onFirstTry(at, sink)
+					}
 				}
 				tally.record(sink, time.Since(began))
 				tally.recordTries(tries)
