forward: a stream that ends with its connection may have ended with its upstream

An answer may have neither a length nor chunks. When an engine crashed before the first event, or between two, its end looked like that of a whole answer: the caller got an empty or shortened stream as complete, and the part that crashed the engine counted as having run well.

Such a stream without any event has been broken off; one that ends within half a second of its first event has if the upstream doesn't listen any more, for which a connection is opened. Later ends are taken as they are: only an end inside an event shows there that it was broken off.

--- a/forward/crashingpart_test.go
+++ b/forward/crashingpart_test.go
@@ -26,6 +26,8 @@
 	// other prompt.
 	crashing, sound             func(n int) []quarantine.PartID
 	crashingPerSecond, duration int
+	// unframed is that of fakeFleet.
+	unframed bool
 	// each is called before each request, with its number, if it is set.
 	each func(fleet *fakeFleet, s *site, n int)
 }
@@ -46,7 +48,7 @@
 func (l partLoad) run(t *testing.T, seed uint64) (*fakeFleet, *partTally) {
 	t.Helper()
 	fleet, tally := newFakeFleet(), &partTally{}
-	fleet.eventCount = 12
+	fleet.eventCount, fleet.unframed = 12, l.unframed
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -146,16 +148,17 @@
 func TestPartThatCrashesUpstreams(t *testing.T) {
 	load := partLoad{path: "/llm/", crashing: parts("system", "crashing", "topic"), sound: parts("system", "topic"), crashingPerSecond: 3, duration: 20}
 	for name, change := range map[string]func(l *partLoad){
-		"stream":                       func(*partLoad) {},
-		"stream that may be resumed":   func(l *partLoad) { l.path = "/resumable/" },
-		"call that may be repeated":    func(l *partLoad) { l.path = "/status/" },
-		"call that may not":            func(l *partLoad) { l.path = "/order/" },
-		"the first part":               func(l *partLoad) { l.crashing = parts("crashing", "topic") },
-		"many a second":                func(l *partLoad) { l.crashingPerSecond = 8 },
-		"few":                          func(l *partLoad) { l.crashingPerSecond, l.duration = 1, 40 },
-		"beside one that only it has":  func(l *partLoad) { l.crashing = parts("system", "companion", "crashing") },
-		"in sound requests' only part": func(l *partLoad) { l.sound = parts("system") },
-		"sound requests are few":       func(l *partLoad) { l.sound = parts("system", "topic", "detail") },
+		"stream":                             func(*partLoad) {},
+		"stream that may be resumed":         func(l *partLoad) { l.path = "/resumable/" },
+		"call that may be repeated":          func(l *partLoad) { l.path = "/status/" },
+		"call that may not":                  func(l *partLoad) { l.path = "/order/" },
+		"the first part":                     func(l *partLoad) { l.crashing = parts("crashing", "topic") },
+		"many a second":                      func(l *partLoad) { l.crashingPerSecond = 8 },
+		"few":                                func(l *partLoad) { l.crashingPerSecond, l.duration = 1, 40 },
+		"beside one that only it has":        func(l *partLoad) { l.crashing = parts("system", "companion", "crashing") },
+		"in sound requests' only part":       func(l *partLoad) { l.sound = parts("system") },
+		"sound requests are few":             func(l *partLoad) { l.sound = parts("system", "topic", "detail") },
+		"streams end with their connections": func(l *partLoad) { l.unframed = true },
 		"engines end by themselves": func(l *partLoad) {
 			l.each = func(fleet *fakeFleet, s *site, n int) {
 				if n%4 == 3 {
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -59,6 +59,8 @@
 	crashes map[string][]time.Time
 	// eventCount is the number of events of a stream.
 	eventCount int
+	// unframed has streams end with their connection, so that those of an upstream that ends look whole.
+	unframed bool
 	// mended has no request end its upstream any more.
 	mended atomic.Bool
 }
@@ -164,9 +166,15 @@
 	}
 	if u.Service == "llm" {
 		read, write := io.Pipe()
-		go func() { _ = write.CloseWithError(f.stream(ctx, u.ID, run, cause, write)) }()
+		go func() {
+			err := f.stream(ctx, u.ID, run, cause, write)
+			if f.unframed && errors.Is(err, io.ErrUnexpectedEOF) {
+				err = io.EOF
+			}
+			_ = write.CloseWithError(err)
+		}()
 		a := answer(200, "")
-		a.ContentLength, a.Body = -1, read
+		a.ContentLength, a.Body, a.Framed = -1, read, !f.unframed
 		return a, nil
 	}
 	defer f.finishRun(u.ID, run)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -148,6 +148,9 @@
 		s.engineFirstEventAt, s.source, s.carrier = time.Time{}, u, a.Signals.Via
 		err := s.relayEvents(ctx, first, a)
 		closeBody(a)
+		if err == nil && !a.Framed && !m.isRunStopping() && s.endedWithUpstream(ctx, u) {
+			err = io.ErrUnexpectedEOF
+		}
 		if err == nil && (a.Framed || !m.isRunStopping()) {
 			// A framed answer that reached its end is complete, even if a move is in progress:
 			// the run ended before it could be stopped.
@@ -171,6 +174,23 @@
 	}
 }
 
+// endedWithUpstream reports whether a stream that ends with its connection ended because its upstream
+// did, although the end lies between two events: it has no event, or has only begun and the upstream is
+// gone.
+func (s *streamExchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
+	if s.engineFirstEventAt.IsZero() {
+		return true
+	}
+	if s.now().Sub(s.engineFirstEventAt) >= crashAttributionWindow {
+		return false
+	}
+	ended, err := s.checkUpstreamEnded(ctx, u)
+	if ended {
+		s.journal.Request(s.call.ID, "stream ended with its upstream", "upstream", u.ID, "looked", err)
+	}
+	return ended
+}
+
 // orUnexpectedEOF returns the error of a stream that ended too early: err, or
 // io.ErrUnexpectedEOF if err is nil.
 func orUnexpectedEOF(err error) error {
