forward: ends of upstreams under streams that peers carry are counted

A stream that a peer carries and that breaks off was taken for a broken link, whatever ended it. So a host without links of its own to upstreams counted no end against the requests and parts that it sent. The check of the upstream goes through other peers too and tells the two apart.

TestPartThatCrashesUpstreams, peers carry the streams: red before, passes.

--- a/forward/crashingpart_test.go
+++ b/forward/crashingpart_test.go
@@ -26,8 +26,8 @@
 	// other prompt.
 	crashing, sound             func(n int) []quarantine.PartID
 	crashingPerSecond, duration int
-	// unframed is that of fakeFleet.
-	unframed bool
+	// unframed and carried are those of fakeFleet.
+	unframed, carried bool
 	// each is called before each request, with its number, if it is set.
 	each func(fleet *fakeFleet, s *site, n int)
 }
@@ -48,7 +48,7 @@
 func (l partLoad) run(t *testing.T, seed uint64) (*fakeFleet, *partTally) {
 	t.Helper()
 	fleet, tally := newFakeFleet(), &partTally{}
-	fleet.eventCount, fleet.unframed = 12, l.unframed
+	fleet.eventCount, fleet.unframed, fleet.carried = 12, l.unframed, l.carried
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -159,6 +159,7 @@
 		"in sound requests' only part":       func(l *partLoad) { l.sound = parts("system") },
 		"sound requests are few":             func(l *partLoad) { l.sound = parts("system", "topic", "detail") },
 		"streams end with their connections": func(l *partLoad) { l.unframed = true },
+		"peers carry the streams":            func(l *partLoad) { l.carried = true },
 		"engines end by themselves": func(l *partLoad) {
 			l.each = func(fleet *fakeFleet, s *site, n int) {
 				if n%4 == 3 {
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -61,6 +61,8 @@
 	eventCount int
 	// unframed has streams end with their connection, so that those of an upstream that ends look whole.
 	unframed bool
+	// carried has peers carry all streams.
+	carried bool
 	// mended has no request end its upstream any more.
 	mended atomic.Bool
 }
@@ -175,6 +177,9 @@
 		}()
 		a := answer(200, "")
 		a.ContentLength, a.Body, a.Framed = -1, read, !f.unframed
+		if f.carried {
+			a.Signals.Via = "z1-h01"
+		}
 		return a, nil
 	}
 	defer f.finishRun(u.ID, run)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -88,6 +88,10 @@
 		now := s.now()
 		if s.carrier != "" || s.linkBroken(ctx, lastEngine) {
 			s.journal.Request(s.call.ID, "link broke", "upstream", lastEngine.ID, "err", err)
+			if s.carrier != "" {
+				// Another peer may see that the upstream has ended.
+				s.recordBrokenConnection(ctx, now, lastEngine, s.engineFirstEventAt, err)
+			}
 			break
 		}
 		s.recordRolloutAnswer(now, lastEngine, rollout.TimeToFirstEvent, true, 0)
