cli, web, telemetry: parts of prompts in the quarantine

shedpath quarantine has a last column with the part, the operators' API a field, and the new metric shedpath_quarantine_parts counts suspected and held parts; until now they would have been counted among the requests. Release takes a part's value as it takes a request's.

--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -18,9 +18,10 @@
 	"github.com/shedpath/shedpath/quarantine"
 )
 
-// quarantineItem describes a request during which upstreams ended.
+// quarantineItem describes a request, or a part of prompts, during which upstreams ended.
 type quarantineItem struct {
 	Fingerprint         string  `json:"asks"`
+	Part                string  `json:"part"`
 	Account             string  `json:"account"`
 	Route               string  `json:"route"`
 	Held                bool    `json:"held"`
@@ -33,16 +34,17 @@
 
 func newQuarantineCommand(system *System) *cobra.Command {
 	cmd := newListOrReleaseCommand(system, &cobra.Command{
-		Use: "quarantine", Short: "Show the requests during which upstreams ended",
-		Long: `quarantine lists the requests during which upstreams ended; every host has the
-whole list. A request with the standing "held" is sent to no upstream. On a host of
+		Use: "quarantine", Short: "Show the requests and parts of prompts during which upstreams ended",
+		Long: `quarantine lists the requests, and the parts of prompts, during which upstreams
+ended; every host has the whole list. What has the standing "held" is sent to no
+upstream. On a host of
 shedpath serve (SHEDPATH_NODE_FILE is set) the command queries that host, otherwise
 an entry's operator side.`,
 		Example: "  shedpath quarantine\n  shedpath quarantine release 556781ddacdea7a6bcd06ac9cb55ae24fbff04418df9fb38", Args: cobra.NoArgs,
 	})
 	cmd.AddCommand(newListOrReleaseCommand(system, &cobra.Command{
-		Use: "release ASKS", Short: "Let a request through again, after its upstreams are repaired",
-		Long:    `release removes a request from the quarantine of every host; ASKS is the value in the list.`,
+		Use: "release ASKS", Short: "Let a request or part through again, after its upstreams are repaired",
+		Long:    `release removes a request or part from the quarantine of every host; ASKS is the value in the list.`,
 		Example: "  shedpath quarantine release 556781ddacdea7a6bcd06ac9cb55ae24fbff04418df9fb38", Args: cobra.ExactArgs(1),
 	}))
 	return cmd
@@ -94,7 +96,7 @@
 	}
 	var items []quarantineItem
 	for _, e := range entries {
-		items = append(items, quarantineItem{e.Request.String(), e.Caller, e.Route, e.Standing == quarantine.Held, e.UpstreamsEnded, e.SinceLastEnd.Seconds()})
+		items = append(items, quarantineItem{e.Request.String(), string(e.Request.Part()), e.Caller, e.Route, e.Standing == quarantine.Held, e.UpstreamsEnded, e.SinceLastEnd.Seconds()})
 	}
 	return writeQuarantine(out, items)
 }
@@ -138,14 +140,14 @@
 
 func writeQuarantine(out io.Writer, items []quarantineItem) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ASKS\tACCOUNT\tROUTE\tUPSTREAMS ENDED\tLAST\tSTANDING")
+	fmt.Fprintln(w, "ASKS\tACCOUNT\tROUTE\tUPSTREAMS ENDED\tLAST\tSTANDING\tPART")
 	for _, q := range items {
 		standing := "suspect"
 		if q.Held {
 			standing = "held"
 		}
 		last := time.Duration(q.LastEndedAgoSeconds * float64(time.Second)).Round(time.Millisecond)
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v ago\t%s\n", q.Fingerprint, orDash(q.Account), orDash(q.Route), q.UpstreamsEnded, last, standing)
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v ago\t%s\t%s\n", q.Fingerprint, orDash(q.Account), orDash(q.Route), q.UpstreamsEnded, last, standing, orDash(q.Part))
 	}
 	return w.Flush()
 }
--- a/internal/telemetry/forward_test.go
+++ b/internal/telemetry/forward_test.go
@@ -66,11 +66,12 @@
 			{Evidence: quarantine.Evidence{Standing: quarantine.Held, UpstreamsEnded: 3}},
 			{Evidence: quarantine.Evidence{Standing: quarantine.Suspect, UpstreamsEnded: 1}},
 			{Evidence: quarantine.Evidence{Standing: quarantine.Suspect, UpstreamsEnded: 2}},
+			{Request: quarantine.PartFingerprint("llm", "x"), Evidence: quarantine.Evidence{Standing: quarantine.Held, UpstreamsEnded: 3}},
 		}
 	})
 	page := httptest.NewRecorder()
 	f.Handler().ServeHTTP(page, httptest.NewRequest("GET", "/metrics", nil))
-	for _, want := range []string{`shedpath_quarantine_requests{standing="held"} 1`, `shedpath_quarantine_requests{standing="suspect"} 2`} {
+	for _, want := range []string{`shedpath_quarantine_requests{standing="held"} 1`, `shedpath_quarantine_requests{standing="suspect"} 2`, `shedpath_quarantine_parts{standing="held"} 1`, `shedpath_quarantine_parts{standing="suspect"} 0`} {
 		is.True(strings.Contains(page.Body.String(), want))
 	}
 }
--- a/internal/telemetry/quarantine.go
+++ b/internal/telemetry/quarantine.go
@@ -9,31 +9,46 @@
 	"github.com/shedpath/shedpath/quarantine"
 )
 
-// quarantineCollector exports the number of suspected and held requests.
+// quarantineCollector exports the numbers of suspected and held requests and parts of prompts.
 type quarantineCollector struct {
-	read     func() []quarantine.Entry
-	requests *prometheus.Desc
+	read            func() []quarantine.Entry
+	requests, parts *prometheus.Desc
 }
 
-// WatchQuarantine registers a metric for the number of suspected and held requests. read is
-// called at each scrape.
+// WatchQuarantine registers metrics for the numbers of suspected and held requests and parts of
+// prompts. read is called at each scrape.
 func (f *Forward) WatchQuarantine(read func() []quarantine.Entry) {
-	f.promRegistry.MustRegister(&quarantineCollector{read: read, requests: prometheus.NewDesc(
-		prometheus.BuildFQName(namespace, "quarantine", "requests"),
-		"Distinct requests that are suspected of ending upstreams or held for it, by standing.", []string{"standing"}, nil,
-	)})
+	f.promRegistry.MustRegister(&quarantineCollector{
+		read: read,
+		requests: prometheus.NewDesc(
+			prometheus.BuildFQName(namespace, "quarantine", "requests"),
+			"Distinct requests that are suspected of ending upstreams or held for it, by standing.", []string{"standing"}, nil,
+		),
+		parts: prometheus.NewDesc(
+			prometheus.BuildFQName(namespace, "quarantine", "parts"),
+			"Parts of prompts that are suspected of ending upstreams or held for it, by standing.", []string{"standing"}, nil,
+		),
+	})
 }
 
-// Describe sends the descriptor of the collector's metric.
-func (c *quarantineCollector) Describe(to chan<- *prometheus.Desc) { to <- c.requests }
+// Describe sends the descriptors of the collector's metrics.
+func (c *quarantineCollector) Describe(to chan<- *prometheus.Desc) {
+	to <- c.requests
+	to <- c.parts
+}
 
 // Collect sends the current values.
 func (c *quarantineCollector) Collect(to chan<- prometheus.Metric) {
-	count := map[quarantine.Standing]int{}
+	requests, parts := map[quarantine.Standing]int{}, map[quarantine.Standing]int{}
 	for _, e := range c.read() {
-		count[e.Standing]++
+		if e.Request.IsPart() {
+			parts[e.Standing]++
+		} else {
+			requests[e.Standing]++
+		}
 	}
 	for standing, name := range map[quarantine.Standing]string{quarantine.Suspect: "suspect", quarantine.Held: "held"} {
-		to <- prometheus.MustNewConstMetric(c.requests, prometheus.GaugeValue, float64(count[standing]), name)
+		to <- prometheus.MustNewConstMetric(c.requests, prometheus.GaugeValue, float64(requests[standing]), name)
+		to <- prometheus.MustNewConstMetric(c.parts, prometheus.GaugeValue, float64(parts[standing]), name)
 	}
 }
--- a/internal/web/quarantine.go
+++ b/internal/web/quarantine.go
@@ -12,9 +12,10 @@
 	"github.com/shedpath/shedpath/quarantine"
 )
 
-// quarantinedAnswer is the JSON form of a request during which upstreams ended.
+// quarantinedAnswer is the JSON form of a request, or a part of prompts, during which upstreams ended.
 type quarantinedAnswer struct {
 	Asks          string  `json:"asks"`
+	Part          string  `json:"part,omitempty"`
 	Account       string  `json:"account"`
 	Route         string  `json:"route"`
 	Held          bool    `json:"held"`
@@ -26,7 +27,7 @@
 	answer := []quarantinedAnswer{}
 	for _, e := range a.entry.Quarantine() {
 		answer = append(answer, quarantinedAnswer{
-			Asks: e.Request.String(), Account: e.Caller, Route: e.Route, Held: e.Standing == quarantine.Held,
+			Asks: e.Request.String(), Part: string(e.Request.Part()), Account: e.Caller, Route: e.Route, Held: e.Standing == quarantine.Held,
 			Ended: e.UpstreamsEnded, LastEndedAgoS: e.SinceLastEnd.Seconds(),
 		})
 	}
