--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -91,9 +91,8 @@
 	x.peers.notifyAll()
 }
 
-// applyNewHolds acts on everything that is held since the last call: it ends such requests in flight,
-// and has one host save what is held. Two hosts may each have observed only a part of the crashes
-// that led to it.
+// applyNewHolds acts on what has become held since the last call: it ends such requests in flight,
+// and has one host save the evidence. That host may not have observed any of the crashes itself.
 func (f *Forwarder) applyNewHolds(now time.Time) {
 	held := f.crashes.NewlyHeld(now)
 	for _, e := range held {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -89,7 +89,7 @@
 		if s.carrier != "" || s.linkBroken(ctx, lastEngine) {
 			s.journal.Request(s.call.ID, "link broke", "upstream", lastEngine.ID, "err", err)
 			if s.carrier != "" {
-				// Another peer may see that the upstream has ended.
+				// Other peers know whether the upstream ended or only the link to the carrier.
 				s.recordBrokenConnection(ctx, now, lastEngine, s.engineFirstEventAt, err)
 			}
 			break
@@ -178,9 +178,9 @@
 	}
 }
 
-// endedWithUpstream reports whether a stream that ends with its connection ended because its upstream
-// did, although the end lies between two events: it has no event, or has only begun and the upstream is
-// gone.
+// endedWithUpstream reports whether a stream that has no declared end, and ended between two events,
+// was broken off by the end of its upstream: it has no event, or has only begun and the upstream's
+// process is gone.
 func (s *streamExchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
 	if s.engineFirstEventAt.IsZero() {
 		return true
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -7,6 +7,7 @@
 // seconds, with everything that runs there.
 //
 // The package identifies requests by their content, records per request which upstreams ended
-// while they ran it, and holds a request back once several different upstreams have. It does no
-// I/O and starts no goroutine; the current time is an argument.
+// while they ran it, and holds a request back once several different upstreams have. It does the
+// same for the parts of prompts that requests share, because one part may crash upstreams whatever
+// else the request holds. It does no I/O and starts no goroutine; the current time is an argument.
 package quarantine
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -36,8 +36,9 @@
 // that operators recognize the part at every host.
 const partTag = "part:"
 
-// PartFingerprint returns the fingerprint of a part of the prompts of a service. Accounts share it.
-// The digest needn't resist forgery, because any caller may name any part.
+// PartFingerprint returns the fingerprint of a part of the prompts of a service, which is the same
+// for all accounts. The digest needn't resist forgery, because any caller may name any part. Writing
+// to it returns no error.
 func PartFingerprint(service string, part PartID) Fingerprint {
 	var digest xxhash.Digest
 	digest.Reset()
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -12,8 +12,8 @@
 // maxRequests bounds the requests and parts on a list; each takes some 400 bytes.
 const maxRequests = 1024
 
-// List holds what a host knows of requests, and parts of prompts, that crash upstreams. The zero value is an empty list
-// that is ready to use. It isn't safe for concurrent use.
+// List holds what a host knows of requests, and parts of prompts, that crash upstreams. The zero
+// value is an empty list that is ready to use. It isn't safe for concurrent use.
 type List struct {
 	// HoldThreshold is how many crashes it takes to hold a request; zero means
 	// DefaultHoldThreshold.
@@ -24,9 +24,10 @@
 	recordsPerHead map[HeadDigest]int
 	// partRecords counts the records of parts.
 	partRecords int
-	// requestsByUpstream lists the requests, and the parts of their prompts, that each upstream was running when it ended.
+	// requestsByUpstream lists the requests, and the parts of their prompts, that each upstream was
+	// running when it ended.
 	requestsByUpstream map[Upstream][]Fingerprint
-	// survivals holds what this host itself saw.
+	// survivals holds the parts that this host itself saw survive.
 	survivals survivals
 	// lastChange is the number of the last change of the list, and lastLocalChange that of the
 	// last change that this host observed itself.
@@ -144,9 +145,8 @@
 	return !slices.ContainsFunc(r.crashes, func(c Crash) bool { return slices.ContainsFunc(l.requestsByUpstream[c.Upstream], isRival) })
 }
 
-// mayExplain reports whether a record may be that of the cause of another's crashes: it has reached
-// the hold threshold, and at most one of the other's crashes isn't its own, which may have a reason
-// of its own.
+// mayExplain reports whether a record may be that of the cause of another record's crashes: it has
+// reached the hold threshold, and lacks at most one of them, which may have another cause.
 func (l *List) mayExplain(r, explained *record) bool {
 	unexplained := 0
 	for _, c := range explained.crashes {
@@ -315,8 +315,8 @@
 	l.removeRecord(evictedKey)
 }
 
-// Mark is a host's report to a peer about one request or part. It contains ages instead of times, because
-// the hosts' clocks differ.
+// Mark is a host's report to a peer about one request or part. It contains ages instead of times,
+// because the hosts' clocks differ.
 type Mark struct {
 	Request Fingerprint
 	// Origin has no caller if the crashes of a part were caused by more than one.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -53,11 +53,12 @@
 	// would hold requests that only ran beside another.
 	DefaultHoldThreshold = 3
 	// unprovenMargin is how many more crashes it takes to hold a part while no prompt has run well at
-	// this host yet. A part that all prompts share would be held when engines end for another reason.
+	// this host yet. Otherwise a part that all prompts share would be held if upstreams end for
+	// another reason when a site starts.
 	unprovenMargin = 2
-	// SettleTime is how long after an end it counts towards holding a part. By then the hosts whose
-	// requests began there have reported theirs, and a part that many prompts share isn't mistaken
-	// for the one that only some have.
+	// SettleTime is how long after a crash it counts towards holding a part. By then all hosts have
+	// reported the requests that were beginning to run there, so that a part which many prompts share
+	// isn't ahead of the one that only the crashing ones have.
 	SettleTime = 100 * time.Millisecond
 	// initialHoldTime is how long after the last crash a request is held before a trial. Each
 	// further crash multiplies the hold time by holdTimeMultiplier. A popular request that was
@@ -79,8 +80,8 @@
 	maxCleared = 64
 )
 
-// record is what is known of one request or part. Hosts that receive the same reports, in any order and
-// any number of times, end up with the same crashes: each incarnation of an upstream crashes
+// record is what is known of one request or part. Hosts that receive the same reports, in any order
+// and any number of times, end up with the same crashes: each incarnation of an upstream crashes
 // once, and a crash that was cleared stays cleared.
 type record struct {
 	Origin
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -78,7 +78,7 @@
 
 // RecordCrash records that this host saw an upstream end while it ran a request. The crash counts
 // against the request, whose fingerprint is f, and against the parts of its prompt, except those
-// that have lately survived. It returns the strongest evidence against the request, that crash
+// that survived recently. It returns the strongest evidence against the request, that crash
 // included.
 func (r *Register) RecordCrash(now time.Time, a RequestIdentity, f Fingerprint, o Origin, u Upstream) Finding {
 	parts := a.partFingerprints()
@@ -139,8 +139,8 @@
 	return r.list.ClearCrashes(now, f)
 }
 
-// Receive calls List.Receive. Crashes of parts that this host lately saw survive are received as
-// cleared, and so is what the host reports of them.
+// Receive calls List.Receive. Crashes of parts that this host recently saw survive are received as
+// cleared, and the reply to the peer says so.
 func (r *Register) Receive(now time.Time, marks []Mark) bool {
 	if len(marks) == 0 {
 		return false
