forward: the parts of a prompt are one value in the log

The line of a broken connection said parts="unsupported value type": the encoder takes no lists. Seen in the log of a soak. TestBrokenConnectionIsLogged expects parts=p1,p2; it failed before.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"syscall"
 	"time"
 
@@ -44,6 +45,18 @@
 	return a
 }
 
+// joinParts returns the parts as one value of a log line.
+func joinParts(parts []quarantine.PartID) string {
+	var text strings.Builder
+	for n, part := range parts {
+		if n > 0 {
+			text.WriteByte(',')
+		}
+		text.WriteString(string(part))
+	}
+	return text.String()
+}
+
 // recordBrokenConnection finds out whether an upstream ended when its connection broke before
 // the end of the answer. It logs that with the request's fingerprint, because two requests with
 // different IDs may have the same content. If the upstream ended without notice while the
@@ -58,7 +71,7 @@
 	x.recordBrokenDeparture(now, u, ended)
 	// An upstream that had announced that it leaves ended as announced.
 	announced := x.fleet.LeavingFor(now, u.ID) >= minLeavingNotice
-	keyvals := []any{"upstream", u.ID, "life", u.Incarnation, "ended", ended, "leaving", announced, "asks", x.fingerprint(), "account", x.account.Name, "parts", x.call.Prompt.SharedParts, "runs_beside", x.engines.otherRuns(x.service.Name, u.ID, x.runID())}
+	keyvals := []any{"upstream", u.ID, "life", u.Incarnation, "ended", ended, "leaving", announced, "asks", x.fingerprint(), "account", x.account.Name, "parts", joinParts(x.call.Prompt.SharedParts), "runs_beside", x.engines.otherRuns(x.service.Name, u.ID, x.runID())}
 	if !firstEventAt.IsZero() {
 		keyvals = append(keyvals, "first_event_ago", now.Sub(firstEventAt))
 	}
--- a/forward/brokenconnection_test.go
+++ b/forward/brokenconnection_test.go
@@ -13,6 +13,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/quarantine"
 )
 
 // recordingJournal is a Journal that keeps its lines in memory.
@@ -85,6 +87,7 @@
 			journal := &recordingJournal{}
 			f.journal = journal
 			request := call(c.path)
+			request.Prompt.SharedParts = []quarantine.PartID{"p1", "p2"}
 			f.Serve(t.Context(), request, &fakeSink{})
 			lines := journal.linesWithPrefix("connection broke")
 			if c.want == "" {
@@ -94,6 +97,7 @@
 			is.Equal(len(lines), 1)
 			is.True(strings.Contains(lines[0], c.want))
 			is.True(strings.Contains(lines[0], "asks="))
+			is.True(strings.Contains(lines[0], "parts=p1,p2"))
 		})
 	}
 }
