--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -63,7 +63,7 @@
 	unframed bool
 	// carried has peers carry all streams.
 	carried bool
-	// mended has no request end its upstream any more.
+	// mended has all requests run without a crash.
 	mended atomic.Bool
 }
 
--- a/forward/mostathost_test.go
+++ b/forward/mostathost_test.go
@@ -13,7 +13,7 @@
 
 // playMostAtOneHost plays a day on which, after some seconds, nearly all requests come to one host, and then
 // to another one. It checks that as many are served at the first try as before, but for a quarter, once
-// hosts had time to tell each other.
+// the hosts have had time to share their state.
 func playMostAtOneHost(t *testing.T, d signalDay) {
 	t.Helper()
 	const from, next, until = 8 * time.Second, 16 * time.Second, 24 * time.Second
