quarantine: upstreams that end together don't lengthen a part's hold

Each crash beyond the third made the hold five times longer. That was meant for trials that fail; a part may be in the prompts of a whole pool that loses power, twelve crashes at once, and would have been held for more than ten hours, with every request that has it.

Of a part, only crashes that come once a trial may have been due count for that now. TestHoldTimeOfPart: red before (held after a minute, want a trial due).

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -44,7 +44,7 @@
 	case e.UpstreamsEnded == 0:
 	case settled < threshold:
 		e.Standing = Suspect
-	case e.SinceLastEnd < holdTime(e.UpstreamsEnded-l.holdThreshold()):
+	case e.SinceLastEnd < holdTime(l.failedTrials(f, r, e)):
 		e.Standing = Held
 	default:
 		e.Standing = TrialDue
@@ -52,6 +52,22 @@
 	return e
 }
 
+// failedTrials returns how many crashes count as trials that failed. Of a request, they are those
+// beyond the hold threshold. A part is held for many requests, and upstreams that lose power together
+// are many crashes at once, so of a part only those count that come once a trial may have been due.
+func (l *List) failedTrials(f Fingerprint, r *record, e Evidence) int {
+	if !f.IsPart() {
+		return e.UpstreamsEnded - l.holdThreshold()
+	}
+	first, trials := r.firstCrashAt(), 0
+	for _, c := range r.crashes {
+		if c.At.Sub(first) >= initialHoldTime && !l.explainedByOther(f, r, c.Upstream) {
+			trials++
+		}
+	}
+	return trials
+}
+
 // EvaluateRequest returns the strongest evidence against sending a request. whole is the
 // request's fingerprint; nil if the request isn't on the list. A part that has reached the hold
 // threshold counts only if
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -119,6 +119,35 @@
 	is.Equal(len(r.NewlyHeld(start.Add(time.Second))), 0) // was returned before
 }
 
+// TestHoldTimeOfPart guards against holding a part for hours because many upstreams that ended together
+// had begun to run prompts with it.
+func TestHoldTimeOfPart(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	x := promptOf("a", -1, "x")
+	r.RecordSurvival(start, promptOf("a", 0, "others"), nil)
+	crash := func(now time.Time, n int) {
+		a := promptOf("a", n, "x")
+		r.RecordCrash(now, a, a.Fingerprint(), Origin{Caller: "a"}, testUpstream(n))
+	}
+	standing := func(now time.Time) Standing {
+		f, _ := r.Evaluate(now, x, nil)
+		return f.Standing
+	}
+	for n := range 12 {
+		crash(start.Add(time.Duration(n)*time.Millisecond), n)
+	}
+	now := start.Add(time.Second)
+	is.Equal(standing(now), Held)
+	for trial, hold := range []time.Duration{initialHoldTime, holdTimeMultiplier * initialHoldTime, holdTimeMultiplier * holdTimeMultiplier * initialHoldTime} {
+		is.Equal(standing(now.Add(hold-2*time.Second)), Held)
+		now = now.Add(hold)
+		is.Equal(standing(now), TrialDue)
+		crash(now, 100+trial)
+		now = now.Add(time.Second)
+	}
+}
+
 // TestReceivedPartThatRanWell guards against holding a part that one host suspects and another one
 // runs well: the other one's reply clears it.
 func TestReceivedPartThatRanWell(t *testing.T) {
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -128,6 +128,17 @@
 	return true
 }
 
+// firstCrashAt returns the time of the earliest crash, or zero if there is none.
+func (r *record) firstCrashAt() time.Time {
+	var first time.Time
+	for _, c := range r.crashes {
+		if first.IsZero() || c.At.Before(first) {
+			first = c.At
+		}
+	}
+	return first
+}
+
 // lastCrashAt returns the time of the latest crash, or zero if there is none.
 func (r *record) lastCrashAt() time.Time {
 	var last time.Time
