--- a/forward/crashingpart_test.go
+++ b/forward/crashingpart_test.go
@@ -215,14 +215,12 @@
 	}{"one after the other": {1, 1}, "four at a time": {4, 4}, "all at once": {8, 12}} {
 		t.Run(name, func(t *testing.T) {
 			l := partLoad{path: "/llm/", crashing: parts("system", "topic"), sound: parts("system", "topic"), crashingPerSecond: 1, duration: 30}
-			next := 0
 			l.each = func(fleet *fakeFleet, s *site, n int) {
 				if n%c.every != 0 {
 					return
 				}
-				for range c.together {
-					fleet.endUpstream(s.origin.list[next%12].ID)
-					next++
+				for i := range c.together {
+					fleet.endUpstream(s.origin.list[(n/c.every*c.together+i)%12].ID)
 				}
 			}
 			_, tally := l.run(t, 2)
