rejection, forward: hosts lend each other places at upstreams

Cause: each host keeps to an equal part of what an upstream takes, wherever the requests are. The class is that of the named limits: shares by host that don't follow the callers.

Change: a host for which requests wait borrows places of peers that didn't need theirs lately, and returns them when it doesn't need them or the lender does. Both sides state what they hold in full each time, the borrower counts what was confirmed and the lender what may be out, so lost and late messages can't raise the sum. Nothing is sent unless an upstream announces such a limit and a request has to wait for it.

--- a/forward/follow_test.go
+++ b/forward/follow_test.go
@@ -17,6 +17,7 @@
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
+	"github.com/shedpath/shedpath/rejection"
 	"github.com/shedpath/shedpath/rollout"
 	"github.com/shedpath/shedpath/roster"
 )
@@ -150,6 +151,10 @@
 	return permit.GrantReply{}, errConnectionLost
 }
 
+func (p *fakeFollowedPeer) Lend(context.Context, Peer, rejection.LoanRequest) (rejection.LoanReply, error) {
+	return rejection.LoanReply{}, errConnectionLost
+}
+
 func (p *fakeFollowedPeer) Admit(context.Context, Peer, AdmitRequest) (AdmitReply, error) {
 	return AdmitReply{}, errConnectionLost
 }
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -131,6 +131,10 @@
 	// rejections bounds how many requests upstreams have to reject that say that they fall over
 	// above a limit.
 	rejections rejection.Budget
+	// placesWanted wakes borrowRejectionPlaces, and loanLogLimiter bounds its log lines about peers that
+	// don't answer.
+	placesWanted   chan struct{}
+	loanLogLimiter event.Limiter
 	// relistRequested asks Run to pass the engines that take work to the placement.
 	relistRequested chan struct{}
 	// limiter obtains permits to send to bounded upstreams. limitLogLimiter bounds the log
@@ -215,7 +219,7 @@
 		settings: s, transport: t, journal: j, observer: o,
 		fleet: &Fleet{}, engines: newEnginePlacer(s.Self.ID, s.Self.Zone), plainChooser: newLatencyBalancer(s.Self.Zone),
 		peers: newPeerSet(s.Self, s.Seeds), configOffers: newConfigOffers(),
-		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}), relistRequested: make(chan struct{}, 1),
+		inFlight: map[*exchange]context.CancelCauseFunc{}, idle: make(chan struct{}), relistRequested: make(chan struct{}, 1), placesWanted: make(chan struct{}, 1),
 		fingerprintsToStore: make(chan quarantine.Fingerprint, saveQueueSize),
 	}
 	f.engines.paceEnabled = s.Placement.Pace
--- a/forward/mostathost_test.go
+++ b/forward/mostathost_test.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"time"
@@ -11,12 +12,15 @@
 	"github.com/shedpath/shedpath/member"
 )
 
+// mostAtNextHostFrom is when nearly all requests begin to come to another host than before.
+const mostAtNextHostFrom = 16 * time.Second
+
 // playMostAtOneHost plays a day on which, after some seconds, nearly all requests come to one host, and then
 // to another one. It checks that as many are served at the first try as before, but for a quarter, once
 // the hosts have had time to share their state.
 func playMostAtOneHost(t *testing.T, d signalDay) {
 	t.Helper()
-	const from, next, until = 8 * time.Second, 16 * time.Second, 24 * time.Second
+	const from, next, until = 8 * time.Second, mostAtNextHostFrom, 24 * time.Second
 	var mu sync.Mutex
 	var before, during struct{ sent, served int }
 	d.zones, d.hostsPerZone, d.duration = 3, 3, until
@@ -69,10 +73,19 @@
 	for name, c := range map[string]struct {
 		limit int
 		rate  float64
-	}{"a limit": {20, 120}, "a low limit": {2, 90}} {
+		// firstIsLost says that the first host that gets the requests is lost when another gets them.
+		firstIsLost bool
+	}{"a limit": {20, 120, false}, "a low limit": {2, 90, false}, "the host is lost": {20, 120, true}, "the host is lost, a low limit": {2, 90, true}} {
 		t.Run(name, func(t *testing.T) {
 			f := &fragileFleet{slots: 6, limit: c.limit, announces: true, noRoomFrom: siteSettleTime, upstreams: map[member.UpstreamID]*fragileUpstream{}, ran: map[RequestID]int{}}
-			playMostAtOneHost(t, signalDay{path: "/order/", upstreams: 3, requestsPerSecond: c.rate, transport: func(t signalTransport) Transport { return fragileTransport{t, f} }})
+			d := signalDay{path: "/order/", upstreams: 3, requestsPerSecond: c.rate, transport: func(t signalTransport) Transport { return fragileTransport{t, f} }}
+			if c.firstIsLost {
+				d.disturb = func(ctx context.Context, s *site, _ *signalFleet) {
+					PauseFor(ctx, mostAtNextHostFrom)
+					s.isolate(s.nthHost(0).settings.Self.PeerAddress)
+				}
+			}
+			playMostAtOneHost(t, d)
 			if f.falls > 2 {
 				t.Errorf("upstreams fell over %d times, expected at most 2", f.falls)
 			}
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -101,6 +101,8 @@
 	EndTurn(ctx context.Context, to Peer, r TurnRequest) error
 	// Backoff reports a backoff to the peer that carried the answer in which an upstream asked for it.
 	Backoff(ctx context.Context, to Peer, mark backoff.Mark) error
+	// Lend asks a peer to lend places at upstreams that announce how many rejections they withstand.
+	Lend(ctx context.Context, to Peer, r rejection.LoanRequest) (rejection.LoanReply, error)
 	// Admit waits at the host that is responsible for the zone's requests for a place.
 	Admit(ctx context.Context, to Peer, r AdmitRequest) (AdmitReply, error)
 }
@@ -146,6 +148,7 @@
 	var pending sync.WaitGroup
 	defer pending.Wait()
 	pending.Go(func() { f.fetchConfigs(ctx, peers) })
+	pending.Go(func() { f.borrowRejectionPlaces(ctx, peers) })
 	began := f.now()
 	var lastShare time.Time
 	tick := time.NewTimer(0)
--- a/forward/rejections.go
+++ b/forward/rejections.go
@@ -4,7 +4,10 @@
 package forward
 
 import (
+	"cmp"
+	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/shedpath/shedpath/member"
@@ -46,7 +49,9 @@
 	if !f.rejections.Active() {
 		return 0
 	}
-	return f.rejections.Delay(now, f.rejectionUpstream(u), rejectionSite{f})
+	wait := f.rejections.Delay(now, f.rejectionUpstream(u), rejectionSite{f})
+	f.wakeBorrowing(wait)
+	return wait
 }
 
 // beginRejectable counts a request that an upstream may reject, unless it has to wait.
@@ -54,7 +59,20 @@
 	if !f.rejections.Active() {
 		return rejection.Ticket{}, 0
 	}
-	return f.rejections.Begin(now, f.rejectionUpstream(u), rejectionSite{f}, force)
+	t, wait := f.rejections.Begin(now, f.rejectionUpstream(u), rejectionSite{f}, force)
+	f.wakeBorrowing(wait)
+	return t, wait
+}
+
+// wakeBorrowing wakes borrowRejectionPlaces if a request has to wait for a place.
+func (f *Forwarder) wakeBorrowing(wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	select {
+	case f.placesWanted <- struct{}{}:
+	default:
+	}
 }
 
 // recordRejectionLimit records the limit that an upstream's answer announces, or that it announces none.
@@ -80,3 +98,102 @@
 		}
 	}
 }
+
+const (
+	// loanInterval is the time between two rounds of requests to lenders while this host has borrowed
+	// places or wants to.
+	loanInterval = 100 * time.Millisecond
+	// loanTimeout bounds one request to a lender. Those to the others wait for it.
+	loanTimeout = 200 * time.Millisecond
+	// maxNewLenders is how many peers are asked in a round from which this host has no places.
+	maxNewLenders = 8
+)
+
+// borrowRejectionPlaces borrows places from peers while requests have to wait for them. Each host has an
+// equal part of what an upstream bears, but the requests may come to few of the hosts.
+func (f *Forwarder) borrowRejectionPlaces(ctx context.Context, peers Peers) {
+	round := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.placesWanted:
+		}
+		for ctx.Err() == nil && f.askLenders(ctx, peers, round) {
+			round++
+			PauseFor(ctx, loanInterval)
+		}
+	}
+}
+
+// askLenders renews what peers lend to this host, and asks further ones if it needs more. It reports
+// whether there was anything to ask for. Further peers are asked in turn, by the number of the round.
+func (f *Forwarder) askLenders(ctx context.Context, peers Peers, round int) bool {
+	now := f.now()
+	holds, wantsMore := f.rejections.WantsLoans()
+	if !holds && !wantsMore {
+		return false
+	}
+	asked := f.lenders(now, wantsMore, round)
+	ids := make([]member.HostID, len(asked))
+	for n, p := range asked {
+		ids[n] = p.ID
+	}
+	var calls sync.WaitGroup
+	for n, r := range f.rejections.LoanRequests(now, f.peers.self.ID, f.peers.epoch, ids) {
+		calls.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+			defer cancel()
+			reply, err := peers.Lend(ctx, asked[n], r)
+			if err != nil {
+				if f.loanLogLimiter.Allow(f.now(), "") {
+					f.journal.HostEvent("loan request failed", "peer", asked[n].ID, "err", err)
+				}
+				return
+			}
+			f.rejections.ReceiveLoan(f.now(), now, asked[n].ID, r, reply)
+		})
+	}
+	calls.Wait()
+	f.rejections.ForgetIdleLenders()
+	switch lenders := f.rejections.Lenders(); {
+	case !holds && len(lenders) > 0:
+		f.journal.HostEvent("rejection places borrowed", "lenders", len(lenders))
+	case holds && len(lenders) == 0:
+		f.journal.HostEvent("rejection places returned")
+	}
+	return true
+}
+
+// lenders returns the live peers from which this host has places, and if it wants more some others.
+func (f *Forwarder) lenders(now time.Time, wantsMore bool, round int) []Peer {
+	holding := f.rejections.Lenders()
+	var asked, others []Peer
+	live := f.peers.livePeers(now)
+	slices.SortFunc(live, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	for _, p := range live {
+		if slices.Contains(holding, p.ID) {
+			asked = append(asked, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	if !wantsMore || len(others) == 0 {
+		return asked
+	}
+	for n := range min(maxNewLenders, len(others)) {
+		asked = append(asked, others[(round*maxNewLenders+n)%len(others)])
+	}
+	return asked
+}
+
+// OnLend serves a peer that asks for places at upstreams.
+func (f *Forwarder) OnLend(r rejection.LoanRequest) rejection.LoanReply {
+	upstreams := make([]rejection.Upstream, len(r.Wants))
+	for n, w := range r.Wants {
+		if u, known := f.fleet.Upstream(w.Upstream); known {
+			upstreams[n] = f.rejectionUpstream(u)
+		}
+	}
+	return f.rejections.Lend(f.now(), r, upstreams, rejectionSite{f})
+}
--- a/forward/site_test.go
+++ b/forward/site_test.go
@@ -17,6 +17,7 @@
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
+	"github.com/shedpath/shedpath/rejection"
 	"github.com/shedpath/shedpath/rollout"
 )
 
@@ -369,6 +370,13 @@
 	return permit.GrantReply{}, errConnectionLost
 }
 
+func (s sitePeers) Lend(ctx context.Context, to Peer, r rejection.LoanRequest) (rejection.LoanReply, error) {
+	if f := s.reachHost(ctx, s.address, to); f != nil {
+		return f.OnLend(r), nil
+	}
+	return rejection.LoanReply{}, errConnectionLost
+}
+
 func (s sitePeers) Rollout(ctx context.Context, to Peer, r rollout.Report) (rollout.Status, error) {
 	if f := s.reachHost(ctx, s.address, to); f != nil {
 		return f.OnRollout(r), nil
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -16,6 +16,7 @@
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
+	"github.com/shedpath/shedpath/rejection"
 	"github.com/shedpath/shedpath/rollout"
 )
 
@@ -32,6 +33,7 @@
 	OnTurn(ctx context.Context, r forward.TurnRequest) error
 	OnEndTurn(r forward.TurnRequest)
 	OnBackoff(mark backoff.Mark)
+	OnLend(r rejection.LoanRequest) rejection.LoanReply
 	OnQuarantine(release *quarantine.Fingerprint) ([]quarantine.Entry, bool)
 }
 
@@ -89,6 +91,8 @@
 		return onRollouts(f)
 	case kindQuarantine:
 		return onQuarantine(f, body)
+	case kindLend:
+		return onLend(f, body)
 	case kindBackoff:
 		var w wireBackoff
 		if err := msgpack.Unmarshal(body, &w); err != nil {
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -30,6 +30,7 @@
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
+	"github.com/shedpath/shedpath/rejection"
 	"github.com/shedpath/shedpath/resource"
 	"github.com/shedpath/shedpath/rollout"
 )
@@ -151,6 +152,10 @@
 	return h.on(a).(permit.GrantReply)
 }
 
+func (h goldenHost) OnLend(r rejection.LoanRequest) rejection.LoanReply {
+	return h.on(r).(rejection.LoanReply)
+}
+
 func (h goldenHost) OnRollout(r rollout.Report) rollout.Status { return h.on(r).(rollout.Status) }
 
 func (h goldenHost) Rollouts() []forward.RolloutEntry {
@@ -208,6 +213,7 @@
 		testGoldenConfig(t, config, f)
 		testGoldenPlaces(t, others, f)
 		testGoldenPermits(t, others, f)
+		testGoldenLoans(t, others, f)
 		testGoldenRollouts(t, others, f)
 		testGoldenQuarantine(t, others, f)
 	})
@@ -533,3 +539,10 @@
 	golden.Equal(t, "proof of the acceptor", read(far, 32), mac([]byte(acceptor), nonce, theirs, []byte("h1")))
 	golden.Equal(t, "acceptor's error", <-done, error(nil))
 }
+
+func testGoldenLoans(t *testing.T, b *golden.Book, f golden.Filler) {
+	requests, replies := golden.Cases[rejection.LoanRequest](f, nil), golden.Cases[rejection.LoanReply](f, nil)
+	for n, r := range requests {
+		pin(t, b, fmt.Sprint("ask for a loan ", n+1), r, replies[n%len(replies)], (*Mesh).Lend, serveGoldenHost, false)
+	}
+}
--- a/internal/peer/rejections.go
+++ b/internal/peer/rejections.go
@@ -4,8 +4,14 @@
 package peer
 
 import (
+	"context"
 	"time"
 
+	"github.com/gravitational/trace"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/rejection"
 )
 
@@ -31,3 +37,49 @@
 	}
 	return all
 }
+
+// wireWant encodes rejection.Want.
+type wireWant struct {
+	Upstream   string
+	Held, More int
+}
+
+// wireLoanRequest encodes rejection.LoanRequest. The reply is a list of the numbers of places.
+type wireLoanRequest struct {
+	From       string
+	Epoch, Seq uint64
+	Wants      []wireWant
+}
+
+func toWireLoanRequest(r rejection.LoanRequest) wireLoanRequest {
+	w := wireLoanRequest{From: string(r.From), Epoch: r.Epoch, Seq: r.Seq}
+	for _, want := range r.Wants {
+		w.Wants = append(w.Wants, wireWant{Upstream: string(want.Upstream), Held: want.Held, More: want.More})
+	}
+	return w
+}
+
+func (w wireLoanRequest) request() rejection.LoanRequest {
+	r := rejection.LoanRequest{From: member.HostID(w.From), Epoch: w.Epoch, Seq: w.Seq}
+	for _, want := range w.Wants {
+		r.Wants = append(r.Wants, rejection.Want{Upstream: member.UpstreamID(want.Upstream), Held: want.Held, More: want.More})
+	}
+	return r
+}
+
+// Lend asks a peer to lend places at upstreams.
+func (m *Mesh) Lend(ctx context.Context, to forward.Peer, r rejection.LoanRequest) (rejection.LoanReply, error) {
+	var places []int
+	if err := m.call(ctx, to.PeerAddress, kindLend, toWireLoanRequest(r), &places); err != nil {
+		return rejection.LoanReply{}, err
+	}
+	return rejection.LoanReply{Places: places}, nil
+}
+
+func onLend(f forwardHandler, body []byte) (any, error) {
+	var w wireLoanRequest
+	if err := msgpack.Unmarshal(body, &w); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return f.OnLend(w.request()).Places, nil
+}
--- a/internal/peer/wire.go
+++ b/internal/peer/wire.go
@@ -35,6 +35,7 @@
 	kindClaimRepair
 	kindTunnel
 	kindBackoff
+	kindLend
 )
 
 // The wire types are encoded as arrays, to keep heartbeats small: the order and number of their
--- a/rejection/budget.go
+++ b/rejection/budget.go
@@ -4,6 +4,7 @@
 package rejection
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -64,6 +65,11 @@
 	mu        sync.Mutex
 	services  map[ServiceName]announcement
 	upstreams map[member.UpstreamID]*upstream
+	// borrowers and lenders are the peers to which this host has lent places, and those from which it
+	// has borrowed some or is about to. lastLoanSeq is the number of its last LoanRequest.
+	borrowers   map[member.HostID]*borrower
+	lenders     map[member.HostID]*lender
+	lastLoanSeq uint64
 }
 
 type announcement struct {
@@ -77,6 +83,14 @@
 	inFlight int
 	// rejectedAt are the times of the rejections that still count, the oldest first.
 	rejectedAt []time.Time
+	// part is this host's part when it was last looked at, without what it has lent or borrowed.
+	part int
+	// refused counts the requests that found no place since the last LoanRequests.
+	refused int
+	// peak is the most places that were used or wanted at once since peakSince, and lastPeak the most in
+	// the window before.
+	peak, lastPeak int
+	peakSince      time.Time
 }
 
 // Active reports whether the upstreams of any service may have announced a limit.
@@ -169,24 +183,36 @@
 	if !a.holds(now) {
 		return 0
 	}
-	part := hostPart(a.limit, u, s)
-	if part == 0 {
-		return window
-	}
-	state := b.upstreams[u.ID]
-	if state == nil {
-		return 0
-	}
+	state := b.ensureUpstream(u.ID)
+	state.part = hostPart(a.limit, u, s)
 	state.forget(now)
-	if state.inFlight+len(state.rejectedAt) < part {
+	places := state.part - b.lent(now, u.ID, "") + b.borrowed(now, u.ID)
+	if state.used() < places {
 		return 0
 	}
+	state.refused++
+	state.recordUse(now, state.used()+1)
+	if state.part == 0 {
+		return window
+	}
 	if len(state.rejectedAt) == 0 {
 		return retryDelay
 	}
 	return max(state.rejectedAt[0].Add(window).Sub(now), retryDelay)
 }
 
+func (b *Budget) ensureUpstream(id member.UpstreamID) *upstream {
+	state := b.upstreams[id]
+	if state == nil {
+		if b.upstreams == nil {
+			b.upstreams = map[member.UpstreamID]*upstream{}
+		}
+		state = &upstream{}
+		b.upstreams[id] = state
+	}
+	return state
+}
+
 // hostPart returns how many requests and recent rejections this host may have at an upstream. If all of
 // them together are as many as the upstream processes at once and may reject in a second, it has to
 // reject no more than that. Where there are more hosts than that, only the first in the upstream's own
@@ -207,6 +233,32 @@
 	}
 }
 
+// used returns how many places the requests in flight and the rejections that count take.
+func (u *upstream) used() int { return u.inFlight + len(u.rejectedAt) }
+
+// recordUse records that so many places are used or wanted at once.
+func (u *upstream) recordUse(now time.Time, places int) {
+	switch age := now.Sub(u.peakSince); {
+	case age >= 2*window:
+		u.peak, u.lastPeak, u.peakSince = 0, 0, now
+	case age >= window:
+		u.peak, u.lastPeak, u.peakSince = 0, u.peak, now
+	}
+	u.peak = max(u.peak, places)
+}
+
+// recentPeak returns the most places that were used or wanted at once within the last window at least.
+func (u *upstream) recentPeak(now time.Time) int {
+	u.recordUse(now, u.used())
+	return max(u.peak, u.lastPeak)
+}
+
+// isIdle reports whether nothing has to be remembered of the upstream.
+func (u *upstream) isIdle(now time.Time) bool {
+	u.forget(now)
+	return u.recentPeak(now) == 0
+}
+
 // Ticket counts one request as in flight. The zero value counts nothing.
 type Ticket struct{ id member.UpstreamID }
 
@@ -221,15 +273,9 @@
 	if wait := b.delay(now, u, s); wait > 0 && !force {
 		return Ticket{}, wait
 	}
-	state := b.upstreams[u.ID]
-	if state == nil {
-		if b.upstreams == nil {
-			b.upstreams = map[member.UpstreamID]*upstream{}
-		}
-		state = &upstream{}
-		b.upstreams[u.ID] = state
-	}
+	state := b.ensureUpstream(u.ID)
 	state.inFlight++
+	state.recordUse(now, state.used())
 	return Ticket{u.ID}, 0
 }
 
@@ -246,9 +292,6 @@
 		state.rejectedAt = append(state.rejectedAt, now)
 	}
 	state.forget(now)
-	if state.inFlight == 0 && len(state.rejectedAt) == 0 {
-		delete(b.upstreams, t.id)
-	}
 }
 
 // Prune drops what is over.
@@ -264,9 +307,10 @@
 		}
 	}
 	for id, state := range b.upstreams {
-		if state.forget(now); state.inFlight == 0 && len(state.rejectedAt) == 0 {
+		if state.isIdle(now) {
 			delete(b.upstreams, id)
 		}
 	}
+	maps.DeleteFunc(b.borrowers, func(_ member.HostID, to *borrower) bool { return now.Sub(to.heardAt) >= loanExpiry })
 	b.active.Store(len(b.services) > 0 || len(b.upstreams) > 0)
 }
