forward: failing tests of answers without a declared end whose upstreams end

Seen: where plain calls are answered without a length and end with their connection, a part that crashes upstreams reaches them 42 times later than allowed and ends 57; the caller gets the beginning of the body as a whole answer. A stream that has gone on for more than half a second and ends between two events with its upstream is passed on as complete, too.

The hypothesis: the end of the connection is taken for the end of the answer, so the request counts as one that ran well and clears the part of its earlier ends.

--- a/forward/crashingpart_test.go
+++ b/forward/crashingpart_test.go
@@ -161,6 +161,7 @@
 		"in sound requests' only part":       func(l *partLoad) { l.sound = parts("system") },
 		"sound requests are few":             func(l *partLoad) { l.sound = parts("system", "topic", "detail") },
 		"streams end with their connections": func(l *partLoad) { l.unframed = true },
+		"calls end with their connections":   func(l *partLoad) { l.path, l.unframed = "/status/", true },
 		"peers carry the streams":            func(l *partLoad) { l.carried = true },
 		"two in one prompt":                  func(l *partLoad) { l.crashing = parts("system", "crashing", "crashing2", "topic") },
 		"two parts": func(l *partLoad) {
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -59,7 +59,7 @@
 	crashes map[string][]time.Time
 	// eventCount is the number of events of a stream.
 	eventCount int
-	// unframed has streams end with their connection, so that those of an upstream that ends look whole.
+	// unframed has answers end with their connection, so that those of an upstream that ends look whole.
 	unframed bool
 	// carried has peers carry all streams.
 	carried bool
@@ -186,10 +186,15 @@
 	if cause != "" {
 		f.crash(u.ID, cause)
 	}
-	if err := run.wait(ctx, fakeCallDuration); err != nil {
-		return nil, err
+	err := run.wait(ctx, fakeCallDuration)
+	a := answer(200, "fine")
+	if f.unframed {
+		a.ContentLength, a.Framed = -1, false
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			a.Body, err = io.NopCloser(strings.NewReader("fi")), nil
+		}
 	}
-	return answer(200, "fine"), nil
+	return a, err
 }
 
 // stream writes a run's events and returns the error that ends its body.
--- /dev/null
+++ b/forward/unframed_test.go
@@ -0,0 +1,47 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"testing"
+	"time"
+)
+
+// TestAnswerOfEndedUpstreamIsNotComplete guards against an answer without a declared end that is passed on
+// as complete although its upstream ended under it, and against a whole one that isn't.
+func TestAnswerOfEndedUpstreamIsNotComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		// endAt is when the upstream ends, after the request; zero for never.
+		endAt time.Duration
+	}{
+		"call":                              {"/order/", fakeCallDuration / 2},
+		"stream before its first event":     {"/llm/", fakeFirstEventDelay / 2},
+		"stream that has begun":             {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2},
+		"stream that has gone on for long":  {"/llm/", fakeFirstEventDelay + 2*crashAttributionWindow},
+		"whole call":                        {"/order/", 0},
+		"whole stream":                      {"/llm/", 0},
+		"stream whose upstream ends later":  {"/llm/", 10 * time.Second},
+		"call whose upstream ends just now": {"/order/", fakeCallDuration + 10*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runCrashScenario(t, func(d *crashScenario) {
+				d.fleet.unframed, d.fleet.eventCount = true, 60
+				ends := c.endAt > 0
+				if ends {
+					time.AfterFunc(c.endAt, func() {
+						for _, u := range d.origin.list {
+							d.fleet.endUpstream(u.ID)
+						}
+					})
+				}
+				sink := d.send(d.hostAt(0), c.path, "a")
+				cut := sink.refused != nil || sink.truncated
+				if want := ends && c.endAt < 10*time.Second; cut != want {
+					d.Errorf("the answer %q is cut: %v, want %v; refused: %v", sink.body.String(), cut, want, sink.refused)
+				}
+			})
+		})
+	}
+}
