forward: an answer without a declared end isn't complete if its upstream ended

Callers saw: the beginning of an answer as the whole one, where a call, or a stream older than half a second, had no declared end and its upstream ended under it. And a part of prompts that crashes upstreams went on to crash them, 57 in 20 s, where calls are answered like that: each such answer counted as a run that ended well, and cleared the part.

Cause: the closed connection was taken for the end of the answer; streams in their first half second were the only ones whose upstream was asked.

Change: one rule for calls and streams. When such an answer is over, its upstream is asked for a connection; if that is refused, or a new process has its place, the answer counts as broken off. That costs one connection for each answer without a declared end, and nothing for others.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -80,3 +80,13 @@
 		x.recordCrash(now, u)
 	}
 }
+
+// endedWithUpstream reports whether an answer that has no declared end, and whose connection was closed,
+// was broken off by the end of its upstream.
+func (x *exchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
+	ended, err := x.checkUpstreamEnded(ctx, u)
+	if ended {
+		x.journal.Request(x.call.ID, "answer ended with its upstream", "upstream", u.ID, "looked", err)
+	}
+	return ended
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -114,7 +114,7 @@
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID, "status", a.Status, "err", t.err)
 		return
 	}
-	p.deliver(&t)
+	p.deliver(ctx, &t)
 }
 
 // endAnswer ends the caller's answer: complete, cut, or refused if it hasn't started.
@@ -152,7 +152,7 @@
 		s.engineFirstEventAt, s.source, s.carrier = time.Time{}, u, a.Signals.Via
 		err := s.relayEvents(ctx, first, a)
 		closeBody(a)
-		if err == nil && !a.Framed && !m.isRunStopping() && s.endedWithUpstream(ctx, u) {
+		if err == nil && !a.Framed && !m.isRunStopping() && (s.engineFirstEventAt.IsZero() || s.endedWithUpstream(ctx, u)) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err == nil && (a.Framed || !m.isRunStopping()) {
@@ -178,23 +178,6 @@
 	}
 }
 
-// endedWithUpstream reports whether a stream that has no declared end, and ended between two events,
-// was broken off by the end of its upstream: it has no event, or has only begun and the upstream's
-// process is gone.
-func (s *streamExchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
-	if s.engineFirstEventAt.IsZero() {
-		return true
-	}
-	if s.now().Sub(s.engineFirstEventAt) >= crashAttributionWindow {
-		return false
-	}
-	ended, err := s.checkUpstreamEnded(ctx, u)
-	if ended {
-		s.journal.Request(s.call.ID, "stream ended with its upstream", "upstream", u.ID, "looked", err)
-	}
-	return ended
-}
-
 // orUnexpectedEOF returns the error of a stream that ended too early: err, or
 // io.ErrUnexpectedEOF if err is nil.
 func orUnexpectedEOF(err error) error {
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -104,7 +104,7 @@
 			}
 		}
 	}
-	p.finishFailed()
+	p.finishFailed(ctx)
 }
 
 // hedgeTimer returns a timer that fires when the first attempt has taken too long. It never fires
@@ -146,6 +146,9 @@
 	if t.err == nil {
 		t.body, t.hasMore, t.err = p.responseMemory.readBody(t.response)
 	}
+	if t.err == nil && !t.hasMore && !t.response.Framed && p.endedWithUpstream(ctx, u) {
+		t.err = io.ErrUnexpectedEOF
+	}
 	now := p.now()
 	t.elapsed = now.Sub(startedAt)
 	p.recordRolloutAttempt(ctx, now, u, &t)
@@ -169,7 +172,7 @@
 		p.recordSurvival(now)
 	}
 	if t.succeeded() {
-		p.deliver(t)
+		p.deliver(ctx, t)
 		return true
 	}
 	why := p.classifyFailure(ctx, now, t)
@@ -267,10 +270,10 @@
 }
 
 // deliver passes an upstream's response to the caller.
-func (p *unaryExchange) deliver(t *upstreamAttempt) {
+func (p *unaryExchange) deliver(ctx context.Context, t *upstreamAttempt) {
 	var err error
 	if t.hasMore {
-		err = p.deliverUnbuffered(t)
+		err = p.deliverUnbuffered(ctx, t)
 	} else {
 		err = p.sink.SendResponse(t.response, t.body)
 	}
@@ -282,7 +285,7 @@
 }
 
 // deliverUnbuffered passes on a response that is too long to be buffered.
-func (p *unaryExchange) deliverUnbuffered(t *upstreamAttempt) error {
+func (p *unaryExchange) deliverUnbuffered(ctx context.Context, t *upstreamAttempt) error {
 	defer t.response.Body.Close()
 	err := p.sink.BeginResponse(t.response)
 	if err == nil {
@@ -295,7 +298,10 @@
 			err = p.sink.Write(chunk[:n])
 		}
 		if errors.Is(readErr, io.EOF) {
-			return err
+			if t.response.Framed || !p.endedWithUpstream(ctx, t.upstream) {
+				return err
+			}
+			readErr = io.ErrUnexpectedEOF
 		}
 		if readErr != nil {
 			err = readErr
@@ -306,11 +312,11 @@
 }
 
 // finishFailed answers the caller when all attempts have ended without success.
-func (p *unaryExchange) finishFailed() {
+func (p *unaryExchange) finishFailed(ctx context.Context) {
 	now := p.now()
 	switch {
 	case p.upstreamFailure != nil:
-		p.deliver(p.upstreamFailure)
+		p.deliver(ctx, p.upstreamFailure)
 	case p.mayHaveRun:
 		p.refuse(p.withQuarantineCode(now, Refusal{Code: p.lastCode, MayHaveRun: true}), "tries", len(p.tried))
 	case p.mustHoldBack(now):
@@ -330,7 +336,7 @@
 func (p *unaryExchange) finishCanceled(ctx context.Context) {
 	why := endCauseOf(ctx)
 	if why != endCallerLeft && p.upstreamFailure != nil {
-		p.deliver(p.upstreamFailure)
+		p.deliver(ctx, p.upstreamFailure)
 		return
 	}
 	p.refuse(Refusal{Code: why.code(), MayHaveRun: true}, "tries", len(p.tried))
