forward, entry: a failed call doesn't clear what crashes upstreams

Cause: an answer that reports a failure counted as a run that went well. An upstream may fail a request before it begins the answer that would end it, so that says nothing.

Change: only an answer that reports no failure clears; in streams that was so. A request that always fails and was held by mistake is refused for the hold time and then tried by one host; its callers get no success either way.

--- a/entry/fakeengines_test.go
+++ b/entry/fakeengines_test.go
@@ -270,6 +270,8 @@
 	delay time.Duration
 	// backoff, if set, makes each upstream answer 503 with this Retry-After.
 	backoff time.Duration
+	// failNth, if positive, makes the nth call with a key be answered with 500.
+	failNth int
 }
 
 func (f *fakeServices) setBackoff(d time.Duration) {
@@ -284,11 +286,15 @@
 	if !errors.Is(err, ErrNotSent) {
 		f.calls[r.IdempotencyKey]++
 	}
+	fails := f.failNth > 0 && f.calls[r.IdempotencyKey] == f.failNth
 	f.mu.Unlock()
 	sleepContext(ctx, delay)
 	if backoff > 0 {
 		return ServiceAnswer{Status: 503, RetryAfter: backoff}, err
 	}
+	if fails {
+		return ServiceAnswer{Status: 500}, nil
+	}
 	return ServiceAnswer{Status: 200}, err
 }
 
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -132,6 +132,24 @@
 	})
 }
 
+// TestFailedServiceCallClearsNothing guards against a call that goes on to crash upstreams because one
+// of them failed it before.
+func TestFailedServiceCallClearsNothing(t *testing.T) {
+	runInCrashSite(t, script{}, true, func(is *is.I, s *fakeSite, entries []*Entry) {
+		s.addService("s2", "az1")
+		s.addService("s3", "az0")
+		time.Sleep(5 * time.Second)
+		call := ServiceRequest{Account: "counter", Route: "stock", Method: "GET", Path: "/x"}
+		s.services.err, s.services.failNth = errLinkBroken, 3
+		for n := range 12 {
+			_, err := entries[n%len(entries)].CallService(s.ctx, call)
+			is.Equal(err == nil, n == 0) // its third upstream answers
+			time.Sleep(2 * time.Second)
+		}
+		is.Equal(s.services.count(""), 4) // three that ended, one that failed
+	})
+}
+
 // TestBrokenLinksAreNotQuarantined checks that requests whose links broke while their engines kept
 // running are still started again.
 func TestBrokenLinksAreNotQuarantined(t *testing.T) {
--- a/entry/service.go
+++ b/entry/service.go
@@ -147,9 +147,8 @@
 		answer, failure := e.callUpstream(ctx, u, r)
 		if failure == nil {
 			e.retries.earn()
-			if answer.Status != http.StatusServiceUnavailable && answer.Status != http.StatusTooManyRequests {
-				// An overloaded upstream sends these two statuses, and may not have run the
-				// request.
+			if answer.Status < http.StatusInternalServerError && answer.Status != http.StatusTooManyRequests {
+				// An upstream that is overloaded or fails the request may not have begun what ends it.
 				e.recordSuccess(&tracked)
 			}
 			return answer, nil
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -63,6 +63,9 @@
 	unframed bool
 	// carried has peers carry all streams.
 	carried bool
+	// failEvery, if positive, has every nth call fail at its upstream, which goes on.
+	failEvery int
+	calls     atomic.Int64
 	// mended has all requests run without a crash.
 	mended atomic.Bool
 }
@@ -183,6 +186,9 @@
 		return a, nil
 	}
 	defer f.finishRun(u.ID, run)
+	if f.failEvery > 0 && f.calls.Add(1)%int64(f.failEvery) == 0 {
+		return answer(500, "failed"), nil
+	}
 	if cause != "" {
 		f.crash(u.ID, cause)
 	}
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -45,11 +45,6 @@
 	return t.err == nil && a.Signed && !a.UnexpectedEncoding && !a.NotRun && a.Status < http.StatusInternalServerError && !claimsNotRun(a.Status)
 }
 
-// executed reports whether the upstream confirmed that it ran the request, even if it failed.
-func (t *upstreamAttempt) executed() bool {
-	return t.err == nil && t.response.Signed && !t.response.NotRun && !t.response.WrongInstance
-}
-
 // unaryExchange is an exchange whose response is passed on whole, as opposed to a stream of
 // events. It sends the request to one or more upstreams until one succeeds.
 type unaryExchange struct {
@@ -167,11 +162,9 @@
 // reports whether the caller has been answered.
 func (p *unaryExchange) handleResult(ctx context.Context, t *upstreamAttempt) bool {
 	now := p.now()
-	if t.executed() {
-		// Error responses count too: the upstream is still alive after running the request.
-		p.recordSurvival(now)
-	}
 	if t.succeeded() {
+		// A failure says nothing: the upstream may have failed before it began the answer that ends it.
+		p.recordSurvival(now)
 		p.deliver(ctx, t)
 		return true
 	}
