quarantine: a prompt's parts are bounded

Cause: each part of the prompts that an engine loses becomes a record, some 80 us on a full list (2.4 ms for 30), and a caller may name as many parts as fit into a header: thousands, and the whole list for each such request.

Change: the first 64 parts are looked at, and logged. RecordSurvival no longer evaluates a request only to learn its fingerprint; that is a function of its own.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -45,10 +45,10 @@
 	return a
 }
 
-// joinParts returns the parts as one value of a log line.
+// joinParts returns the parts that quarantine looks at as one value of a log line.
 func joinParts(parts []quarantine.PartID) string {
 	var text strings.Builder
-	for n, part := range parts {
+	for n, part := range parts[:min(len(parts), quarantine.MaxParts)] {
 		if n > 0 {
 			text.WriteByte(',')
 		}
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -78,13 +78,18 @@
 	SharedParts []PartID
 }
 
-// partFingerprints returns the fingerprints of the shared parts, in order.
+// MaxParts bounds the parts of a prompt that are looked at, because callers may name thousands. Each
+// takes some 80 us on a full list when an upstream ends.
+const MaxParts = 64
+
+// partFingerprints returns the fingerprints of the first MaxParts shared parts, in order.
 func (a *RequestIdentity) partFingerprints() []Fingerprint {
 	if len(a.SharedParts) == 0 {
 		return nil
 	}
-	parts := make([]Fingerprint, len(a.SharedParts))
-	for n, part := range a.SharedParts {
+	known := a.SharedParts[:min(len(a.SharedParts), MaxParts)]
+	parts := make([]Fingerprint, len(known))
+	for n, part := range known {
 		parts[n] = PartFingerprint(a.Service, part)
 	}
 	return parts
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -192,6 +192,22 @@
 	is.True(!s.has(start, PartFingerprint("other", "0")))
 }
 
+// TestPartsAreBounded guards against a prompt with thousands of parts that fills the list.
+func TestPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	var many []PartID
+	for n := range 10 * MaxParts {
+		many = append(many, PartID(fmt.Sprint("p", n)))
+	}
+	var r Register
+	now := time.Unix(1e9, 0)
+	a := promptOf("a", 1, many...)
+	r.RecordCrash(now, a, a.Fingerprint(), Origin{Caller: "a"}, testUpstream(1))
+	is.Equal(len(r.Entries(now)), MaxParts+1)
+	r.RecordSurvival(now, promptOf("a", 2, many...), nil)
+	is.Equal(len(r.list.survivals.ring), MaxParts)
+}
+
 // TestPartFingerprint checks that operators recognize a part by its fingerprint, and that no part is
 // taken for a request.
 func TestPartFingerprint(t *testing.T) {
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -47,10 +47,7 @@
 	if !r.nonEmpty.Load() {
 		return Finding{}, known
 	}
-	if known == nil && r.mayContain(a.HeadDigest()) {
-		f := a.Fingerprint()
-		known = &f
-	}
+	known = r.fingerprintIfListed(&a, known)
 	var parts []Fingerprint
 	if r.hasParts() {
 		parts = a.partFingerprints()
@@ -63,6 +60,16 @@
 	return r.list.EvaluateRequest(now, known, parts, a.Caller), known
 }
 
+// fingerprintIfListed returns the request's fingerprint if it is known, or if the request may be on the
+// list; otherwise nil.
+func (r *Register) fingerprintIfListed(a *RequestIdentity, known *Fingerprint) *Fingerprint {
+	if known != nil || !r.mayContain(a.HeadDigest()) {
+		return known
+	}
+	f := a.Fingerprint()
+	return &f
+}
+
 func (r *Register) mayContain(h HeadDigest) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -105,10 +112,13 @@
 // the parts of its prompt of earlier crashes. It returns the evidence that there was against those
 // that it cleared. known is as for Evaluate.
 func (r *Register) RecordSurvival(now time.Time, a RequestIdentity, known *Fingerprint) []Finding {
-	if len(a.SharedParts) == 0 && !r.nonEmpty.Load() {
+	nonEmpty := r.nonEmpty.Load()
+	if len(a.SharedParts) == 0 && !nonEmpty {
 		return nil
 	}
-	_, known = r.Evaluate(now, a, known)
+	if nonEmpty {
+		known = r.fingerprintIfListed(&a, known)
+	}
 	subjects := a.partFingerprints()
 	r.mu.Lock()
 	defer r.mu.Unlock()
