forward: hosts ask less often for places that nobody can spare

Cause: while all hosts are short of places, each asks eight peers ten times a second for nothing, up to 80 messages a second and as many from others.

Change: the pause between two rounds doubles while they bring nothing, to a second, or to 0.2 s where this host has places to renew.

--- a/forward/rejections.go
+++ b/forward/rejections.go
@@ -100,9 +100,12 @@
 }
 
 const (
-	// loanInterval is the time between two rounds of requests to lenders while this host has borrowed
-	// places or wants to.
-	loanInterval = 100 * time.Millisecond
+	// loanInterval is the time between two rounds of requests to lenders that bring this host places. It
+	// doubles with each other round, up to renewalInterval while this host has places of peers, and up
+	// to maxLoanInterval while no peer can spare any.
+	loanInterval    = 100 * time.Millisecond
+	renewalInterval = 200 * time.Millisecond
+	maxLoanInterval = time.Second
 	// loanTimeout bounds one request to a lender. Those to the others wait for it.
 	loanTimeout = 200 * time.Millisecond
 	// maxNewLenders is how many peers are asked in a round from which this host has no places.
@@ -112,16 +115,27 @@
 // borrowRejectionPlaces borrows places from peers while requests have to wait for them. Each host has an
 // equal part of what an upstream bears, but the requests may come to few of the hosts.
 func (f *Forwarder) borrowRejectionPlaces(ctx context.Context, peers Peers) {
-	round := 0
+	round, pause := 0, loanInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-f.placesWanted:
 		}
-		for ctx.Err() == nil && f.askLenders(ctx, peers, round) {
+		for ctx.Err() == nil {
+			before := f.rejections.Borrowed()
+			if !f.askLenders(ctx, peers, round) {
+				break
+			}
 			round++
-			PauseFor(ctx, loanInterval)
+			borrowed := f.rejections.Borrowed()
+			if pause = min(2*pause, maxLoanInterval); borrowed > 0 {
+				pause = min(pause, renewalInterval)
+			}
+			if borrowed > before {
+				pause = loanInterval
+			}
+			PauseFor(ctx, pause)
 		}
 	}
 }
--- a/rejection/loan.go
+++ b/rejection/loan.go
@@ -95,6 +95,19 @@
 	return len(b.lenders) > 0, wantsMore
 }
 
+// Borrowed returns how many places this host has from peers, at all upstreams together.
+func (b *Budget) Borrowed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	places := 0
+	for _, from := range b.lenders {
+		for _, n := range from.places {
+			places += n
+		}
+	}
+	return places
+}
+
 // Lenders returns the peers from which this host has places.
 func (b *Budget) Lenders() []member.HostID {
 	b.mu.Lock()
