--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -44,7 +44,7 @@
 	case e.UpstreamsEnded == 0:
 	case settled < threshold:
 		e.Standing = Suspect
-	case e.SinceLastEnd < holdTime(l.failedTrials(f, r, e)):
+	case l.isHeld(f, r, e):
 		e.Standing = Held
 	default:
 		e.Standing = TrialDue
@@ -52,6 +52,13 @@
 	return e
 }
 
+// isHeld reports whether the hold time of a request or part isn't over. A part is tried maxPartTrials
+// times at most, as requests with it may reach three more upstreams once it has ended five.
+func (l *List) isHeld(f Fingerprint, r *record, e Evidence) bool {
+	trials := l.failedTrials(f, r, e)
+	return f.IsPart() && trials >= maxPartTrials || e.SinceLastEnd < holdTime(trials)
+}
+
 // failedTrials returns how many crashes count as trials that failed. Of a request, they are those
 // beyond the hold threshold. A part is held for many requests, and upstreams that lose power together
 // are many crashes at once, so of a part only those count that come once a trial may have been due.
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -120,7 +120,7 @@
 }
 
 // TestHoldTimeOfPart guards against holding a part for hours because many upstreams that ended together
-// had begun to run prompts with it.
+// had begun to run prompts with it, and against trying one more than three times in a day.
 func TestHoldTimeOfPart(t *testing.T) {
 	is := is.New(t)
 	var r Register
@@ -146,6 +146,11 @@
 		crash(now, 100+trial)
 		now = now.Add(time.Second)
 	}
+	for hours := range 24 {
+		is.Equal(standing(now.Add(time.Duration(hours)*time.Hour)), Held)
+	}
+	is.True(r.ClearCrashes(now, PartFingerprint("llm", "x")))
+	is.Equal(standing(now), Clear)
 }
 
 // TestReceivedPartThatRanWell guards against holding a part that one host suspects and another one
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -66,6 +66,9 @@
 	// takes three more of them in half an hour, and the next two hours later.
 	initialHoldTime    = time.Minute
 	holdTimeMultiplier = 5
+	// maxPartTrials is how many trials of a part may fail. After that it is held until its record expires
+	// or an operator releases it.
+	maxPartTrials = 3
 	// trialInterval is the least time between two trials of a request by one host. After it the
 	// outcome of a trial is known.
 	trialInterval = 30 * time.Second
