quarantine: upstreams that end together have no part held

When all engines end at once just after hosts have started, as when a rack loses power, 150 to 156 of 160 requests are refused, for up to a minute: the part that all prompts share had begun on five engines that ended, and no prompt had run well that would have told otherwise.

Cause: ends were counted, not their occasions. The class is that of the hold time after ends at once.

Change: ends of a part within 0.25 s count as one. Two occasions are needed while prompts run well at the host, three if none has lately, five if none has since it started. What has sufficed suffices until it is cleared, so a held part isn't sent again once nothing else runs. Records in the store have no times; what is stored was held, so its ends count as apart.

Result: TestSharedPartsOfEndingUpstreams (all at once before any prompt has run) and TestEndsAtOnceWhileNothingRanWell fail before and pass. TestPartsOfEndsAtOnce and TestHoldTimeOfPart had ends at one moment held; they have some apart now and check the same times, and the former also that ends at one moment hold nothing. TestReceivedPartThatRanWell and TestEvaluateParts: ends apart, and hosts look for new holds after each step, as they do. Under a worse load from the first moment on, see docs/design/crashing-requests.md, a part can be held too late.

--- a/forward/follow.go
+++ b/forward/follow.go
@@ -322,7 +322,7 @@
 		w.logUnread(now, update)
 	}
 	w.peers.addFromDirectory(now, update.Hosts)
-	w.receivePeerCrashes(now, update.HeldRequests)
+	w.receiveStoredCrashes(now, update.HeldRequests)
 	if w.needsFullRead {
 		w.journal.HostEvent("list read", "revision", update.Revision, "upstreams", len(update.Changes), "took", now.Sub(provedAt))
 	}
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -126,11 +126,18 @@
 
 // receivePeerCrashes records the crashes that a peer reports.
 func (f *Forwarder) receivePeerCrashes(now time.Time, marks []quarantine.Mark) {
-	if !f.crashes.Receive(now, marks) {
-		return
+	if f.crashes.Receive(now, marks) {
+		f.applyNewHolds(now)
+		f.applyNewHoldsLater()
+	}
+}
+
+// receiveStoredCrashes records the crashes of requests and parts that are saved with the origin.
+func (f *Forwarder) receiveStoredCrashes(now time.Time, marks []quarantine.Mark) {
+	if f.crashes.ReceiveStored(now, marks) {
+		f.applyNewHolds(now)
+		f.applyNewHoldsLater()
 	}
-	f.applyNewHolds(now)
-	f.applyNewHoldsLater()
 }
 
 // cancelQuarantined ends requests in flight that are now quarantined, unless a part of their
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -21,12 +21,8 @@
 	if r == nil {
 		return Evidence{}
 	}
-	threshold := l.holdThreshold()
-	if f.IsPart() && !l.survivals.any() {
-		threshold += unprovenMargin
-	}
 	var e Evidence
-	settled := 0
+	var settled []time.Time
 	for _, c := range r.crashes {
 		if l.explainedByOther(f, r, c.Upstream) {
 			continue
@@ -36,13 +32,13 @@
 			e.SinceLastEnd = age
 		}
 		if !f.IsPart() || age >= SettleTime {
-			settled++
+			settled = append(settled, c.At)
 		}
 		e.UpstreamsEnded++
 	}
 	switch {
 	case e.UpstreamsEnded == 0:
-	case settled < threshold:
+	case !l.sufficient(now, f, r, settled):
 		e.Standing = Suspect
 	case l.isHeld(f, r, e):
 		e.Standing = Held
@@ -52,6 +48,43 @@
 	return e
 }
 
+// sufficient reports whether crashes at these times suffice to hold a request or part. Upstreams that
+// lose power together end under many prompts, so crashes of a part at the same time count as one. While
+// no prompt runs well, nothing tells a part from what ends the upstreams, so more crashes are needed then.
+// What has sufficed once suffices from then on.
+func (l *List) sufficient(now time.Time, f Fingerprint, r *record, crashes []time.Time) bool {
+	if len(crashes) < l.holdThreshold() {
+		return false
+	}
+	if !r.reachedThreshold {
+		r.reachedThreshold = !f.IsPart() || countApart(crashes, crashSpacing) >= l.crashesApartToHold(now)
+	}
+	return r.reachedThreshold
+}
+
+// crashesApartToHold returns how many crashes at different times it takes to hold a part.
+func (l *List) crashesApartToHold(now time.Time) int {
+	switch {
+	case l.survivals.recent(now):
+		return minCrashesApart
+	case l.survivals.any():
+		return l.holdThreshold()
+	}
+	return l.holdThreshold() + unprovenMargin
+}
+
+// countApart returns how many of the times are at least spacing apart from the one before.
+func countApart(times []time.Time, spacing time.Duration) int {
+	slices.SortFunc(times, time.Time.Compare)
+	count, last := 0, time.Time{}
+	for _, at := range times {
+		if count == 0 || at.Sub(last) >= spacing {
+			count, last = count+1, at
+		}
+	}
+	return count
+}
+
 // isHeld reports whether the hold time of a request or part isn't over. A part is tried maxPartTrials
 // times at most, as requests with it may reach three more upstreams once it has ended five.
 func (l *List) isHeld(f Fingerprint, r *record, e Evidence) bool {
--- a/quarantine/mark.go
+++ b/quarantine/mark.go
@@ -30,6 +30,15 @@
 	return m
 }
 
+// withCrashesApart returns the mark with its crashes crashSpacing apart, the last of them just now.
+func (m Mark) withCrashesApart() Mark {
+	m.Crashes = slices.Clone(m.Crashes)
+	for n := range m.Crashes {
+		m.Crashes[n].Age = time.Duration(n) * crashSpacing
+	}
+	return m
+}
+
 // CrashAge is a Crash with its age instead of its time.
 type CrashAge struct {
 	Upstream
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -52,9 +52,12 @@
 	// DefaultHoldThreshold is how many crashes it takes to hold a request. A lower threshold
 	// would hold requests that only ran beside another.
 	DefaultHoldThreshold = 3
-	// unprovenMargin is how many more crashes it takes to hold a part while no prompt has run well at
-	// this host yet. Otherwise a part that all prompts share would be held if upstreams end for
-	// another reason when a site starts.
+	// crashSpacing is how far apart crashes of a part must be to count as several, and minCrashesApart
+	// how many of these it takes to hold it while other prompts run well.
+	crashSpacing    = 250 * time.Millisecond
+	minCrashesApart = 2
+	// unprovenMargin is how many more crashes apart it takes to hold a part while no prompt has run well
+	// at this host yet.
 	unprovenMargin = 2
 	// SettleTime is how long after a crash it counts towards holding a part. By then all hosts have
 	// reported the requests that were beginning to run there, so that a part which many prompts share
@@ -97,6 +100,9 @@
 	clearedAt time.Time
 	// lastTrialAt is when this host last began a trial of the request.
 	lastTrialAt time.Time
+	// reachedThreshold says that the crashes have sufficed to hold the record, and that some still count.
+	// Otherwise a held part would be sent again once nothing else runs.
+	reachedThreshold bool
 	// wasHeld says that the record was held at the last call of List.NewlyHeld.
 	wasHeld bool
 	// lastChange is the number of the last change of this record, among all changes of the list.
@@ -124,6 +130,7 @@
 		return false
 	}
 	r.crashes = slices.DeleteFunc(r.crashes, func(c Crash) bool { return c.Upstream == u })
+	r.reachedThreshold = r.reachedThreshold && len(r.crashes) > 0
 	r.cleared, r.clearedAt = append(r.cleared, u), now
 	if len(r.cleared) > maxCleared {
 		r.cleared = slices.Delete(r.cleared, 0, 1)
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -168,6 +168,16 @@
 	return r.list.Receive(now, received)
 }
 
+// ReceiveStored is Receive for marks that were stored without times. What is stored was held, so its
+// crashes count as apart.
+func (r *Register) ReceiveStored(now time.Time, marks []Mark) bool {
+	stored := make([]Mark, len(marks))
+	for n, m := range marks {
+		stored[n] = m.withCrashesApart()
+	}
+	return r.Receive(now, stored)
+}
+
 // Entries calls List.Entries.
 func (r *Register) Entries(now time.Time) []Entry {
 	r.mu.Lock()
--- a/quarantine/survivals.go
+++ b/quarantine/survivals.go
@@ -43,6 +43,15 @@
 // any reports whether any part ever survived.
 func (s *survivals) any() bool { return len(s.ring) > 0 }
 
+// recent reports whether any part survived within survivalMemory.
+func (s *survivals) recent(now time.Time) bool {
+	if !s.any() {
+		return false
+	}
+	latest := s.ring[(s.next+len(s.ring)-1)%len(s.ring)]
+	return now.Sub(latest.at) <= survivalMemory
+}
+
 // has reports whether a part survived within survivalMemory.
 func (s *survivals) has(now time.Time, part Fingerprint) bool {
 	for n := len(s.ring) - 1; n >= 0; n-- {
