--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -50,8 +50,8 @@
 
 // sufficient reports whether crashes at these times suffice to hold a request or part. Upstreams that
 // lose power together end under many prompts, so crashes of a part at the same time count as one. While
-// no prompt runs well, nothing tells a part from what ends the upstreams, so more crashes are needed then.
-// What has sufficed once suffices from then on.
+// no prompt runs well, a part can't be distinguished from another cause, so more crashes are needed.
+// A part that has reached the threshold stays at it until its crashes are cleared.
 func (l *List) sufficient(now time.Time, f Fingerprint, r *record, crashes []time.Time) bool {
 	if len(crashes) < l.holdThreshold() {
 		return false
--- a/rejection/loan.go
+++ b/rejection/loan.go
@@ -14,8 +14,8 @@
 
 const (
 	// loanUse is how long a host begins requests on places that their lender hasn't confirmed, and
-	// loanExpiry is how long a lender leaves places to a borrower from which it doesn't hear. What lies
-	// between is for the requests that are in flight when they lose touch.
+	// loanExpiry is how long a lender keeps places reserved for a silent borrower. The difference covers
+	// the borrower's requests that are in flight when they lose contact.
 	loanUse    = 500 * time.Millisecond
 	loanExpiry = 2500 * time.Millisecond
 	// maxWants bounds the upstreams in one LoanRequest.
@@ -115,8 +115,8 @@
 	return slices.Sorted(maps.Keys(b.lenders))
 }
 
-// LoanRequests returns the next request to each of the given peers, and returns places for which this
-// host has had no use lately. The replies belong to ReceiveLoan.
+// LoanRequests returns the next request to each of the given peers, and gives up borrowed places that
+// were unused recently. Pass the replies to ReceiveLoan.
 func (b *Budget) LoanRequests(now time.Time, from member.HostID, epoch uint64, peers []member.HostID) []LoanRequest {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -169,7 +169,7 @@
 	return r
 }
 
-// returnIdlePlaces gives up borrowed places beyond the most that this host needed lately.
+// returnIdlePlaces gives up the borrowed places that exceed this host's recent peak.
 func (b *Budget) returnIdlePlaces(now time.Time) {
 	for _, host := range slices.Sorted(maps.Keys(b.lenders)) {
 		for id := range b.lenders[host].places {
@@ -236,8 +236,8 @@
 }
 
 // Lend decides about a peer's request. upstreams are those of the wants; the zero value stands for one
-// that this host doesn't know. Places that this host needed lately itself aren't lent, and are asked
-// back if they are.
+// that this host doesn't know. Places within this host's own recent peak aren't lent, and are recalled
+// if they are.
 func (b *Budget) Lend(now time.Time, r LoanRequest, upstreams []Upstream, s Site) LoanReply {
 	b.mu.Lock()
 	defer b.mu.Unlock()
