quarantine, rejection: three comments say what the functions do

Found in reading the change once more: countApart measures from the last time counted, not from the one before. Comments only; the tests of both packages pass.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -73,7 +73,8 @@
 	return l.holdThreshold() + unprovenMargin
 }
 
-// countApart returns how many of the times are at least spacing apart from the one before.
+// countApart returns how many of the times are at least spacing after the last one counted. It sorts
+// them.
 func countApart(times []time.Time, spacing time.Duration) int {
 	slices.SortFunc(times, time.Time.Compare)
 	count, last := 0, time.Time{}
--- a/quarantine/register.go
+++ b/quarantine/register.go
@@ -168,8 +168,8 @@
 	return r.list.Receive(now, received)
 }
 
-// ReceiveStored is Receive for marks that were stored without times. What is stored was held, so its
-// crashes count as apart.
+// ReceiveStored is Receive for marks that were stored without times. Only held requests and parts are
+// stored, so their crashes are taken to be crashSpacing apart.
 func (r *Register) ReceiveStored(now time.Time, marks []Mark) bool {
 	stored := make([]Mark, len(marks))
 	for n, m := range marks {
--- a/rejection/budget.go
+++ b/rejection/budget.go
@@ -236,7 +236,7 @@
 // used returns how many places the requests in flight and the rejections that count take.
 func (u *upstream) used() int { return u.inFlight + len(u.rejectedAt) }
 
-// recordUse records that so many places are used or wanted at once.
+// recordUse updates the peak with a number of places that are used or wanted at the same time.
 func (u *upstream) recordUse(now time.Time, places int) {
 	switch age := now.Sub(u.peakSince); {
 	case age >= 2*window:
