--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -318,13 +318,22 @@
 	})
 }
 
-// TestNotReadyWithoutUpstreams checks that a host isn't ready while it knows no upstream, and is ready
-// as soon as it knows one.
+// TestNotReadyWithoutUpstreams checks that a host isn't ready while it knows no upstream or can't place
+// a stream on it yet, and is ready as soon as it can. It guards against streams that are refused because
+// the placement learned of the upstreams later than the callers learned that the host is ready.
 func TestNotReadyWithoutUpstreams(t *testing.T) {
 	is := is.New(t)
 	f := New(Settings{}, &fakeTransport{}, silentJournal{}, silentObserver{})
 	f.Configure(time.Now(), testConfig(1))
 	is.True(!f.Ready())
 	f.fleet.Replace(time.Now(), []Upstream{llmUpstream("llm1", 1, false)}, rev(1))
+	place := func() policy.Decision {
+		_, _, d := f.engines.place(t.Context(), time.Now(), "llm", policy.Request{Run: "r", PromptTokens: 100, Deadline: time.Now().Add(time.Minute)})
+		return d
+	}
+	is.Equal(place().Reason, policy.ReasonNoEngine)
+	is.True(!f.Ready())
+	f.updatePlacementEngines(time.Now(), f.Table())
 	is.True(f.Ready())
+	is.Equal(place().Verdict, policy.Granted)
 }
