forward: a host is ready once it can place streams

A host answered that it is ready as soon as it had the configuration and the list of upstreams. The placement gets the engines from Run, which woke a moment later, or at its next tick if all entries of the list were known from peers before. Streams that came meanwhile were refused (no_upstream, retry after 2 s). Ready waits for the placement now, and the first list wakes Run even if its entries aren't news. The tests of hosts that join run Run, which they did without.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -177,6 +177,7 @@
 }
 
 func (f *Fleet) applyAll(now time.Time, changes []Change, revision history.Point) []Change {
+	isFirst := f.revision.IsZero() // a host is ready once its placement got the first list
 	f.revision = history.Latest(f.revision, revision)
 	var news []Change
 	for _, c := range changes {
@@ -184,7 +185,7 @@
 			news = append(news, c)
 		}
 	}
-	f.notify(len(news) > 0)
+	f.notify(len(news) > 0 || isFirst)
 	return news
 }
 
@@ -226,7 +227,7 @@
 		}
 	}
 	f.recordGap(before, revision)
-	f.notify(len(news) > 0)
+	f.notify(len(news) > 0 || before.IsZero())
 	return news
 }
 
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -124,6 +124,8 @@
 	table        atomic.Pointer[Table]
 	engines      *enginePlacer
 	plainChooser *latencyBalancer
+	// canPlace says that the placement got engines of a list of upstreams that this host received.
+	canPlace atomic.Bool
 	// backoffs holds the upstreams that asked this host for backoff. backoffNoticeLimiter
 	// bounds how often peers are notified of that at once.
 	backoffs             backoff.Table
@@ -292,7 +294,7 @@
 		suspended = f.reportSuspension(suspended)
 		changed := f.fleet.Changed()
 		f.retireVersions(f.now())
-		if f.peers.zonesDivided() {
+		if f.canPlace.Load() && f.peers.zonesDivided() {
 			PauseFor(ctx, relistDelay)
 		}
 		if t := f.table.Load(); t != nil {
@@ -340,6 +342,7 @@
 
 // updatePlacementEngines passes the engines that take work to the placement.
 func (f *Forwarder) updatePlacementEngines(now time.Time, t *Table) {
+	hasList := !f.fleet.Revision().IsZero()
 	layout, own := f.peers.cellLayout()
 	f.fleet.SetLayout(layout, own)
 	for name, s := range t.Services() {
@@ -349,6 +352,9 @@
 		}
 	}
 	f.updatePaces(now)
+	if hasList {
+		f.canPlace.Store(true)
+	}
 }
 
 // maxFallbackEngines bounds the engines of other cells on which a host places by itself when
--- a/forward/join_test.go
+++ b/forward/join_test.go
@@ -62,6 +62,7 @@
 		time.Sleep(3 * time.Second)
 		reads := s.origin.reads.Load()
 		s.start(ctx, joiner)
+		go joiner.Run(ctx)
 		time.Sleep(50 * time.Millisecond)
 		is.True(joiner.Ready())
 		is.Equal(len(joiner.fleet.Available(time.Now(), "llm")), 2)
@@ -302,6 +303,7 @@
 		time.Sleep(10 * time.Second)
 		is.True(!joiner.Ready()) // it knows nothing
 		s.start(ctx, joiner)
+		go joiner.Run(ctx)
 		time.Sleep(defaultJoinTimeout + 100*time.Millisecond)
 		is.True(joiner.Ready())
 		is.Equal(joiner.versionInForce(), Version(1))
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -96,7 +96,7 @@
 		}
 	}
 	f.recordGap(before, at)
-	f.notify(len(changed) > 0)
+	f.notify(len(changed) > 0 || before.IsZero())
 	return changed
 }
 
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -10,10 +10,8 @@
 )
 
 // Ready reports whether this host should get new connections: it has a configuration and a
-// list of upstreams, and is not stopping.
-func (f *Forwarder) Ready() bool {
-	return f.table.Load() != nil && !f.fleet.Revision().IsZero() && !f.Stopping()
-}
+// list of upstreams, can place streams on them, and is not stopping.
+func (f *Forwarder) Ready() bool { return f.canPlace.Load() && !f.Stopping() }
 
 // Stopping reports whether Stop has been called.
 func (f *Forwarder) Stopping() bool {
