review: a broken stream looks whole after its worker was replaced

A host that was suspended while a worker crashed and its successor took over the address passes the broken answer on as a whole one. The earlier cases move on by one; that of the roll-out is left out and stays playable by the harness.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 [ -x target/review/harness ] && [ -x target/shedpath ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review/harness -case rollout -trouble="$trouble" -record "$here/record.txt"
+exec target/review/harness -case garbage -trouble="$trouble" -record "$here/record.txt"
--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -138,6 +138,13 @@
 	_ = h.process.Kill()
 }
 
+// signal sends a signal to the process, which may have ended.
+func (h *host) signal(s os.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.process.Signal(s)
+}
+
 // limitMemory kills the process once it has more memory than the settings allow.
 func (h *host) limitMemory(ctx context.Context, p *os.Process) {
 	for ctx.Err() == nil {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -50,6 +50,8 @@
 	fleet    *fleet
 	hosts    []*host
 	outcomes outcomes
+	// streamWorkers are the workers of the case of streams.
+	streamWorkers []*workerProcess
 	// via holds the name of the host that each request was sent to.
 	via sync.Map
 
@@ -81,17 +83,26 @@
 }
 
 func main() {
-	name := flag.String("case", "", "uploads, garbage or rollout")
+	name := flag.String("case", "", "streams, uploads, garbage or rollout; worker is for the harness itself")
 	trouble := flag.Bool("trouble", true, "with the disruption")
+	freeze := flag.Bool("freeze", true, "case streams: with machines that stand still")
+	crash := flag.Bool("crash", true, "case streams: with workers that crash")
+	id := flag.String("id", "", "case worker: the worker's id")
+	listen := flag.String("listen", "", "case worker: its address")
 	program := flag.String("program", "target/shedpath", "the program of the entry hosts")
 	recordFile := flag.String("record", "record.txt", "the file to write what happened to")
 	flag.Parse()
+	if *name == "worker" {
+		runStreamWorker(*id, *listen)
+		return
+	}
+	o := options{name: *name, trouble: *trouble, freeze: *trouble && *freeze, crash: *trouble && *crash, program: *program}
 	r, err := newRecord(*recordFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	status, err := run(r, *name, *trouble, *program)
+	status, err := run(r, o)
 	if err != nil {
 		r.verdict("the case couldn't run: %v", err)
 		status = 2
@@ -103,9 +114,21 @@
 	os.Exit(status)
 }
 
+// options say what to play.
+type options struct {
+	// name is the name of the case, and trouble says that its disruption is there.
+	name    string
+	trouble bool
+	// freeze and crash are the parts of the disruption of the case of streams.
+	freeze, crash bool
+	// program is the program of the hosts.
+	program string
+}
+
 // run plays a case and returns the exit status.
-func run(r *record, name string, trouble bool, program string) (int, error) {
-	if name != "uploads" && name != "garbage" && name != "rollout" {
+func run(r *record, o options) (int, error) {
+	name, trouble := o.name, o.trouble
+	if !slices.Contains([]string{"streams", "uploads", "garbage", "rollout"}, name) {
 		return 2, fmt.Errorf("unknown case %q", name)
 	}
 	dir, err := os.MkdirTemp("", "review")
@@ -114,7 +137,7 @@
 	}
 	defer os.RemoveAll(dir)
 	s := &site{
-		record: r, store: newStore(), fleet: &fleet{record: r, runs: map[string]int{}, spoilt: map[string]bool{}}, outcomes: outcomes{byResult: map[string]int{}},
+		record: r, store: newStore(), fleet: &fleet{record: r, runs: map[string]int{}, unsound: map[string]bool{}}, outcomes: outcomes{byResult: map[string]int{}},
 		body: make([]byte, longBody), uploadBytes: longBody, chunked: trouble,
 	}
 	// A signal ends the case, and with it all processes that it started.
@@ -128,10 +151,12 @@
 	case "uploads":
 		// The hosts of a zone are away. This is to be borne, and is so without the disruption, too.
 		l.hostZones = l.hostZones[:2]
+	case "streams":
+		l = layout{workerZones: streamZones, hostZones: streamZones, template: streamsNodeTemplate, streams: true}
 	case "rollout":
 		l = layout{workerZones: rolloutZones, hostZones: slices.Concat(rolloutZones, rolloutZones), template: rolloutNodeTemplate, rollout: true}
 	}
-	if err := s.start(ctx, &processes, dir, program, l); err != nil {
+	if err := s.start(ctx, &processes, dir, o.program, l); err != nil {
 		return 2, err
 	}
 	sleep(ctx, settleTime)
@@ -140,6 +165,9 @@
 			return 2, fmt.Errorf("%s isn't ready", h.name)
 		}
 	}
+	if name == "streams" {
+		return s.playStreams(ctx, o.freeze, o.crash, s.streamWorkers)
+	}
 	if name == "rollout" {
 		return s.playRollout(ctx, trouble)
 	}
@@ -161,6 +189,32 @@
 	template string
 	// rollout says that there are workers of the new version, too.
 	rollout bool
+	// streams says that the workers are those of a streaming service.
+	streams bool
+}
+
+// plainZones are the zones of the workers that aren't processes of their own.
+func (l *layout) plainZones() []string {
+	if l.streams {
+		return nil
+	}
+	return l.workerZones
+}
+
+// startStreamWorkers starts a process of a stream worker in each zone. They end with the context.
+func (s *site) startStreamWorkers(ctx context.Context, processes *sync.WaitGroup, zones []string, address func(n int) string) error {
+	for n, zone := range zones {
+		w := &workerProcess{zone: zone, address: address(40+n) + ":8428", record: s.record, store: s.store}
+		if err := w.start(); err != nil {
+			return err
+		}
+		s.streamWorkers = append(s.streamWorkers, w)
+		processes.Go(func() {
+			<-ctx.Done()
+			w.kill()
+		})
+	}
+	return nil
 }
 
 // start starts the store, the workers and the hosts.
@@ -176,8 +230,15 @@
 	}
 	server := &http.Server{Handler: s.store}
 	go func() { _ = server.Serve(listener) }()
-	s.store.put(configKey, configDocument)
-	if err := s.fleet.start(l.workerZones, oldVersion, func(n int) string { return address(40 + n) }, s.store); err != nil {
+	if l.streams {
+		s.store.put(configKey, streamsConfigDocument)
+		if err := s.startStreamWorkers(ctx, processes, l.workerZones, address); err != nil {
+			return err
+		}
+	} else {
+		s.store.put(configKey, configDocument)
+	}
+	if err := s.fleet.start(l.plainZones(), oldVersion, func(n int) string { return address(40 + n) }, s.store); err != nil {
 		return err
 	}
 	if l.rollout {
--- a/review/harness/wire.go
+++ b/review/harness/wire.go
@@ -25,13 +25,17 @@
 
 func wireName(parts ...string) string { return strings.Join(parts, "-") }
 
-// configDocument is the operator's configuration; nodeTemplate and rolloutNodeTemplate are the
+// configDocument and streamsConfigDocument are the operator's configuration; the templates are the
 // settings file of a host, with gaps in braces.
 var (
 	//go:embed config.json
 	configDocument []byte
+	//go:embed config-streams.json
+	streamsConfigDocument []byte
 	//go:embed node.toml
 	nodeTemplate string
+	//go:embed node-streams.toml
+	streamsNodeTemplate string
 	//go:embed node-rollout.toml
 	rolloutNodeTemplate string
 )
--- a/review/harness/worker.go
+++ b/review/harness/worker.go
@@ -41,18 +41,19 @@
 	garbage atomic.Bool
 
 	mu sync.Mutex
-	// runs counts how often each request was started; spoilt holds those whose answer was spoilt.
-	runs   map[string]int
-	spoilt map[string]bool
+	// runs counts how often each request was started; unsound holds those that a worker ran while it
+	// spoilt answers.
+	runs    map[string]int
+	unsound map[string]bool
 	// arrivals are the requests that reached a worker, in their order.
 	arrivals []arrival
 }
 
-// ranSoundly reports whether a worker ran a request without spoiling its answer.
+// ranSoundly reports whether a sound worker ran a request.
 func (f *fleet) ranSoundly(id string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.runs[id] > 0 && !f.spoilt[id]
+	return f.runs[id] > 0 && !f.unsound[id]
 }
 
 // start starts a worker of a version in each zone and lists it in the store.
@@ -110,6 +111,9 @@
 	defer func() { <-w.slots }()
 	w.fleet.mu.Lock()
 	w.fleet.runs[id]++
+	if w.first && w.fleet.garbage.Load() {
+		w.fleet.unsound[id] = true
+	}
 	w.fleet.mu.Unlock()
 	w.fleet.record.add("worker %s runs %s, %d bytes", w.id, id, len(body))
 	time.Sleep(workTime)
@@ -142,9 +146,6 @@
 		return
 	}
 	defer conn.Close()
-	w.fleet.mu.Lock()
-	w.fleet.spoilt[id] = true
-	w.fleet.mu.Unlock()
 	part := make([]byte, 64<<10)
 	for n := range part {
 		part[n] = 'a' + byte(n%26)
