--- a/review/harness/host.go
+++ b/review/harness/host.go
@@ -33,7 +33,9 @@
 type host struct {
 	name, zone, ip string
 	settingsFile   string
-	record         *record
+	// settings is the text of the settings file, with a gap for what differs at the first start.
+	settings string
+	record   *record
 	// unlimited says that the memory isn't checked.
 	unlimited bool
 
@@ -52,17 +54,26 @@
 	awayUntil time.Time
 }
 
-// writeSettings writes the settings file of a host.
-func (h *host) writeSettings(template, dir, store string, seeds []string, bootstrap bool) error {
+// setSettings sets the settings of a host, whose file is to be in dir.
+func (h *host) setSettings(template, dir, store string, seeds []string) {
 	h.settingsFile = filepath.Join(dir, h.name+".toml")
-	text := strings.NewReplacer("{name}", h.name, "{ip}", h.ip, "{zone}", h.zone, "{store}", store,
-		"{seeds}", `["`+strings.Join(seeds, `","`)+`"]`, "{bootstrap}", strconv.FormatBool(bootstrap)).Replace(template)
+	h.settings = strings.NewReplacer("{name}", h.name, "{ip}", h.ip, "{zone}", h.zone, "{store}", store,
+		"{seeds}", `["`+strings.Join(seeds, `","`)+`"]`).Replace(template)
+}
+
+// writeSettings writes the settings file. firstStart says that the whole system starts for the first time.
+func (h *host) writeSettings(firstStart bool) error {
+	text := strings.ReplaceAll(h.settings, "{bootstrap}", strconv.FormatBool(firstStart))
 	return os.WriteFile(h.settingsFile, []byte(text), 0o600)
 }
 
 // run keeps a process of the host running until the context ends.
 func (h *host) run(ctx context.Context, program string) {
-	for ctx.Err() == nil {
+	for firstStart := true; ctx.Err() == nil; firstStart = false {
+		if err := h.writeSettings(firstStart); err != nil {
+			h.record.add("%s gets no settings: %v", h.name, err)
+			return
+		}
 		c := exec.CommandContext(ctx, program, "serve")
 		c.Env = append(os.Environ(), "SHEDPATH_NODE_FILE="+h.settingsFile)
 		c.Stdout = &logReader{host: h}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -252,9 +252,7 @@
 	}
 	for n, zone := range l.hostZones {
 		h := &host{name: fmt.Sprintf("front-%s-%d", zone, 1+n/len(l.workerZones)), zone: zone, ip: address(10 + n), record: s.record, unlimited: l.rollout}
-		if err := h.writeSettings(l.template, dir, address(1)+":8742", seeds, true); err != nil {
-			return err
-		}
+		h.setSettings(l.template, dir, address(1)+":8742", seeds)
 		s.hosts = append(s.hosts, h)
 		processes.Go(func() { h.run(ctx, program) })
 		go h.checkReady(ctx)
