--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -211,7 +211,7 @@
 		s.streamWorkers = append(s.streamWorkers, w)
 		processes.Go(func() {
 			<-ctx.Done()
-			w.kill()
+			w.stop()
 		})
 	}
 	return nil
--- a/review/harness/streams.go
+++ b/review/harness/streams.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,12 +43,19 @@
 	starts  int
 	id      string
 	process *os.Process
+	// stopped says that the case is over, so that the worker isn't started any more.
+	stopped bool
 }
 
+var errStopped = errors.New("the case is over")
+
 // start starts the worker as a new incarnation, with a new id.
 func (w *workerProcess) start() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return errStopped
+	}
 	w.starts++
 	w.id = fmt.Sprintf("i-%s-%d", w.zone, w.starts)
 	self, err := os.Executable()
@@ -86,6 +94,15 @@
 	return nil
 }
 
+// stop ends the worker for good.
+func (w *workerProcess) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	// The process may have ended.
+	_ = w.process.Kill()
+}
+
 // kill kills the worker. Its entry in the store goes after three silent heartbeats.
 func (w *workerProcess) kill() {
 	w.mu.Lock()
