intake: counters of a host's link and processor

Nothing told whether a host's link is full or its processor late, nor what its link carries, so that the hypotheses about hosts that get most new connections couldn't be told apart. The bytes exchanged with callers, upstreams and peers are counted, with an estimate of headers and acknowledgements; the processor's lag is the mean wait of what is due, and connections to upstreams tell the rest. No decision uses them yet.

--- /dev/null
+++ b/intake/meter.go
@@ -0,0 +1,109 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package intake
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// loadInterval is how often the load is computed.
+	loadInterval = 100 * time.Millisecond
+	// linkAveraging is the time over which the use of the link is averaged.
+	linkAveraging = 300 * time.Millisecond
+	// minConnects is how many new connections to upstreams it takes to tell whether all of them take long.
+	minConnects = 4
+)
+
+// Load is what a host has in use.
+type Load struct {
+	// LinkOut and LinkIn are the parts of the link's rate that are in use; zero if the rate isn't known.
+	LinkOut, LinkIn float64
+	// Lag is how long what is due waits for the processor.
+	Lag time.Duration
+	// Connect is the least time that a new connection to an upstream took lately; zero if there were few.
+	Connect time.Duration
+}
+
+// Meter measures a host's load. Link has to be set before use. It is safe for concurrent use.
+type Meter struct {
+	Link *Link
+	// BytesPerSecond is the rate of the link in each direction; zero means that it isn't known.
+	BytesPerSecond float64
+
+	mu sync.Mutex
+	// lag has the latest samples.
+	lag lag
+	// connects counts the connections to upstreams since the load was computed, and leastConnect is the
+	// shortest time that one of them took.
+	connects     int
+	leastConnect time.Duration
+	// sent and received are the bytes up to loadAt, and sentRate and receivedRate the bytes per second before.
+	sent, received         int64
+	sentRate, receivedRate float64
+	loadAt                 time.Time
+	load                   Load
+}
+
+// Run measures the load until the context ends.
+func (m *Meter) Run(ctx context.Context, now func() time.Time) {
+	timer := time.NewTimer(sampleInterval)
+	defer timer.Stop()
+	for {
+		due := now().Add(sampleInterval)
+		timer.Reset(sampleInterval)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		t := now()
+		m.sample(t, t.Sub(due))
+	}
+}
+
+// sample records how much later than due the process got to run, and computes the load if that is due.
+func (m *Meter) sample(now time.Time, late time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lag.record(now, late)
+	since := now.Sub(m.loadAt)
+	if since < loadInterval {
+		return
+	}
+	sent, received := m.Link.bytes()
+	if !m.loadAt.IsZero() {
+		weight := min(since.Seconds()/linkAveraging.Seconds(), 1)
+		m.sentRate += (float64(sent-m.sent)/since.Seconds() - m.sentRate) * weight
+		m.receivedRate += (float64(received-m.received)/since.Seconds() - m.receivedRate) * weight
+	}
+	m.sent, m.received, m.loadAt = sent, received, now
+	m.load = Load{Lag: m.lag.mean()}
+	if m.BytesPerSecond > 0 {
+		m.load.LinkOut, m.load.LinkIn = m.sentRate/m.BytesPerSecond, m.receivedRate/m.BytesPerSecond
+	}
+	if m.connects >= minConnects {
+		m.load.Connect = m.leastConnect
+	}
+	m.connects, m.leastConnect = 0, 0
+}
+
+// Connected records how long a new connection to an upstream took.
+func (m *Meter) Connected(took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.connects == 0 || took < m.leastConnect {
+		m.leastConnect = took
+	}
+	m.connects++
+}
+
+// Load returns the load as it was computed last.
+func (m *Meter) Load() Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.load
+}
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/shedpath/shedpath/clock"
+	"github.com/shedpath/shedpath/intake"
 )
 
 const (
@@ -30,6 +31,8 @@
 	net.Listener
 	// Clock is the source of the current time; nil means the system clock.
 	Clock *clock.Clock
+	// Traffic counts the bytes of the connections; nil counts none.
+	Traffic *intake.Traffic
 
 	mu sync.Mutex
 	// failingSince is the time of the first failure of the current series; it is zero after
@@ -42,7 +45,10 @@
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	l.recordAccept(l.Clock.Now(), err)
-	return c, err
+	if err != nil || l.Traffic == nil {
+		return c, err
+	}
+	return l.Traffic.Count(c), nil
 }
 
 func (l *Listener) recordAccept(now time.Time, err error) {
