forward: shares have the changes of runs, not all runs each time

Callers saw late answers and refusals from hosts that get most of a zone's new connections: at each change of one run a host sent all of its runs to every host of its zone. The bytes grow with the runs, their changes and the hosts, and fill a link of 10 Mbit/s at some 40 requests a second.

A peer that understands it (it says so in its shares) gets the runs that were placed, were moved or have begun since the last share that it answered, and those that are gone. A share without an answer, or a peer that restarted, is followed by one with all runs; earlier versions always get all.

--- a/forward/peers.go
+++ b/forward/peers.go
@@ -14,6 +14,7 @@
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/pace"
 	"github.com/shedpath/shedpath/permit"
+	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/ratelimit"
 	"github.com/shedpath/shedpath/rejection"
@@ -39,8 +40,15 @@
 	// or to the host that it follows.
 	OriginAge time.Duration
 	Stopping  bool
-	// Runs are all generations in progress on the host.
-	Runs []RunState
+	// Runs are all generations in progress on the host, or, with RunChangesOnly, those that were placed,
+	// were moved or have begun since the last share that the peer answered. GoneRuns are gone since then.
+	Runs           []RunState
+	RunChangesOnly bool
+	GoneRuns       []policy.RunID
+	// MergesRuns says that the host understands RunChangesOnly.
+	MergesRuns bool
+	// snapshot is what the peer knows of the host's runs once it has the share; it isn't sent.
+	snapshot *runSnapshot
 	// EndedRuns are the runs of the host whose answers recently ended by themselves.
 	EndedRuns []EndedRun
 	// Leaving are the host's own observations of upstreams that leave.
@@ -180,7 +188,9 @@
 			share.Paces = f.engines.paceMarks(now, false)
 		}
 		for _, to := range f.peers.shareTargets(now, period, all, f.crashes.LacksLocalChanges) {
-			pending.Go(func() { f.shareWith(ctx, peers, to, share) })
+			limited := share
+			f.peers.limitRuns(now, to.ID, &limited, period)
+			pending.Go(func() { f.shareWith(ctx, peers, to, limited) })
 		}
 		if period {
 			f.shareWithSeeds(ctx, &pending, peers, share)
@@ -229,6 +239,7 @@
 func (f *Forwarder) newShare(now time.Time) Share {
 	s := f.newShareWithoutRuns(now)
 	s.Runs, s.EndedRuns = f.engines.runStates(now), f.engines.endedRuns(now)
+	s.snapshot = newRunSnapshot(s.Runs)
 	s.Waiting = f.admissions.marks()
 	return s
 }
@@ -241,7 +252,7 @@
 		Leaving: f.fleet.LeavingMarks(now),
 		Failing: f.fleet.FailingMarks(now), Cold: f.fleet.ColdMarks(now), List: f.fleet.Revision(), Zones: f.fleet.ZoneOrdersSince(history.Point{}, true), Epoch: f.peers.epoch,
 		Limits: f.limiter.NamedLimits.PeerReports(now), Backoffs: f.backoffs.Marks(now),
-		RejectionLimits: f.rejections.Announcements(now),
+		RejectionLimits: f.rejections.Announcements(now), MergesRuns: true,
 	}
 }
 
@@ -259,6 +270,7 @@
 	suspendedBefore := f.settings.Clock.TotalSuspended()
 	reply, err := peers.Share(ctx, to, share)
 	f.peers.recordShareResult(to.ID, err)
+	f.peers.recordRunsShared(f.now(), to.ID, &share, &reply, err)
 	if err == nil {
 		suspended := f.settings.Clock.TotalSuspended() - suspendedBefore
 		reply.ConfigAge, reply.OriginAge = ageWithDelay(reply.ConfigAge, suspended), ageWithDelay(reply.OriginAge, suspended)
@@ -329,7 +341,11 @@
 	// The share may have waited in a socket of this machine while the machine was suspended.
 	delay := f.settings.Clock.MaxMessageDelay(f.now())
 	s.ConfigAge, s.OriginAge = ageWithDelay(s.ConfigAge, delay), ageWithDelay(s.OriginAge, delay)
-	f.engines.replacePeerRuns(f.now(), s.From.ID, s.Runs, s.EndedRuns)
+	if s.RunChangesOnly {
+		f.engines.mergePeerRuns(f.now(), s.From.ID, s.Runs, s.GoneRuns, s.EndedRuns)
+	} else {
+		f.engines.replacePeerRuns(f.now(), s.From.ID, s.Runs, s.EndedRuns)
+	}
 	f.receiveShare(s)
 	now := f.now()
 	if f.peers.inOwnCell(s.From.ID) {
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -76,6 +76,10 @@
 	// listRevision is the point up to which the peer knows the list of upstreams.
 	listRevision history.Point
 	stopping     bool
+	// mergesRuns says that the peer understands shares with changes of runs only, and runs is what it knows
+	// of this host's runs.
+	mergesRuns bool
+	runs       sharedRuns
 	// sharePending says that a share to the peer is in progress.
 	sharePending bool
 	// foundNumber is the foundCount at which the peer was last found; zero for a peer that was
--- a/forward/runs.go
+++ b/forward/runs.go
@@ -133,10 +133,7 @@
 	for _, s := range states {
 		listed[s.Run] = s
 	}
-	lengths := make(map[policy.RunID]policy.Tokens, len(ended))
-	for _, r := range ended {
-		lengths[r.Run] = r.Made
-	}
+	lengths := endedLengths(ended)
 	for _, p := range e.pools {
 		for id, owner := range p.peerRuns {
 			if owner != host {
@@ -151,23 +148,68 @@
 				// The peer sent this report before it learned of the place.
 				continue
 			}
-			delete(p.peerRuns, id)
-			made, whole := lengths[id]
-			p.pool.Finish(now, policy.Finish{Run: id, GeneratedTokens: made, Complete: whole})
+			p.dropPeerRun(now, id, lengths)
 		}
 	}
-	for id, s := range listed {
-		p := e.pools[s.Service]
-		if p == nil || p.ownRuns[id] != nil || p.poolEngines[s.Engine].Incarnation.newerThan(s.Life) {
-			// The run is this host's by now, or its engine has restarted since.
-			continue
+	for _, s := range listed {
+		e.updatePeerRun(now, host, s)
+	}
+}
+
+// mergePeerRuns applies changes of a peer's runs to what is known of them, and learns from those whose
+// answers are complete.
+func (e *enginePlacer) mergePeerRuns(now time.Time, host member.HostID, changed []RunState, gone []policy.RunID, ended []EndedRun) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lastReported[host] = now
+	lengths := endedLengths(ended)
+	for _, p := range e.pools {
+		for _, id := range gone {
+			if p.peerRuns[id] == host {
+				p.dropPeerRun(now, id, lengths)
+			}
 		}
-		if _, known := p.peerRuns[id]; known {
-			p.pool.Progress(now, id, s.Made)
-			p.pool.UpdatePrefill(now, id, s.firstTokenAt(now))
-			continue
+		for _, s := range changed {
+			if p.peerRuns[s.Run] == host && p.pool.EngineOf(s.Run) != s.Engine {
+				p.dropPeerRun(now, s.Run, lengths)
+			}
+			delete(p.unconfirmedGrants, s.Run)
 		}
-		p.peerRuns[id] = host
-		p.pool.Adopt(now, policy.Request{Run: id, Route: s.Route, Account: s.Account, PromptTokens: s.Prompt, MaxOutputTokens: s.Limit}, s.Engine, s.Made)
 	}
+	for _, s := range changed {
+		e.updatePeerRun(now, host, s)
+	}
+}
+
+// endedLengths returns the length of each answer that is complete.
+func endedLengths(ended []EndedRun) map[policy.RunID]policy.Tokens {
+	lengths := make(map[policy.RunID]policy.Tokens, len(ended))
+	for _, r := range ended {
+		lengths[r.Run] = r.Made
+	}
+	return lengths
+}
+
+// dropPeerRun frees the place of a peer's run, and learns from it if its length is known. The placer's mutex
+// is held.
+func (p *enginePool) dropPeerRun(now time.Time, id policy.RunID, lengths map[policy.RunID]policy.Tokens) {
+	delete(p.peerRuns, id)
+	made, whole := lengths[id]
+	p.pool.Finish(now, policy.Finish{Run: id, GeneratedTokens: made, Complete: whole})
+}
+
+// updatePeerRun records the state of a peer's run. The mutex is held.
+func (e *enginePlacer) updatePeerRun(now time.Time, host member.HostID, s RunState) {
+	p := e.pools[s.Service]
+	if p == nil || p.ownRuns[s.Run] != nil || p.poolEngines[s.Engine].Incarnation.newerThan(s.Life) {
+		// The run is this host's by now, or its engine has restarted since.
+		return
+	}
+	if _, known := p.peerRuns[s.Run]; known {
+		p.pool.Progress(now, s.Run, s.Made)
+		p.pool.UpdatePrefill(now, s.Run, s.firstTokenAt(now))
+		return
+	}
+	p.peerRuns[s.Run] = host
+	p.pool.Adopt(now, policy.Request{Run: s.Run, Route: s.Route, Account: s.Account, PromptTokens: s.Prompt, MaxOutputTokens: s.Limit}, s.Engine, s.Made)
 }
--- a/internal/peer/share.go
+++ b/internal/peer/share.go
@@ -189,6 +189,7 @@
 		Limits: limitMarks(w.Limits), Announcements: announcements(w.Announced), Paces: paceMarks(w.extension.Paces),
 		Reports: engineReports(w.extension.Reports), ReportRequests: reportRequests(w.extension.ReportRequests),
 		ZoneLoad: zoneLoads(w.extension.ZoneLoad), Waiting: waitingMarks(w.extension.Waiting), RejectionLimits: rejectionLimits(w.extension.Rejections),
+		MergesRuns: w.extension.MergesRuns, RunChangesOnly: w.extension.RunChangesOnly, GoneRuns: runIDs(w.extension.GoneRuns),
 	}
 	for _, r := range w.Runs {
 		s.Runs = append(s.Runs, forward.RunState{
--- a/internal/peer/shareextension.go
+++ b/internal/peer/shareextension.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/policy"
 )
 
 // wireShareExtension holds the fields of a share that hosts of the first version don't know. That version
@@ -24,18 +25,38 @@
 	ZoneLoad       []wireZoneLoad      `msgpack:",omitempty"`
 	Waiting        []wireWaiting       `msgpack:",omitempty"`
 	Rejections     []wireRejection     `msgpack:",omitempty"`
+	MergesRuns     bool                `msgpack:",omitempty"`
+	RunChangesOnly bool                `msgpack:",omitempty"`
+	GoneRuns       []string            `msgpack:",omitempty"`
 }
 
 func toWireShareExtension(s forward.Share) wireShareExtension {
 	return wireShareExtension{
 		Paces: toWirePaces(s.Paces), Reports: toWireEngineReports(s.Reports), ReportRequests: toWireReportRequests(s.ReportRequests), ZoneLoad: toWireZoneLoads(s.ZoneLoad),
 		Waiting: toWireWaiting(s.Waiting), Rejections: toWireRejections(s.RejectionLimits),
+		MergesRuns: s.MergesRuns, RunChangesOnly: s.RunChangesOnly, GoneRuns: toWireRunIDs(s.GoneRuns),
 	}
 }
 
+func toWireRunIDs(runs []policy.RunID) []string {
+	var w []string
+	for _, id := range runs {
+		w = append(w, string(id))
+	}
+	return w
+}
+
+func runIDs(w []string) []policy.RunID {
+	var runs []policy.RunID
+	for _, id := range w {
+		runs = append(runs, policy.RunID(id))
+	}
+	return runs
+}
+
 // isEmpty reports whether the extension has no fields to send.
 func (e *wireShareExtension) isEmpty() bool {
-	return len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad)+len(e.Waiting)+len(e.Rejections) == 0
+	return !e.MergesRuns && !e.RunChangesOnly && len(e.GoneRuns)+len(e.Paces)+len(e.Reports)+len(e.ReportRequests)+len(e.ZoneLoad)+len(e.Waiting)+len(e.Rejections) == 0
 }
 
 // plainShare is a wireShare without the methods that add the extension.
