intake: a host without room closes new connections unread

Callers of hosts that get most of a zone's or region's new connections were answered late or refused: a host read whatever arrived, more than its link or processor can serve, and then all that it had read was late. Connections to upstreams that came up late because of that counted as upstreams out of reach, so requests were refused with no_upstream, too.

--- a/intake/meter.go
+++ b/intake/meter.go
@@ -12,8 +12,9 @@
 const (
 	// loadInterval is how often the load is computed.
 	loadInterval = 100 * time.Millisecond
-	// linkAveraging is the time over which the use of the link is averaged.
-	linkAveraging = 300 * time.Millisecond
+	// linkAveraging and processorAveraging are the times over which their use is averaged.
+	linkAveraging      = 300 * time.Millisecond
+	processorAveraging = time.Second
 	// minConnects is how many new connections to upstreams it takes to tell whether all of them take long.
 	minConnects = 4
 )
@@ -22,6 +23,8 @@
 type Load struct {
 	// LinkOut and LinkIn are the parts of the link's rate that are in use; zero if the rate isn't known.
 	LinkOut, LinkIn float64
+	// Processor is the part of the processor's share that is in use; zero if the share isn't known.
+	Processor float64
 	// Lag is how long what is due waits for the processor.
 	Lag time.Duration
 	// Connect is the least time that a new connection to an upstream took lately; zero if there were few.
@@ -33,6 +36,10 @@
 	Link *Link
 	// BytesPerSecond is the rate of the link in each direction; zero means that it isn't known.
 	BytesPerSecond float64
+	// ProcessorShare is the number of processors, or the part of one, that the host may use; zero means that
+	// it isn't known. ProcessorTime returns how much processor time the process has used so far.
+	ProcessorShare float64
+	ProcessorTime  func() time.Duration
 
 	mu sync.Mutex
 	// lag has the latest samples.
@@ -44,8 +51,11 @@
 	// sent and received are the bytes up to loadAt, and sentRate and receivedRate the bytes per second before.
 	sent, received         int64
 	sentRate, receivedRate float64
-	loadAt                 time.Time
-	load                   Load
+	// processorTime is the processor time up to loadAt, and processorUse the use before.
+	processorTime time.Duration
+	processorUse  float64
+	loadAt        time.Time
+	load          Load
 }
 
 // Run measures the load until the context ends.
@@ -75,22 +85,34 @@
 		return
 	}
 	sent, received := m.Link.bytes()
+	var used time.Duration
+	if m.ProcessorShare > 0 && m.ProcessorTime != nil {
+		used = m.ProcessorTime()
+	}
 	if !m.loadAt.IsZero() {
-		weight := min(since.Seconds()/linkAveraging.Seconds(), 1)
-		m.sentRate += (float64(sent-m.sent)/since.Seconds() - m.sentRate) * weight
-		m.receivedRate += (float64(received-m.received)/since.Seconds() - m.receivedRate) * weight
+		average(&m.sentRate, float64(sent-m.sent)/since.Seconds(), since, linkAveraging)
+		average(&m.receivedRate, float64(received-m.received)/since.Seconds(), since, linkAveraging)
+		average(&m.processorUse, (used-m.processorTime).Seconds()/since.Seconds(), since, processorAveraging)
 	}
-	m.sent, m.received, m.loadAt = sent, received, now
+	m.sent, m.received, m.processorTime, m.loadAt = sent, received, used, now
 	m.load = Load{Lag: m.lag.mean()}
 	if m.BytesPerSecond > 0 {
 		m.load.LinkOut, m.load.LinkIn = m.sentRate/m.BytesPerSecond, m.receivedRate/m.BytesPerSecond
 	}
+	if m.ProcessorShare > 0 {
+		m.load.Processor = m.processorUse / m.ProcessorShare
+	}
 	if m.connects >= minConnects {
 		m.load.Connect = m.leastConnect
 	}
 	m.connects, m.leastConnect = 0, 0
 }
 
+// average moves an average towards a value that held for a time.
+func average(to *float64, value float64, held, averaging time.Duration) {
+	*to += (value - *to) * min(held.Seconds()/averaging.Seconds(), 1)
+}
+
 // Connected records how long a new connection to an upstream took.
 func (m *Meter) Connected(took time.Duration) {
 	m.mu.Lock()
--- a/internal/accept/accept.go
+++ b/internal/accept/accept.go
@@ -31,8 +31,8 @@
 	net.Listener
 	// Clock is the source of the current time; nil means the system clock.
 	Clock *clock.Clock
-	// Traffic counts the bytes of the connections; nil counts none.
-	Traffic *intake.Traffic
+	// Gate closes connections for which the host has no room; nil closes none.
+	Gate *intake.Gate
 
 	mu sync.Mutex
 	// failingSince is the time of the first failure of the current series; it is zero after
@@ -43,12 +43,17 @@
 
 // Accept waits for the next connection and records whether it could be accepted.
 func (l *Listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	l.recordAccept(l.Clock.Now(), err)
-	if err != nil || l.Traffic == nil {
-		return c, err
+	for {
+		c, err := l.Listener.Accept()
+		now := l.Clock.Now()
+		l.recordAccept(now, err)
+		if err != nil || l.Gate == nil {
+			return c, err
+		}
+		if taken := l.Gate.Take(now, c); taken != nil {
+			return taken, nil
+		}
 	}
-	return l.Traffic.Count(c), nil
 }
 
 func (l *Listener) recordAccept(now time.Time, err error) {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -29,6 +29,7 @@
 	sampler sampler
 	registry
 	*Uplinks
+	*Intake
 
 	answers            *prometheus.CounterVec
 	requestDuration    *prometheus.HistogramVec
@@ -69,6 +70,7 @@
 	f.movePause = f.histogram("move_pause_seconds", "Time for which a moved or lost run made no progress.", pauseBuckets).WithLabelValues()
 	f.storeCalls = f.counter("store_calls_total", "Calls to the platform's store, by call and outcome.", "call", "outcome")
 	f.Uplinks = newUplinks(&f.registry, f.log, f.sampled)
+	f.Intake = newIntake(&f.registry, f.log)
 	f.unreadableEntries = f.counter("unread_entries_total", "Entries of the platform's store that could not be read or used.").WithLabelValues()
 	f.brokenConnections = f.counter("broken_connections_total", "Connections that an upstream ended before its answer was complete, by whether the upstream itself had ended.", "upstream")
 	f.suspendedSeconds = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -20,6 +20,7 @@
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/history"
+	"github.com/shedpath/shedpath/intake"
 	"github.com/shedpath/shedpath/internal/golden"
 	"github.com/shedpath/shedpath/pace"
 	"github.com/shedpath/shedpath/permit"
@@ -107,6 +108,8 @@
 	f.UnreadableEntries(6)
 	f.StoreCall("call-1", "outcome-3")
 	f.Connected("outcome-4")
+	f.ConnectionTaken()
+	f.ConnectionClosed(intake.LinkOut)
 	f.Carried("h1", uplink.Target{}, uplink.ErrBusy)
 	f.ConnectionBroken(true)
 	f.ConnectionBroken(false)
@@ -138,6 +141,7 @@
 		}
 	}, func() []backoff.Status { return []backoff.Status{{Remaining: 1}, {Remaining: 2}, {}} })
 	f.WatchPeers(func() int { return 16 })
+	f.WatchLoad(&intake.Meter{Link: &intake.Link{Peers: func() (int64, int64) { return 17, 18 }}})
 	f.WatchZoneQueue(func() int { return 30 })
 	f.WatchEra(func() history.Era { return 17 }, func() int { return 18 })
 	f.WatchLearnt(func() []forward.EngineEstimate {
--- a/internal/telemetry/intake.go
+++ b/internal/telemetry/intake.go
@@ -4,6 +4,8 @@
 package telemetry
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/shedpath/shedpath/intake"
@@ -15,6 +17,34 @@
 	bytes *prometheus.Desc
 }
 
+// Intake logs and counts the connections of callers.
+type Intake struct {
+	connections *prometheus.CounterVec
+	log         func(keyvals []any)
+}
+
+func newIntake(r *registry, log func(keyvals []any)) *Intake {
+	return &Intake{connections: r.counter("caller_connections_total", "New connections of callers: taken, or closed unread for lack of what the outcome names.", "outcome"), log: log}
+}
+
+// ConnectionTaken counts a connection that was taken.
+func (i *Intake) ConnectionTaken() { i.connections.WithLabelValues("taken").Inc() }
+
+// ConnectionClosed counts a connection that was closed unread.
+func (i *Intake) ConnectionClosed(lacking intake.Resource) {
+	i.connections.WithLabelValues(string(lacking)).Inc()
+}
+
+// ClosingBegan logs that this host begins to close connections.
+func (i *Intake) ClosingBegan(lacking intake.Resource, l intake.Load) {
+	i.log([]any{"msg", "no room for all callers", "lacking", lacking, "link_out", l.LinkOut, "link_in", l.LinkIn, "processor", l.Processor, "lag", l.Lag, "connect", l.Connect})
+}
+
+// ClosingEnded logs that this host has room for all callers again.
+func (i *Intake) ClosingEnded(closed int, since time.Duration) {
+	i.log([]any{"msg", "room for all callers again", "closed", closed, "during", since})
+}
+
 // WatchLoad registers metrics of a host's load.
 func (f *Forward) WatchLoad(m *intake.Meter) {
 	f.promRegistry.MustRegister(&linkCollector{
@@ -23,6 +53,7 @@
 	})
 	f.Gauge("link_out_use", "Part of the link's rate that is in use for sending; zero if the rate isn't known.", func() float64 { return m.Load().LinkOut })
 	f.Gauge("link_in_use", "Part of the link's rate that is in use for receiving; zero if the rate isn't known.", func() float64 { return m.Load().LinkIn })
+	f.Gauge("processor_use", "Part of the processor's share that is in use; zero if the share isn't known.", func() float64 { return m.Load().Processor })
 	f.Gauge("processor_lag_seconds", "How long what is due waits for the processor.", func() float64 { return m.Load().Lag.Seconds() })
 	f.Gauge("upstream_connect_seconds", "Least time that a new connection to an upstream took lately; zero if there were few.", func() float64 { return m.Load().Connect.Seconds() })
 }
