platform: heads of answers are bounded

A worker whose bytes in place of an answer have no end took a host over its memory: http.ReadResponse reads a head without a bound into one growing buffer.

Trailers, chunk sizes and events are bounded already.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -56,15 +56,18 @@
 	maxIdleConnsPerHost = 256
 	maxErrorBodyBytes   = 4 << 10
 	maxResponseBytes    = 1 << 20
+	// maxResponseHeadBytes bounds the head of an answer; the library's default is 10 MB.
+	maxResponseHeadBytes = 64 << 10
 )
 
 // New returns a Client.
 func New(opts ...Option) *Client {
 	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   maxIdleConnsPerHost,
-		IdleConnTimeout:       30 * time.Second,
-		ResponseHeaderTimeout: headerTimeout,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
+		IdleConnTimeout:        30 * time.Second,
+		ResponseHeaderTimeout:  headerTimeout,
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 	c := &Client{idleTimeout: defaultIdleTimeout, transport: transport, http: &http.Client{Transport: transport}}
 	for _, opt := range opts {
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -52,6 +52,8 @@
 		DisableKeepAlives: true,
 		// The caller negotiates encodings with the service itself.
 		DisableCompression: true,
+		// The library's default is 10 MB.
+		MaxResponseHeaderBytes: 64 << 10,
 	}}
 	for _, opt := range opts {
 		opt(c)
