forward: an answer without a declared end isn't whole if its upstream was replaced

It also asks who answers the health check now; if that is another instance, the answer is broken off. Only answers without a declared end are concerned. The same check serves streams, moved streams and plain calls. An upstream that doesn't tell who it is, or answers too late, counts as before.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -82,11 +82,23 @@
 }
 
 // endedWithUpstream reports whether an answer that has no declared end, and whose connection was closed,
-// was broken off by the end of its upstream.
+// was broken off by the end of its upstream. This host may have been suspended meanwhile, so that another
+// upstream has the address by now.
 func (x *exchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
 	ended, err := x.checkUpstreamEnded(ctx, u)
+	if !ended && err == nil {
+		ended, err = x.replaced(ctx, u)
+	}
 	if ended {
 		x.journal.Request(x.call.ID, "answer ended with its upstream", "upstream", u.ID, "looked", err)
 	}
 	return ended
 }
+
+// replaced reports whether another upstream answers at an upstream's address.
+func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	health, err := x.checkHealth(ctx, &x.service, u)
+	return err == nil && health.Instance != "" && health.Instance != u.ID, err
+}
--- a/forward/call.go
+++ b/forward/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 	"github.com/shedpath/shedpath/resource"
@@ -204,8 +205,10 @@
 	// ColdRemaining is how much longer the upstream is cold; zero if it isn't.
 	ColdRemaining time.Duration
 	// Life is the upstream's present life; zero if it didn't report one.
-	Life    Incarnation
-	Signals Signals
+	Life Incarnation
+	// Instance is who answered; empty if the answer doesn't tell.
+	Instance member.UpstreamID
+	Signals  Signals
 }
 
 // MoveRequest asks the engine that runs a request to copy the run's memory to another engine.
--- a/forward/crashingrequest_test.go
+++ b/forward/crashingrequest_test.go
@@ -43,7 +43,7 @@
 		}
 	}
 	for _, f := range s.hosts {
-		f.transport = &fakeTransport{send: fleet.Send, checkReachable: fleet.checkReachable}
+		f.transport = &fakeTransport{send: fleet.Send, checkReachable: fleet.checkReachable, instance: fleet.instance}
 		f.settings.DrainTime = 2 * time.Second
 		f.SetRetryLimit(RetryLimit{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second})
 	}
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -35,6 +35,8 @@
 	report func(ctx context.Context, u Upstream) (EngineReport, error)
 	// checkReachable answers reachability checks; nil reports reachable.
 	checkReachable func(u Upstream) error
+	// instance tells who answers at an upstream's address; nil tells nobody.
+	instance func(u Upstream) member.UpstreamID
 	// linksBroken has upstreams be reached through a peer only.
 	linksBroken atomic.Bool
 	// sent are the upstreams that requests were sent to, in order.
@@ -68,11 +70,15 @@
 }
 
 func (f *fakeTransport) Health(_ context.Context, u Upstream, _ string) (Health, error) {
-	if f.checkHealth == nil {
-		return Health{Healthy: true}, nil
+	well, err := true, error(nil)
+	if f.checkHealth != nil {
+		well, err = f.checkHealth(u)
 	}
-	well, err := f.checkHealth(u)
-	return Health{Healthy: well}, err
+	health := Health{Healthy: well}
+	if f.instance != nil {
+		health.Instance = f.instance(u)
+	}
+	return health, err
 }
 
 func (f *fakeTransport) Report(ctx context.Context, u Upstream) (EngineReport, error) {
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -61,6 +61,8 @@
 	eventCount int
 	// unframed has answers end with their connection, so that those of an upstream that ends look whole.
 	unframed bool
+	// replaceAtOnce has another upstream listen at the address of each that ends.
+	replaceAtOnce bool
 	// carried has peers carry all streams.
 	carried bool
 	// failEvery, if positive, has every nth call fail at its upstream, which goes on.
@@ -231,12 +233,22 @@
 func (f *fakeFleet) checkReachable(u Upstream) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if time.Now().Before(f.upstream(u.ID).downUntil) {
+	if time.Now().Before(f.upstream(u.ID).downUntil) && !f.replaceAtOnce {
 		return ErrPortClosed
 	}
 	return nil
 }
 
+// instance returns who answers at an upstream's address.
+func (f *fakeFleet) instance(u Upstream) member.UpstreamID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.replaceAtOnce && !f.upstream(u.ID).downUntil.IsZero() {
+		return "another"
+	}
+	return u.ID
+}
+
 // arrivalsAfter returns how many arrivals of a crashing request came later than slack after it
 // ended upstreams for the nth time, and how many upstreams it ended in all. If it ended fewer
 // than nth upstreams, none is late.
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -15,15 +15,19 @@
 		path string
 		// endAt is when the upstream ends, after the request; zero for never.
 		endAt time.Duration
+		// replaced says that another upstream has the address at once.
+		replaced bool
 	}{
-		"call":                              {"/order/", fakeCallDuration / 2},
-		"stream before its first event":     {"/llm/", fakeFirstEventDelay / 2},
-		"stream that has begun":             {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2},
-		"stream that has gone on for long":  {"/llm/", fakeFirstEventDelay + 2*crashAttributionWindow},
-		"whole call":                        {"/order/", 0},
-		"whole stream":                      {"/llm/", 0},
-		"stream whose upstream ends later":  {"/llm/", 10 * time.Second},
-		"call whose upstream ends just now": {"/order/", fakeCallDuration + 10*time.Second},
+		"call":                              {"/order/", fakeCallDuration / 2, false},
+		"stream before its first event":     {"/llm/", fakeFirstEventDelay / 2, false},
+		"stream that has begun":             {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, false},
+		"stream that has gone on for long":  {"/llm/", fakeFirstEventDelay + 2*crashAttributionWindow, false},
+		"whole call":                        {"/order/", 0, false},
+		"whole stream":                      {"/llm/", 0, false},
+		"stream whose upstream ends later":  {"/llm/", 10 * time.Second, false},
+		"call whose upstream ends just now": {"/order/", fakeCallDuration + 10*time.Second, false},
+		"call, then another upstream":       {"/order/", fakeCallDuration / 2, true},
+		"stream, then another upstream":     {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runCrashScenario(t, func(d *crashScenario) {
@@ -36,6 +40,9 @@
 						}
 					})
 				}
+				if c.replaced {
+					d.fleet.replaceAtOnce = true
+				}
 				sink := d.send(d.hostAt(0), c.path, "a")
 				cut := sink.refused != nil || sink.truncated
 				if want := ends && c.endAt < 10*time.Second; cut != want {
