forward: the next host decides about a roll-out once calls to the first fail

A host to which a report failed is passed over until it is heard from again, as where zones are divided.

--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -53,7 +53,7 @@
 	neighbours map[member.HostID]Peer
 	zoneTree   []Peer
 	// otherCells are the hosts of the other cells. firstZoneTree has the hosts of the zone that
-	// is first by name, in tree order. unreachableUntil is until when firstAvailable skips a host
+	// is first by name, in tree order. unreachableUntil is until when firstAvailable and firstHost skip a host
 	// to which a call failed.
 	otherCells       map[cell.ID][]Peer
 	firstZoneTree    []Peer
@@ -156,6 +156,9 @@
 		state.foundNumber = p.foundCount
 	}
 	state.Peer, state.lastSeen, state.stopping, state.lastShareFailed = s.From, now, s.Stopping, false
+	if !p.layout.Divided() {
+		delete(p.unreachableUntil, s.From.ID)
+	}
 	state.originAge, state.distrusted, state.listRevision = s.OriginAge, false, s.List
 	return isNew
 }
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -376,7 +376,8 @@
 	}
 }
 
-// firstHost returns the first of the live hosts by zone and name, this host included.
+// firstHost returns the first of the live hosts by zone and name, this host included. A host to which a call
+// failed isn't live until it is heard from again.
 func (p *peerSet) firstHost(now time.Time) Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -385,7 +386,7 @@
 	}
 	first := p.self
 	for _, s := range p.known {
-		if s.stopping || !s.live(now) {
+		if s.stopping || !s.live(now) || now.Before(p.unreachableUntil[s.ID]) {
 			continue
 		}
 		if s.Zone < first.Zone || s.Zone == first.Zone && (p.precedes(s.Peer, first) || p.stopping && first.ID == p.self.ID) {
--- a/forward/rollouts_test.go
+++ b/forward/rollouts_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/rollout"
@@ -274,3 +276,17 @@
 		}
 	}
 }
+
+// TestNextHostDecidesOnceTheFirstIsOutOfReach guards against hosts that go on reporting a rollout to a host that is gone, so
+// that nobody decides about it.
+func TestNextHostDecidesOnceTheFirstIsOutOfReach(t *testing.T) {
+	is, now := is.New(t), time.Now()
+	p := newPeerSet(Peer{ID: "h2", Zone: "z1"}, nil)
+	p.recordShare(now, Share{From: Peer{ID: "h1", Zone: "z1"}})
+	p.recordShare(now, Share{From: Peer{ID: "h3", Zone: "z2"}})
+	is.Equal(p.firstHost(now).ID, member.HostID("h1"))
+	p.markUnreachable(now, "h1")
+	is.Equal(p.firstHost(now).ID, member.HostID("h2"))
+	p.recordShare(now.Add(100*time.Millisecond), Share{From: Peer{ID: "h1", Zone: "z1"}})
+	is.Equal(p.firstHost(now.Add(100*time.Millisecond)).ID, member.HostID("h1")) // one call had failed
+}
