forward: an answer without a declared end isn't whole if its upstream can't be asked

An upstream that can't be reached, or that mustn't be asked and is no longer listed without having announced that it leaves, counts as ended now; its answer without a declared end is broken off.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -86,7 +86,7 @@
 // upstream has the address by now.
 func (x *exchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
 	ended, err := x.checkUpstreamEnded(ctx, u)
-	if !ended && err == nil {
+	if !ended {
 		ended, err = x.replaced(ctx, u)
 	}
 	if ended {
@@ -95,10 +95,19 @@
 	return ended
 }
 
-// replaced reports whether another upstream answers at an upstream's address.
+// replaced reports whether another upstream answers at an upstream's address, or nobody does. An upstream that
+// mustn't be asked now counts as replaced if it is no longer listed without having announced that it leaves.
 func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	health, err := x.checkHealth(ctx, &x.service, u)
-	return err == nil && health.Instance != "" && health.Instance != u.ID, err
+	if err == nil {
+		return health.Instance != "" && health.Instance != u.ID, nil
+	}
+	var notAsked *notSentError
+	if !errors.As(err, &notAsked) {
+		return true, err
+	}
+	_, listed := x.fleet.Upstream(u.ID)
+	return !listed && x.fleet.LeavingFor(x.now(), u.ID) == 0, err
 }
