--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -82,8 +82,8 @@
 }
 
 // endedWithUpstream reports whether an answer that has no declared end, and whose connection was closed,
-// was broken off by the end of its upstream. This host may have been suspended meanwhile, so that another
-// upstream has the address by now.
+// was broken off by the end of its upstream. If this host was suspended meanwhile, the upstream's address may already
+// belong to another instance.
 func (x *exchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
 	ended, err := x.checkUpstreamEnded(ctx, u)
 	if !ended {
@@ -95,8 +95,9 @@
 	return ended
 }
 
-// replaced reports whether another upstream answers at an upstream's address, or nobody does. An upstream that
-// mustn't be asked now counts as replaced if it is no longer listed without having announced that it leaves.
+// replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. If the
+// upstream may not get a health check now, it counts as replaced once it is no longer listed, unless it had
+// announced that it leaves.
 func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
--- a/forward/call.go
+++ b/forward/call.go
@@ -206,7 +206,7 @@
 	ColdRemaining time.Duration
 	// Life is the upstream's present life; zero if it didn't report one.
 	Life Incarnation
-	// Instance is who answered; empty if the answer doesn't tell.
+	// Instance is the ID of the upstream that answered; empty if the answer has none.
 	Instance member.UpstreamID
 	Signals  Signals
 }
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -35,7 +35,7 @@
 	report func(ctx context.Context, u Upstream) (EngineReport, error)
 	// checkReachable answers reachability checks; nil reports reachable.
 	checkReachable func(u Upstream) error
-	// instance tells who answers at an upstream's address; nil tells nobody.
+	// instance returns the instance at an upstream's address; nil reports none.
 	instance func(u Upstream) member.UpstreamID
 	// linksBroken has upstreams be reached through a peer only.
 	linksBroken atomic.Bool
--- a/forward/fakefleet_test.go
+++ b/forward/fakefleet_test.go
@@ -239,7 +239,7 @@
 	return nil
 }
 
-// instance returns who answers at an upstream's address.
+// instance returns the instance at an upstream's address.
 func (f *fakeFleet) instance(u Upstream) member.UpstreamID {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forward/rollouts.go
+++ b/forward/rollouts.go
@@ -377,7 +377,7 @@
 }
 
 // firstHost returns the first of the live hosts by zone and name, this host included. A host to which a call
-// failed isn't live until it is heard from again.
+// failed doesn't count as live until it sends a share again.
 func (p *peerSet) firstHost(now time.Time) Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/forward/rollouts_test.go
+++ b/forward/rollouts_test.go
@@ -277,8 +277,8 @@
 	}
 }
 
-// TestNextHostDecidesOnceTheFirstIsOutOfReach guards against hosts that go on reporting a rollout to a host that is gone, so
-// that nobody decides about it.
+// TestNextHostDecidesOnceTheFirstIsOutOfReach guards against a rollout without decisions while hosts report to one that is
+// gone.
 func TestNextHostDecidesOnceTheFirstIsOutOfReach(t *testing.T) {
 	is, now := is.New(t), time.Now()
 	p := newPeerSet(Peer{ID: "h2", Zone: "z1"}, nil)
--- a/forward/runchanges.go
+++ b/forward/runchanges.go
@@ -59,7 +59,7 @@
 	return changed, gone
 }
 
-// sharedRuns is what a peer knows of this host's runs.
+// sharedRuns is the state of one peer's knowledge of this host's runs.
 type sharedRuns struct {
 	// confirmed are the runs of the last share that the peer answered; nil if the peer has to get all.
 	confirmed *runSnapshot
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -32,8 +32,8 @@
 // above high.
 type limit struct{ low, high float64 }
 
-// A link carries some traffic that isn't counted, and answers that have begun grow. The delays are parts of the
-// time in which short calls are expected to be answered.
+// The ranges end below 1, as some traffic on the link isn't counted and the answers in progress send more once they
+// have begun.
 var (
 	linkLimit      = limit{0.65, 0.85}
 	processorLimit = limit{0.6, 0.8}
@@ -65,7 +65,7 @@
 	return share, lacking
 }
 
-// Observer is told what a Gate decides. Its methods must not block.
+// Observer receives the decisions of a Gate. Its methods must not block.
 type Observer interface {
 	// ConnectionTaken and ConnectionClosed count new connections.
 	ConnectionTaken()
@@ -86,8 +86,8 @@
 
 	mu   sync.Mutex
 	open int
-	// toClose and toEnd sum up the shares of the connections that are to be closed unread, and of those
-	// that are to end with their answer.
+	// toClose is the number of connections, or a fraction of one, that are due to be closed unread, and toEnd
+	// of those that are due to end with their answer.
 	toClose, toEnd float64
 	takenAt        time.Time
 	// closed counts the connections closed since closingSince; lastClosedAt is the time of the last one.
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 )
 
-// gateEvents records what a gate tells.
+// gateEvents records a gate's decisions.
 type gateEvents struct {
 	taken  int
 	closed map[Resource]int
--- a/intake/lag.go
+++ b/intake/lag.go
@@ -32,9 +32,9 @@
 	l.samples = append(append(l.samples[:0], l.samples[kept:]...), lagSample{now, max(late, 0)})
 }
 
-// mean returns how long what is due at any moment waits on average. A process that is delayed for a time
-// of d makes what comes meanwhile wait for d/2. The longest delay is left out: a single one is a garbage
-// collection or a suspension, and no lack of processor time.
+// mean returns the average time that an event waits for the processor, if events are due at random times within the
+// window: one that falls into a delay of d waits for d/2. The longest delay is left out, as a garbage collection or
+// a suspension causes a single one.
 func (l *lag) mean() time.Duration {
 	var sum, longest float64
 	for _, s := range l.samples {
