internal/accept: the tests of a full link are beside the listener

In package platform they were its only tests in virtual time, so that all of its tests, real processes among them, would have run on one processor under the race detector. The bounds, rates and the link are unchanged; a plain handler streams in place of the ingress.

--- a/platform/intake_test.go
+++ b/internal/accept/capacity_test.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package accept
 
 import (
 	"bufio"
@@ -18,9 +18,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/shedpath/shedpath/forward"
 	"github.com/shedpath/shedpath/intake"
-	"github.com/shedpath/shedpath/internal/accept"
 )
 
 // simulatedLink carries the bytes that a host sends, one after the other at its rate.
@@ -97,30 +95,25 @@
 	return near
 }
 
-// streamingForwarder answers each request with a long stream.
-type streamingForwarder struct{ served sync.WaitGroup }
-
 const (
 	simulatedEvents     = 140
 	simulatedEventBytes = 340
 	simulatedEventGap   = 32 * time.Millisecond
 )
 
-func (f *streamingForwarder) Serve(_ context.Context, _ *forward.Call, to forward.Sink) {
-	f.served.Add(1)
-	defer f.served.Done()
-	if to.BeginResponse(&forward.Response{Status: http.StatusOK, Header: http.Header{}, ContentLength: -1}) != nil {
-		return
-	}
+// stream answers a request with a long stream.
+func stream(w http.ResponseWriter, _ *http.Request) {
+	control := http.NewResponseController(w)
 	for range simulatedEvents {
 		time.Sleep(simulatedEventGap)
-		if to.Write(make([]byte, simulatedEventBytes)) != nil {
+		if _, err := w.Write(make([]byte, simulatedEventBytes)); err != nil {
+			return
+		}
+		if control.Flush() != nil {
 			return
 		}
 	}
 }
-func (f *streamingForwarder) Table() *forward.Table { return nil }
-func (f *streamingForwarder) Stopping() bool        { return false }
 
 // intakeEvents counts the connections that a gate closes.
 type intakeEvents struct{ closed int }
@@ -146,11 +139,9 @@
 		gate := &intake.Gate{Meter: meter, Observer: events}
 		ctx, cancel := context.WithCancel(t.Context())
 		go meter.Run(ctx, time.Now)
-		ingress := NewIngress(&streamingForwarder{}, nil, 0)
-		ingress.gate = gate
-		callers := newCallerServer(ingress)
+		server := &http.Server{Handler: http.HandlerFunc(stream)}
 		ended := make(chan error, 1)
-		go func() { ended <- callers.server.Serve(&accept.Listener{Listener: l, Gate: gate}) }()
+		go func() { ended <- server.Serve(&Listener{Listener: l, Gate: gate}) }()
 		var mu sync.Mutex
 		var running sync.WaitGroup
 		phases = make([]tries, len(perSecond))
@@ -181,7 +172,7 @@
 		cancel()
 		close(l.conns)
 		is.True(errors.Is(<-ended, net.ErrClosed))
-		is.NoErr(callers.server.Close())
+		is.NoErr(server.Close())
 	})
 	return phases, closed
 }
