--- a/intake/meter.go
+++ b/intake/meter.go
@@ -15,7 +15,7 @@
 	// linkAveraging and processorAveraging are the times over which their use is averaged.
 	linkAveraging      = 300 * time.Millisecond
 	processorAveraging = time.Second
-	// minConnects is how many new connections to upstreams it takes to tell whether all of them take long.
+	// minConnects is the number of new connections to upstreams from which their least time counts.
 	minConnects = 4
 )
 
--- a/intake/processor.go
+++ b/intake/processor.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// ProcessorTime returns the processor time that this process has used so far; zero if the system doesn't tell.
+// ProcessorTime returns the processor time that this process has used so far; zero if it isn't known.
 func ProcessorTime() time.Duration {
 	var use unix.Rusage
 	if err := unix.Getrusage(unix.RUSAGE_SELF, &use); err != nil {
