forward: an upstream that is known to leave is asked who it is, too

Cause: before the stream's end was read, a peer's report that the upstream leaves had arrived. Whether another instance has the address was asked with a health check, which isn't allowed towards an upstream that leaves; without the check the answer counted as whole.

The question is a purpose of its own now (eligibility.Identity): only a backoff or a rate limit forbids it. It also applies to calls and to streams through a peer. New cases of TestAnswerOfEndedUpstreamIsNotComplete (call, stream; a peer's report first) failed before; whole answers of an upstream that leaves stay whole.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -47,6 +47,8 @@
 	Probe
 	// Control is a call about a run or a copy that the upstream holds.
 	Control
+	// Identity is a health check that asks who has the upstream's address, as the end of an answer depends on it.
+	Identity
 )
 
 // State is what a host knows of an upstream and of the request that is to be sent.
@@ -98,8 +100,12 @@
 	case Continuation:
 		return s.checkContinuation()
 	}
-	if p == Probe {
+	switch p {
+	case Probe:
 		s.Quarantined = false
+	case Identity:
+		// The upstream has had the request, so only what it asked for itself matters.
+		s = State{Backoff: s.Backoff, LimitWait: s.LimitWait}
 	}
 	reason := s.firstReason()
 	if reason == Backoff || reason == Limited {
--- a/eligibility/eligibility_test.go
+++ b/eligibility/eligibility_test.go
@@ -20,10 +20,11 @@
 	}{
 		"nothing against it": {State{}, map[Purpose]Verdict{Request: {}, Continuation: {}, Probe: {}, Control: {}}},
 		"it leaves": {State{Leaving: true}, map[Purpose]Verdict{
-			Request: {Reason: Leaving}, Continuation: {Overridden: Leaving}, Probe: {Reason: Leaving}, Control: {Overridden: Leaving},
+			Request: {Reason: Leaving}, Continuation: {Overridden: Leaving}, Probe: {Reason: Leaving}, Control: {Overridden: Leaving}, Identity: {},
 		}},
 		"backoff": {State{Backoff: time.Second}, map[Purpose]Verdict{
 			Request: {Reason: Backoff, Wait: time.Second}, Continuation: {Overridden: Backoff}, Probe: {Reason: Backoff, Wait: time.Second}, Control: {Overridden: Backoff},
+			Identity: {Reason: Backoff, Wait: time.Second},
 		}},
 		"a limit beyond the backoff": {State{Backoff: time.Second, LimitWait: 2 * time.Second}, map[Purpose]Verdict{
 			Request: {Reason: Limited, Wait: 2 * time.Second}, Probe: {Reason: Limited, Wait: 2 * time.Second},
@@ -35,7 +36,7 @@
 			Request: {Reason: Quarantined}, Continuation: {Reason: Quarantined}, Probe: {}, Control: {Overridden: Quarantined},
 		}},
 		"its entry is unusable": {State{Unusable: true}, map[Purpose]Verdict{Request: {Reason: Unusable}, Continuation: {Overridden: Unusable}}},
-		"unknown":               {State{Unknown: true}, map[Purpose]Verdict{Request: {Reason: Unknown}}},
+		"unknown":               {State{Unknown: true}, map[Purpose]Verdict{Request: {Reason: Unknown}, Identity: {}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -64,7 +65,7 @@
 			ZoneOutOfService: a.ZoneOutOfService || flag("zone out, too"), Quarantined: a.Quarantined || flag("quarantined, too"),
 			Backoff: max(a.Backoff, wait("more backoff")), LimitWait: max(a.LimitWait, wait("more limit")), ZoneClosed: a.ZoneClosed,
 		}
-		p := Purpose(rapid.IntRange(int(Request), int(Control)).Draw(t, "purpose"))
+		p := Purpose(rapid.IntRange(int(Request), int(Identity)).Draw(t, "purpose"))
 		fewer, more := Check(a, p), Check(b, p)
 		if !fewer.OK() && more.OK() {
 			t.Fatalf("purpose %d: denied in state %+v, but allowed with more reasons in state %+v", p, a, b)
--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/quarantine"
 )
 
@@ -95,13 +96,13 @@
 	return ended
 }
 
-// replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. If the
-// upstream may not get a health check now, it counts as replaced once it is no longer listed, unless it had
-// announced that it leaves.
+// replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. If a
+// backoff or a rate limit forbids to ask, the upstream counts as replaced once it is no longer listed, unless it is
+// known to leave.
 func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	health, err := x.checkHealth(ctx, &x.service, u)
+	health, err := x.checkHealth(ctx, &x.service, u, eligibility.Identity)
 	if err == nil {
 		return health.Instance != "" && health.Instance != u.ID, nil
 	}
--- a/forward/call.go
+++ b/forward/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
@@ -182,7 +183,7 @@
 	// Move copies a run's memory from one engine to another.
 	Move(ctx context.Context, from Upstream, r MoveRequest) (MoveResult, error)
 	// Health asks an upstream for its health.
-	Health(ctx context.Context, u Upstream, path string) (Health, error)
+	Health(ctx context.Context, u Upstream, p eligibility.Purpose, path string) (Health, error)
 	// Report asks an engine for its own report of its load. The error is
 	// enginereport.ErrOtherInstance if another upstream answers, and enginereport.ErrUnusable if the
 	// answer can't be decoded.
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -69,7 +69,7 @@
 	return Signals{}, nil
 }
 
-func (f *fakeTransport) Health(_ context.Context, u Upstream, _ string) (Health, error) {
+func (f *fakeTransport) Health(_ context.Context, u Upstream, _ eligibility.Purpose, _ string) (Health, error) {
 	well, err := true, error(nil)
 	if f.checkHealth != nil {
 		well, err = f.checkHealth(u)
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -110,7 +111,7 @@
 func (f *Forwarder) probeEngine(ctx context.Context, s *Service, u Upstream) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	health, err := f.checkHealth(ctx, s, u)
+	health, err := f.checkHealth(ctx, s, u, eligibility.Probe)
 	now := f.now()
 	if err != nil || !f.fleet.ReceiveIncarnation(u.ID, health.Life) {
 		return
--- a/forward/send.go
+++ b/forward/send.go
@@ -173,10 +173,10 @@
 	}
 }
 
-// checkHealth asks an upstream for its health, unless nothing may be sent to it now.
-func (f *Forwarder) checkHealth(ctx context.Context, s *Service, u Upstream) (Health, error) {
+// checkHealth asks an upstream for its health, unless nothing may be sent to it now for that purpose.
+func (f *Forwarder) checkHealth(ctx context.Context, s *Service, u Upstream, p eligibility.Purpose) (Health, error) {
 	sent := f.now()
-	v := eligibility.Check(f.eligibilityState(sent, u), eligibility.Probe)
+	v := eligibility.Check(f.eligibilityState(sent, u), p)
 	if v.OK() {
 		// If permits are scarce, requests go before health checks.
 		v = f.permitVerdict(ctx, permitRequest{service: s, upstream: u, rank: int(LeastUrgent), repeat: true})
@@ -189,7 +189,7 @@
 	if wait > 0 {
 		return Health{}, &notSentError{eligibility.Verdict{Reason: eligibility.Limited, Wait: wait}}
 	}
-	health, err := f.transport.Health(ctx, u, s.HealthPath)
+	health, err := f.transport.Health(ctx, u, p, s.HealthPath)
 	f.rejections.End(f.now(), rejectable, err == nil && health.Rejected)
 	if err == nil {
 		f.applySignals(sent, u, answerToHealth, health.Signals)
--- a/forward/signalfleet_test.go
+++ b/forward/signalfleet_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -229,7 +230,7 @@
 	return MoveResult{Handle: "h" + string(r.ID), Signals: Signals{Leaving: s.Leaving}}, ctx.Err()
 }
 
-func (t signalTransport) Health(_ context.Context, u Upstream, _ string) (Health, error) {
+func (t signalTransport) Health(_ context.Context, u Upstream, _ eligibility.Purpose, _ string) (Health, error) {
 	t.recordArrival(u.ID, signalArrival{host: t.host, hostCall: true})
 	return Health{Healthy: true}, nil
 }
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -17,17 +17,23 @@
 		endAt time.Duration
 		// replaced says that another upstream has the address at once.
 		replaced bool
+		// leaving says that a peer has reported by then that the upstream leaves.
+		leaving bool
 	}{
-		"call":                              {"/order/", fakeCallDuration / 2, false},
-		"stream before its first event":     {"/llm/", fakeFirstEventDelay / 2, false},
-		"stream that has begun":             {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, false},
-		"stream that has gone on for long":  {"/llm/", fakeFirstEventDelay + 2*crashAttributionWindow, false},
-		"whole call":                        {"/order/", 0, false},
-		"whole stream":                      {"/llm/", 0, false},
-		"stream whose upstream ends later":  {"/llm/", 10 * time.Second, false},
-		"call whose upstream ends just now": {"/order/", fakeCallDuration + 10*time.Second, false},
-		"call, then another upstream":       {"/order/", fakeCallDuration / 2, true},
-		"stream, then another upstream":     {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, true},
+		"call":                              {"/order/", fakeCallDuration / 2, false, false},
+		"stream before its first event":     {"/llm/", fakeFirstEventDelay / 2, false, false},
+		"stream that has begun":             {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, false, false},
+		"stream that has gone on for long":  {"/llm/", fakeFirstEventDelay + 2*crashAttributionWindow, false, false},
+		"whole call":                        {"/order/", 0, false, false},
+		"whole stream":                      {"/llm/", 0, false, false},
+		"whole call of one that leaves":     {"/order/", 0, false, true},
+		"whole stream of one that leaves":   {"/llm/", 0, false, true},
+		"stream whose upstream ends later":  {"/llm/", 10 * time.Second, false, false},
+		"call whose upstream ends just now": {"/order/", fakeCallDuration + 10*time.Second, false, false},
+		"call, then another upstream":       {"/order/", fakeCallDuration / 2, true, false},
+		"stream, then another upstream":     {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, true, false},
+		"call, then another is known":       {"/order/", fakeCallDuration / 2, true, true},
+		"stream, then another is known":     {"/llm/", fakeFirstEventDelay + 3*fakeEventGap/2, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runCrashScenario(t, func(d *crashScenario) {
@@ -40,8 +46,13 @@
 						}
 					})
 				}
-				if c.replaced {
-					d.fleet.replaceAtOnce = true
+				d.fleet.replaceAtOnce = c.replaced
+				if c.leaving {
+					time.AfterFunc(fakeCallDuration/4, func() {
+						for _, u := range d.origin.list {
+							d.hostAt(0).receiveLeaving(time.Now(), "z1-h01", LeavingMark{Upstream: u.ID})
+						}
+					})
 				}
 				sink := d.send(d.hostAt(0), c.path, "a")
 				cut := sink.refused != nil || sink.truncated
