intake: a long transfer counts as load up to a share, and yields

Cause: the gate counts bytes, so one answer that takes what is left of the link is load 1.0 to 1.6.

Beyond 256 KiB a connection counts up to a 64th of the link's rate, what a stream or call may need; and what long answers send to callers and peers waits while the other traffic needs the link. Connections that are carried for peers are counted the same way.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -114,7 +114,7 @@
 	g.takenAt = now
 	g.open++
 	g.Observer.ConnectionTaken()
-	return &takenConn{Conn: g.Meter.Link.Callers.Count(c), gate: g}
+	return &takenConn{Conn: g.Meter.Link.CountCaller(c), gate: g}
 }
 
 // lacks returns the resource for the lack of which the next connection is to be closed. The mutex is held.
--- a/intake/meter.go
+++ b/intake/meter.go
@@ -21,7 +21,8 @@
 
 // Load is what a host has in use.
 type Load struct {
-	// LinkOut and LinkIn are the parts of the link's rate that are in use; zero if the rate isn't known.
+	// LinkOut and LinkIn are the parts of the link's rate that are in use, without what long transfers take beyond
+	// elasticShare each; zero if the rate isn't known.
 	LinkOut, LinkIn float64
 	// Processor is the part of the processor's share that is in use; zero if the share isn't known.
 	Processor float64
@@ -48,7 +49,7 @@
 	// shortest time that one of them took.
 	connects     int
 	leastConnect time.Duration
-	// sent and received are the bytes up to loadAt, and sentRate and receivedRate the bytes per second before.
+	// sent and received are the bytes up to loadAt that count as load, and sentRate and receivedRate the bytes per second before.
 	sent, received         int64
 	sentRate, receivedRate float64
 	// processorTime is the processor time up to loadAt, and processorUse the use before.
@@ -84,7 +85,7 @@
 	if since < loadInterval {
 		return
 	}
-	sent, received := m.Link.bytes()
+	sent, received := m.Link.load()
 	var used time.Duration
 	if m.ProcessorShare > 0 && m.ProcessorTime != nil {
 		used = m.ProcessorTime()
@@ -94,6 +95,9 @@
 		average(&m.receivedRate, float64(received-m.received)/since.Seconds(), since, linkAveraging)
 		average(&m.processorUse, (used-m.processorTime).Seconds()/since.Seconds(), since, processorAveraging)
 	}
+	if !m.loadAt.IsZero() {
+		m.Link.grant(now, m.BytesPerSecond, since, m.sentRate/max(m.BytesPerSecond, 1))
+	}
 	m.sent, m.received, m.processorTime, m.loadAt = sent, received, used, now
 	m.load = Load{Lag: m.lag.mean()}
 	if m.BytesPerSecond > 0 {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -187,6 +187,26 @@
 	return c.closeErr == nil
 }
 
+// countedConn is a connection of a tunnel, whose bytes a Mesh counts.
+type countedConn struct {
+	net.Conn
+	mesh *Mesh
+}
+
+// Read reads and counts bytes.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mesh.receivedBytes.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts bytes.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mesh.sentBytes.Add(int64(n))
+	return n, err
+}
+
 // countingReader adds the number of bytes read to count.
 type countingReader struct {
 	from  io.Reader
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -35,8 +35,10 @@
 	readers conc.WaitGroup
 	// carrier connects to upstreams for peers; nil refuses to.
 	carrier TunnelCarrier
-	configs configPacker
-	lists   listPacker
+	// countTunnel returns a tunnel's connection with its bytes counted.
+	countTunnel func(net.Conn) net.Conn
+	configs     configPacker
+	lists       listPacker
 
 	sentBytes, receivedBytes atomic.Int64
 }
@@ -51,6 +53,7 @@
 // NewMesh returns a mesh without connections.
 func NewMesh(self member.HostID, key []byte, opts ...Option) *Mesh {
 	m := &Mesh{self: self, key: key, conns: map[string]*conn{}, dialing: map[string]chan struct{}{}}
+	m.countTunnel = func(c net.Conn) net.Conn { return &countedConn{c, m} }
 	for _, opt := range opts {
 		opt(m)
 	}
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -36,6 +36,11 @@
 // WithTunnels has a Mesh carry tunnels. Without it they are refused.
 func WithTunnels(c TunnelCarrier) Option { return func(m *Mesh) { m.carrier = c } }
 
+// WithTunnelCount has the bytes of tunnels counted by the connections that count returns instead of by Bytes.
+func WithTunnelCount(count func(net.Conn) net.Conn) Option {
+	return func(m *Mesh) { m.countTunnel = count }
+}
+
 const (
 	// tunnelSilence is how long either side of a tunnel may be silent before it counts as broken.
 	tunnelSilence = 8 * time.Second
@@ -92,7 +97,7 @@
 	}
 	// Closing only ends the handshake, which reports the end of the context.
 	stop := context.AfterFunc(ctx, func() { _ = link.Close() })
-	c, err := m.openTunnel(link, t)
+	c, err := m.openTunnel(m.countTunnel(link), t)
 	if !stop() {
 		err = context.Cause(ctx)
 	}
@@ -113,10 +118,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := m.writeTunnelFrame(link, &frame{ID: 1, Kind: kindTunnel, Body: body}); err != nil {
+	if err := writeTunnelFrame(link, &frame{ID: 1, Kind: kindTunnel, Body: body}); err != nil {
 		return nil, err
 	}
-	c := &tunnelConn{Conn: link, reader: bufio.NewReaderSize(&countingReader{from: link, count: &m.receivedBytes}, readBufferBytes)}
+	c := &tunnelConn{Conn: link, reader: bufio.NewReaderSize(link, readBufferBytes)}
 	f, err := readFrame(c.reader)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "the connection to the peer broke")
@@ -131,16 +136,13 @@
 	return c, reply.err()
 }
 
-func (m *Mesh) writeTunnelFrame(link net.Conn, f *frame) error {
+func writeTunnelFrame(link net.Conn, f *frame) error {
 	message, err := appendFrame(nil, f)
 	if err != nil {
 		return err
 	}
-	if _, err := link.Write(message); err != nil {
-		return trace.Wrap(err)
-	}
-	m.sentBytes.Add(int64(len(message)))
-	return nil
+	_, err = link.Write(message)
+	return trace.Wrap(err)
 }
 
 // tunnelConn is the end of a tunnel at the host that opened it.
@@ -178,10 +180,11 @@
 }
 
 // serveTunnel carries a tunnel until one of its sides ends. f is the call that opens it.
-func (m *Mesh) serveTunnel(ctx context.Context, link net.Conn, reader *bufio.Reader, f *frame, from member.HostID) error {
+func (m *Mesh) serveTunnel(ctx context.Context, tcp net.Conn, reader *bufio.Reader, f *frame, from member.HostID) error {
+	link := m.countTunnel(tcp)
 	upstream, err := m.connectTunnel(ctx, f, from)
 	if err != nil && !isTunnelError(err) {
-		return m.writeTunnelFrame(link, &frame{ID: f.ID, Reply: true, Kind: f.Kind, Error: err.Error()})
+		return writeTunnelFrame(link, &frame{ID: f.ID, Reply: true, Kind: f.Kind, Error: err.Error()})
 	}
 	if upstream != nil {
 		defer upstream.Close()
@@ -190,10 +193,10 @@
 	if encodeErr != nil {
 		return encodeErr
 	}
-	if err := m.writeTunnelFrame(link, &frame{ID: f.ID, Reply: true, Kind: f.Kind, Body: body}); err != nil || upstream == nil {
+	if err := writeTunnelFrame(link, &frame{ID: f.ID, Reply: true, Kind: f.Kind, Body: body}); err != nil || upstream == nil {
 		return err
 	}
-	if tcp, ok := link.(*net.TCPConn); ok {
+	if tcp, ok := tcp.(*net.TCPConn); ok {
 		if err := socket.KeepAlive(tcp, tunnelSilence); err != nil {
 			return trace.Wrap(err)
 		}
@@ -210,7 +213,7 @@
 		_, _ = io.Copy(upstream, reader)
 		_ = upstream.Close()
 	})
-	return m.copyAnswer(link, upstream)
+	return copyAnswer(link, upstream)
 }
 
 func isTunnelError(err error) bool {
@@ -236,7 +239,7 @@
 
 // copyAnswer copies what the upstream sends, in frames. If the connection to the upstream breaks,
 // there is no last frame.
-func (m *Mesh) copyAnswer(link net.Conn, upstream io.Reader) error {
+func copyAnswer(link net.Conn, upstream io.Reader) error {
 	buffer := make([]byte, tunnelBufferBytes)
 	for {
 		n, err := upstream.Read(buffer)
@@ -244,21 +247,21 @@
 			return fmt.Errorf("the upstream broke off: %w", err)
 		}
 		if n > 0 {
-			if err := m.writeTunnelPart(link, buffer[:n]); err != nil {
+			if err := writeTunnelPart(link, buffer[:n]); err != nil {
 				return err
 			}
 		}
 		if err != nil {
-			return m.writeTunnelPart(link, []byte{})
+			return writeTunnelPart(link, []byte{})
 		}
 	}
 }
 
 // writeTunnelPart writes a part of an answer; an empty part is the last.
-func (m *Mesh) writeTunnelPart(link net.Conn, part []byte) error {
+func writeTunnelPart(link net.Conn, part []byte) error {
 	body, err := encode(part)
 	if err != nil {
 		return err
 	}
-	return m.writeTunnelFrame(link, &frame{ID: 1, Reply: true, Kind: kindTunnel, Body: body})
+	return writeTunnelFrame(link, &frame{ID: 1, Reply: true, Kind: kindTunnel, Body: body})
 }
--- a/internal/telemetry/intake.go
+++ b/internal/telemetry/intake.go
@@ -73,6 +73,7 @@
 	}
 	if c.link.Peers != nil {
 		sent, received := c.link.Peers()
-		send("peers", sent, received)
+		tunnelsSent, tunnelsReceived := c.link.Tunnels.Bytes()
+		send("peers", sent+tunnelsSent, received+tunnelsReceived)
 	}
 }
