intake: the processor's share closes connections once it binds

Cause: overload that keeps itself up. The gate closes all from 0.8 of the processor's share on; its callers return at once, some 1,700 times a second at a host, and that work and the bodies under way hold the use at 0.75 to 0.92. Evidence: metrics of the play, each 250 ms: closings for lack of the processor, use as above, its lag 0.15 ms at most. So the share didn't bind there.

The use of the share counts for a minute after the process had to wait for the processor while it used its share; where it never waits, it has more.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -48,13 +48,17 @@
 
 // closeShare returns the part of new connections that is closed at a load, and the resource that is lacking.
 func (l Load) closeShare() (share float64, lacking Resource) {
+	processor := 0.0
+	if l.ShareBinds {
+		processor = processorLimit.share(l.Processor)
+	}
 	for _, r := range []struct {
 		resource Resource
 		share    float64
 	}{
 		{LinkOut, linkLimit.share(l.LinkOut)},
 		{LinkIn, linkLimit.share(l.LinkIn)},
-		{Processor, processorLimit.share(l.Processor)},
+		{Processor, processor},
 		{Processor, lagLimit.share(l.Lag.Seconds())},
 		{Upstreams, connectLimit.share(l.Connect.Seconds())},
 	} {
--- a/intake/meter.go
+++ b/intake/meter.go
@@ -15,6 +15,9 @@
 	// linkAveraging and processorAveraging are the times over which their use is averaged.
 	linkAveraging      = 300 * time.Millisecond
 	processorAveraging = time.Second
+	// shareBindsFor is how long the processor's share counts as a bound after the process had to wait for the
+	// processor.
+	shareBindsFor = time.Minute
 	// minConnects is the number of new connections to upstreams from which their least time counts.
 	minConnects = 4
 )
@@ -26,6 +29,9 @@
 	LinkOut, LinkIn float64
 	// Processor is the part of the processor's share that is in use; zero if the share isn't known.
 	Processor float64
+	// ShareBinds says that the process had to wait for the processor lately while it used about its share. Where
+	// the share isn't enforced, a process that uses it up has more.
+	ShareBinds bool
 	// Lag is how long what is due waits for the processor.
 	Lag time.Duration
 	// Connect is the least time that a new connection to an upstream took lately; zero if there were few.
@@ -55,8 +61,10 @@
 	// processorTime is the processor time up to loadAt, and processorUse the use before.
 	processorTime time.Duration
 	processorUse  float64
-	loadAt        time.Time
-	load          Load
+	// waitedAt is when the process last had to wait for the processor while it used about its share.
+	waitedAt time.Time
+	loadAt   time.Time
+	load     Load
 }
 
 // Run measures the load until the context ends.
@@ -105,6 +113,10 @@
 	}
 	if m.ProcessorShare > 0 {
 		m.load.Processor = m.processorUse / m.ProcessorShare
+		if m.load.Processor >= processorLimit.low && m.load.Lag.Seconds() >= lagLimit.low {
+			m.waitedAt = now
+		}
+		m.load.ShareBinds = !m.waitedAt.IsZero() && now.Sub(m.waitedAt) < shareBindsFor
 	}
 	if m.connects >= minConnects {
 		m.load.Connect = m.leastConnect
--- a/intake/meter_test.go
+++ b/intake/meter_test.go
@@ -92,3 +92,37 @@
 	is.Equal(compute(slow, slow, time.Millisecond, slow, slow), time.Millisecond)
 	is.Equal(compute(slow, slow), time.Duration(0)) // too few to tell
 }
+
+// TestShareBinds guards against a host that closes connections for lack of processor time although it gets more than
+// its share, and against one that overlooks that its share is enforced.
+func TestShareBinds(t *testing.T) {
+	for name, c := range map[string]struct {
+		use  float64
+		late time.Duration
+		want bool
+	}{
+		"idle":                         {0.1, 0, false},
+		"share is exceeded":            {1.5, time.Millisecond, false},
+		"waits while it uses its part": {0.9, 40 * time.Millisecond, true},
+		"waits for other processes":    {0.2, 40 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is, now := is.New(t), time.Now()
+			var used time.Duration
+			m := Meter{Link: &Link{}, ProcessorShare: 0.4, ProcessorTime: func() time.Duration { return used }}
+			play := func(d, late time.Duration) {
+				for range d / sampleInterval {
+					now = now.Add(sampleInterval)
+					used += time.Duration(c.use * m.ProcessorShare * float64(sampleInterval))
+					m.sample(now, late)
+				}
+			}
+			play(10*time.Second, c.late)
+			is.Equal(m.Load().ShareBinds, c.want)
+			play(shareBindsFor/2, 0)
+			is.Equal(m.Load().ShareBinds, c.want) // a host that keeps below its share doesn't wait
+			play(shareBindsFor, 0)
+			is.Equal(m.Load().ShareBinds, false)
+		})
+	}
+}
