intake: connections of callers who return at once wait for room

Callers who have nowhere else to go come back as soon as they are closed, and handling them takes part of the processor and link that the others need (open in the postmortem of new connections at few hosts).

Now 1,000 a second for each processor of the share are closed at once.

Leaving connections in the kernel's queue instead was not tried: at more arrivals than closings they would be taken after their callers gave up.

TestClosedCallersReturnAtOnce and TestConnectionsWaitForRoom use what is new and weren't run on the code before.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Resource is what a host may lack to take another connection.
@@ -24,6 +26,14 @@
 const (
 	// maxTakeInterval is the longest time without a new connection while callers open some.
 	maxTakeInterval = time.Second
+	// closingsPerProcessor is how many connections a second are closed at once for each processor of the host's share.
+	// What comes faster are callers that return at once, and waits for room before it is closed.
+	closingsPerProcessor = 1000
+	// OfferInterval is when a connection that waits is offered again, and maxOffers how often it is offered.
+	OfferInterval = loadInterval
+	maxOffers     = 4
+	// maxWaiting is the number of connections that may wait.
+	maxWaiting = 256
 	// closingQuietTime is how long after the last closed connection a host counts as having room again.
 	closingQuietTime = time.Second
 )
@@ -88,8 +98,11 @@
 	// MaxConns bounds the open connections; zero sets no bound.
 	MaxConns int
 
-	mu   sync.Mutex
-	open int
+	mu sync.Mutex
+	// open is the number of connections taken and not closed yet, and waiting of those to be offered again.
+	open, waiting int
+	// closings allows connections to be closed at once.
+	closings *rate.Limiter
 	// toClose is the number of connections, or a fraction of one, that are due to be closed unread, and toEnd
 	// of those that are due to end with their answer.
 	toClose, toEnd float64
@@ -99,17 +112,25 @@
 	closingSince, lastClosedAt time.Time
 }
 
-// Take returns the connection to serve, or nil if there is no room for it and it is closed.
-func (g *Gate) Take(now time.Time, c net.Conn) net.Conn {
+// Take returns the connection to serve; nil if there is no room for it. It is closed then, or if wait is set, it is to
+// be offered again after OfferInterval. offers is how often it was offered before.
+func (g *Gate) Take(now time.Time, c net.Conn, offers int) (taken net.Conn, wait bool) {
 	load := g.Meter.Load()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if offers > 0 {
+		g.waiting--
+	}
 	lacking, full := g.lacks(now, load)
+	if full && g.mayWait(now, offers) {
+		g.waiting++
+		return nil, true
+	}
 	if full {
 		g.recordClosed(now, lacking, load)
 		// Nothing was read, so nothing is lost with the error.
 		_ = c.Close()
-		return nil
+		return nil, false
 	}
 	if g.closed > 0 && now.Sub(g.lastClosedAt) > closingQuietTime {
 		g.Observer.ClosingEnded(g.closed, g.lastClosedAt.Sub(g.closingSince))
@@ -118,7 +139,23 @@
 	g.takenAt = now
 	g.open++
 	g.Observer.ConnectionTaken()
-	return &takenConn{Conn: g.Meter.Link.CountCaller(c), gate: g}
+	return &takenConn{Conn: g.Meter.Link.CountCaller(c), gate: g}, false
+}
+
+// mayWait reports whether a connection for which there is no room waits instead of being closed at once. The mutex is
+// held.
+func (g *Gate) mayWait(now time.Time, offers int) bool {
+	if g.closings == nil {
+		share := g.Meter.ProcessorShare
+		if share <= 0 {
+			share = 1
+		}
+		g.closings = rate.NewLimiter(rate.Limit(closingsPerProcessor*share), int(closingsPerProcessor*share*OfferInterval.Seconds())+1)
+	}
+	if g.waiting >= maxWaiting || g.MaxConns > 0 && g.open+g.waiting >= g.MaxConns {
+		return false
+	}
+	return offers+1 < maxOffers && (offers > 0 || !g.closings.AllowN(now, 1))
 }
 
 // lacks returns the resource for the lack of which the next connection is to be closed. The mutex is held.
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -56,7 +56,7 @@
 				now = now.Add(10 * time.Millisecond)
 				near, far := net.Pipe()
 				defer far.Close()
-				if taken := g.Take(now, near); taken != nil {
+				if taken, _ := g.Take(now, near, 0); taken != nil {
 					is.NoErr(taken.Close())
 					inRow = 0
 				} else {
@@ -81,13 +81,14 @@
 	for range 500 {
 		now = now.Add(20 * time.Millisecond)
 		near, _ := net.Pipe()
-		g.Take(now, near)
+		g.Take(now, near, 0)
 	}
 	is.Equal(events.taken, 10) // in 10 s
 	is.Equal(events.began, 1)
 	g.Meter.load = Load{}
 	near, _ := net.Pipe()
-	is.True(g.Take(now.Add(2*time.Second), near) != nil)
+	taken, _ := g.Take(now.Add(2*time.Second), near, 0)
+	is.True(taken != nil)
 	is.Equal(events.ended, []int{490})
 }
 
@@ -99,7 +100,8 @@
 	now := time.Now()
 	take := func() net.Conn {
 		near, _ := net.Pipe()
-		return g.Take(now, near)
+		taken, _ := g.Take(now, near, 0)
+		return taken
 	}
 	first, second := take(), take()
 	is.True(first != nil && second != nil)
@@ -126,3 +128,41 @@
 		is.Equal(kept, want)
 	}
 }
+
+// TestClosedCallersReturnAtOnce guards against a host that closes the connections of a few callers, who return at once,
+// so often that the work keeps it full; and against callers that wait although there is room again.
+func TestClosedCallersReturnAtOnce(t *testing.T) {
+	is := is.New(t)
+	const callers, step = 50, time.Millisecond
+	g, events := newTestGate(Load{LinkOut: 2})
+	g.Meter.ProcessorShare = 0.4
+	near, _ := net.Pipe()
+	now := time.Now()
+	// offers is how often each caller's connection was offered, and next when it is offered again.
+	offers, next := make([]int, callers), make([]time.Time, callers)
+	play := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(step) {
+			for n := range callers {
+				if now.Before(next[n]) {
+					continue
+				}
+				taken, wait := g.Take(now, near, offers[n])
+				switch {
+				case wait:
+					offers[n], next[n] = offers[n]+1, now.Add(OfferInterval)
+				case taken != nil:
+					offers[n], next[n] = 0, now.Add(time.Hour)
+				default:
+					offers[n], next[n] = 0, now.Add(step)
+				}
+			}
+		}
+	}
+	play(10 * time.Second)
+	is.True(events.closed[LinkOut] <= 10*int(closingsPerProcessor*0.4)+callers*10*int(time.Second/(OfferInterval*(maxOffers-1))))
+	taken := events.taken
+	g.Meter.load = Load{}
+	play(OfferInterval + step)
+	is.Equal(events.taken-taken, callers-taken) // all that waited
+	is.Equal(g.waiting, 0)
+}
