forward: an answer that doesn't end counts as its upstream's failure

Cause: an answer that is too long to be buffered counts as a success with its first MiB, whatever follows. Now one that breaks off, or isn't whole by the request's deadline, counts as a failure when that is known.

--- a/forward/latencybalancer.go
+++ b/forward/latencybalancer.go
@@ -170,6 +170,17 @@
 		s.meanLatency = latency
 	}
 	s.meanLatency += time.Duration(newestSampleWeight * float64(latency-s.meanLatency))
+	s.countOutcome(now, failed)
+}
+
+// countFailure records that a request failed which done has recorded as a success.
+func (c *latencyBalancer) countFailure(now time.Time, id member.UpstreamID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.statsFor(now, id).countOutcome(now, true)
+}
+
+func (s *upstreamStats) countOutcome(now time.Time, failed bool) {
 	failure := 0.0
 	if failed {
 		failure = 1
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -277,7 +277,15 @@
 	p.recordOutcome(outcome, "upstream", t.upstream.ID, "status", t.response.Status, "tries", len(p.tried), "skipped", p.skippedUpstreams, "err", err)
 }
 
-// deliverUnbuffered passes on a response that is too long to be buffered.
+// brokenAnswerError reports that an upstream's response broke off after a part of it was passed on.
+type brokenAnswerError struct{ err error }
+
+func (e *brokenAnswerError) Error() string { return "the answer broke off: " + e.err.Error() }
+
+func (e *brokenAnswerError) Unwrap() error { return e.err }
+
+// deliverUnbuffered passes on a response that is too long to be buffered. One that isn't whole by the deadline
+// counts as its upstream's failure.
 func (p *unaryExchange) deliverUnbuffered(ctx context.Context, t *upstreamAttempt) error {
 	defer t.response.Body.Close()
 	err := p.sink.BeginResponse(t.response)
@@ -297,10 +305,14 @@
 			readErr = io.ErrUnexpectedEOF
 		}
 		if readErr != nil {
-			err = readErr
+			err = &brokenAnswerError{readErr}
 		}
 	}
 	p.sink.Truncate()
+	var broken *brokenAnswerError
+	if end := endCauseOf(ctx); end == endDeadline || end == endNone && errors.As(err, &broken) {
+		p.plainChooser.countFailure(p.now(), t.upstream.ID)
+	}
 	return err
 }
 
--- a/forward/unary_test.go
+++ b/forward/unary_test.go
@@ -364,3 +364,60 @@
 		})
 	}
 }
+
+// endlessBody is a body that has no end, and ends with its request's context.
+type endlessBody struct {
+	ctx context.Context
+	// sent is how many bytes were read.
+	sent int
+}
+
+// Read returns as many bytes as are asked for. What is beyond a buffered answer takes time.
+func (b *endlessBody) Read(p []byte) (int, error) {
+	if b.sent += len(p); b.sent > maxBufferedResponse {
+		time.Sleep(50 * time.Millisecond)
+	}
+	return len(p), context.Cause(b.ctx)
+}
+
+// TestUpstreamWithoutEndOfAnswerIsAvoided guards against an upstream that keeps getting requests although its
+// answers never end, or break off late.
+func TestUpstreamWithoutEndOfAnswerIsAvoided(t *testing.T) {
+	const requests, most = 30, 5
+	for name, body := range map[string]func(ctx context.Context) io.Reader{
+		"never end": func(ctx context.Context) io.Reader { return &endlessBody{ctx: ctx} },
+		"break off late": func(ctx context.Context) io.Reader {
+			return io.MultiReader(io.LimitReader(&endlessBody{ctx: ctx}, 2*maxBufferedResponse), errReader{})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var faulty member.UpstreamID
+				transport := &fakeTransport{}
+				transport.send = func(ctx context.Context, u Upstream, _ *UpstreamRequest) (*Response, error) {
+					if faulty == "" {
+						faulty = u.ID
+					}
+					time.Sleep(30 * time.Millisecond)
+					a := answer(200, "fine")
+					if u.ID == faulty {
+						a.ContentLength, a.Body = 1<<40, io.NopCloser(body(ctx))
+					}
+					return a, nil
+				}
+				f, cut := newForwarder(t, transport), 0
+				for range requests {
+					sink := &fakeSink{}
+					f.Serve(t.Context(), call("/order/"), sink)
+					if sink.truncated {
+						cut++
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if cut == 0 || cut > most {
+					t.Errorf("%d of %d answers were cut, expected %d at most", cut, requests, most)
+				}
+			})
+		})
+	}
+}
