intake: the processor's share counts unless it was exceeded

Now the share counts from the start, as before, and a process that has used more than 1.25 of it over half a second isn't bound by it for a minute.

TestShareExceeded; the row "share that isn't enforced" of TestGateShare failed before.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -58,9 +58,9 @@
 
 // closeShare returns the part of new connections that is closed at a load, and the resource that is lacking.
 func (l Load) closeShare() (share float64, lacking Resource) {
-	processor := 0.0
-	if l.ShareBinds {
-		processor = processorLimit.share(l.Processor)
+	processor := processorLimit.share(l.Processor)
+	if l.ShareExceeded {
+		processor = 0
 	}
 	for _, r := range []struct {
 		resource Resource
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -38,11 +38,11 @@
 		lacking Resource
 	}{
 		"idle":                          {Load{}, 0, ""},
-		"as busy as all are taken":      {Load{LinkOut: 0.65, LinkIn: 0.65, Processor: 0.6, ShareBinds: true, Lag: 15 * time.Millisecond, Connect: 30 * time.Millisecond}, 0, ""},
+		"as busy as all are taken":      {Load{LinkOut: 0.65, LinkIn: 0.65, Processor: 0.6, Lag: 15 * time.Millisecond, Connect: 30 * time.Millisecond}, 0, ""},
 		"half of the range":             {Load{LinkOut: 0.75}, 50, LinkOut},
-		"the scarcest decides":          {Load{LinkOut: 0.7, LinkIn: 0.75, Processor: 0.65, ShareBinds: true}, 50, LinkIn},
-		"processor":                     {Load{Processor: 0.8, ShareBinds: true}, 99, Processor},
-		"share that isn't enforced":     {Load{Processor: 1.5}, 0, ""},
+		"the scarcest decides":          {Load{LinkOut: 0.7, LinkIn: 0.75, Processor: 0.65}, 50, LinkIn},
+		"processor":                     {Load{Processor: 0.8}, 99, Processor},
+		"share that isn't enforced":     {Load{Processor: 0.9, ShareExceeded: true}, 0, ""},
 		"late":                          {Load{Lag: 45 * time.Millisecond}, 50, Processor},
 		"connections to upstreams slow": {Load{Connect: 90 * time.Millisecond}, 50, Upstreams},
 		"full":                          {Load{LinkOut: 3}, 99, LinkOut}, // one a second is taken
--- a/intake/meter.go
+++ b/intake/meter.go
@@ -15,9 +15,11 @@
 	// linkAveraging and processorAveraging are the times over which their use is averaged.
 	linkAveraging      = 300 * time.Millisecond
 	processorAveraging = time.Second
-	// shareBindsFor is how long the processor's share counts as a bound after the process had to wait for the
-	// processor.
-	shareBindsFor = time.Minute
+	// A process that used exceededShare of its share over shareWindow has more than it, and counts as such for
+	// shareExceededFor. A quota that is given out each tenth of a second allows up to 1.2 within the window.
+	exceededShare    = 1.25
+	shareWindow      = 500 * time.Millisecond
+	shareExceededFor = time.Minute
 	// minConnects is the number of new connections to upstreams from which their least time counts.
 	minConnects = 4
 )
@@ -29,9 +31,8 @@
 	LinkOut, LinkIn float64
 	// Processor is the part of the processor's share that is in use; zero if the share isn't known.
 	Processor float64
-	// ShareBinds says that the process had to wait for the processor lately while it used about its share. Where
-	// the share isn't enforced, a process that uses it up has more.
-	ShareBinds bool
+	// ShareExceeded says that the process has used more than its share lately, so the share isn't enforced.
+	ShareExceeded bool
 	// Lag is how long what is due waits for the processor.
 	Lag time.Duration
 	// Connect is the least time that a new connection to an upstream took lately; zero if there were few.
@@ -61,10 +62,12 @@
 	// processorTime is the processor time up to loadAt, and processorUse the use before.
 	processorTime time.Duration
 	processorUse  float64
-	// waitedAt is when the process last had to wait for the processor while it used about its share.
-	waitedAt time.Time
-	loadAt   time.Time
-	load     Load
+	// windowTime is the processor time up to windowAt, the start of a shareWindow, and exceededAt is when the
+	// process last used more than its share over one.
+	windowTime           time.Duration
+	windowAt, exceededAt time.Time
+	loadAt               time.Time
+	load                 Load
 }
 
 // Run measures the load until the context ends.
@@ -113,10 +116,7 @@
 	}
 	if m.ProcessorShare > 0 {
 		m.load.Processor = m.processorUse / m.ProcessorShare
-		if m.load.Processor >= processorLimit.low && m.load.Lag.Seconds() >= lagLimit.low {
-			m.waitedAt = now
-		}
-		m.load.ShareBinds = !m.waitedAt.IsZero() && now.Sub(m.waitedAt) < shareBindsFor
+		m.load.ShareExceeded = m.shareExceeded(now, used)
 	}
 	if m.connects >= minConnects {
 		m.load.Connect = m.leastConnect
@@ -124,6 +124,17 @@
 	m.connects, m.leastConnect = 0, 0
 }
 
+// shareExceeded reports whether the process has used more than its share lately. used is its processor time so far.
+func (m *Meter) shareExceeded(now time.Time, used time.Duration) bool {
+	if since := now.Sub(m.windowAt); m.windowAt.IsZero() || since >= shareWindow {
+		if !m.windowAt.IsZero() && (used-m.windowTime).Seconds() > exceededShare*m.ProcessorShare*since.Seconds() {
+			m.exceededAt = now
+		}
+		m.windowAt, m.windowTime = now, used
+	}
+	return !m.exceededAt.IsZero() && now.Sub(m.exceededAt) < shareExceededFor
+}
+
 // average moves an average towards a value that held for a time.
 func average(to *float64, value float64, held, averaging time.Duration) {
 	*to += (value - *to) * min(held.Seconds()/averaging.Seconds(), 1)
--- a/intake/meter_test.go
+++ b/intake/meter_test.go
@@ -93,36 +93,41 @@
 	is.Equal(compute(slow, slow), time.Duration(0)) // too few to tell
 }
 
-// TestShareBinds guards against a host that closes connections for lack of processor time although it gets more than
-// its share, and against one that overlooks that its share is enforced.
-func TestShareBinds(t *testing.T) {
+// TestShareExceeded guards against a host that closes connections for lack of processor time although it gets more than
+// its share, and against one that takes a quota given out in turns for more than its share.
+func TestShareExceeded(t *testing.T) {
 	for name, c := range map[string]struct {
-		use  float64
-		late time.Duration
+		// use returns the part of the share that is used at a time.
+		use  func(at time.Duration) float64
 		want bool
 	}{
-		"idle":                         {0.1, 0, false},
-		"share is exceeded":            {1.5, time.Millisecond, false},
-		"waits while it uses its part": {0.9, 40 * time.Millisecond, true},
-		"waits for other processes":    {0.2, 40 * time.Millisecond, false},
+		"idle":          {func(time.Duration) float64 { return 0.1 }, false},
+		"share used up": {func(time.Duration) float64 { return 1 }, false},
+		"exceeded":      {func(time.Duration) float64 { return 1.5 }, true},
+		"quota in turns": {func(at time.Duration) float64 {
+			if at%(200*time.Millisecond) < 50*time.Millisecond || at%(200*time.Millisecond) >= 150*time.Millisecond {
+				return 2
+			}
+			return 0
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is, now := is.New(t), time.Now()
-			var used time.Duration
+			var used, at time.Duration
 			m := Meter{Link: &Link{}, ProcessorShare: 0.4, ProcessorTime: func() time.Duration { return used }}
-			play := func(d, late time.Duration) {
+			play := func(d time.Duration, use func(at time.Duration) float64) {
 				for range d / sampleInterval {
-					now = now.Add(sampleInterval)
-					used += time.Duration(c.use * m.ProcessorShare * float64(sampleInterval))
-					m.sample(now, late)
+					now, at = now.Add(sampleInterval), at+sampleInterval
+					used += time.Duration(use(at) * m.ProcessorShare * float64(sampleInterval))
+					m.sample(now, 0)
 				}
 			}
-			play(10*time.Second, c.late)
-			is.Equal(m.Load().ShareBinds, c.want)
-			play(shareBindsFor/2, 0)
-			is.Equal(m.Load().ShareBinds, c.want) // a host that keeps below its share doesn't wait
-			play(shareBindsFor, 0)
-			is.Equal(m.Load().ShareBinds, false)
+			play(10*time.Second, c.use)
+			is.Equal(m.Load().ShareExceeded, c.want)
+			play(shareExceededFor/2, func(time.Duration) float64 { return 0.9 })
+			is.Equal(m.Load().ShareExceeded, c.want)
+			play(shareExceededFor, func(time.Duration) float64 { return 0.9 })
+			is.Equal(m.Load().ShareExceeded, false)
 		})
 	}
 }
--- a/internal/telemetry/intake.go
+++ b/internal/telemetry/intake.go
@@ -37,7 +37,7 @@
 
 // ClosingBegan logs that this host begins to close connections.
 func (i *Intake) ClosingBegan(lacking intake.Resource, l intake.Load) {
-	i.log([]any{"msg", "no room for all callers", "lacking", lacking, "link_out", l.LinkOut, "link_in", l.LinkIn, "processor", l.Processor, "lag", l.Lag, "connect", l.Connect})
+	i.log([]any{"msg", "no room for all callers", "lacking", lacking, "link_out", l.LinkOut, "link_in", l.LinkIn, "processor", l.Processor, "share_exceeded", l.ShareExceeded, "lag", l.Lag, "connect", l.Connect})
 }
 
 // ClosingEnded logs that this host has room for all callers again.
