internal/peer: a test that tunnels are counted apart from other traffic

An answer without an end that is carried for a peer counts up to a share of the link like others; the test fails if either host counts it as traffic between peers. A comment of the gate says why connections wait.

--- a/intake/gate.go
+++ b/intake/gate.go
@@ -27,7 +27,7 @@
 	// maxTakeInterval is the longest time without a new connection while callers open some.
 	maxTakeInterval = time.Second
 	// closingsPerProcessor is how many connections a second are closed at once for each processor of the host's share.
-	// What comes faster are callers that return at once, and waits for room before it is closed.
+	// Connections above that rate wait for room before they are closed, as their callers return at once.
 	closingsPerProcessor = 1000
 	// OfferInterval is when a connection that waits is offered again, and maxOffers how often it is offered.
 	OfferInterval = loadInterval
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/forward"
+	"github.com/shedpath/shedpath/intake"
 	"github.com/shedpath/shedpath/internal/golden"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/uplink"
@@ -120,6 +121,33 @@
 	}
 }
 
+// TestLongAnswerThroughTunnelIsCountedApart guards against an answer without an end that fills what either host of its tunnel
+// counts as traffic between peers, which has no bound for one transfer.
+func TestLongAnswerThroughTunnelIsCountedApart(t *testing.T) {
+	is := is.New(t)
+	const answerBytes = 1 << 20
+	address, conns := upstreamConns(t)
+	var links [2]intake.Link // the carrier's and the origin's
+	_, to, stop := tunnelPeers(t, WithTunnels(&fixedCarrier{address: address}), WithTunnelCount(links[0].CountTunnel))
+	m := NewMesh("origin", testKey, WithTunnelCount(links[1].CountTunnel))
+	tunnel, err := m.DialThrough(t.Context(), to, uplink.Target{ID: "u"})
+	is.NoErr(err)
+	defer tunnel.Close()
+	upstream := <-conns
+	go func() {
+		// The test reads as much; what breaks the connection shows there.
+		_, _ = upstream.Write(make([]byte, answerBytes))
+	}()
+	_, err = io.ReadFull(tunnel, make([]byte, answerBytes))
+	is.NoErr(err)
+	stop()
+	sent, _ := links[0].Tunnels.Bytes()
+	_, received := links[1].Tunnels.Bytes()
+	is.True(sent > answerBytes && received > answerBytes)
+	sent, received = m.Bytes()
+	is.Equal(sent+received, int64(0))
+}
+
 // TestTunnelClosedByOrigin guards against an upstream that works on for a caller that left.
 func TestTunnelClosedByOrigin(t *testing.T) {
 	is := is.New(t)
