--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -104,7 +104,7 @@
 	case Probe:
 		s.Quarantined = false
 	case Identity:
-		// The upstream has had the request, so only what it asked for itself matters.
+		// The upstream has had the request before, so only a backoff or limit that it asked for forbids the question.
 		s = State{Backoff: s.Backoff, LimitWait: s.LimitWait}
 	}
 	reason := s.firstReason()
