rollout: a filter is drawn without the tracker's lock while the upstreams are asked for

Callers saw nothing at all: a host in a roll-out could hang for good, with all of its requests, until it was killed.

Cause: two locks in two orders. DrawFilter held the tracker's lock and asked for the available upstreams, which takes the fleet's; Fleet.Retire holds the fleet's and asks Retired, which takes the tracker's.

Ruled out: a loop without a pause (no goroutine runs in the dump) and a fault of the test's virtual time (it stands still because a goroutine that waits for a mutex isn't durably blocked).

Change: DrawFilter asks without its lock, and again if another order arrived meanwhile. So the tracker's lock is the last that a goroutine takes.

TestDrawFilterAsksWithoutLock fails on the code before (not true: free), and TestOrderWhileFilterIsDrawn hangs.

--- a/rollout/tracker.go
+++ b/rollout/tracker.go
@@ -190,14 +190,49 @@
 
 // DrawFilter returns which versions a new request for a service may go to, and counts the request.
 // available reports whether upstreams of the target version, and of other versions, are available for
-// new requests.
+// new requests. It is called without the tracker's lock, as it may wait for a caller of Retired.
 func (t *Tracker) DrawFilter(service resource.Name, limits Limits, available func(target Version) (targetAvailable, othersAvailable bool)) VersionFilter {
 	if !t.hasEntries.Load() {
 		return VersionFilter{}
 	}
+	for {
+		target, undecided := t.undecidedTarget(service)
+		var targetAvailable, othersAvailable bool
+		if undecided {
+			targetAvailable, othersAvailable = available(target)
+		}
+		t.mu.Lock()
+		e := t.entries[service]
+		if e != nil && e.undecided() && (!undecided || e.Target != target) {
+			t.mu.Unlock()
+			continue // another order arrived meanwhile
+		}
+		filter := e.drawFilter(limits, targetAvailable, othersAvailable)
+		t.mu.Unlock()
+		return filter
+	}
+}
+
+// undecidedTarget returns the target version of a service's rollout, and whether both it and the other
+// versions may get new requests.
+func (t *Tracker) undecidedTarget(service resource.Name) (Version, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entries[service]
+	if e == nil {
+		return "", false
+	}
+	return e.Target, e.undecided()
+}
+
+func (e *entry) undecided() bool {
+	targetRetired, othersRetired := e.retiredVersions()
+	return !targetRetired && !othersRetired
+}
+
+// drawFilter returns which versions a new request may go to. A nil entry stands for a service without a
+// rollout.
+func (e *entry) drawFilter(limits Limits, targetAvailable, othersAvailable bool) VersionFilter {
 	if e == nil {
 		return VersionFilter{}
 	}
@@ -206,7 +241,6 @@
 	} else if othersRetired {
 		return VersionFilter{}
 	}
-	targetAvailable, othersAvailable := available(e.Target)
 	e.hadOtherVersions = e.hadOtherVersions || othersAvailable
 	if !e.hadOtherVersions {
 		// No other version was available since the order was given, so the target version was in
--- a/rollout/tracker_test.go
+++ b/rollout/tracker_test.go
@@ -90,6 +90,41 @@
 	}
 }
 
+// TestDrawFilterAsksWithoutLock guards against a host that hangs for good: one goroutine has the list of upstreams and
+// waits for the tracker in Retired, another has the tracker and waits for the list.
+func TestDrawFilterAsksWithoutLock(t *testing.T) {
+	is, tracker := is.New(t), &Tracker{}
+	tracker.Receive(time.Unix(1000, 0), Status{Order: Order{Service: "s", Target: "v2", GivenAt: history.NewPoint(1, 7)}}, limits, 1)
+	asked := 0
+	tracker.DrawFilter("s", limits, func(Version) (targetAvailable, othersAvailable bool) {
+		asked++
+		free := tracker.mu.TryLock()
+		if free {
+			tracker.mu.Unlock()
+		}
+		is.True(free) // Retired would wait
+		return true, true
+	})
+	is.Equal(asked, 1)
+}
+
+// TestOrderWhileFilterIsDrawn guards against a request that goes to a version by what is available of another one, when
+// an order arrives between the two.
+func TestOrderWhileFilterIsDrawn(t *testing.T) {
+	is, tracker, now := is.New(t), &Tracker{}, time.Unix(1000, 0)
+	tracker.Receive(now, Status{Order: Order{Service: "s", Target: "v2", GivenAt: history.NewPoint(1, 7)}}, limits, 1)
+	var asked []Version
+	filter := tracker.DrawFilter("s", limits, func(target Version) (targetAvailable, othersAvailable bool) {
+		asked = append(asked, target)
+		if target == "v2" {
+			tracker.Receive(now, Status{Order: Order{Service: "s", Target: "v3", GivenAt: history.NewPoint(1, 8)}}, limits, 1)
+		}
+		return target == "v2", true
+	})
+	is.Equal(asked, []Version{"v2", "v3"})
+	is.Equal(filter, VersionFilter{Except: "v3"})
+}
+
 // TestExposureWhenOtherVersionsLeave checks that a version on trial gets no more than its share of
 // the requests when no upstreams of other versions are left.
 func TestExposureWhenOtherVersionsLeave(t *testing.T) {
