intake: a long answer that waits goes on once the link has room

Callers of long answers (over 256 KiB) would have got nothing of a link that is idle again: after two seconds in which a link of 1 MB/s was full, forty such answers got 0.000 of the idle link in the next two. A test found it; no caller was seen to.

Cause, since: a write that had to wait reserved its bytes at the rate of that moment. Forty writes of 32 KiB at a 20th of the link reserve 26 s. They waited for that long whatever the link did meanwhile, and a write that was given up left its reservation to the others.

Nothing is reserved now. A write looks again every 50 ms at the latest, and takes its bytes once there is room for one, which leaves the next one to wait for the rest.

TestLongTransfersGoOnOnceThereIsRoom: 0.000 and 0.131 before, at least 0.7 of the link now. TestLongTransferYields and TestTransfersWithoutEndCloseNoOtherConnection hold as before.

--- a/intake/conn.go
+++ b/intake/conn.go
@@ -11,9 +11,12 @@
 	"time"
 )
 
-// writeCheckInterval is how often a write that waits for its turn checks whether its connection was closed or its
-// deadline has passed.
-const writeCheckInterval = 50 * time.Millisecond
+const (
+	// writeCheckInterval is how often a write that waits for room on the link checks whether there is some by now,
+	// whether its connection was closed, and whether its deadline has passed. minWriteWait is the shortest wait.
+	writeCheckInterval = 50 * time.Millisecond
+	minWriteWait       = time.Millisecond
+)
 
 // allowance bounds the bytes of one direction of a connection that count as load.
 type allowance struct {
@@ -74,22 +77,20 @@
 
 // waitForRoom waits until a long transfer may send n more bytes. It ends with the connection, and at the deadline.
 func (c *countedConn) waitForRoom(n int) error {
-	limiter := c.link.elastic.Load()
-	if limiter == nil {
-		return nil
-	}
-	now := time.Now()
-	until := now.Add(limiter.ReserveN(now, min(n, elasticBurst)).DelayFrom(now))
-	for ; now.Before(until); now = time.Now() {
+	for {
+		now := time.Now()
+		wait := c.link.takeElastic(now, n)
+		if wait <= 0 {
+			return nil
+		}
 		if c.closed.Load() {
 			return net.ErrClosed
 		}
 		if deadline := c.deadline.Load(); deadline != nil && !deadline.IsZero() && !now.Before(*deadline) {
 			return os.ErrDeadlineExceeded
 		}
-		time.Sleep(min(until.Sub(now), writeCheckInterval))
+		time.Sleep(min(wait, writeCheckInterval))
 	}
-	return nil
 }
 
 // SetDeadline sets the deadline of reads and writes.
--- a/intake/link.go
+++ b/intake/link.go
@@ -5,6 +5,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,8 @@
 	granted atomic.Int64
 	// elastic limits what long transfers send to callers and peers; nil if the rate of the link isn't known.
 	elastic atomic.Pointer[rate.Limiter]
+	// elasticMu makes a look at elastic and what is taken of it one step.
+	elasticMu sync.Mutex
 }
 
 // CountCaller returns a caller's connection with its bytes counted. What a long answer sends waits while the link has
@@ -70,6 +73,23 @@
 	}
 }
 
+// takeElastic takes n bytes of what long transfers may send, or returns how long to wait before it is tried again.
+// Nothing is reserved for a write that waits, which may be given up or find the link idle soon. A write takes all of its
+// bytes once there is room for one, so that shorter ones don't overtake it for ever.
+func (l *Link) takeElastic(now time.Time, n int) (wait time.Duration) {
+	limiter := l.elastic.Load()
+	if limiter == nil {
+		return 0
+	}
+	l.elasticMu.Lock()
+	defer l.elasticMu.Unlock()
+	if room := limiter.TokensAt(now); room <= 0 {
+		return minWriteWait + time.Duration(-room/float64(limiter.Limit())*float64(time.Second))
+	}
+	limiter.ReserveN(now, min(n, elasticBurst))
+	return 0
+}
+
 // load returns how many bytes were sent and received so far that count as load.
 func (l *Link) load() (sent, received int64) {
 	if l.Peers != nil {
--- a/intake/link_test.go
+++ b/intake/link_test.go
@@ -122,3 +122,56 @@
 
 func (closableConn) Close() error                       { return nil }
 func (closableConn) SetWriteDeadline(_ time.Time) error { return nil }
+
+// TestLongTransfersGoOnOnceThereIsRoom guards against long answers that wait for as long as a full link had them wait,
+// although it has room again, and against ones that wait for answers that were given up.
+func TestLongTransfersGoOnOnceThereIsRoom(t *testing.T) {
+	for name, abandoned := range map[string]bool{"all go on": false, "the others were given up": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				const bytesPerSecond, others, size = 1_000_000, 40, 32 << 10
+				l, ended := &Link{}, make(chan int64, others+1)
+				l.grant(time.Now(), bytesPerSecond, loadInterval, 0)
+				transfer := func() net.Conn {
+					c := l.CountCaller(closableConn{})
+					go func() {
+						var passed int64
+						for err := error(nil); err == nil; passed += size {
+							_, err = c.Write(make([]byte, size))
+						}
+						ended <- passed
+					}()
+					return c
+				}
+				var conns []net.Conn
+				for range others {
+					conns = append(conns, transfer())
+				}
+				time.Sleep(20 * time.Second) // all are beyond what counts in full
+				l.grant(time.Now(), bytesPerSecond, loadInterval, 1)
+				time.Sleep(2 * time.Second)
+				sent, _ := l.Callers.Bytes()
+				l.grant(time.Now(), bytesPerSecond, loadInterval, 0)
+				if abandoned {
+					for _, c := range conns {
+						is.NoErr(c.Close())
+					}
+					conns = []net.Conn{transfer()}
+				}
+				time.Sleep(2 * time.Second)
+				now, _ := l.Callers.Bytes()
+				for _, c := range conns {
+					is.NoErr(c.Close())
+				}
+				for range others {
+					<-ended
+				}
+				if got := float64(now-sent) / 2 / bytesPerSecond; got < 0.7 {
+					t.Errorf("long answers got %.3f of the idle link, want 0.8", got)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
