--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -121,9 +121,8 @@
 		return err
 	}
 	platformURL := "http://" + address
-	client := platformclient.New(platformURL)
 	for i, zone := range d.zones {
-		if err := d.startZone(ctx, cut, client, platformURL, zone, i+1); err != nil {
+		if err := d.startZone(ctx, cut, platformURL, zone, i+1); err != nil {
 			return err
 		}
 	}
@@ -131,24 +130,25 @@
 	if err != nil {
 		return err
 	}
-	return client.RegisterUpstream(ctx, member.Upstream{
+	registerUpstream(ctx, platformURL, member.Upstream{
 		ID: "s1", Zone: "az1", Address: address, Pool: "stock", Kind: member.KindService,
 	})
+	return ctx.Err()
 }
 
 // startZone starts an engine stand-in and an entry in a zone; n numbers both.
-func (d *demo) startZone(ctx, cut context.Context, client *platformclient.Client, platformURL, zone string, n int) error {
+func (d *demo) startZone(ctx, cut context.Context, platformURL, zone string, n int) error {
 	engineServer := engine.New()
 	d.goroutines.Go(func() { engineServer.Run(ctx) })
 	address, err := d.serve(ctx, engineServer)
 	if err != nil {
 		return err
 	}
-	err = client.RegisterUpstream(ctx, member.Upstream{
+	registerUpstream(ctx, platformURL, member.Upstream{
 		ID: member.UpstreamID(fmt.Sprintf("g%d", n)), Zone: member.Zone(zone), Address: address,
 		Pool: "desk", Kind: member.KindEngine,
 	})
-	if err != nil {
+	if err := ctx.Err(); err != nil {
 		return err
 	}
 	settings := daemon.Settings{
