entry: a claim is remembered from the end of its repair

Trace of the steps: the platform is restored, and no write succeeds for 65 s. A claim is due to be written again for all that time, and is, at last. But it counted as written when the repair began, so the entry forgot it a minute after that. The platform is restored again, from a copy of the time in which nothing could be written, and nobody has the claim.

Now a claim counts as written when its repair has ended, and none expires while a repair isn't over.

--- a/entry/claimhistory.go
+++ b/entry/claimhistory.go
@@ -53,7 +53,8 @@
 	record claim.Record
 	// released reports whether the call was not sent and the claim is to be removed.
 	released bool
-	// writtenAt is when the claim was made or, if later, when its last repair began.
+	// writtenAt is when the claim was made or, if later, when its last repair ended. A copy that the platform is
+	// restored from may be from before that.
 	writtenAt time.Time
 }
 
@@ -78,9 +79,6 @@
 		return nil, false
 	}
 	k.repairs++
-	for _, c := range k.claims {
-		c.writtenAt = now
-	}
 	return append([]*recentClaim(nil), k.claims...), false
 }
 
@@ -107,10 +105,13 @@
 }
 
 // repairEnds records that a repair that observeEra asked for has ended.
-func (k *claimHistory) repairEnds() {
+func (k *claimHistory) repairEnds(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.repairs--
+	for _, c := range k.claims {
+		c.writtenAt = now
+	}
 }
 
 // repairState returns the state of this entry's repair for peers.
@@ -192,11 +193,11 @@
 	return c.record, c.released
 }
 
-// dropExpired drops claims older than claimRetention, and the oldest beyond maxRecentClaims. The
-// caller holds the mutex.
+// dropExpired drops claims older than claimRetention, unless a repair may not have written them yet, and the oldest
+// beyond maxRecentClaims. The caller holds the mutex.
 func (k *claimHistory) dropExpired(now time.Time) {
 	expired := max(len(k.claims)-maxRecentClaims, 0)
-	for expired < len(k.claims) && now.Sub(k.claims[expired].writtenAt) > claimRetention {
+	for k.repairs == 0 && expired < len(k.claims) && now.Sub(k.claims[expired].writtenAt) > claimRetention {
 		expired++
 	}
 	k.claims = k.claims[expired:]
--- a/entry/claimrestore.go
+++ b/entry/claimrestore.go
@@ -52,7 +52,7 @@
 		var reports conc.WaitGroup
 		reports.Go(func() { e.reportRepair(ctx) })
 		e.repairClaims(ctx, claims)
-		e.claimHistory.repairEnds()
+		e.claimHistory.repairEnds(e.now())
 		cancel()
 		reports.Wait()
 	})
--- a/entry/claimrestore_test.go
+++ b/entry/claimrestore_test.go
@@ -156,6 +156,31 @@
 	})
 }
 
+// TestRestoreAfterLongRepair guards against a call that runs again after a second restore, from a copy that was taken while
+// the repair after the first one couldn't write for most of claimRetention.
+func TestRestoreAfterLongRepair(t *testing.T) {
+	runOnRestorableSite(t, func(is *is.I, s *fakeSite, entries []*Entry) {
+		setFault := func(f writeFault) {
+			s.store.mu.Lock()
+			defer s.store.mu.Unlock()
+			s.store.faultFor = func(string) writeFault { return f }
+		}
+		items, index := s.store.snapshot()
+		_, err := entries[0].CallService(s.ctx, serviceCall("orders", "k"))
+		is.NoErr(err)
+		time.Sleep(time.Second)
+		setFault(faultNotSent)
+		s.store.restore(items, index)
+		time.Sleep(claimRetention - 5*time.Second)
+		items, index = s.store.snapshot()
+		setFault(faultNone)
+		time.Sleep(10 * time.Second) // the repair ends
+		s.store.restore(items, index)
+		is.True(callUntilRun(s, entries[1], "k") != nil)
+		is.Equal(s.services.count("k"), 1)
+	})
+}
+
 // TestEntryStartedAfterRestore checks that an entry that starts after a restore makes no claims
 // until the others have repaired theirs. It took the restored era for an old one.
 func TestEntryStartedAfterRestore(t *testing.T) {
