platform: each accepted request is counted and logged until it ends

Callers saw a connection that ends without an answer, and operators nothing: metrics had neither accepted requests nor those in progress, and a request that the ingress refuses by itself (bad id, too long, body not read, no memory for the body) left no line and no count.

requests_accepted_total and requests_in_progress count at the ingress, beside answers_total, which is unchanged; oldest_overdue_seconds shows a request that hangs. An exchange records its end once, even if it panics after that.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -32,8 +32,10 @@
 	route   Route
 	service Service
 	account Account
-	// deadline is the earlier of the caller's and the route's; zero if neither sets one.
-	deadline time.Time
+	// deadline is the earlier of the caller's and the route's; zero if neither sets one. publishedDeadline
+	// points to it once it is set, for other goroutines.
+	deadline          time.Time
+	publishedDeadline atomic.Pointer[time.Time]
 	// urgency is the account's if it has one, else the route's.
 	urgency Urgency
 	// zones are the zones in which the request may be served; nil allows all.
@@ -56,6 +58,8 @@
 	skippedUpstreams int
 	// delivered is set once an event of a stream has been passed on to the caller.
 	delivered atomic.Bool
+	// ended is set once the end of the request is recorded.
+	ended bool
 }
 
 // Serve answers one request. The context ends when the caller leaves.
@@ -127,6 +131,7 @@
 		return Refusal{Code: CodeLate, RetryAfter: otherHostRetryAfter}, false
 	}
 	x.deadline = earliestDeadline(now.Add(-late), x.call.CallerTimeout, x.route.Timeout)
+	x.publishedDeadline.Store(&x.deadline)
 	x.zones = x.allowedZones()
 	x.service, found = t.Service(x.pickService(now))
 	if !found {
@@ -214,8 +219,7 @@
 func (x *exchange) refuse(r Refusal, keyvals ...any) {
 	took := x.now().Sub(x.call.Arrived)
 	keyvals = append([]any{"route", x.route.Name, "code", r.Code, "may_have_run", r.MayHaveRun, "retry_after", r.RetryAfter, "took", took}, keyvals...)
-	x.journal.Request(x.call.ID, "refused", keyvals...)
-	x.observer.Answered(x.route.Kind, string(r.Code), took)
+	x.recordEnd("refused", string(r.Code), took, keyvals)
 	if r.Code == CodeCallerLeft {
 		return
 	}
@@ -227,9 +231,18 @@
 // recordOutcome records the end of a request that an upstream answered.
 func (x *exchange) recordOutcome(outcome string, keyvals ...any) {
 	took := x.now().Sub(x.call.Arrived)
-	x.observer.Answered(x.route.Kind, outcome, took)
 	keyvals = append([]any{"route", x.route.Name, "outcome", outcome, "took", took}, keyvals...)
-	x.journal.Request(x.call.ID, "answered", keyvals...)
+	x.recordEnd("answered", outcome, took, keyvals)
+}
+
+// recordEnd logs and counts the end of the request, once: after a panic the end may be recorded already.
+func (x *exchange) recordEnd(event, outcome string, took time.Duration, keyvals []any) {
+	if x.ended {
+		return
+	}
+	x.ended = true
+	x.observer.Answered(x.route.Kind, outcome, took)
+	x.journal.Request(x.call.ID, event, keyvals...)
 }
 
 // runID returns the id of the request's run on the engines.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -81,7 +81,7 @@
 
 // Observer counts events for the metrics. It is called on the data path.
 type Observer interface {
-	// Answered counts a request that got its final answer, took after it arrived.
+	// Answered counts a request that ended, took after it arrived. It is called once for each request.
 	Answered(kind Kind, outcome string, took time.Duration)
 	// FirstEvent records the time from a request's arrival to the first event of its stream.
 	FirstEvent(took time.Duration)
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -31,6 +31,8 @@
 	*Uplinks
 	*Intake
 
+	accepted           prometheus.Counter
+	inProgress         prometheus.Gauge
 	answers            *prometheus.CounterVec
 	requestDuration    *prometheus.HistogramVec
 	firstEvent         prometheus.Observer
@@ -61,6 +63,8 @@
 func NewForward(to io.Writer) *Forward {
 	f := &Forward{ringLog: NewRingLog(to), registry: newRegistry()}
 	f.logger = log.With(log.NewLogfmtLogger(f.ringLog), "ts", log.DefaultTimestampUTC)
+	f.accepted = f.counter("requests_accepted_total", "Requests that this host began to handle. Each is counted in answers_total once it ends.").WithLabelValues()
+	f.inProgress = f.gauge("requests_in_progress", "Requests that were accepted and haven't ended.").WithLabelValues()
 	f.answers = f.counter("answers_total", "Requests by kind and outcome.", "kind", "outcome")
 	f.requestDuration = f.histogram("request_seconds", "Time from a request's arrival to the end of its answer.", callBuckets, "kind")
 	f.firstEvent = f.histogram("first_event_seconds", "Time from a request's arrival to the first event of its stream.", callBuckets).WithLabelValues()
@@ -124,8 +128,15 @@
 	_ = f.logger.Log(keyvals...)
 }
 
-// Answered counts a request that got its final answer and records how long it took.
+// Accepted counts a request that this host began to handle.
+func (f *Forward) Accepted() {
+	f.accepted.Inc()
+	f.inProgress.Inc()
+}
+
+// Answered counts a request that ended and records how long it took.
 func (f *Forward) Answered(kind forward.Kind, outcome string, took time.Duration) {
+	f.inProgress.Dec()
 	f.answers.WithLabelValues(string(kind), outcome).Inc()
 	f.requestDuration.WithLabelValues(string(kind)).Observe(took.Seconds())
 }
@@ -243,6 +254,12 @@
 	f.Gauge("zone_queue", "Requests that wait at this host for room in its zone.", func() float64 { return float64(read()) })
 }
 
+// WatchOverdue registers a metric for how far the latest of the requests in progress is past its
+// deadline. read is called at each scrape.
+func (f *Forward) WatchOverdue(read func() time.Duration) {
+	f.Gauge("oldest_overdue_seconds", "Time since the deadline of the request in progress that is furthest past its own.", func() float64 { return read().Seconds() })
+}
+
 // WatchEra registers metrics for the era of the platform's store as this host knows it and for
 // the number of live peers that know another era. The functions are called at each scrape.
 func (f *Forward) WatchEra(era func() history.Era, disagreeing func() int) {
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -100,6 +100,9 @@
 	for _, k := range []forward.Kind{forward.KindSafe, forward.KindUnsafe, forward.KindStream} {
 		f.Answered(k, "outcome-1", time.Second)
 	}
+	for range 31 {
+		f.Accepted()
+	}
 	f.Repeated("why-1")
 	f.Moved("outcome-2", 2*time.Second)
 	f.FirstEvent(3 * time.Second)
@@ -143,6 +146,7 @@
 	f.WatchPeers(func() int { return 16 })
 	f.WatchLoad(&intake.Meter{Link: &intake.Link{Peers: func() (int64, int64) { return 17, 18 }}})
 	f.WatchZoneQueue(func() int { return 30 })
+	f.WatchOverdue(func() time.Duration { return 32 * time.Second })
 	f.WatchEra(func() history.Era { return 17 }, func() int { return 18 })
 	f.WatchLearnt(func() []forward.EngineEstimate {
 		return []forward.EngineEstimate{{Service: "service-1", PrefillRate: 19, PrefillSamples: 20, StepTime: 21 * time.Second, StepSamples: 22, Age: 23 * time.Second}}
