platform, forward: a caller that closed its sending side gets no empty 200

A caller that half-closes its connection after its request (shutdown(SHUT_WR)) got `200 OK` with Content-Length 0, which no upstream sent: 10 of 10 requests while upstreams were silent.

Cause: such a caller looks like one that has left, so its request is given up with the code caller_left, for which nothing was written; net/http then answers 200 when the handler returns. A close and a shutdown send the same FIN, so the request is still given up, but the caller gets its refusal: 502, or 503 if nothing ran.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -220,10 +220,8 @@
 	took := x.now().Sub(x.call.Arrived)
 	keyvals = append([]any{"route", x.route.Name, "code", r.Code, "may_have_run", r.MayHaveRun, "retry_after", r.RetryAfter, "took", took}, keyvals...)
 	x.recordEnd("refused", string(r.Code), took, keyvals)
-	if r.Code == CodeCallerLeft {
-		return
-	}
-	if err := x.sink.Refuse(r); err != nil {
+	// A caller whose connection has ended in one direction may still read: it gets an answer, too.
+	if err := x.sink.Refuse(r); err != nil && r.Code != CodeCallerLeft {
 		x.journal.Request(x.call.ID, "refusal not delivered", "err", err)
 	}
 }
