forward: an answer that has begun isn't complete after a panic

A long call's answer (over 1 MiB, no declared length) or a stream without an event yet, whose handling panics after its head was passed on, ended as a complete 200 at the caller; a refusal was written after the head and lost.

Cause: the answer to a panic asked whether an event of a stream was passed on, which is never so for calls. It now asks whether any answer has begun, and truncates that.

No such panic is known.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -56,6 +56,8 @@
 	// skippedUpstreams is how many upstreams the last choice passed over because of a backoff
 	// or a limit.
 	skippedUpstreams int
+	// answerStarted is set when the answer's status and header are passed to the caller.
+	answerStarted bool
 	// delivered is set once an event of a stream has been passed on to the caller.
 	delivered atomic.Bool
 	// ended is set once the end of the request is recorded.
--- a/forward/panic.go
+++ b/forward/panic.go
@@ -26,10 +26,13 @@
 
 // answerPanic gives the caller its final answer after a panic.
 func (x *exchange) answerPanic() {
-	if x.delivered.Load() {
+	switch {
+	case x.ended:
+		// The caller has its answer, unless the panic was in writing it.
+	case x.answerStarted:
 		x.sink.Truncate()
 		x.recordOutcome(string(CodeInternal))
-		return
+	default:
+		x.refuse(Refusal{Code: CodeInternal, MayHaveRun: true})
 	}
-	x.refuse(Refusal{Code: CodeInternal, MayHaveRun: true})
 }
--- a/forward/requestends_test.go
+++ b/forward/requestends_test.go
@@ -65,6 +65,7 @@
 		"panics midway": answerWith(func(context.Context) *Response { return streamed(panicReader{&twoEventReader{}}) }),
 		"answers long":  answerWith(func(ctx context.Context) *Response { return streamed(long(ctx, strings.NewReader(""))) }),
 		"breaks late":   answerWith(func(ctx context.Context) *Response { return streamed(long(ctx, errReader{})) }),
+		"panics late":   answerWith(func(ctx context.Context) *Response { return streamed(long(ctx, panicReader{errReader{}})) }),
 		"is silent": func(ctx context.Context, _ Upstream, _ *UpstreamRequest) (*Response, error) {
 			<-ctx.Done()
 			return nil, context.Cause(ctx)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -27,8 +27,6 @@
 	spool *spool.Spool
 	// cancel ends the context under which the request is served.
 	cancel context.CancelFunc
-	// answerStarted is set when the answer's status and header are passed to the caller.
-	answerStarted bool
 	// lastEventID is the id of the last event that the caller has, at first from an earlier
 	// answer. eventCount is how many events were passed on.
 	lastEventID string
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -265,6 +265,7 @@
 // deliver passes an upstream's response to the caller.
 func (p *unaryExchange) deliver(ctx context.Context, t *upstreamAttempt) {
 	var err error
+	p.answerStarted = true
 	if t.hasMore {
 		err = p.deliverUnbuffered(ctx, t)
 	} else {
