platform, reach: a cut answer to an HTTP/1.0 caller ends with a reset

Callers of HTTP/1.0 got the beginning of a stream or of a long call as a whole 200: HTTP/1.0 has no chunks, so an answer without a length ends with its connection, and a cut one was closed in an orderly way.

The connection is reset, beneath TLS as well.

--- a/internal/reach/caller.go
+++ b/internal/reach/caller.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package reach checks whether the peer of a connection has closed it.
+// Package reach checks whether the peer of a connection has closed it, and resets connections.
 package reach
 
 import (
@@ -12,8 +12,8 @@
 
 type connKey struct{}
 
-// WithConn returns a context that holds a caller's connection for CallerDisconnected. It is
-// meant for the ConnContext of an http.Server.
+// WithConn returns a context that holds a caller's connection for CallerDisconnected and
+// ResetCaller. It is meant for the ConnContext of an http.Server.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
@@ -27,14 +27,36 @@
 	return known && PeerClosed(c)
 }
 
+// ResetCaller resets the connection of a request's caller. HTTP/1.0 has no chunks, and an orderly
+// close would end an answer without a length as if it were whole. It does nothing if ctx holds no
+// TCP connection.
+func ResetCaller(ctx context.Context) {
+	c, known := ctx.Value(connKey{}).(net.Conn)
+	if !known {
+		return
+	}
+	if tcp, ok := unwrap(c).(*net.TCPConn); ok && tcp.SetLinger(0) == nil {
+		// An error means that the connection is closed already.
+		_ = tcp.Close()
+	}
+}
+
+// unwrap returns the connection beneath those that wrap it, such as one of package tls.
+func unwrap(c net.Conn) net.Conn {
+	for {
+		wrapped, isWrapped := c.(interface{ NetConn() net.Conn })
+		if !isWrapped {
+			return c
+		}
+		c = wrapped.NetConn()
+	}
+}
+
 // PeerClosed reports whether the peer has closed its side of a connection or reset it, as far as
 // the local kernel knows, and no data is left to read. It is also true if this side has closed
 // the connection. It consumes no data, and it is false for a connection without a descriptor.
 func PeerClosed(c net.Conn) bool {
-	if wrapped, isWrapped := c.(interface{ NetConn() net.Conn }); isWrapped {
-		return PeerClosed(wrapped.NetConn())
-	}
-	syscallConn, ok := c.(syscall.Conn)
+	syscallConn, ok := unwrap(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/reach/caller_test.go
+++ b/internal/reach/caller_test.go
@@ -4,8 +4,11 @@
 package reach
 
 import (
+	"crypto/tls"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -72,3 +75,20 @@
 		PeerClosed(local)
 	}
 }
+
+// TestResetCaller guards against a connection that ends in an orderly way although its answer isn't whole.
+func TestResetCaller(t *testing.T) {
+	for name, wrap := range map[string]func(net.Conn) net.Conn{
+		"TCP": func(c net.Conn) net.Conn { return c },
+		"TLS": func(c net.Conn) net.Conn { return tls.Server(c, &tls.Config{MinVersion: tls.VersionTLS12}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			local, remote := newConnPair(t)
+			ResetCaller(WithConn(t.Context(), wrap(local)))
+			_, err := remote.Read(make([]byte, 1))
+			is.True(errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+	ResetCaller(t.Context()) // no connection
+}
