web: a cut answer of a service to an HTTP/1.0 caller ends with a reset

Callers of HTTP/1.0 got the first part of a service's answer of more than 1 MiB that broke off as a whole one, for the cause that the platform's ingress had.

TestCutServiceAnswerLooksCut failed before with HTTP/1.0, and passes.

--- a/internal/web/caller.go
+++ b/internal/web/caller.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/internal/reach"
 	"github.com/shedpath/shedpath/resource"
 )
 
@@ -200,7 +201,7 @@
 		writeFailure(w, failureOf(err))
 		return
 	}
-	writeServiceAnswer(w, answer)
+	writeServiceAnswer(w, r, answer)
 }
 
 func servicePath(r *http.Request, params httprouter.Params) string {
@@ -213,7 +214,7 @@
 	return path
 }
 
-func writeServiceAnswer(w http.ResponseWriter, answer entry.ServiceAnswer) {
+func writeServiceAnswer(w http.ResponseWriter, r *http.Request, answer entry.ServiceAnswer) {
 	for name, values := range forwardableHeader(answer.Header) {
 		w.Header()[name] = values
 	}
@@ -225,6 +226,9 @@
 	if _, err := io.Copy(w, answer.RemainingBody); err != nil {
 		// The status has been sent already. Only aborting the connection shows the caller
 		// that the answer is incomplete.
+		if !r.ProtoAtLeast(1, 1) {
+			reach.ResetCaller(r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/web/request_test.go
+++ b/internal/web/request_test.go
@@ -4,12 +4,17 @@
 package web
 
 import (
+	"bufio"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/iotest"
 
 	"github.com/matryer/is"
 
@@ -91,3 +96,30 @@
 	is.Equal(len(parse(`"x"`)), 0)
 	is.Equal(len(parse(`[`+strings.Repeat(`"m",`, 2*maxSharedMessages)+`"x"]`)), maxSharedMessages)
 }
+
+// TestCutServiceAnswerLooksCut guards against an answer that broke off after its beginning was passed on, and that ends for the
+// caller as if it were whole.
+func TestCutServiceAnswerLooksCut(t *testing.T) {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		broken := io.MultiReader(strings.NewReader("rest"), iotest.ErrReader(io.ErrUnexpectedEOF))
+		writeServiceAnswer(w, r, entry.ServiceAnswer{Status: http.StatusOK, Body: make([]byte, 1<<20), RemainingBody: io.NopCloser(broken)})
+	}))
+	server.Config.ConnContext = reach.WithConn
+	server.Start()
+	defer server.Close()
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		t.Run(proto, func(t *testing.T) {
+			is := is.New(t)
+			c, err := net.Dial("tcp", server.Listener.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			_, err = fmt.Fprintf(c, "GET / %s\r\nHost: a\r\n\r\n", proto)
+			is.NoErr(err)
+			answer, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, answer.Body)
+			}
+			is.True(errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET))
+		})
+	}
+}
