forward: a stream that ended isn't held open by a move that failed to stop its run

Callers waited for the end of their streams until the deadline, 39 s in the test: a stream ended, or broke off, while its engine was asked to stop the run for a move, and the engine answered that it has no such run, that a copy is under way, or that the target has no room. Only streams without a declared end, and broken ones, were concerned.

Cause: the relay waited for the mover to end, which goes on trying as long as the engine is there. It is woken now when the run turns out not to have been stopped.

--- /dev/null
+++ b/forward/cutstream_test.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestStreamEndsDuringMove guards against a stream that stays open after its end because a move was under way that didn't stop
+// the run, or counts as complete although its engine ended.
+func TestStreamEndsDuringMove(t *testing.T) {
+	for name, c := range map[string]struct {
+		// end ends the answer, which has a declared end if it isn't io.EOF. engineEnded says that the engine ended with it.
+		end         error
+		engineEnded bool
+		// stopErr is the reply to the copy that was to stop the run.
+		stopErr error
+	}{
+		"run not found":             {io.EOF, false, ErrRunNotFound},
+		"run not found, broken off": {io.ErrUnexpectedEOF, false, ErrRunNotFound},
+		"copy under way":            {io.EOF, false, ErrMoveBusy},
+		"no room":                   {io.EOF, false, ErrTargetUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				read, write := io.Pipe()
+				ended := false
+				transport := &fakeTransport{}
+				transport.send = func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+					go func() { _, _ = io.WriteString(write, sseEvent(1)) }()
+					a := answer(200, "")
+					a.ContentLength, a.Framed, a.Body = -1, !errors.Is(c.end, io.EOF), read
+					return a, nil
+				}
+				transport.move = func(_ context.Context, _ Upstream, r MoveRequest) (MoveResult, error) {
+					switch {
+					case ended:
+						return MoveResult{}, ErrRunNotFound
+					case !r.StopSource:
+						return MoveResult{Handle: "h"}, nil
+					}
+					ended = true
+					_ = write.CloseWithError(c.end)
+					time.Sleep(10 * time.Millisecond)
+					return MoveResult{}, c.stopErr
+				}
+				transport.checkReachable = func(Upstream) error {
+					if c.engineEnded && ended {
+						return ErrPortClosed
+					}
+					return nil
+				}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				f.fleet.Suspect(time.Now(), "llm2")
+				f.fleet.Suspect(time.Now(), "llm3")
+				f.updatePlacementEngines(time.Now(), f.Table()) // llm1 gets the run
+				time.AfterFunc(100*time.Millisecond, func() {
+					f.fleet.Replace(time.Now(), upstreamsWithLeaving(f, "llm1"), rev(2))
+					f.updatePlacementEngines(time.Now(), f.Table())
+				})
+				began := time.Now()
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.True(time.Since(began) < time.Second)
+				is.Equal(sink.body.String(), sseEvent(1))
+				is.Equal(sink.truncated, c.engineEnded || !errors.Is(c.end, io.EOF))
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -81,6 +81,8 @@
 	// runStopping is set once the source was asked to stop the run. The end of the stream isn't
 	// the end of the answer then.
 	runStopping bool
+	// stopFailed receives when the run turns out not to have been stopped.
+	stopFailed chan struct{}
 	// handle names the copy that was made; empty if there is none.
 	handle string
 	// result is where the run continues, once done is closed; nil if it wasn't moved.
@@ -91,7 +93,7 @@
 // answer when that instance of the engine is over.
 func (s *streamExchange) startMover(ctx context.Context, u Upstream, a *Response) *mover {
 	ctx, stop := context.WithCancel(ctx)
-	m := &mover{source: u, answer: a, stop: stop, done: make(chan struct{})}
+	m := &mover{source: u, answer: a, stop: stop, done: make(chan struct{}), stopFailed: make(chan struct{}, 1)}
 	if s.moveCount > 0 {
 		m.movedAt = s.now()
 	}
@@ -227,14 +229,19 @@
 }
 
 // awaitHandover waits for a move in progress and returns where the run continues. It returns
-// nil if no move is in progress or the run is lost.
+// nil if no move is in progress, the run wasn't stopped or it is lost.
 func (m *mover) awaitHandover(ctx context.Context) *handover {
-	if !m.isRunStopping() {
-		return nil
-	}
-	select {
-	case <-m.done:
-	case <-ctx.Done():
+	for ended := false; !ended; {
+		if !m.isRunStopping() {
+			return nil
+		}
+		select {
+		case <-m.stopFailed:
+		case <-m.done:
+			ended = true
+		case <-ctx.Done():
+			ended = true
+		}
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -381,6 +388,10 @@
 		m.mu.Lock()
 		m.runStopping = false
 		m.mu.Unlock()
+		select {
+		case m.stopFailed <- struct{}{}:
+		default:
+		}
 		return nil, err
 	case errors.Is(err, ErrTargetUnavailable):
 		return &handover{target: m.source, source: m.source, handle: moved.Handle, stoppedAt: stoppedAt}, nil
