internal/peer: a nested message doesn't end the process

What callers saw: nothing yet. A message of a peer with some millions of values in one another ended the process with a stack overflow, and with it every request there. The key's holders only can send one; without a secret of its own a site's key is the store's address. Cause: the msgpack decoder skips a value by recursion, and Go's stack limit is a fatal error. Lists and configurations were inflated without a bound, and 8 MB of empty values took some hundred in memory. Now messages are checked before they are decoded: 64 levels, 2^20 values, 128 MB of list and 32 MB of configuration. One that fails is logged ('peer refused', or with the call's error) and ends its connection only. Evidence: 16M arrays and 8M maps ended the test process before, and 8M values and three inflated replies were decoded; 17 odd bodies for 22 kinds of calls and 8 replies, lengths of 4 GB among them, took less than 64 MB each before and now. Measured: 1 us for a change of an upstream; 9.6 ms for a list of 3,000, decoded.

--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -23,6 +23,9 @@
 	Age    int64
 }
 
+// maxConfigBytes bounds a configuration before it is compressed. The platform's documents have up to 1 MB.
+const maxConfigBytes = 32 << 20
+
 func (w wireConfigReply) reply() (forward.ConfigReply, error) {
 	r := forward.ConfigReply{Age: time.Duration(w.Age) * time.Millisecond}
 	if len(w.Config) == 0 {
@@ -32,8 +35,12 @@
 	if err != nil {
 		return r, trace.Wrap(err, "decompressing the peer's configuration")
 	}
+	text, err := readBounded(decompressor, maxConfigBytes)
+	if err != nil {
+		return r, trace.Wrap(err, "decompressing the peer's configuration")
+	}
 	r.Config = &forward.Config{}
-	if err := json.NewDecoder(decompressor).Decode(r.Config); err != nil {
+	if err := json.Unmarshal(text, r.Config); err != nil {
 		return r, trace.Wrap(err, "decoding the peer's configuration")
 	}
 	return r, nil
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -68,7 +68,10 @@
 	}
 	select {
 	case f, ok := <-answered:
-		return decodeReply(f, ok, reply)
+		if !ok {
+			return c.closeError()
+		}
+		return decodeReply(f, reply)
 	case <-ctx.Done():
 		c.abandon(time.Now(), id, sentAt, ctx.Err())
 		return ctx.Err()
@@ -96,16 +99,19 @@
 	}
 }
 
-// decodeReply decodes the frame of a reply; ok is false if the connection ended without one.
-func decodeReply(f *frame, ok bool, reply any) error {
-	switch {
-	case !ok:
-		return trace.ConnectionProblem(nil, "the connection to the peer broke")
-	case f.Error != "":
+// decodeReply decodes the frame of a reply.
+func decodeReply(f *frame, reply any) error {
+	if f.Error != "" {
 		return &callError{Message: f.Error}
-	default:
-		return msgpack.Unmarshal(f.Body, reply)
 	}
+	return msgpack.Unmarshal(f.Body, reply)
+}
+
+// closeError returns the error that ended the connection.
+func (c *conn) closeError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return trace.ConnectionProblem(c.closeErr, "the connection to the peer broke")
 }
 
 // send writes a request and returns its call ID and the channel that receives the reply.
@@ -162,7 +168,7 @@
 		f, err := readFrame(reader)
 		c.mu.Lock()
 		if err != nil {
-			c.fail(trace.ConnectionProblem(err, "the connection to the peer broke"))
+			c.fail(err)
 			c.mu.Unlock()
 			return
 		}
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -38,7 +38,7 @@
 }
 
 // ServeForward answers the calls of a forwarder's peers until the context ends. onRefused is
-// called with the error of each connection whose handshake failed.
+// called with the error of each connection whose handshake failed or whose message was malformed.
 func (m *Mesh) ServeForward(ctx context.Context, listener net.Listener, f forwardHandler, onRefused func(error)) error {
 	handle := func(ctx context.Context, _ member.HostID, k callKind, body []byte) (any, error) {
 		return m.dispatchForwardCall(ctx, f, k, body)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -73,7 +73,7 @@
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > MaxFrameBytes {
-		return nil, trace.LimitExceeded("a frame of %d bytes is over the limit of %d", size, MaxFrameBytes)
+		return nil, trace.Wrap(errMalformed, "a frame of %d bytes is over the limit of %d", size, MaxFrameBytes)
 	}
 	body, err := io.ReadAll(io.LimitReader(r, int64(size)))
 	if err != nil {
@@ -82,10 +82,13 @@
 	if len(body) < int(size) {
 		return nil, io.ErrUnexpectedEOF
 	}
+	if err := checkNesting(body, maxMessageValues); err != nil {
+		return nil, trace.Wrap(err, "a frame of %d bytes", size)
+	}
 	var f frame
 	rest := bytes.NewReader(body)
 	if err := msgpack.NewDecoder(rest).Decode(&f); err != nil {
-		return nil, trace.Wrap(err, "decoding a frame of %d bytes", size)
+		return nil, trace.Wrap(errMalformed, "decoding a frame of %d bytes: %v", size, err)
 	}
 	// A message may have a second value, which extends the first.
 	f.Body = append(f.Body, body[len(body)-rest.Len():]...)
--- a/internal/peer/list.go
+++ b/internal/peer/list.go
@@ -80,12 +80,25 @@
 	return packed.Bytes(), nil
 }
 
-// maxPackedChanges bounds the number of changes that a reply may announce.
-const maxPackedChanges = 1 << 20
+const (
+	// maxPackedChanges bounds the number of changes that a reply may announce.
+	maxPackedChanges = 1 << 20
+	// maxListBytes bounds a list before it is compressed, which has about 100 bytes a change.
+	maxListBytes = 128 << 20
+	// valuesPerChange is more than a change has fields, in this version or a later one.
+	valuesPerChange = 32
+)
 
 // unpackChanges decodes what packChanges returned.
 func unpackChanges(now time.Time, packed []byte) ([]forward.Change, error) {
-	decoder := msgpack.NewDecoder(flate.NewReader(bytes.NewReader(packed)))
+	list, err := readBounded(flate.NewReader(bytes.NewReader(packed)), maxListBytes)
+	if err != nil {
+		return nil, trace.Wrap(err, "decompressing the peer's list")
+	}
+	if err := checkNesting(list, maxPackedChanges*valuesPerChange); err != nil {
+		return nil, trace.Wrap(err, "the peer's list")
+	}
+	decoder := msgpack.NewDecoder(bytes.NewReader(list))
 	count, err := decoder.DecodeInt()
 	if err != nil {
 		return nil, trace.Wrap(err, "decoding the length of the peer's list")
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -147,8 +148,8 @@
 const maxCallsPerConn = 256
 
 // serve accepts connections until the context ends or the listener fails, and waits
-// for their calls to end. For each connection it calls onRefused if the handshake fails,
-// and otherwise onDisconnect when the connection ends.
+// for their calls to end. For each connection it calls onRefused if the handshake fails or a message
+// is malformed, and onDisconnect when one ends after its handshake.
 func (m *Mesh) serve(ctx context.Context, listener net.Listener, handle callHandler, onDisconnect func(member.HostID), onRefused func(error)) error {
 	var connections conc.WaitGroup
 	defer connections.Wait()
@@ -171,15 +172,16 @@
 			from, err := m.serveConn(ctx, link, handle)
 			if err != nil {
 				onRefused(err)
-				return
 			}
-			onDisconnect(from)
+			if from != "" {
+				onDisconnect(from)
+			}
 		})
 	}
 }
 
-// serveConn serves one peer until its connection ends, and returns the peer's name.
-// Only a failed handshake is an error, because connections break regularly.
+// serveConn serves one peer until its connection ends, and returns the peer's name; empty if the handshake
+// failed. Only that and a malformed message are errors, because connections break regularly.
 func (m *Mesh) serveConn(ctx context.Context, link net.Conn, handle callHandler) (member.HostID, error) {
 	from, err := handshakeAsAcceptor(link, m.key)
 	if err != nil {
@@ -196,6 +198,9 @@
 	reader := bufio.NewReaderSize(&countingReader{from: link, count: &m.receivedBytes}, readBufferBytes)
 	for {
 		f, err := readFrame(reader)
+		if errors.Is(err, errMalformed) {
+			return from, trace.Wrap(err, "from peer %s", from)
+		}
 		if err != nil {
 			return from, nil
 		}
