internal/consul: a registration that can't be used hides no other

What callers saw: nothing yet, in shedpath entry. One odd registration in the platform's host list (a port of 1e400 or a text, metadata of another type) failed the whole list: entries followed neither new nor leaving hosts while it stood. Ports 0, -1, 65536 and 99999 and empty ids were taken as they were. Cause: one json.Unmarshal for the list, and no check of an address. Now each registration is decoded by itself. One that can't be used is left out, logged once as 'host list is failing' until the list is sound, and counted as outcome 'unusable' of call 'hosts'.

--- a/entry/members.go
+++ b/entry/members.go
@@ -282,6 +282,7 @@
 			m.view.UpdateHostList(m.entry.now(), list)
 			m.hostListRead = true
 			m.mu.Unlock()
+			err = list.Unusable
 		}
 		if failing != (err != nil) {
 			failing = err != nil
--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -347,17 +348,21 @@
 	upstreamService = "shedpath-upstream"
 )
 
-// Hosts reads the list of live and leaving hosts, which lags behind their real state.
+// Hosts reads the list of live and leaving hosts, which lags behind their real state. A registration that can't
+// be used is left out and reported in the list's Unusable.
 func (c *Client) Hosts(ctx context.Context) (member.HostList, error) {
 	var list member.HostList
-	entries, err := c.listServices(ctx, entryService)
+	entries, unusableEntries, err := c.listServices(ctx, entryService)
 	if err != nil {
 		return list, err
 	}
-	upstreams, err := c.listServices(ctx, upstreamService)
+	upstreams, unusableUpstreams, err := c.listServices(ctx, upstreamService)
 	if err != nil {
 		return list, err
 	}
+	if list.Unusable = cmp.Or(unusableEntries, unusableUpstreams); list.Unusable != nil {
+		c.observe("hosts", "unusable")
+	}
 	for _, sv := range entries {
 		list.Entries = append(list.Entries, member.Entry{
 			ID: member.HostID(sv.ServiceID), Zone: member.Zone(sv.ServiceMeta["zone"]), PeerAddress: sv.address(),
@@ -377,14 +382,37 @@
 	return s.ServiceAddress + ":" + strconv.Itoa(s.ServicePort)
 }
 
-func (c *Client) listServices(ctx context.Context, name string) ([]catalogService, error) {
+// listServices returns the usable registrations of a service, and why the first of the others can't be used.
+func (c *Client) listServices(ctx context.Context, name string) (usable []catalogService, unusable, err error) {
 	resp, err := c.call(ctx, request{operation: "hosts", isRead: true, method: http.MethodGet, path: "/v1/catalog/service/" + name})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	var listed []catalogService
+	var listed []json.RawMessage
 	if err := json.Unmarshal(resp.body, &listed); err != nil {
-		return nil, trace.Wrap(err, "parse the list of service %s", name)
+		return nil, nil, trace.Wrap(err, "parse the list of service %s", name)
+	}
+	for _, text := range listed {
+		var s catalogService
+		if err := s.decode(text); err != nil {
+			if unusable == nil {
+				unusable = trace.Wrap(err, "host %.60q of service %s", s.ServiceID, name)
+			}
+			continue
+		}
+		usable = append(usable, s)
 	}
-	return listed, nil
+	return usable, unusable, nil
 }
+
+func (s *catalogService) decode(text []byte) error {
+	if err := json.Unmarshal(text, s); err != nil {
+		return trace.BadParameter("can't be decoded: %.200s", err.Error())
+	}
+	if s.ServiceID == "" || s.ServiceAddress == "" || s.ServicePort < 1 || s.ServicePort > maxPort {
+		return trace.BadParameter("it has no id, no address or no port between 1 and %d", maxPort)
+	}
+	return nil
+}
+
+const maxPort = 1<<16 - 1
--- a/internal/consul/client_test.go
+++ b/internal/consul/client_test.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -256,3 +258,43 @@
 	is.True(!item.Found())
 	is.Equal(item.Era, before.Era+1)
 }
+
+// TestUnusableRegistrationHidesNoOther checks that a registration which can't be used is left out and reported.
+func TestUnusableRegistrationHidesNoOther(t *testing.T) {
+	const good = `{"ServiceID":"g1","ServiceAddress":"10.0.0.2","ServicePort":2,"ServiceMeta":{"zone":"az2"}}`
+	for name, bad := range map[string]string{
+		"port 0":            `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":0}`,
+		"port -1":           `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":-1}`,
+		"port 65536":        `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":65536}`,
+		"port 99999":        `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":99999}`,
+		"port 1e400":        `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":1e400}`,
+		"port of 30 digits": `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":` + strings.Repeat("9", 30) + `}`,
+		"port a text":       `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":"80"}`,
+		"id a number":       `{"ServiceID":7,"ServiceAddress":"10.0.0.3","ServicePort":80}`,
+		"id empty":          `{"ServiceID":"","ServiceAddress":"10.0.0.3","ServicePort":80}`,
+		"no address":        `{"ServiceID":"x","ServicePort":80}`,
+		"meta a list":       `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":80,"ServiceMeta":[1]}`,
+		"meta a number":     `{"ServiceID":"x","ServiceAddress":"10.0.0.3","ServicePort":80,"ServiceMeta":{"zone":1e400}}`,
+		"a number":          `7`,
+		"nothing":           `null`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte("[" + bad + "," + good + "," + bad + "]"))
+			}))
+			defer server.Close()
+			unusable := 0
+			list, err := New(server.URL, WithObserver(func(_, outcome string) {
+				if outcome == "unusable" {
+					unusable++
+				}
+			})).Hosts(t.Context())
+			is.NoErr(err)
+			is.Equal(len(list.Entries), 1)
+			is.Equal(list.Upstreams, []member.Upstream{{ID: "g1", Zone: "az2", Address: "10.0.0.2:2"}})
+			is.True(list.Unusable != nil)
+			is.Equal(unusable, 1)
+		})
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -59,6 +59,8 @@
 type HostList struct {
 	Entries   []Entry
 	Upstreams []Upstream
+	// Unusable says why a registration was left out; nil if none was.
+	Unusable error
 }
 
 // The heartbeat interval and the time limits that depend on it.
