forward: a stream leaves a peer that carries it and stops

Callers of a host that reaches its upstreams through peers only got streams that broke off 3.9 to 4.1 s after another host, the carrier, got its SIGTERM (grace period 4 s), while their own host had no trouble. The carrier takes no new tunnels from the start of its stop and keeps the open ones to the end of its grace period; what was under way then was cut. With real processes, 3 hosts, 16 streams of two to six seconds: 6 cut where the carrier stopped, 4 where its own requests used up its grace period, too.

Cause: the mover watches the engine and the link, not the peer in between, although shares say that it stops.

Now the run moves to another engine, over the own link or another peer, by the calls that leave a silent carrier. TestStreamOverBrokenLink, 'carrier stops, moved', failed before: no move, and the answer waited for the carrier.

--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -51,6 +51,21 @@
 	return next
 }
 
+// leaveStoppingCarrier moves the run to another engine because the peer that carries the stream stops,
+// and ends the tunnel at the end of its grace period. Connections for the move go over this host's own
+// link or through other peers.
+func (m *mover) leaveStoppingCarrier(ctx context.Context, x *exchange, run *ownRun) *handover {
+	carrier := m.answer.Signals.Via
+	if carrier == "" || !x.peers.isStopping(carrier) {
+		return nil
+	}
+	next, err := m.tryMove(ctx, x, run, x.now().Add(moveTimeout))
+	if next == nil {
+		x.journal.Request(x.call.ID, "not moved off a stopping carrier", "from", m.source.ID, "carrier", carrier, "err", err)
+	}
+	return next
+}
+
 // linkBroken reports whether an upstream is reached, but only through a peer.
 func (x *exchange) linkBroken(ctx context.Context, u Upstream) bool {
 	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -59,8 +59,10 @@
 		linkBroken bool
 		// carrier is the peer that carries the stream.
 		carrier member.HostID
-		silence time.Duration
-		moveErr error
+		// carrierStops says that the peer stops.
+		carrierStops bool
+		silence      time.Duration
+		moveErr      error
 		// want is what the caller gets, and cut is whether its answer is incomplete.
 		want  string
 		cut   bool
@@ -72,6 +74,8 @@
 		"link broken, run not there":      {linkBroken: true, silence: time.Hour, moveErr: ErrRunNotFound, want: events(1, 4), cut: true, moves: 1, within: 3 * time.Second},
 		"a peer's link broke, moved":      {carrier: "h2", silence: time.Hour, want: events(1, 9), moves: 2, within: 4 * time.Second},
 		"carried, silent for a second":    {carrier: "h2", silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
+		"carrier stops, moved":            {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, want: events(1, 9), moves: 2, within: time.Second},
+		"carrier stops, run not there":    {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 3, within: 2 * time.Second},
 		"silent for a second":             {silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
 		"silent for longer, then goes on": {silence: 4 * time.Second, want: events(1, 9), within: 4100 * time.Millisecond},
 	} {
@@ -98,6 +102,7 @@
 				f, sink := newForwarder(t, transport), &fakeSink{}
 				ctx, cancel := context.WithCancel(t.Context())
 				go f.Run(ctx)
+				f.peers.recordShare(time.Now(), Share{From: Peer{ID: "h2"}, Stopping: c.carrierStops})
 				began := time.Now()
 				f.Serve(t.Context(), call("/llm/"), sink)
 				cancel()
--- a/forward/move.go
+++ b/forward/move.go
@@ -139,6 +139,9 @@
 		case <-leaving:
 			return m.evacuate(ctx, x, run)
 		case <-tick.C:
+			if next := m.leaveStoppingCarrier(ctx, x, run); next != nil || m.isRunStopping() {
+				return next
+			}
 			if next := m.leaveBrokenLink(ctx, x, run); next != nil || m.isRunStopping() {
 				return next
 			}
--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -118,6 +118,14 @@
 	return false
 }
 
+// isStopping reports whether a peer has said that it stops.
+func (p *peerSet) isStopping(id member.HostID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.known[id]
+	return s != nil && s.stopping
+}
+
 // live reports whether the peer counts as live: a peer of the same cell by its last message alone,
 // another peer also by the result of the last share to it.
 func (s *peerState) live(now time.Time) bool {
