forward: a host that stops tells all its peers at once

Peers opened connections through a stopping host, each refused, and left streams that it carries where they were, until the next periodic share: up to 0.5 s in the own cell; in other cells three hosts each 0.5 s have their turn, so that a carrier's grace period may be over before its peers in a large site know.

Cause: Stop only marked the host, and shared that with the next round.

One share to each known peer more per stop.

--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -31,11 +31,11 @@
 	f.mu.Lock()
 	running := len(f.inFlight)
 	if !f.stopping {
-		f.stoppingSince = f.now()
+		f.stopping, f.stoppingSince = true, f.now()
 		f.journal.HostEvent("stopping", "running", running)
+		f.peers.markStopping()
+		f.peers.notifyAll()
 	}
-	f.stopping = true
-	f.peers.markStopping()
 	// Without a deadline stopDeadline is zero, and no stream is expected to end before it.
 	f.stopDeadline = time.Time{}
 	if by, set := ctx.Deadline(); set {
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -141,3 +141,27 @@
 		})
 	}
 }
+
+// TestPeersLearnOfStop checks that all hosts know at once that one of them stops, so that they open no
+// connections through it and their streams leave it while there is time.
+func TestPeersLearnOfStop(t *testing.T) {
+	for name, c := range map[string]struct{ zones, hosts int }{"two hosts": {1, 2}, "three zones": {3, 2}, "larger zones": {3, 20}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(c.zones, c.hosts, true)
+				ctx, cancel := context.WithCancel(t.Context())
+				s.startAll(ctx)
+				time.Sleep(10 * time.Second)
+				stopping := s.hosts["10.1.0.2:1"]
+				go stopping.Stop(ctx)
+				time.Sleep(100 * time.Millisecond)
+				for _, f := range s.hosts {
+					is.True(f == stopping || f.peers.isStopping(stopping.settings.Self.ID))
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
