forward, peer, uplink, spool: a panic outside a request ends no process

Callers saw nothing of it yet: no such panic is known. But a mistake in handling a peer's reply, an upstream's health answer or a dial would close every connection of the host, and of each host that gets the same bytes.

Cause: goroutines that belong to no request (probes, turns, permits, shares, dials, the writing side of a stream) had no recovery. The host's loops had one that hid the panic until the process stopped, and the loop was gone; a peer's call that panicked was never answered.

A peer gets an error at once, and a connection to a peer whose reader panics is closed. The queue of a zone is served under a deferred unlock.

--- a/forward/enginereport.go
+++ b/forward/enginereport.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		if reason, due := f.reports.ask(now, u.ID); due {
-			asking.Go(func() { f.askEngine(ctx, &service, u, reason) })
+			asking.Go(func() { f.tasks.Do("engine report", func() { f.askEngine(ctx, &service, u, reason) }) })
 		}
 	}
 }
--- a/forward/failingupstream.go
+++ b/forward/failingupstream.go
@@ -168,7 +168,7 @@
 		return func() {}
 	}
 	arrived := make(chan struct{})
-	go func() {
+	s.tasks.Go("first event", func() {
 		timer := time.NewTimer(firstEventTimeout(s.route.Objective))
 		defer timer.Stop()
 		for {
@@ -183,6 +183,6 @@
 			}
 			timer.Reset(engineProgressTimeout)
 		}
-	}()
+	})
 	return func() { close(arrived) }
 }
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -164,6 +164,7 @@
 func (silentObserver) UnreadableEntries(int)                {}
 func (silentObserver) ConnectionBroken(bool)                {}
 func (silentObserver) Suspended(time.Duration)              {}
+func (silentObserver) Panicked()                            {}
 func (silentObserver) ZoneShift(zoneload.Outcome)           {}
 func (silentObserver) EngineReport(enginereport.Outcome)    {}
 func (silentObserver) Permit(permit.Outcome)                {}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/enginereport"
 	"github.com/shedpath/shedpath/internal/event"
+	"github.com/shedpath/shedpath/internal/supervise"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/permit"
 	"github.com/shedpath/shedpath/quarantine"
@@ -108,6 +109,8 @@
 	EngineReport(enginereport.Outcome)
 	// Suspended counts the time for which this machine was suspended.
 	Suspended(d time.Duration)
+	// Panicked counts a panic that was recovered from.
+	Panicked()
 	// Admission counts the outcome of a request that asked for room in its zone, and how long it
 	// waited.
 	Admission(outcome AdmissionOutcome, waited time.Duration)
@@ -119,6 +122,8 @@
 	transport Transport
 	journal   Journal
 	observer  Observer
+	// tasks runs the goroutines that belong to no request.
+	tasks supervise.Report
 
 	fleet        *Fleet
 	table        atomic.Pointer[Table]
@@ -227,7 +232,9 @@
 	f.engines.paceEnabled = s.Placement.Pace
 	f.engines.roomForMoves = s.Placement.RoomForMoves
 	f.paceMoves.paceOf = f.engines.paceForMoves
+	f.tasks = f.reportPanic
 	f.limiter = permit.New(s.Self, permitSite{f}, f.now)
+	f.limiter.Tasks = f.tasks
 	f.retries.setLimit(s.RetryLimit)
 	f.answerBudget.MaxBytes = s.MaxHeldAnswerBytes
 	f.setClock(s.Clock)
--- a/forward/move.go
+++ b/forward/move.go
@@ -121,7 +121,7 @@
 		m.result = next
 		m.mu.Unlock()
 		if next != nil {
-			go m.endBrokenStream(ctx, s.exchange)
+			s.tasks.Go("broken stream", func() { m.endBrokenStream(ctx, s.exchange) })
 		}
 	}()
 	return m
@@ -221,14 +221,14 @@
 	if handle == "" {
 		return
 	}
-	go func() {
+	x.tasks.Go("copy", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		if err := x.discardCopy(ctx, m.source, handle); err != nil {
 			// Engines free unused copies by themselves within seconds.
 			x.journal.Request(x.call.ID, "copy not freed", "upstream", m.source.ID, "err", err)
 		}
-	}()
+	})
 }
 
 // awaitHandover waits for a move in progress and returns where the run continues. It returns
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -97,10 +97,10 @@
 	if !f.settings.Placement.RoomForMoves || !f.notices.startWatch(u) {
 		return
 	}
-	go func() {
+	f.tasks.Go("notice", func() {
 		defer f.notices.endWatch(u)
 		f.watchEnd(u)
-	}()
+	})
 }
 
 // watchEnd connects to a departing engine until it refuses, which shows how long it served, or the
--- a/forward/panic.go
+++ b/forward/panic.go
@@ -6,6 +6,8 @@
 import (
 	"errors"
 	"runtime/debug"
+
+	"github.com/shedpath/shedpath/internal/supervise"
 )
 
 // errPanicked is the error of a try that panicked.
@@ -20,10 +22,21 @@
 	if reason == nil {
 		return
 	}
+	x.observer.Panicked()
 	x.journal.Request(x.call.ID, "panicked", "route", x.route.Name, "why", reason, "stack", string(debug.Stack()))
 	onPanic()
 }
 
+// reportPanic logs a panic in a goroutine that belongs to no request. It is the supervise.Report of the
+// forwarder's tasks.
+func (f *Forwarder) reportPanic(task string, reason any, stack []byte) {
+	f.observer.Panicked()
+	f.journal.HostEvent("panicked", "task", task, "why", reason, "stack", string(stack))
+}
+
+// Tasks runs the goroutines of this host that belong to no request.
+func (f *Forwarder) Tasks() supervise.Report { return f.tasks }
+
 // answerPanic gives the caller its final answer after a panic.
 func (x *exchange) answerPanic() {
 	switch {
--- a/forward/panic_test.go
+++ b/forward/panic_test.go
@@ -7,6 +7,8 @@
 	"context"
 	"io"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -69,3 +71,41 @@
 	e.done = true
 	return copy(p, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), nil
 }
+
+// TestTaskPanics checks that a panic in a goroutine that belongs to no request is reported, and that the
+// host goes on serving: when an engine's health answer can't be handled, and when a peer's reply can't.
+func TestTaskPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+			a := answer(200, "id: 1\ndata: a\n\n")
+			a.Signals.Closing = true
+			return a, nil
+		}}
+		transport.checkHealth = func(Upstream) (bool, error) { panic("a mistake") }
+		f, sink, journal := newForwarder(t, transport), &fakeSink{}, &recordingJournal{}
+		f.journal = journal
+		f.updatePlacementEngines(f.now(), f.Table())
+		f.Serve(t.Context(), call("/llm/"), sink)
+		synctest.Wait()
+		is.Equal(len(journal.linesWithPrefix("panicked task=probe why=a mistake")), 1)
+		is.Equal(sink.status, 200)
+
+		f.peers.seeds = []string{"10.0.0.2:1"}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.RunPeers(ctx, panickyPeers{})
+		}()
+		time.Sleep(5 * time.Second)
+		is.True(len(journal.linesWithPrefix("panicked task=share why=a mistake")) > 1)
+		cancel()
+		<-ended
+	})
+}
+
+// panickyPeers panics in each call.
+type panickyPeers struct{ Peers }
+
+func (panickyPeers) Share(context.Context, Peer, Share) (Share, error) { panic("a mistake") }
--- a/forward/peers.go
+++ b/forward/peers.go
@@ -155,8 +155,14 @@
 	f.peers.mu.Unlock()
 	var pending sync.WaitGroup
 	defer pending.Wait()
-	pending.Go(func() { f.fetchConfigs(ctx, peers) })
-	pending.Go(func() { f.borrowRejectionPlaces(ctx, peers) })
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pending.Go(func() {
+		f.tasks.Loop(ctx, "configurations", func(ctx context.Context) { f.fetchConfigs(ctx, peers) })
+	})
+	pending.Go(func() {
+		f.tasks.Loop(ctx, "rejection places", func(ctx context.Context) { f.borrowRejectionPlaces(ctx, peers) })
+	})
 	began := f.now()
 	var lastShare time.Time
 	tick := time.NewTimer(0)
@@ -190,7 +196,7 @@
 		for _, to := range f.peers.shareTargets(now, period, all, f.crashes.LacksLocalChanges) {
 			limited := share
 			f.peers.limitRuns(now, to.ID, &limited, period)
-			pending.Go(func() { f.shareWith(ctx, peers, to, limited) })
+			pending.Go(func() { f.tasks.Do("share", func() { f.shareWith(ctx, peers, to, limited) }) })
 		}
 		if period {
 			f.shareWithSeeds(ctx, &pending, peers, share)
@@ -229,7 +235,9 @@
 	}
 	for _, address := range f.peers.seeds {
 		if address != f.peers.self.PeerAddress {
-			pending.Go(func() { f.shareWith(ctx, peers, Peer{PeerAddress: address}, share) })
+			pending.Go(func() {
+				f.tasks.Do("share", func() { f.shareWith(ctx, peers, Peer{PeerAddress: address}, share) })
+			})
 		}
 	}
 }
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -102,7 +102,7 @@
 	if !found || known.Leaving {
 		return
 	}
-	go s.probeEngine(context.WithoutCancel(ctx), &s.service, u)
+	s.tasks.Go("probe", func() { s.probeEngine(context.WithoutCancel(ctx), &s.service, u) })
 }
 
 // probeEngine checks an engine's health. An unhealthy engine counts as leaving, and a reported
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -108,7 +108,9 @@
 
 // applyNewHoldsLater calls applyNewHolds once the crashes that are known now have settled.
 func (f *Forwarder) applyNewHoldsLater() {
-	time.AfterFunc(quarantine.SettleTime, func() { f.applyNewHolds(f.now()) })
+	time.AfterFunc(quarantine.SettleTime, func() {
+		f.tasks.Do("quarantine", func() { f.applyNewHolds(f.now()) })
+	})
 }
 
 // recordSurvival records that an upstream ran the request and is still running.
--- a/forward/rejectionloans.go
+++ b/forward/rejectionloans.go
@@ -84,18 +84,7 @@
 	}
 	var calls sync.WaitGroup
 	for n, r := range f.rejections.LoanRequests(now, f.peers.self.ID, f.peers.epoch, ids) {
-		calls.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, loanTimeout)
-			defer cancel()
-			reply, err := peers.Lend(ctx, asked[n], r)
-			if err != nil {
-				if f.loanLogLimiter.Allow(f.now(), "") {
-					f.journal.HostEvent("loan request failed", "peer", asked[n].ID, "err", err)
-				}
-				return
-			}
-			f.rejections.ReceiveLoan(f.now(), now, asked[n].ID, r, reply)
-		})
+		calls.Go(func() { f.tasks.Do("loan", func() { f.askLender(ctx, now, peers, asked[n], r) }) })
 	}
 	calls.Wait()
 	f.rejections.ForgetIdleLenders()
@@ -108,6 +97,20 @@
 	return true
 }
 
+// askLender asks a peer for places at upstreams.
+func (f *Forwarder) askLender(ctx context.Context, now time.Time, peers Peers, lender Peer, r rejection.LoanRequest) {
+	ctx, cancel := context.WithTimeout(ctx, loanTimeout)
+	defer cancel()
+	reply, err := peers.Lend(ctx, lender, r)
+	if err != nil {
+		if f.loanLogLimiter.Allow(f.now(), "") {
+			f.journal.HostEvent("loan request failed", "peer", lender.ID, "err", err)
+		}
+		return
+	}
+	f.rejections.ReceiveLoan(f.now(), now, lender.ID, r, reply)
+}
+
 // lenders returns the live peers from which this host has places, and if it wants more some others.
 func (f *Forwarder) lenders(now time.Time, wantsMore bool, round int) []Peer {
 	holding := f.rejections.Lenders()
--- a/forward/turns.go
+++ b/forward/turns.go
@@ -228,11 +228,11 @@
 			// The arbiter doesn't know that the request no longer waits. A run that ends while
 			// it waits would get the turn and block the others until the turn expires, which
 			// takes 0.9 s of a notice of 1.7 s.
-			go f.releaseTurn(peers, arbiter, r)
+			f.tasks.Go("turn", func() { f.releaseTurn(peers, arbiter, r) })
 		}
 		return nothing, err
 	}
-	return func() { go f.releaseTurn(peers, arbiter, r) }, nil
+	return func() { f.tasks.Go("turn", func() { f.releaseTurn(peers, arbiter, r) }) }, nil
 }
 
 // releaseTurn tells an arbiter that a run neither has a turn nor waits for one.
--- a/forward/uplink.go
+++ b/forward/uplink.go
@@ -80,13 +80,13 @@
 		return
 	}
 	mark := backoff.Mark{Upstream: u.ID, Incarnation: int64(u.Incarnation), Remaining: d}
-	go func() {
+	f.tasks.Go("backoff", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), shareTimeout)
 		defer cancel()
 		if err := peers.Backoff(ctx, state.Peer, mark); err != nil {
 			f.journal.HostEvent("backoff not passed on", "upstream", u.ID, "peer", via, "err", err)
 		}
-	}()
+	})
 }
 
 // OnBackoff records a backoff that an upstream asked this host for in an answer that this host
--- a/forward/zoneadmission.go
+++ b/forward/zoneadmission.go
@@ -196,7 +196,7 @@
 	s.registerGrantedEngine(s.service.Name, reply.Engine)
 	u, run, d, ok := s.engines.placeGranted(s.now(), s.service.Name, r, reply.PlacementGrant)
 	if !ok {
-		go s.withdrawFrom(host, s.service.Name, r.Run)
+		s.tasks.Go("admission", func() { s.withdrawFrom(host, s.service.Name, r.Run) })
 		return placementResult{}, fmt.Errorf("the granted engine %s isn't known", reply.Engine)
 	}
 	return placementResult{upstream: u, run: run, decision: d}, nil
@@ -221,7 +221,7 @@
 	defer cancel()
 	callCtx, abandon := context.WithCancelCause(callCtx)
 	defer abandon(nil)
-	go s.watchResponsible(callCtx, abandon, host, target)
+	s.tasks.Go("admission", func() { s.watchResponsible(callCtx, abandon, host, target) })
 	ask := AdmitRequest{PlacementRequest: newPlacementRequest(s.peers.self.ID, s.service.Name, now, r), Caller: request.Caller, TimeLeft: s.timeLeft(now)}
 	reply, err := peers.Admit(callCtx, host, ask)
 	if err == nil {
@@ -231,7 +231,7 @@
 		return reply, err
 	}
 	// The host may still have the request in its queue, or a grant for it under way.
-	go s.withdrawFrom(host, s.service.Name, r.Run)
+	s.tasks.Go("admission", func() { s.withdrawFrom(host, s.service.Name, r.Run) })
 	if cause := context.Cause(callCtx); cause != nil {
 		err = cause
 	}
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -279,7 +279,7 @@
 	f.serveZoneQueue(now, service, q)
 	if !q.serving && len(q.waiters) > 0 {
 		q.serving = true
-		go f.runZoneQueue(service, q)
+		go f.tasks.Loop(context.Background(), "zone queue", func(context.Context) { f.runZoneQueue(service, q) })
 	}
 	return true
 }
@@ -312,25 +312,29 @@
 	tick := time.NewTicker(zoneQueueInterval)
 	defer tick.Stop()
 	for range tick.C {
-		f.admissions.mu.Lock()
-		if f.Stopping() {
-			// The hosts of the requests ask elsewhere.
-			for run, w := range q.waiters {
-				close(w.reply)
-				delete(q.waiters, run)
-				q.queue.Withdraw(run)
-			}
-		}
-		f.serveZoneQueue(f.now(), service, q)
-		q.serving = len(q.waiters) > 0
-		done := !q.serving
-		f.admissions.mu.Unlock()
-		if done {
+		if !f.serveZoneQueueOnce(service, q) {
 			return
 		}
 	}
 }
 
+// serveZoneQueueOnce serves a queue and reports whether it has requests left.
+func (f *Forwarder) serveZoneQueueOnce(service ServiceName, q *zoneQueue) bool {
+	f.admissions.mu.Lock()
+	defer f.admissions.mu.Unlock()
+	if f.Stopping() {
+		// The hosts of the requests ask elsewhere.
+		for run, w := range q.waiters {
+			close(w.reply)
+			delete(q.waiters, run)
+			q.queue.Withdraw(run)
+		}
+	}
+	f.serveZoneQueue(f.now(), service, q)
+	q.serving = len(q.waiters) > 0
+	return q.serving
+}
+
 // serveZoneQueue decides about the requests of a queue and notifies the hosts of the cell if it
 // begins or ends to block a priority. The mutex of admissions is held.
 func (f *Forwarder) serveZoneQueue(now time.Time, service ServiceName, q *zoneQueue) {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/shedpath/shedpath/clock"
+	"github.com/shedpath/shedpath/internal/supervise"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -40,6 +41,8 @@
 	countTunnel func(net.Conn) net.Conn
 	configs     configPacker
 	lists       listPacker
+	// tasks runs what serves connections and calls.
+	tasks supervise.Report
 
 	sentBytes, receivedBytes atomic.Int64
 }
@@ -51,6 +54,9 @@
 // clock.
 func WithClock(c *clock.Clock) Option { return func(m *Mesh) { m.clock = c } }
 
+// WithTasks sets what reports panics in serving a connection or a call.
+func WithTasks(r supervise.Report) Option { return func(m *Mesh) { m.tasks = r } }
+
 // NewMesh returns a mesh without connections.
 func NewMesh(self member.HostID, key []byte, opts ...Option) *Mesh {
 	m := &Mesh{self: self, key: key, conns: map[string]*conn{}, dialing: map[string]chan struct{}{}}
@@ -123,7 +129,12 @@
 		return nil, err
 	}
 	m.conns[address] = c
-	m.readers.Go(c.readReplies)
+	m.readers.Go(func() {
+		if !m.tasks.Do("peer replies", c.readReplies) {
+			// Without its reader the connection would leave each call without a reply.
+			c.close()
+		}
+	})
 	return c, nil
 }
 
@@ -169,13 +180,15 @@
 		}
 		connections.Go(func() {
 			defer link.Close()
-			from, err := m.serveConn(ctx, link, handle)
-			if err != nil {
-				onRefused(err)
-			}
-			if from != "" {
-				onDisconnect(from)
-			}
+			m.tasks.Do("peer connection", func() {
+				from, err := m.serveConn(ctx, link, handle)
+				if err != nil {
+					onRefused(err)
+				}
+				if from != "" {
+					onDisconnect(from)
+				}
+			})
 		})
 	}
 }
@@ -218,12 +231,20 @@
 	}
 }
 
+// errCallPanicked is the reply to a call whose handling panicked.
+var errCallPanicked = errors.New("the call panicked")
+
 // handleCall handles one call and writes its reply.
 func (m *Mesh) handleCall(ctx context.Context, link net.Conn, writeLock *sync.Mutex, f *frame, from member.HostID, handle callHandler) {
 	reply := frame{ID: f.ID, Reply: true, Kind: f.Kind}
-	result, err := handle(ctx, from, f.Kind, f.Body)
-	if err == nil {
-		reply.Body, err = encode(result)
+	var err error
+	if !m.tasks.Do("peer call", func() {
+		var result any
+		if result, err = handle(ctx, from, f.Kind, f.Body); err == nil {
+			reply.Body, err = encode(result)
+		}
+	}) {
+		err = errCallPanicked
 	}
 	if err != nil {
 		reply.Error, reply.Body = err.Error(), nil
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -87,6 +87,7 @@
 func (nopMetrics) Send(eligibility.Verdict)                     {}
 func (nopMetrics) Signal(forward.SignalKind)                    {}
 func (nopMetrics) Suspended(time.Duration)                      {}
+func (nopMetrics) Panicked()                                    {}
 func (nopMetrics) ZoneShift(zoneload.Outcome)                   {}
 func (nopMetrics) EngineReport(enginereport.Outcome)            {}
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -108,6 +108,7 @@
 	f.FirstEvent(3 * time.Second)
 	f.EventGap(4 * time.Second)
 	f.Suspended(5 * time.Second)
+	f.Panicked()
 	f.UnreadableEntries(6)
 	f.StoreCall("call-1", "outcome-3")
 	f.Connected("outcome-4")
--- a/permit/limiter.go
+++ b/permit/limiter.go
@@ -8,6 +8,7 @@
 	"errors"
 	"time"
 
+	"github.com/shedpath/shedpath/internal/supervise"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/ratelimit"
 )
@@ -77,6 +78,8 @@
 type Limiter struct {
 	// NamedLimits holds the newest limit that each upstream named.
 	NamedLimits ratelimit.Limits
+	// Tasks runs the requests that nobody waits for.
+	Tasks supervise.Report
 
 	self member.Entry
 	site Site
@@ -100,7 +103,7 @@
 	now := l.now()
 	if r.Must {
 		// The request is sent in any case and is only counted, so it doesn't wait for the answer.
-		go l.requestPermit(context.WithoutCancel(ctx), now, r)
+		l.Tasks.Go("permit", func() { l.requestPermit(context.WithoutCancel(ctx), now, r) })
 		return Verdict{Outcome: Granted}
 	}
 	if wait := l.nextRequest.remaining(now, r.Upstream); wait > 0 {
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -12,6 +12,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -115,7 +117,7 @@
 		chunk := s.queue[0]
 		s.queue[0], s.queue = nil, s.queue[1:]
 		s.mu.Unlock()
-		err := s.write(chunk)
+		err := s.tryWrite(chunk)
 		s.mu.Lock()
 		s.release(len(chunk))
 		s.writeCount++
@@ -131,6 +133,17 @@
 	}
 }
 
+// tryWrite passes a chunk to the reader. A panic is an error like any other: the spool has a goroutine of
+// its own, where it would end the process.
+func (s *Spool) tryWrite(chunk []byte) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = fmt.Errorf("the write panicked: %v\n%s", reason, debug.Stack())
+		}
+	}()
+	return s.write(chunk)
+}
+
 // dropQueue discards the chunks that won't be written. The mutex is held.
 func (s *Spool) dropQueue() {
 	for _, chunk := range s.queue {
--- a/spool/spool_test.go
+++ b/spool/spool_test.go
@@ -152,3 +152,18 @@
 		is.Equal(b.Reserved(), int64(0))
 	})
 }
+
+// TestPanickingReaderFails checks that a write that panics fails like one that returns an error, and
+// that its spool ends.
+func TestPanickingReaderFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		b := &Budget{MaxBytes: 1000}
+		s := New(Settings{Budget: b, MaxBytes: 500, StallTimeout: time.Second}, func([]byte) error { panic("a mistake") }, func() {})
+		is.NoErr(s.Put(t.Context(), []byte("part")))
+		synctest.Wait()
+		is.True(s.Put(t.Context(), []byte("part")) != nil)
+		is.True(s.Close(t.Context()) != nil)
+		is.Equal(b.Reserved(), int64(0))
+	})
+}
--- a/uplink/dialer.go
+++ b/uplink/dialer.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -210,6 +212,17 @@
 	return nil, &r.failed
 }
 
+// connect calls dial, whose panic is an error like any other: it runs in a goroutine of its own, where it
+// would end the process.
+func connect(dial func() (net.Conn, error)) (c net.Conn, err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			c, err = nil, fmt.Errorf("the dial panicked: %v\n%s", reason, debug.Stack())
+		}
+	}()
+	return dial()
+}
+
 // startNext starts the next attempt, if one is left.
 func (r *race) startNext(ctx, direct context.Context) {
 	if !r.startPeer(ctx) && !r.directTried {
@@ -221,7 +234,7 @@
 	r.directTried, r.directPending = true, true
 	r.pending++
 	go func() {
-		c, err := r.dialer.Network.DialDirect(ctx, r.target)
+		c, err := connect(func() (net.Conn, error) { return r.dialer.Network.DialDirect(ctx, r.target) })
 		r.results <- attempt{conn: c, err: err}
 	}()
 }
@@ -239,7 +252,7 @@
 	r.peers = r.peers[1:]
 	r.pending++
 	go func() {
-		c, err := r.dialer.Network.DialThrough(ctx, peer, r.target)
+		c, err := connect(func() (net.Conn, error) { return r.dialer.Network.DialThrough(ctx, peer, r.target) })
 		r.results <- attempt{conn: c, peer: peer.ID, err: err}
 	}()
 	return true
--- a/uplink/dialer_test.go
+++ b/uplink/dialer_test.go
@@ -24,12 +24,15 @@
 	// after is how long they take; err is how they end, nil for a connection.
 	after time.Duration
 	err   error
+	// panics has the attempt panic after that time.
+	panics bool
 }
 
 var (
 	up      = way{after: time.Millisecond}
 	hangs   = way{after: time.Hour}
 	refuses = way{after: time.Millisecond, err: syscall.ECONNREFUSED}
+	panics  = way{after: time.Millisecond, panics: true}
 )
 
 // fakeNetwork has ways that the tests change.
@@ -54,6 +57,9 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	if w.panics {
+		panic("a mistake")
+	}
 	if w.err != nil {
 		return nil, w.err
 	}
@@ -144,6 +150,8 @@
 		"no peers, refused":           {refuses, nil, "", true, time.Millisecond, 0},
 		"no peers, hangs":             {hangs, nil, "", true, dialTimeout, 0},
 		"no more than the most peers": {refuses, []way{closed, closed, closed, closed, up}, "", true, 5 * time.Millisecond, maxPeers},
+		"the own link panics":         {panics, []way{up}, "p1", false, 2 * time.Millisecond, 1},
+		"a peer panics":               {refuses, []way{panics, up}, "p2", false, 3 * time.Millisecond, 2},
 		"more, where peers are cut":   {refuses, []way{failed, failed, failed, failed, up}, "p5", false, 6 * time.Millisecond, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
