forward: requests of a removed service don't wait without an end

A request that waited in its host's own queue for a place while a configuration removed its service, or made it one without engines, was neither placed nor refused: it got its 503 when its route's timeout was reached, with all engines idle, or was interrupted by a stop.

Cause: the placement was refreshed for the services of the configuration in force. The queue of another service got no decisions, its engines' list stood still, and its runs could be moved only to engines of that list.

The placement is refreshed for every service that it has a pool of. Requests that were accepted are placed or refused as before the configuration.

--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -185,6 +185,23 @@
 	}
 }
 
+// services returns the engine services of a configuration, and those of earlier ones: requests that
+// were accepted for these still wait or run.
+func (e *enginePlacer) services(t *Table) []Service {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	services := make([]Service, 0, len(e.pools))
+	for name, p := range e.pools {
+		s, _ := t.Service(name)
+		if s.Engine == nil {
+			spec := p.spec
+			s = Service{Name: name, Engine: &spec}
+		}
+		services = append(services, s)
+	}
+	return services
+}
+
 const (
 	// stepShareOfPause sets the longest step that placement aims at: this share of the shortest
 	// pause that any route to the service allows between two events, divided by the tokens of
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -352,11 +352,9 @@
 	hasList := !f.fleet.Revision().IsZero()
 	layout, own := f.peers.cellLayout()
 	f.fleet.SetLayout(layout, own)
-	for name, s := range t.Services() {
-		if s.Engine != nil {
-			f.updateDepartures(now, s)
-			f.engines.setAvailable(now, name, f.placementEngines(now, name, layout, own))
-		}
+	for _, s := range f.engines.services(t) {
+		f.updateDepartures(now, s)
+		f.engines.setAvailable(now, s.Name, f.placementEngines(now, s.Name, layout, own))
 	}
 	f.updatePaces(now)
 	if hasList {
--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -104,7 +104,7 @@
 	if t == nil {
 		return PlacementGrant{}
 	}
-	// A service that isn't configured on this host has no engines, so no place is granted.
+	// A service that was never configured on this host has no engines, so no place is granted.
 	service, _ := t.Service(request.Service)
 	x := &exchange{Forwarder: f, service: service}
 	if !f.constrainAsk(now, &request) {
