forward: a dead address costs each host one attempt, not one every two seconds

What callers saw: 503 for two or three calls a second while 13 listed addresses refused connections (102 of 2,257), for as long as the entries stood. Cause: a refused connection kept new work away for two seconds, and then a caller's request found out again. The times of several such upstreams run out together, and a call was tried on three upstreams. Now an upstream that a request couldn't be sent to stays unreached, on this host only, until a check of the host's own connects to it: each 0.8 s, 20 a second at most while none succeeds. A call goes on to up to twelve upstreams within half of its route's objective, as streams do. A refused connection still tells peers nothing (TestRefusedConnection).

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -144,6 +144,8 @@
 	// suspectUntil is until when the upstream gets no new work after a failure that this host
 	// or a peer of its zone found.
 	suspectUntil time.Time
+	// unreached is what is known of failed connections of this host.
+	unreached unreachedState
 	// consecutiveFailures counts the requests that the upstream lost in a row.
 	consecutiveFailures int
 	// ownFailingUntil is until when findings of this host itself keep new work away.
@@ -318,6 +320,9 @@
 	k.leavingDeclared = k.leavingDeclared || c.Leaving
 	c.Leaving = c.Leaving || k.Leaving
 	k.gone = k.gone && c.Revision == k.Revision
+	if k.Address != c.Address {
+		k.unreached = unreachedState{}
+	}
 	if k.Service != c.Service || k.Zone != c.Zone {
 		f.index.remove(k)
 		defer f.index.add(k)
--- a/forward/fleetindex.go
+++ b/forward/fleetindex.go
@@ -157,7 +157,7 @@
 	switch {
 	case k.Leaving || k.unusable || f.zones[k.Zone].OutOfService:
 		return unavailable
-	case k.missing && !f.mayBeRelisted(now, k) || now.Before(k.suspectUntil):
+	case k.missing && !f.mayBeRelisted(now, k) || now.Before(k.suspectUntil) || !k.unreached.since.IsZero():
 		return suspect
 	default:
 		return available
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/clock"
@@ -294,6 +296,9 @@
 
 // Run keeps the placement up to date, and drops state that has expired, until the context ends.
 func (f *Forwarder) Run(ctx context.Context) {
+	var checks conc.WaitGroup
+	defer checks.Wait()
+	checks.Go(func() { f.runUnreachedChecks(ctx) })
 	tick := time.NewTicker(poolRefreshInterval)
 	defer tick.Stop()
 	suspended := f.settings.Clock.TotalSuspended()
--- a/forward/send.go
+++ b/forward/send.go
@@ -125,6 +125,7 @@
 		x.backoffs.End(x.now(), u.ID, ticket, false)
 		return answer, err
 	}
+	x.recordReached(u)
 	answer.Signals.FromUpstream = answer.Signed || answer.NotRun
 	x.recordRefusedRun(u, answer)
 	x.applySignals(sent, u, answerToRequest, answer.Signals)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -69,12 +69,12 @@
 }
 
 const (
-	// maxStreamDials bounds the engines that one stream is tried on. A refused connection takes
-	// a millisecond or two, and after an outage of the upstream list half of its engines may be
+	// maxDials bounds the upstreams that one request is tried on. A refused connection takes
+	// a millisecond or two, and after an outage of the upstream list half of the upstreams may be
 	// gone.
-	maxStreamDials = 12
-	// dialTimeFraction is the fraction of the route's objective after which no further engine
-	// is tried. The rest is needed to process the prompt.
+	maxDials = 12
+	// dialTimeFraction is the fraction of the route's objective after which no further upstream
+	// is tried. The rest is needed to process the request.
 	dialTimeFraction = 0.5
 )
 
@@ -86,7 +86,7 @@
 	defer s.closeSpool(ctx)
 	x.retries.countRequest(x.now(), x.service.Name)
 	var last Refusal
-	for dials := 0; dials < maxStreamDials && (dials < maxConnectAttempts || s.mayDial(x.now())); dials++ {
+	for dials := 0; dials < maxDials && (dials < maxConnectAttempts || s.mayDial(x.now())); dials++ {
 		u, refusal, ok := s.place(ctx)
 		if !ok {
 			s.refuse(s.markMayHaveRun(refusal), "service", x.service.Name, "avoided", len(s.excluded), "kept_back", x.throttledCount(x.now()))
@@ -131,9 +131,9 @@
 	return s.takeRetry(string(last.Code))
 }
 
-// mayDial reports whether there is time to try another engine.
-func (s *streamExchange) mayDial(now time.Time) bool {
-	return s.route.Objective <= 0 || now.Sub(s.call.Arrived) < time.Duration(dialTimeFraction*float64(s.route.Objective))
+// mayDial reports whether there is time to try another upstream.
+func (x *exchange) mayDial(now time.Time) bool {
+	return x.route.Objective <= 0 || now.Sub(x.call.Arrived) < time.Duration(dialTimeFraction*float64(x.route.Objective))
 }
 
 // excludeUnreachable excludes an engine that could not be connected to. If the engine is in
@@ -299,7 +299,7 @@
 	case isKept && ctx.Err() == nil:
 		return s.refuseNoUpstream(now, s.acceptingUpstreams(now), kept.Wait)
 	case errors.Is(err, ErrNotSent) && ctx.Err() == nil:
-		s.fleet.Suspect(now, u.ID)
+		s.recordUnreached(now, u, err)
 		s.excludeUnreachable(now, u)
 		return Refusal{Code: CodeNoUpstream, RetryAfter: defaultRetryAfter}
 	case endCauseOf(ctx) == endCallerLeft:
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -18,8 +18,8 @@
 	// it is passed on. A response that breaks within them can still be replaced by another
 	// upstream's.
 	maxBufferedResponse = 1 << 20
-	// maxConnectAttempts bounds the upstreams that a request is tried on while it couldn't be
-	// sent to any.
+	// maxConnectAttempts is how many upstreams a request is tried on while it couldn't be sent to
+	// any, however long that takes. While there is time, it is tried on maxDials.
 	maxConnectAttempts = 3
 	// hedgeDelayFraction is the part of the objective after which a request that is safe to
 	// repeat is also sent to a second upstream.
@@ -181,7 +181,8 @@
 		p.sent--
 		p.notSent++
 		p.lastCode = CodeNoUpstream
-		if p.notSent < maxConnectAttempts && ctx.Err() == nil {
+		mayDial := t.err != nil && p.notSent < maxDials && p.mayDial(now)
+		if (p.notSent < maxConnectAttempts || mayDial) && ctx.Err() == nil {
 			p.startAttempt(ctx, false)
 		}
 	case "not_run":
@@ -209,7 +210,9 @@
 	case notPermitted:
 		return "kept_back"
 	case errors.Is(t.err, ErrNotSent):
-		p.fleet.Suspect(now, t.upstream.ID)
+		if ctx.Err() == nil {
+			p.recordUnreached(now, t.upstream, t.err)
+		}
 		return "not_sent"
 	case t.err != nil:
 		p.lastCode = CodeLost
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -206,6 +206,11 @@
 	f.sendsDespiteReason.WithLabelValues(string(v.Overridden)).Inc()
 }
 
+// WatchUnreached exports how many upstreams this host can't connect to.
+func (f *Forward) WatchUnreached(read func() int) {
+	f.Gauge("upstreams_unreached", "Upstreams that get no new work because this host can't connect to them.", func() float64 { return float64(read()) })
+}
+
 // WatchSignals registers metrics that count the leaving upstreams, by the source that reported
 // it first, and the upstreams that asked this host for backoff or to which traffic is
 // returning. The functions are called at each scrape.
