forward: a stream that ends beside a failed move is complete only if its engine didn't end

Cause: the end of a stream was checked before the wait for the move only. It is checked after it as well. TestStreamEndsDuringMove, the two cases of an engine that ended, failed before and pass.

--- a/forward/cutstream_test.go
+++ b/forward/cutstream_test.go
@@ -24,10 +24,12 @@
 		// stopErr is the reply to the copy that was to stop the run.
 		stopErr error
 	}{
-		"run not found":             {io.EOF, false, ErrRunNotFound},
-		"run not found, broken off": {io.ErrUnexpectedEOF, false, ErrRunNotFound},
-		"copy under way":            {io.EOF, false, ErrMoveBusy},
-		"no room":                   {io.EOF, false, ErrTargetUnavailable},
+		"run not found":                  {io.EOF, false, ErrRunNotFound},
+		"run not found, broken off":      {io.ErrUnexpectedEOF, false, ErrRunNotFound},
+		"copy under way":                 {io.EOF, false, ErrMoveBusy},
+		"no room":                        {io.EOF, false, ErrTargetUnavailable},
+		"run not found, engine ended":    {io.EOF, true, ErrRunNotFound},
+		"no room, engine ended after it": {io.EOF, true, ErrTargetUnavailable},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -152,8 +152,8 @@
 		s.engineFirstEventAt, s.source, s.carrier = time.Time{}, u, a.Signals.Via
 		err := s.relayEvents(ctx, first, a)
 		closeBody(a)
-		if err == nil && !a.Framed && !m.isRunStopping() && (s.engineFirstEventAt.IsZero() || s.endedWithUpstream(ctx, u)) {
-			err = io.ErrUnexpectedEOF
+		if err == nil && !m.isRunStopping() {
+			err = s.checkEnd(ctx, u, a)
 		}
 		if err == nil && (a.Framed || !m.isRunStopping()) {
 			// A framed answer that reached its end is complete, even if a move is in progress:
@@ -165,6 +165,9 @@
 		if next == nil && err == nil && !m.isRunStopping() {
 			// The run ended by itself before it could be stopped.
 			m.cancel(s)
+			if err := s.checkEnd(ctx, u, a); err != nil {
+				return u, err
+			}
 			return u, s.ensureAnswerStarted(first)
 		}
 		if next == nil {
@@ -178,6 +181,14 @@
 	}
 }
 
+// checkEnd returns io.ErrUnexpectedEOF if the end of an engine's stream isn't the end of its run.
+func (s *streamExchange) checkEnd(ctx context.Context, u Upstream, a *Response) error {
+	if !a.Framed && (s.engineFirstEventAt.IsZero() || s.endedWithUpstream(ctx, u)) {
+		return io.ErrUnexpectedEOF
+	}
+	return nil
+}
+
 // orUnexpectedEOF returns the error of a stream that ended too early: err, or
 // io.ErrUnexpectedEOF if err is nil.
 func orUnexpectedEOF(err error) error {
