forward: a stream whose caller hasn't got all of it by its end isn't complete

A stream that its engine had ended, but whose slow caller still had to read a part of it when the deadline came or the host's time for stopping was over, was recorded as "ok" and ended as complete; only the connection's write deadline, which had passed, kept the last chunk from callers of HTTP/1.1. Callers of HTTP/1.0 got the part as the whole.

Cause: what the spool couldn't deliver was left out if the context had ended.

--- a/forward/cutstream_test.go
+++ b/forward/cutstream_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -79,3 +80,19 @@
 		})
 	}
 }
+
+// TestStreamCutAtDeadlineWhileItsReaderIsSlow guards against a stream that ends as complete although its caller hasn't got all of it.
+func TestStreamCutAtDeadlineWhileItsReaderIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+			return answer(200, sseEvent(1)+sseEvent(2)+sseEvent(3)), nil
+		}}
+		f, sink := newForwarder(t, transport), newSlowSink(900*time.Millisecond)
+		request := call("/llm/")
+		request.CallerTimeout = 2 * time.Second
+		f.Serve(t.Context(), request, sink)
+		is.True(strings.Count(sink.body.String(), "data") < 3)
+		is.True(sink.truncated)
+	})
+}
