forward: a stream isn't passed on with the length that its first engine declared

Streams are passed on without a length. TestStreamHasNoLength, where 45 bytes were announced as 30 with an event's end at 30, failed before and passes.

--- a/forward/cutstream_test.go
+++ b/forward/cutstream_test.go
@@ -96,3 +96,22 @@
 		is.True(sink.truncated)
 	})
 }
+
+// TestStreamHasNoLength guards against a stream that ends at the length that its first engine declared, although another engine
+// continues it.
+func TestStreamHasNoLength(t *testing.T) {
+	is := is.New(t)
+	transport := &fakeTransport{}
+	transport.send = func(_ context.Context, _ Upstream, r *UpstreamRequest) (*Response, error) {
+		if r.Continue != nil {
+			return answer(200, sseEvent(2)+sseEvent(3)), nil
+		}
+		a := brokenAnswer(sseEvent(1))
+		a.ContentLength = int64(len(sseEvent(1) + sseEvent(2)))
+		return a, nil
+	}
+	f, sink := newResumableForwarder(t, transport, 2, 100), &fakeSink{}
+	f.Serve(t.Context(), call("/llm/"), sink)
+	is.Equal(sink.body.String(), sseEvent(1)+sseEvent(2)+sseEvent(3))
+	is.Equal(sink.length, int64(-1))
+}
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -103,8 +103,10 @@
 
 // fakeSink records what the caller receives.
 type fakeSink struct {
-	mu        sync.Mutex
-	status    int
+	mu     sync.Mutex
+	status int
+	// length is the length that a response which follows in parts declares.
+	length    int64
 	body      strings.Builder
 	refused   *Refusal
 	truncated bool
@@ -123,7 +125,7 @@
 }
 
 func (s *fakeSink) BeginResponse(a *Response) error {
-	s.status = a.Status
+	s.status, s.length = a.Status, a.ContentLength
 	return nil
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -206,7 +206,14 @@
 	if s.answerStarted {
 		return nil
 	}
+	return s.beginAnswer(first)
+}
+
+// beginAnswer starts the answer with the head of the first engine's. A length isn't passed on: another engine may
+// continue the stream in a different one.
+func (s *streamExchange) beginAnswer(first *Response) error {
 	s.answerStarted = true
+	first.ContentLength = -1
 	return s.sink.BeginResponse(first)
 }
 
@@ -234,9 +241,8 @@
 // relayEvent passes one event to the caller.
 func (s *streamExchange) relayEvent(ctx context.Context, now time.Time, first *Response, event []byte, id string) error {
 	if !s.answerStarted {
-		s.answerStarted = true
 		s.observer.FirstEvent(now.Sub(s.call.Arrived))
-		if s.callerErr = s.sink.BeginResponse(first); s.callerErr != nil {
+		if s.callerErr = s.beginAnswer(first); s.callerErr != nil {
 			return s.callerErr
 		}
 		s.spool = spool.New(spool.Settings{Budget: &s.answerBudget, MaxBytes: maxStreamSpoolBytes, StallTimeout: readerStallTimeout, OnWriteFailure: s.cancel}, s.sink.Write, s.sink.Abort)
