peer: only an empty part of an answer ends it in a tunnel

A frame without a part, such as one that reports an error, counted as the last one of an answer, so that an answer without a length was whole for the host that had opened the tunnel.

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -169,8 +169,8 @@
 		if err != nil {
 			return 0, err
 		}
-		if err := msgpack.Unmarshal(f.Body, &c.rest); err != nil {
-			return 0, trace.Wrap(err)
+		if c.rest, err = f.tunnelPart(); err != nil {
+			return 0, err
 		}
 		c.ended = len(c.rest) == 0
 	}
@@ -179,6 +179,16 @@
 	return n, nil
 }
 
+// tunnelPart returns the part of an answer that a frame carries. A frame without one isn't the last frame, which carries an
+// empty part.
+func (f *frame) tunnelPart() ([]byte, error) {
+	var part []byte
+	if err := msgpack.Unmarshal(f.Body, &part); err != nil || part == nil {
+		return nil, fmt.Errorf("%w: a frame without a part of the answer; error %q, %v", io.ErrUnexpectedEOF, f.Error, err)
+	}
+	return part, nil
+}
+
 // serveTunnel carries a tunnel until one of its sides ends. f is the call that opens it.
 func (m *Mesh) serveTunnel(ctx context.Context, tcp net.Conn, reader *bufio.Reader, f *frame, from member.HostID) error {
 	link := m.countTunnel(tcp)
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -4,6 +4,7 @@
 package peer
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -121,6 +122,52 @@
 	}
 }
 
+// TestCutTunnelIsNotTheEndOfAnAnswer guards against an end of a tunnel, or a frame that is no part of an answer, that is taken for the
+// end of the answer.
+func TestCutTunnelIsNotTheEndOfAnAnswer(t *testing.T) {
+	encoded := func(f *frame) []byte {
+		text, err := appendFrame(nil, f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return text
+	}
+	var part, last writtenBytes
+	if err := errors.Join(writeTunnelPart(&part, []byte("part")), writeTunnelPart(&last, []byte{})); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		sent  []byte
+		ended bool
+	}{
+		"last frame":              {last.Bytes(), true},
+		"nothing":                 {nil, false},
+		"part of a frame's size":  {last.Bytes()[:2], false},
+		"size":                    {last.Bytes()[:4], false},
+		"part of a frame":         {part.Bytes()[:len(part.Bytes())-1], false},
+		"part of the last frame":  {last.Bytes()[:len(last.Bytes())-1], false},
+		"frame of no bytes":       {make([]byte, 4), false},
+		"frame without a part":    {encoded(&frame{ID: 1, Reply: true, Kind: kindTunnel}), false},
+		"frame with an error":     {encoded(&frame{ID: 1, Reply: true, Kind: kindTunnel, Error: "stopping"}), false},
+		"part of another type":    {encoded(&frame{ID: 1, Reply: true, Kind: kindTunnel, Body: []byte{0x07}}), false},
+		"part that has no value":  {encoded(&frame{ID: 1, Reply: true, Kind: kindTunnel, Body: []byte{0xc0}}), false},
+		"part that is cut inside": {encoded(&frame{ID: 1, Reply: true, Kind: kindTunnel, Body: []byte{0xc4, 0x05, 'p'}}), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sent := append(bytes.Clone(part.Bytes()), c.sent...)
+			tunnel := &tunnelConn{reader: bufio.NewReader(bytes.NewReader(sent))}
+			got := make([]byte, len("part"))
+			_, err := io.ReadFull(tunnel, got)
+			is.NoErr(err)
+			is.Equal(string(got), "part")
+			n, err := tunnel.Read(got)
+			is.Equal(n, 0)
+			is.Equal(errors.Is(err, io.EOF), c.ended)
+		})
+	}
+}
+
 // TestLongAnswerThroughTunnelIsCountedApart guards against an answer without an end that fills what either host of its tunnel
 // counts as traffic between peers, which has no bound for one transfer.
 func TestLongAnswerThroughTunnelIsCountedApart(t *testing.T) {
