engine: an answer that was cut before its end isn't the engine's answer

An order, a report or cache events whose answer in chunks broke off counted as answered, although the end was missing: the answer was read up to the end of its JSON value, and an order's not at all. What was decoded was whole, so no caller saw a difference.

The answer is read to its end.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -240,8 +240,9 @@
 		return responseError(response)
 	}
 	defer response.Body.Close()
-	if result == nil {
-		return nil
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil || result == nil {
+		return trace.Wrap(err)
 	}
-	return json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(result)
+	return trace.Wrap(json.Unmarshal(text, result))
 }
