platform, forward: whoever has a worker's address needn't tell its ID to count as another

Callers could get the beginning of an answer without a length as the whole one (MIXED): its worker had ended, and the process that has the address by then answered the question who it is without an ID, for example with a 404, as it serves another service. Such an answer counted as the worker's own.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	health, err := x.checkHealth(ctx, &x.service, u, eligibility.Identity)
 	if err == nil {
-		return health.Instance != "" && health.Instance != u.ID, nil
+		return health.WrongInstance || health.Instance != "" && health.Instance != u.ID, nil
 	}
 	var notAsked *notSentError
 	if !errors.As(err, &notAsked) {
--- a/forward/call.go
+++ b/forward/call.go
@@ -209,7 +209,9 @@
 	Life Incarnation
 	// Instance is the ID of the upstream that answered; empty if the answer has none.
 	Instance member.UpstreamID
-	Signals  Signals
+	// WrongInstance says that another upstream now uses the address, whether or not it told its ID.
+	WrongInstance bool
+	Signals       Signals
 }
 
 // MoveRequest asks the engine that runs a request to copy the run's memory to another engine.
