forward: after a suspension, an answer without an end isn't whole if its upstream mayn't be asked

Callers could get the beginning of an answer without a declared end as the whole one (MIXED): the machine was suspended, the upstream ended meanwhile and another process got its address, and a backoff or a limit forbade the question who has it. A listed upstream counted as still there.

What is read right after a suspension counts as broken off then; otherwise the end of a connection is read when it comes, before the address can belong to another. A process that is stopped by a signal isn't noticed by the clock.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -98,7 +98,7 @@
 
 // replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. If a
 // backoff or a rate limit forbids to ask, the upstream counts as replaced once it is no longer listed, unless it is
-// known to leave.
+// known to leave, and right after a suspension, in which the address may have been given to another.
 func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
@@ -110,6 +110,9 @@
 	if !errors.As(err, &notAsked) {
 		return true, err
 	}
+	if x.settings.Clock.MaxMessageDelay(x.now()) > 0 {
+		return true, err
+	}
 	_, listed := x.fleet.Upstream(u.ID)
 	return !listed && x.fleet.LeavingFor(x.now(), u.ID) == 0, err
 }
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -4,8 +4,14 @@
 package forward
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/clock/clocktest"
 )
 
 // TestAnswerOfEndedUpstreamIsNotComplete guards against an answer without a declared end that is passed on
@@ -63,3 +69,33 @@
 		})
 	}
 }
+
+// TestUnframedAnswerAfterSuspension guards against a broken answer that counts as complete after a suspension because a backoff
+// forbids to ask who has its upstream's address, and against a whole one that doesn't without a suspension.
+func TestUnframedAnswerAfterSuspension(t *testing.T) {
+	for _, path := range []string{"/order/", "/llm/"} {
+		for _, slept := range append([]time.Duration{0}, clocktest.SuspensionDurations[:2]...) {
+			t.Run(fmt.Sprint(path, slept), func(t *testing.T) {
+				transport := &fakeTransport{}
+				withSuspendableHost(t, transport, func(is *is.I, f *Forwarder, s *clocktest.Machine) {
+					transport.send = func(_ context.Context, u Upstream, _ *UpstreamRequest) (*Response, error) {
+						f.recordBackoff(f.now(), u, time.Minute)
+						s.Suspend(slept)
+						a := answer(200, sseEvent(1))
+						a.ContentLength, a.Framed = -1, false
+						return a, nil
+					}
+					c := testConfig(2)
+					for n := range c.Routes {
+						c.Routes[n].Timeout = time.Minute
+					}
+					f.Configure(f.now(), c)
+					request, sink := call(path), &fakeSink{}
+					request.Arrived = f.now()
+					f.Serve(context.Background(), request, sink)
+					is.Equal(sink.refused != nil || sink.truncated, slept > 0)
+				})
+			})
+		}
+	}
+}
