forward: a final copy that wasn't sent hasn't stopped the run

Cause: once a copy exists, any unknown error of the final call counted as 'it is unknown whether the run was stopped'. A call that wasn't sent has certainly stopped nothing. The move fails now and is tried again.

TestMove, 'stop not sent, moved later', failed before: the run wasn't moved.

--- a/forward/move.go
+++ b/forward/move.go
@@ -385,9 +385,10 @@
 	switch {
 	case err == nil:
 		return &handover{target: to, source: m.source, handle: moved.Handle, stoppedAt: stoppedAt, permittedAt: permittedAt}, nil
-	case errors.Is(err, ErrRunNotFound), errors.Is(err, ErrMoveBusy), errors.Is(err, ErrTargetUnavailable) && moved.Handle == "":
-		// The run was not stopped: it has ended, another copy is in progress, or the target is
-		// gone. An engine that has stopped a run returns the handle of its copy.
+	case errors.Is(err, ErrRunNotFound), errors.Is(err, ErrMoveBusy), errors.Is(err, ErrNotSent), errors.Is(err, ErrTargetUnavailable) && moved.Handle == "":
+		// The run was not stopped: it has ended, another copy is in progress, the engine wasn't
+		// reached, or the target is gone. An engine that has stopped a run returns the handle of its
+		// copy.
 		m.mu.Lock()
 		m.runStopping = false
 		m.mu.Unlock()
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -183,8 +183,9 @@
 	stopped chan struct{}
 	// moveErr is the error of the copy that stops the run. copyTime is how long a copy takes.
 	moveErr error
-	// refusedStops is how many stops fail without stopping the run.
+	// refusedStops is how many stops fail with refusal, without stopping the run.
 	refusedStops int
+	refusal      error
 	handle       string
 	copyTime     time.Duration
 	// refusesContinuation lists the engines that refuse to continue the run.
@@ -241,7 +242,7 @@
 	}
 	if e.refusedStops > 0 {
 		e.refusedStops--
-		return MoveResult{}, ErrTargetUnavailable
+		return MoveResult{}, e.refusal
 	}
 	close(e.stopped)
 	time.Sleep(2 * time.Millisecond)
@@ -276,7 +277,10 @@
 			refusesContinuation: map[member.UpstreamID]bool{"llm2": true, "llm3": true},
 		}, false, true, 2},
 		"target gone before the last part": {engineScript{
-			eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond, refusedStops: 1,
+			eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond, refusedStops: 1, refusal: ErrTargetUnavailable,
+		}, false, true, 2},
+		"stop not sent, moved later": {engineScript{
+			eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond, refusedStops: 1, refusal: errors.Join(ErrNoMoveReply, ErrNotSent),
 		}, false, true, 2},
 		"stop unanswered, run stopped": {engineScript{
 			eventCount: 60, copyTime: 200 * time.Millisecond, moveErr: ErrNoMoveReply,
