forward: the rest of a run that has just ended isn't dropped with a broken link

The engine answered that it doesn't have the run, and the host closed the connection with the last events in it.

Cause: that answer was taken to mean that nothing more can come. Now the stream has 250 ms, as after a final copy, and is closed only if it has brought nothing since the check began.

TestStreamOverBrokenLink, 'link broken, run just ended', failed before: 4 of 9 events.

--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -18,14 +18,14 @@
 	carriedStreamSilence = 2 * time.Second
 	// linkCheckTimeout bounds the check of a link.
 	linkCheckTimeout = 400 * time.Millisecond
-	// sourceEndTimeout is how long after the final copy the stream of a stopped run may stay open. It
-	// normally ends before the copy is done.
+	// sourceEndTimeout is how long the stream of a run that isn't at its engine any more may stay open. It
+	// normally ends before the final copy is done.
 	sourceEndTimeout = 250 * time.Millisecond
 )
 
 // leaveBrokenLink moves the run off an engine that works but whose events don't arrive, because this
 // host's own link to it broke, or that of the peer that carries the stream. The calls for the move go
-// through a peer. If the engine no longer has the run, the answer is closed.
+// through a peer. If the engine no longer has the run and the stream stays silent, the answer is closed.
 func (m *mover) leaveBrokenLink(ctx context.Context, x *exchange, run *ownRun) *handover {
 	now := x.now()
 	if made := run.generatedTokens.Load(); made != m.progress || m.progressAt.IsZero() {
@@ -45,8 +45,11 @@
 		x.journal.Request(x.call.ID, "not moved off a broken link", "from", m.source.ID, "err", err)
 	}
 	if errors.Is(err, ErrRunNotFound) {
-		// The run has ended, and the rest of its events is lost with the connection.
-		closeBody(m.answer)
+		// The run has ended. Unless the rest of its events was on its way, it is lost with the connection.
+		PauseFor(ctx, sourceEndTimeout)
+		if ctx.Err() == nil && run.generatedTokens.Load() == m.progress {
+			closeBody(m.answer)
+		}
 	}
 	return next
 }
--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -72,6 +72,7 @@
 	}{
 		"link broken, moved":              {linkBroken: true, silence: time.Hour, want: events(1, 9), moves: 2, within: 3 * time.Second},
 		"link broken, run not there":      {linkBroken: true, silence: time.Hour, moveErr: ErrRunNotFound, want: events(1, 4), cut: true, moves: 1, within: 3 * time.Second},
+		"link broken, run just ended":     {linkBroken: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 1, within: 2 * time.Second},
 		"a peer's link broke, moved":      {carrier: "h2", silence: time.Hour, want: events(1, 9), moves: 2, within: 4 * time.Second},
 		"carried, silent for a second":    {carrier: "h2", silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
 		"carrier stops, moved":            {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, want: events(1, 9), moves: 2, within: time.Second},
