forward: a moved run waits a moment for a way to its engines

The target and the source, which both held the run, were each tried once, and not reached.

Cause: the continuation had one attempt at each of the two engines, while a new request may try others and a move is tried again. Nothing had been sent, so trying again can't run anything twice. Now the engines that weren't reached are tried every 100 ms until 2 s after the run was stopped.

TestMove, 'no engine reached for a moment', failed before: the stream was cut after two attempts. The tests of forward pass.

--- a/forward/move.go
+++ b/forward/move.go
@@ -44,6 +44,10 @@
 	permitValidity = time.Second
 	// moveTimeout bounds one copy; several copies may wait for one link.
 	moveTimeout = 3 * time.Second
+	// continueTimeout is how long after a run was stopped its engines are tried while none is reached, and
+	// continueRetryDelay the wait between tries. Engines keep copies for longer.
+	continueTimeout    = 2 * time.Second
+	continueRetryDelay = 100 * time.Millisecond
 )
 
 // handover says where a stopped run continues.
@@ -424,41 +428,65 @@
 }
 
 // continueRun sends the request to the engine that holds the copy. If that engine refuses, it
-// sends the request to the engine where the run was stopped.
+// sends the request to the engine where the run was stopped. While neither is reached, it tries
+// again until continueTimeout.
 func (s *streamExchange) continueRun(ctx context.Context, h *handover) (Upstream, *Response, error) {
 	targets := []Upstream{h.target}
 	if h.target.ID != h.source.ID {
 		targets = append(targets, h.source)
 	}
-	var lastErr error
 	// An engine that asked for backoff is tried last.
 	slices.SortStableFunc(targets, func(a, b Upstream) int {
 		return cmp.Compare(s.backoffs.Remaining(s.now(), a.ID), s.backoffs.Remaining(s.now(), b.ID))
 	})
-	for _, u := range targets {
-		if u.ID != h.target.ID || s.now().Sub(h.permittedAt) > permitValidity {
-			s.countForcedSend(ctx, u)
-		}
-		a, err := s.send(ctx, u, &Continuation{Source: h.source.Address, Handle: h.handle, LastEventID: s.lastEventID})
-		if err == nil && a.Status == 200 && a.Signed {
-			s.moveCount++
-			s.observer.Moved("ok", s.now().Sub(h.stoppedAt))
-			s.journal.Request(s.call.ID, "moved", "from", h.source.ID, "to", u.ID, "after", s.lastEventID, "pause", s.now().Sub(h.stoppedAt))
-			return u, a, nil
-		}
-		s.journal.Request(s.call.ID, "not taken up", "upstream", u.ID, "status", statusOf(a), "err", err)
-		lastErr = err
-		if a != nil {
-			closeBody(a)
-			lastErr = ErrTargetUnavailable
+	var lastErr error
+	counted := map[member.UpstreamID]bool{}
+	for {
+		var unreached []Upstream
+		for _, u := range targets {
+			if !counted[u.ID] && (u.ID != h.target.ID || s.now().Sub(h.permittedAt) > permitValidity) {
+				s.countForcedSend(ctx, u)
+				counted[u.ID] = true
+			}
+			a, err := s.takeUp(ctx, h, u)
+			if err == nil {
+				return u, a, nil
+			}
+			lastErr = err
+			if !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrTargetUnavailable) {
+				// The engine may have continued the run; events of two runs must not be mixed.
+				s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
+				return Upstream{}, nil, err
+			}
+			if _, kept := notSentVerdict(err); errors.Is(err, ErrNotSent) && !kept {
+				unreached = append(unreached, u)
+			}
 		}
-		if err != nil && !errors.Is(err, ErrNotSent) {
-			// The engine may have continued the run; events of two runs must not be mixed.
-			break
+		if len(unreached) == 0 || ctx.Err() != nil || s.now().Add(continueRetryDelay).Sub(h.stoppedAt) > continueTimeout {
+			s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
+			return Upstream{}, nil, lastErr
 		}
+		targets = unreached
+		PauseFor(ctx, continueRetryDelay)
+	}
+}
+
+// takeUp has an engine continue a run that was stopped. The error is ErrTargetUnavailable if the engine
+// refuses.
+func (s *streamExchange) takeUp(ctx context.Context, h *handover, u Upstream) (*Response, error) {
+	a, err := s.send(ctx, u, &Continuation{Source: h.source.Address, Handle: h.handle, LastEventID: s.lastEventID})
+	if err == nil && a.Status == 200 && a.Signed {
+		s.moveCount++
+		s.observer.Moved("ok", s.now().Sub(h.stoppedAt))
+		s.journal.Request(s.call.ID, "moved", "from", h.source.ID, "to", u.ID, "after", s.lastEventID, "pause", s.now().Sub(h.stoppedAt))
+		return a, nil
 	}
-	s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
-	return Upstream{}, nil, lastErr
+	s.journal.Request(s.call.ID, "not taken up", "upstream", u.ID, "status", statusOf(a), "err", err)
+	if a != nil {
+		closeBody(a)
+		err = ErrTargetUnavailable
+	}
+	return nil, err
 }
 
 // PauseFor waits for d or until the context ends. It returns at once if d is zero or negative.
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -190,6 +190,8 @@
 	copyTime     time.Duration
 	// refusesContinuation lists the engines that refuse to continue the run.
 	refusesContinuation map[member.UpstreamID]bool
+	// unreachedSends is how many continuations can't be sent.
+	unreachedSends int
 	// lastEventID and continuedFrom are what the engine that continues the run was sent: the
 	// caller's last event, and the source and handle of the copy.
 	lastEventID   string
@@ -200,6 +202,10 @@
 
 func (e *engineScript) send(ctx context.Context, u Upstream, r *UpstreamRequest) (*Response, error) {
 	if c := r.Continue; c != nil {
+		if e.unreachedSends > 0 {
+			e.unreachedSends--
+			return nil, ErrNotSent
+		}
 		if e.refusesContinuation[u.ID] {
 			a := answer(503, "")
 			a.NotRun = true
@@ -285,6 +291,12 @@
 		"stop unanswered, run stopped": {engineScript{
 			eventCount: 60, copyTime: 200 * time.Millisecond, moveErr: ErrNoMoveReply,
 		}, false, true, 2},
+		"no engine reached for a moment": {engineScript{
+			eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond, unreachedSends: 6,
+		}, false, true, 8},
+		"no engine reached": {engineScript{
+			eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond, unreachedSends: 100,
+		}, true, false, 41},
 		"everybody refuses": {engineScript{
 			eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond,
 			refusesContinuation: map[member.UpstreamID]bool{"llm1": true, "llm2": true, "llm3": true},
