forward: the line of an answer that a stop cuts names the undelivered rest

A stream whose slow reader hadn't taken all of it when the time for stopping was over is cut since 'a stream whose caller hasn't got all of it by its end isn't complete', but its line said that the engine's stream had ended without an error.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -119,13 +119,14 @@
 
 // endAnswer ends the caller's answer: complete, cut, or refused if it hasn't started.
 func (s *streamExchange) endAnswer(ctx context.Context, u Upstream, err error) {
-	keyvals := []any{"upstream", u.ID, "first_event", s.timeToFirstEvent, "events", s.eventCount, "moves", s.moveCount, "longest_pause", s.longestGap, "err", err}
-	if undelivered := s.closeSpool(ctx); s.callerErr == nil && undelivered != nil {
+	undelivered := s.closeSpool(ctx)
+	if s.callerErr == nil && undelivered != nil && !errors.Is(undelivered, context.Cause(ctx)) {
+		s.callerErr, err = undelivered, undelivered
+	}
+	if err == nil {
 		err = undelivered
-		if !errors.Is(undelivered, context.Cause(ctx)) {
-			s.callerErr = undelivered
-		}
 	}
+	keyvals := []any{"upstream", u.ID, "first_event", s.timeToFirstEvent, "events", s.eventCount, "moves", s.moveCount, "longest_pause", s.longestGap, "err", err}
 	cause := endCauseOf(ctx)
 	if s.callerErr != nil {
 		cause = endCallerLeft
--- a/forward/waiting_test.go
+++ b/forward/waiting_test.go
@@ -463,8 +463,10 @@
 	w                              *waitingSite
 	began, refused, cut, succeeded int
 	refusal                        Refusal
-	aborted                        chan struct{}
-	abort                          sync.Once
+	// missing counts the events that a stream still lacks.
+	missing int
+	aborted chan struct{}
+	abort   sync.Once
 }
 
 func (s *waitingSink) SendResponse(a *Response, _ []byte) error {
@@ -475,7 +477,10 @@
 	return nil
 }
 
-func (s *waitingSink) BeginResponse(a *Response) error { return s.SendResponse(a, nil) }
+func (s *waitingSink) BeginResponse(a *Response) error {
+	s.missing = waitingEventCount
+	return s.SendResponse(a, nil)
+}
 
 func (s *waitingSink) Write([]byte) error {
 	ctx, cancel := context.WithCancel(s.w.t.Context())
@@ -487,7 +492,11 @@
 		case <-ctx.Done():
 		}
 	}()
-	return s.w.waitAt(ctx, atReader)
+	if err := s.w.waitAt(ctx, atReader); err != nil {
+		return err
+	}
+	s.missing--
+	return nil
 }
 func (s *waitingSink) Abort() { s.abort.Do(func() { close(s.aborted) }) }
 func (s *waitingSink) Refuse(r Refusal) error {
@@ -695,6 +704,9 @@
 	if sink.began+sink.refused != 1 {
 		t.Errorf("%d answers and %d refusals", sink.began, sink.refused)
 	}
+	if sink.began > 0 && sink.cut == 0 && sink.missing != 0 {
+		t.Errorf("ended as complete, with %d events missing", sink.missing)
+	}
 	if p.isSent && goesOn && !e.mayFail && (sink.succeeded != 1 || sink.cut > 0) {
 		t.Errorf("a request whose upstream answers fails: %+v, cut %v", sink.refusal, sink.cut > 0)
 	}
