forward: an upstream without born that returns is used again

Cause: what an upstream said of its leaving holds for its life, and only 'born' tells another life. A late list may say ready once more, so that word alone is no evidence. Now an upstream whose entry was made after it was said to leave is asked for its health, from the drain time after it was listed again on: a 200 with its own id ends its leaving. Only in one era of the store; the entry of a copy is no evidence. Meanwhile a line says once why it isn't used, and shedpath_upstreams_relisted counts.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -47,8 +47,14 @@
 	// BelievedFrom is when the change takes effect if the list was restored from a backup that
 	// contains an upstream which had already ended; zero for other changes.
 	BelievedFrom time.Time
+	// made is when the entry was made, before any later changes of it; zero if it isn't known. It
+	// isn't sent to peers.
+	made history.Point
 }
 
+// EntryMade says when the entry that the change describes was made.
+func (c *Change) EntryMade(at history.Point) { c.made = at }
+
 // Fleet is what this host knows about the upstreams. The zero value is an empty fleet that is
 // ready for use. It is safe for concurrent use.
 //
@@ -146,6 +152,10 @@
 	suspectUntil time.Time
 	// unreached is what is known of failed connections of this host.
 	unreached unreachedState
+	// relisted is set while the upstream is listed as staying after it was said to leave, and
+	// hasReturned once it turned out to stay.
+	relisted    relistedState
+	hasReturned bool
 	// consecutiveFailures counts the requests that the upstream lost in a row.
 	consecutiveFailures int
 	// ownFailingUntil is until when findings of this host itself keep new work away.
@@ -291,6 +301,7 @@
 		return false
 	}
 	k.pendingChange = nil
+	isRelisted, listedLeaving := k.isRelistedBy(c), c.Leaving
 	switch {
 	case c.Gone:
 		return f.markGone(now, k, c.Revision)
@@ -323,6 +334,12 @@
 	if k.Address != c.Address {
 		k.unreached = unreachedState{}
 	}
+	switch {
+	case isRelisted:
+		k.relisted = relistedState{at: now}
+	case listedLeaving:
+		k.relisted = relistedState{}
+	}
 	if k.Service != c.Service || k.Zone != c.Zone {
 		f.index.remove(k)
 		defer f.index.add(k)
@@ -381,7 +398,7 @@
 		return false
 	}
 	k.gone, k.missing, k.missingSinceRestore, k.leavingUnconfirmed = true, false, false, false
-	k.droppedAt = now
+	k.droppedAt, k.relisted = now, relistedState{}
 	k.startLeaving(now, SourceList)
 	return true
 }
@@ -391,7 +408,7 @@
 // shared separately, so the change contains only what came with the list.
 func (k *knownUpstream) changeForPeers() Change {
 	c := Change{Upstream: k.Upstream, Gone: k.gone, Missing: k.missing, Unusable: k.unusable, ColdUntil: k.coldUntil}
-	c.Leaving = k.Leaving && (k.leavingDeclared || !k.leavingUnconfirmed)
+	c.Leaving = k.Leaving && (k.leavingDeclared || !k.leavingUnconfirmed) && k.relisted.at.IsZero()
 	if k.pendingChange != nil {
 		return *k.pendingChange
 	}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -299,6 +299,7 @@
 	var checks conc.WaitGroup
 	defer checks.Wait()
 	checks.Go(func() { f.runUnreachedChecks(ctx) })
+	checks.Go(func() { f.runReturnChecks(ctx) })
 	tick := time.NewTicker(poolRefreshInterval)
 	defer tick.Stop()
 	suspended := f.settings.Clock.TotalSuspended()
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -62,6 +62,10 @@
 		return false
 	}
 	k.leavingSelfReported, k.leavingDeclared, k.leavingUnconfirmed = true, true, false
+	if k.hasReturned && !toThisHost {
+		// The peer may not know yet that the upstream has returned.
+		k.relisted = relistedState{at: now}
+	}
 	if toThisHost && !k.gone {
 		f.shareLeaving(k, now.Add(declaredLeavingShareTime))
 	}
--- a/forward/listtrust.go
+++ b/forward/listtrust.go
@@ -116,7 +116,7 @@
 			}
 		}
 		if k.missing && !now.Before(f.trustMissingFrom) && !f.mayBeRelisted(now, k) {
-			k.gone, k.missing, k.missingSinceRestore, k.droppedAt = true, false, false, now
+			k.gone, k.missing, k.missingSinceRestore, k.droppedAt, k.relisted = true, false, false, now, relistedState{}
 			k.startLeaving(now, SourceList)
 			changed = append(changed, Change{Upstream: k.Upstream, Gone: true})
 		}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -211,6 +211,11 @@
 	f.Gauge("upstreams_unreached", "Upstreams that get no new work because this host can't connect to them.", func() float64 { return float64(read()) })
 }
 
+// WatchRelisted exports how many upstreams are listed again after they were said to leave, and aren't used yet.
+func (f *Forward) WatchRelisted(read func() int) {
+	f.Gauge("upstreams_relisted", "Upstreams that are listed again after they were said to leave, and that aren't used yet.", func() float64 { return float64(read()) })
+}
+
 // WatchSignals registers metrics that count the leaving upstreams, by the source that reported
 // it first, and the upstreams that asked this host for backoff or to which traffic is
 // returning. The functions are called at each scrape.
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -145,6 +145,7 @@
 		}
 	}, func() []backoff.Status { return []backoff.Status{{Remaining: 1}, {Remaining: 2}, {}} })
 	f.WatchUnreached(func() int { return 31 })
+	f.WatchRelisted(func() int { return 32 })
 	f.WatchPeers(func() int { return 16 })
 	f.WatchLoad(&intake.Meter{Link: &intake.Link{Peers: func() (int64, int64) { return 17, 18 }}})
 	f.WatchZoneQueue(func() int { return 30 })
