forward: an engine's failure without an end is complete only if the engine didn't end

Callers of streams got the beginning of an engine's own failure, such as a 500 without a declared end, as the whole one (MIXED) if the engine ended in the middle of it: calls asked for the engine then, streams only for answers of 200.

Both read an answer in one place now. TestCutFailureOfEngineIsNotComplete, "engine ended", failed before and passes.

--- a/forward/cutstream_test.go
+++ b/forward/cutstream_test.go
@@ -115,3 +115,28 @@
 	is.Equal(sink.body.String(), sseEvent(1)+sseEvent(2)+sseEvent(3))
 	is.Equal(sink.length, int64(-1))
 }
+
+// TestCutFailureOfEngineIsNotComplete guards against an engine's failure without a declared end that is passed on as complete
+// although the engine ended in the middle of it.
+func TestCutFailureOfEngineIsNotComplete(t *testing.T) {
+	for name, ended := range map[string]bool{"engine goes on": false, "engine ended": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			transport := &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+				a := answer(500, "fail")
+				a.ContentLength, a.Framed = -1, false
+				return a, nil
+			}}
+			transport.checkReachable = func(Upstream) error {
+				if ended {
+					return ErrPortClosed
+				}
+				return nil
+			}
+			f, sink := newForwarder(t, transport), &fakeSink{}
+			f.Serve(t.Context(), call("/llm/"), sink)
+			is.Equal(sink.refused != nil, ended)
+			is.Equal(sink.status == 500, !ended)
+		})
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -108,7 +108,7 @@
 	p := &unaryExchange{exchange: s.exchange}
 	p.responseMemory.budget = &s.answerBudget
 	defer p.responseMemory.release()
-	t.body, t.hasMore, t.err = p.responseMemory.readBody(a)
+	p.readBody(ctx, &t)
 	s.releasePlace(false)
 	if t.err != nil || !a.Signed || claimsNotRun(a.Status) {
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID, "status", a.Status, "err", t.err)
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -134,15 +134,20 @@
 	return true
 }
 
+// readBody reads the body of an attempt's response, or the beginning of one that is too long to be buffered.
+func (p *unaryExchange) readBody(ctx context.Context, t *upstreamAttempt) {
+	t.body, t.hasMore, t.err = p.responseMemory.readBody(t.response)
+	if t.err == nil && !t.hasMore && !t.response.Framed && p.endedWithUpstream(ctx, t.upstream) {
+		t.err = io.ErrUnexpectedEOF
+	}
+}
+
 // runAttempt sends the request to one upstream and reads the response.
 func (p *unaryExchange) runAttempt(ctx context.Context, startedAt time.Time, u Upstream, out *UpstreamRequest) upstreamAttempt {
 	t := upstreamAttempt{upstream: u}
 	t.response, t.err = p.sendTo(ctx, u, out)
 	if t.err == nil {
-		t.body, t.hasMore, t.err = p.responseMemory.readBody(t.response)
-	}
-	if t.err == nil && !t.hasMore && !t.response.Framed && p.endedWithUpstream(ctx, u) {
-		t.err = io.ErrUnexpectedEOF
+		p.readBody(ctx, &t)
 	}
 	now := p.now()
 	t.elapsed = now.Sub(startedAt)
