forward: only the run's own stream continues the stream of a moved run

All three places where a stream begins ask the same question, and only a refusal that says the run wasn't taken sends it on to the source. TestMovedStreamIsNoOtherAnswer failed before in both cases, and passes.

--- a/forward/call.go
+++ b/forward/call.go
@@ -165,6 +165,11 @@
 	Signals            Signals
 }
 
+// isStream reports whether the response is a stream that may be passed on.
+func (r *Response) isStream() bool {
+	return r.Status == http.StatusOK && r.Signed && !r.UnexpectedEncoding
+}
+
 // Errors of a Transport, in addition to those of the context.
 var (
 	// ErrNotSent says that no byte of the request can have reached the upstream.
--- a/forward/cutstream_test.go
+++ b/forward/cutstream_test.go
@@ -140,3 +140,40 @@
 		})
 	}
 }
+
+// TestMovedStreamIsNoOtherAnswer guards against an answer that isn't the run's stream, such as an encoded one, that is joined to the
+// stream of a moved run, and against a run that is continued twice.
+func TestMovedStreamIsNoOtherAnswer(t *testing.T) {
+	for name, spoil := range map[string]func(a *Response){
+		"encoded":  func(a *Response) { a.UnexpectedEncoding = true },
+		"unsigned": func(a *Response) { a.Signed = false },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := engineScript{eventCount: 60, handle: "h", copyTime: 200 * time.Millisecond, stopped: make(chan struct{})}
+				transport := &fakeTransport{move: e.move}
+				transport.send = func(ctx context.Context, u Upstream, r *UpstreamRequest) (*Response, error) {
+					a, err := e.send(ctx, u, r)
+					if r.Continue != nil {
+						spoil(a)
+					}
+					return a, err
+				}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				f.fleet.Suspect(time.Now(), "llm2")
+				f.fleet.Suspect(time.Now(), "llm3")
+				f.updatePlacementEngines(time.Now(), f.Table()) // llm1 gets the run
+				time.AfterFunc(100*time.Millisecond, func() {
+					f.fleet.Replace(time.Now(), upstreamsWithLeaving(f, "llm1"), rev(2))
+					f.updatePlacementEngines(time.Now(), f.Table())
+				})
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.True(sink.truncated)
+				is.True(strings.Count(sink.body.String(), "data") < e.eventCount)
+				is.Equal(len(transport.sentTo()), 2)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -471,21 +471,29 @@
 	}
 }
 
+// errNotTheRun reports an answer to a moved run that isn't its stream. The engine may have continued the run.
+var errNotTheRun = errors.New("the answer isn't the stream of the run")
+
 // takeUp has an engine continue a run that was stopped. The error is ErrTargetUnavailable if the engine
 // refuses.
 func (s *streamExchange) takeUp(ctx context.Context, h *handover, u Upstream) (*Response, error) {
 	a, err := s.send(ctx, u, &Continuation{Source: h.source.Address, Handle: h.handle, LastEventID: s.lastEventID})
-	if err == nil && a.Status == 200 && a.Signed {
+	if err == nil && a.isStream() {
 		s.moveCount++
 		s.observer.Moved("ok", s.now().Sub(h.stoppedAt))
 		s.journal.Request(s.call.ID, "moved", "from", h.source.ID, "to", u.ID, "after", s.lastEventID, "pause", s.now().Sub(h.stoppedAt))
 		return a, nil
 	}
 	s.journal.Request(s.call.ID, "not taken up", "upstream", u.ID, "status", statusOf(a), "err", err)
-	if a != nil {
-		closeBody(a)
+	switch {
+	case a == nil:
+		return nil, err
+	case a.NotRun || claimsNotRun(a.Status):
 		err = ErrTargetUnavailable
+	default:
+		err = errNotTheRun
 	}
+	closeBody(a)
 	return nil, err
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -46,14 +46,14 @@
 // relayAnswer relays an engine's answer to the caller, and resumes the stream when it breaks
 // off.
 func (s *streamExchange) relayAnswer(ctx context.Context, u Upstream, a *Response) {
-	if a.Status != http.StatusOK || !a.Signed || a.UnexpectedEncoding {
+	if !a.isStream() {
 		s.recordRolloutAnswer(s.now(), u, rollout.TimeToFirstEvent, true, 0)
 	}
 	if a.Status != http.StatusOK {
 		s.relayFailure(ctx, u, a)
 		return
 	}
-	if !a.Signed || a.UnexpectedEncoding {
+	if !a.isStream() {
 		closeBody(a)
 		s.releasePlace(false)
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID)
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 )
 
@@ -101,7 +100,7 @@
 		return Upstream{}, nil, false
 	}
 	answer, err := s.send(ctx, u, s.initialContinuation())
-	if err == nil && answer.Status == http.StatusOK && answer.Signed && !answer.UnexpectedEncoding {
+	if err == nil && answer.isStream() {
 		s.journal.Request(s.call.ID, "resumed", "from", broken.ID, "upstream", u.ID, "after", s.lastEventID)
 		return u, answer, true
 	}
