forward: after a suspension, an answer without an end isn't whole if its upstream doesn't tell its ID

Callers could get the beginning of an answer without a declared end as the whole one (MIXED) if the machine was suspended, another process got the upstream's address meanwhile, and it answered the question who has it without an ID, such as a worker that is full.

TestUnframedAnswerAfterSuspension, "no ID", failed before for calls and streams, and passes.

--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -96,23 +96,24 @@
 	return ended
 }
 
-// replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. If a
-// backoff or a rate limit forbids to ask, the upstream counts as replaced once it is no longer listed, unless it is
-// known to leave, and right after a suspension, in which the address may have been given to another.
+// replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. That isn't
+// known if a backoff or a rate limit forbids to ask, or the answer has no ID. The upstream counts as replaced then right
+// after a suspension, in which the address may have been given to another, and if it may not be asked, once it is no
+// longer listed, unless it is known to leave.
 func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
 	health, err := x.checkHealth(ctx, &x.service, u, eligibility.Identity)
-	if err == nil {
-		return health.WrongInstance || health.Instance != "" && health.Instance != u.ID, nil
-	}
 	var notAsked *notSentError
-	if !errors.As(err, &notAsked) {
+	if err != nil && !errors.As(err, &notAsked) {
 		return true, err
 	}
+	if health.Instance != "" || health.WrongInstance {
+		return health.WrongInstance || health.Instance != u.ID, nil
+	}
 	if x.settings.Clock.MaxMessageDelay(x.now()) > 0 {
 		return true, err
 	}
 	_, listed := x.fleet.Upstream(u.ID)
-	return !listed && x.fleet.LeavingFor(x.now(), u.ID) == 0, err
+	return err != nil && !listed && x.fleet.LeavingFor(x.now(), u.ID) == 0, err
 }
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"time"
 
@@ -70,32 +69,47 @@
 	}
 }
 
-// TestUnframedAnswerAfterSuspension guards against a broken answer that counts as complete after a suspension because a backoff
-// forbids to ask who has its upstream's address, and against a whole one that doesn't without a suspension.
+// TestUnframedAnswerAfterSuspension guards against a broken answer that counts as complete after a suspension because it isn't known
+// who has its upstream's address, and against a whole one that doesn't without a suspension.
 func TestUnframedAnswerAfterSuspension(t *testing.T) {
-	for _, path := range []string{"/order/", "/llm/"} {
-		for _, slept := range append([]time.Duration{0}, clocktest.SuspensionDurations[:2]...) {
-			t.Run(fmt.Sprint(path, slept), func(t *testing.T) {
-				transport := &fakeTransport{}
-				withSuspendableHost(t, transport, func(is *is.I, f *Forwarder, s *clocktest.Machine) {
-					transport.send = func(_ context.Context, u Upstream, _ *UpstreamRequest) (*Response, error) {
+	for name, c := range map[string]struct {
+		path string
+		// backoff says that the upstream mayn't be asked; otherwise it doesn't tell its ID.
+		backoff bool
+		slept   time.Duration
+		cut     bool
+	}{
+		"call, backoff":              {"/order/", true, time.Second, true},
+		"call, backoff, not slept":   {"/order/", true, 0, false},
+		"call, no ID":                {"/order/", false, time.Second, true},
+		"call, no ID, not slept":     {"/order/", false, 0, false},
+		"stream, backoff":            {"/llm/", true, 5 * time.Second, true},
+		"stream, backoff, not slept": {"/llm/", true, 0, false},
+		"stream, no ID":              {"/llm/", false, 5 * time.Second, true},
+		"stream, no ID, not slept":   {"/llm/", false, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			transport := &fakeTransport{}
+			withSuspendableHost(t, transport, func(is *is.I, f *Forwarder, s *clocktest.Machine) {
+				transport.send = func(_ context.Context, u Upstream, _ *UpstreamRequest) (*Response, error) {
+					if c.backoff {
 						f.recordBackoff(f.now(), u, time.Minute)
-						s.Suspend(slept)
-						a := answer(200, sseEvent(1))
-						a.ContentLength, a.Framed = -1, false
-						return a, nil
 					}
-					c := testConfig(2)
-					for n := range c.Routes {
-						c.Routes[n].Timeout = time.Minute
-					}
-					f.Configure(f.now(), c)
-					request, sink := call(path), &fakeSink{}
-					request.Arrived = f.now()
-					f.Serve(context.Background(), request, sink)
-					is.Equal(sink.refused != nil || sink.truncated, slept > 0)
-				})
+					s.Suspend(c.slept)
+					a := answer(200, sseEvent(1))
+					a.ContentLength, a.Framed = -1, false
+					return a, nil
+				}
+				config := testConfig(2)
+				for n := range config.Routes {
+					config.Routes[n].Timeout = time.Minute
+				}
+				f.Configure(f.now(), config)
+				request, sink := call(c.path), &fakeSink{}
+				request.Arrived = f.now()
+				f.Serve(context.Background(), request, sink)
+				is.Equal(sink.refused != nil || sink.truncated, c.cut)
 			})
-		}
+		})
 	}
 }
