forward: a host without unreached or relisted upstreams doesn't scan for them

Cause: two loops looked at each upstream 10 and 4 times a second, which at ten thousand upstreams is work for nothing nearly always. The tests of unreached and returned upstreams pass.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -81,6 +81,9 @@
 	// ownFailingUntil and shareLeavingUntil are the latest values of all upstreams. They save a
 	// scan of the upstreams for each message to peers if this host has no recent findings.
 	ownFailingUntil, shareLeavingUntil time.Time
+	// mayHaveUnreached and mayHaveRelisted are set if an upstream may be unreached or relisted. They
+	// save a scan of the upstreams for each look at the checks that are due.
+	mayHaveUnreached, mayHaveRelisted bool
 	// restarted are the upstreams that started a new incarnation since the last TakeRestarted.
 	restarted []member.UpstreamID
 	// gaps are the parts of the list's history that this host does not know in full: after a
@@ -336,7 +339,7 @@
 	}
 	switch {
 	case isRelisted:
-		k.relisted = relistedState{at: now}
+		k.relisted, f.mayHaveRelisted = relistedState{at: now}, true
 	case listedLeaving:
 		k.relisted = relistedState{}
 	}
--- a/forward/returned.go
+++ b/forward/returned.go
@@ -56,9 +56,17 @@
 func (f *Fleet) dueReturns(now time.Time, drain time.Duration, limit int) []returnCheck {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.mayHaveRelisted {
+		return nil
+	}
+	f.mayHaveRelisted = false
 	var due []returnCheck
 	for _, k := range f.upstreams {
-		if k.relisted.at.IsZero() || k.unusable || now.Sub(k.relisted.at) < drain || now.Before(k.relisted.checkAt) {
+		if k.relisted.at.IsZero() {
+			continue
+		}
+		f.mayHaveRelisted = true
+		if k.unusable || now.Sub(k.relisted.at) < drain || now.Before(k.relisted.checkAt) {
 			continue
 		}
 		if len(due) >= limit {
--- a/forward/unreached.go
+++ b/forward/unreached.go
@@ -51,7 +51,7 @@
 	}
 	isNew := k.unreached.since.IsZero()
 	if isNew {
-		k.unreached.since = now
+		k.unreached.since, f.mayHaveUnreached = now, true
 	}
 	k.unreached.checkAt = now.Add(unreachedCheckInterval)
 	k.suspectUntil = laterOf(k.suspectUntil, now.Add(suspectDuration))
@@ -92,9 +92,17 @@
 func (f *Fleet) dueChecks(now time.Time, limit int) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.mayHaveUnreached {
+		return nil
+	}
+	f.mayHaveUnreached = false
 	var due []*knownUpstream
 	for _, k := range f.upstreams {
-		if !k.unreached.since.IsZero() && !k.Leaving && !k.unusable && !now.Before(k.unreached.checkAt) {
+		if k.unreached.since.IsZero() {
+			continue
+		}
+		f.mayHaveUnreached = true
+		if !k.Leaving && !k.unusable && !now.Before(k.unreached.checkAt) {
 			due = append(due, k)
 		}
 	}
