platform: a host whose locks hang isn't ready and refuses its callers

Callers of a host that hung (two locks in two orders, see "A host hangs for good in a roll-out") got no answer and no refusal until it was killed. Its readiness answered by whether it could serve; it noticed only a hang of the one lock that it takes itself.

A watchdog takes each lock that all requests depend on, four times a second. After twelve checks in a row that find one held, the host reports not ready, refuses new requests at once, logs the lock with the stacks of all goroutines and counts. Checks are counted, not time, so that a suspended machine or one without a processor raises no alarm. A request that goes on seconds after its deadline is logged and counted as well, and leaves the host ready: one request must not take a host out. Whether the host is stopping is read without a lock.

Chosen before a check of the order of locks in tests: it finds any wait without an end, in production, and bounds what callers lose.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -33,7 +33,7 @@
 	service Service
 	account Account
 	// deadline is the earlier of the caller's and the route's; zero if neither sets one. publishedDeadline
-	// points to it once it is set, for other goroutines.
+	// points to it for other goroutines, from when it is set until a call's answer is passed on.
 	deadline          time.Time
 	publishedDeadline atomic.Pointer[time.Time]
 	// urgency is the account's if it has one, else the route's.
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -211,7 +211,8 @@
 	mu sync.Mutex
 	// inFlight maps each request in progress to the function that ends it.
 	inFlight map[*exchange]context.CancelCauseFunc
-	stopping bool
+	// stopping is written under mu.
+	stopping atomic.Bool
 	// stoppingSince is when the host was first told to stop.
 	stoppingSince time.Time
 	// stopDeadline is when the host will have stopped; zero if that isn't known.
--- a/forward/requestends_test.go
+++ b/forward/requestends_test.go
@@ -179,3 +179,32 @@
 	<-s.until
 	return s.fakeSink.Refuse(r)
 }
+
+// TestProbeLocks checks that a probe waits for each lock that requests depend on, and names it.
+func TestProbeLocks(t *testing.T) {
+	f := newForwarder(t, &fakeTransport{})
+	for lock, l := range map[string]sync.Locker{
+		"requests": &f.mu, "upstreams": &f.fleet.mu, "engines": &f.engines.mu, "peers": &f.peers.mu,
+		"admissions": &f.admissions.mu, "turns": &f.turns.mu, "latencies": &f.plainChooser.mu, "retries": &f.retries.mu,
+	} {
+		l.Lock()
+		names := make(chan string)
+		go func() {
+			defer close(names)
+			f.ProbeLocks(func(name string) { names <- name })
+		}()
+		for name := range names {
+			if name == lock {
+				break
+			}
+		}
+		select {
+		case name := <-names:
+			t.Errorf("the probe reached %q while %s was held", name, lock)
+		case <-time.After(10 * time.Millisecond):
+		}
+		l.Unlock()
+		for range names {
+		}
+	}
+}
--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -14,11 +14,7 @@
 func (f *Forwarder) Ready() bool { return f.canPlace.Load() && !f.Stopping() }
 
 // Stopping reports whether Stop has been called.
-func (f *Forwarder) Stopping() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.stopping
-}
+func (f *Forwarder) Stopping() bool { return f.stopping.Load() }
 
 // interruptTimeout is how long requests that are interrupted have to write their final answer.
 const interruptTimeout = 50 * time.Millisecond
@@ -30,8 +26,9 @@
 func (f *Forwarder) Stop(ctx context.Context) {
 	f.mu.Lock()
 	running := len(f.inFlight)
-	if !f.stopping {
-		f.stopping, f.stoppingSince = true, f.now()
+	if !f.stopping.Load() {
+		f.stoppingSince = f.now()
+		f.stopping.Store(true)
 		f.journal.HostEvent("stopping", "running", running)
 		f.peers.markStopping()
 		f.peers.notifyAll()
@@ -110,7 +107,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.inFlight, x)
-	if f.stopping && len(f.inFlight) == 0 {
+	if f.stopping.Load() && len(f.inFlight) == 0 {
 		select {
 		case <-f.idle:
 		default:
@@ -138,7 +135,7 @@
 // endsBeforeStop reports whether a request is expected to end before this host stops.
 func (x *exchange) endsBeforeStop(now time.Time) bool {
 	x.mu.Lock()
-	stopping, since, by := x.stopping, x.stoppingSince, x.stopDeadline
+	stopping, since, by := x.stopping.Load(), x.stoppingSince, x.stopDeadline
 	x.mu.Unlock()
 	switch {
 	case !stopping:
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -274,6 +274,8 @@
 func (p *unaryExchange) deliver(ctx context.Context, t *upstreamAttempt) {
 	var err error
 	p.answerStarted = true
+	// From here on, the time is up to how fast the caller reads.
+	p.publishedDeadline.Store(nil)
 	if t.hasMore {
 		err = p.deliverUnbuffered(ctx, t)
 	} else {
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -45,6 +45,7 @@
 	brokenConnections  *prometheus.CounterVec
 	suspendedSeconds   prometheus.Counter
 	panics             prometheus.Counter
+	hangs              *prometheus.CounterVec
 	permits            *prometheus.CounterVec
 	signals            *prometheus.CounterVec
 	withheldSends      *prometheus.CounterVec
@@ -80,6 +81,7 @@
 	f.brokenConnections = f.counter("broken_connections_total", "Connections that an upstream ended before its answer was complete, by whether the upstream itself had ended.", "upstream")
 	f.suspendedSeconds = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
 	f.panics = f.counter("panics_total", "Panics that were recovered from, in requests and in tasks of the host.").WithLabelValues()
+	f.hangs = f.counter("hangs_total", "Times that this host was found hanging, by what can't go on: a lock or a request.", "what")
 	f.permits = f.counter("permits_total", "Requests for a permit to send to a bounded upstream, by outcome.", "outcome")
 	f.signals = f.counter("upstream_signals_total", "Signals that upstreams gave about themselves in their answers, by kind.", "signal")
 	f.withheldSends = f.counter("sends_kept_back_total", "Sends to a chosen upstream that were withheld, by reason.", "reason")
@@ -178,6 +180,9 @@
 // Panicked counts a panic that was recovered from.
 func (f *Forward) Panicked() { f.panics.Inc() }
 
+// Hung counts that this host was found hanging.
+func (f *Forward) Hung(what string) { f.hangs.WithLabelValues(what).Inc() }
+
 // ZoneShift counts what became of a short answer that was requested in an emptier zone.
 func (f *Forward) ZoneShift(o zoneload.Outcome) { f.zoneShifts.WithLabelValues(string(o)).Inc() }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -109,6 +109,8 @@
 	f.EventGap(4 * time.Second)
 	f.Suspended(5 * time.Second)
 	f.Panicked()
+	f.Hung("lock")
+	f.Hung("request")
 	f.UnreadableEntries(6)
 	f.StoreCall("call-1", "outcome-3")
 	f.Connected("outcome-4")
