peer: a silent peer holds up no call past its context

Callers of a host could wait past their deadline for a peer that their request asks for a permit, a turn or a place: up to 2 s for one that is suspended, which accepts connections and says nothing, whatever the route's timeout is; and for as long on a peer that is well, if another doesn't read.

Cause: the first caller dialled itself, and the handshake ends by its own timeout, not by the caller's context (20 ms took 2.00 s). A message was written under the connection's mutex, for up to 2 s, and whether a connection is up was asked under that mutex and the mesh's, so that calls to all peers waited.

A dial now goes on without its callers, who wait for it by their contexts; a place to write is waited for by context; whether a connection is up is read without a lock. Left: the caller whose own message fills the buffer of a peer that doesn't read waits for up to 2 s.

TestCallEndsWithItsContext failed before (2.00 s), and TestUnreadConnectionHoldsUpNoOther never ended.

--- a/internal/peer/admit.go
+++ b/internal/peer/admit.go
@@ -103,25 +103,13 @@
 // connectWithin returns the connection to an address if it is there in time. A dial goes on after
 // that, for later calls.
 func (m *Mesh) connectWithin(ctx context.Context, limit time.Duration, address string) (*conn, error) {
-	type result struct {
-		conn *conn
-		err  error
-	}
-	connected := make(chan result, 1)
-	go func() {
-		c, err := m.connect(context.WithoutCancel(ctx), address)
-		connected <- result{c, err}
-	}()
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case r := <-connected:
-		return r.conn, r.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-timer.C:
-		return nil, trace.ConnectionProblem(nil, "no connection to peer %s within %v", address, limit)
+	bounded, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	c, err := m.connect(bounded, address)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		return nil, trace.ConnectionProblem(err, "no connection to peer %s within %v", address, limit)
 	}
+	return c, err
 }
 
 func onAdmit(ctx context.Context, f forwardHandler, body []byte) (any, error) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -27,6 +27,9 @@
 // conn is the dialer's end of one connection. It carries many concurrent calls.
 type conn struct {
 	netConn net.Conn
+	// writing holds an element while a message is written. A channel, so that those who wait for it can
+	// give up: a peer that doesn't read holds up a write for writeTimeout.
+	writing chan struct{}
 
 	mu     sync.Mutex
 	nextID uint64
@@ -35,6 +38,8 @@
 	pending map[uint64]chan *frame
 	// closeErr is the error that ended the connection; nil while it is up.
 	closeErr error
+	// down is set with closeErr. It is read without mu.
+	down atomic.Bool
 	// lastFrameAt is when the last frame was received.
 	lastFrameAt time.Time
 
@@ -44,7 +49,7 @@
 }
 
 func newConn(c net.Conn, sent, received *atomic.Int64) *conn {
-	return &conn{netConn: c, pending: map[uint64]chan *frame{}, sentBytes: sent, receivedBytes: received}
+	return &conn{netConn: c, writing: make(chan struct{}, 1), pending: map[uint64]chan *frame{}, sentBytes: sent, receivedBytes: received}
 }
 
 // readBufferBytes is the size of a connection's read buffer. Most messages are shorter, and a
@@ -62,7 +67,7 @@
 		return trace.Wrap(err)
 	}
 	sentAt := time.Now()
-	id, answered, err := c.send(k, body)
+	id, answered, err := c.send(ctx, k, body)
 	if err != nil {
 		return err
 	}
@@ -115,28 +120,49 @@
 }
 
 // send writes a request and returns its call ID and the channel that receives the reply.
-func (c *conn) send(k callKind, body []byte) (uint64, <-chan *frame, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closeErr != nil {
-		return 0, nil, c.closeErr
+func (c *conn) send(ctx context.Context, k callKind, body []byte) (uint64, <-chan *frame, error) {
+	select {
+	case c.writing <- struct{}{}:
+		defer func() { <-c.writing }()
+	case <-ctx.Done():
+		return 0, nil, ctx.Err()
+	}
+	id, answered, err := c.register()
+	if err != nil {
+		return 0, nil, err
 	}
-	c.nextID++
-	id := c.nextID
 	message, err := appendFrame(nil, &frame{ID: id, Kind: k, Body: body})
 	if err != nil {
+		c.unregister(id)
 		return 0, nil, err
 	}
-	answered := make(chan *frame, 1)
-	c.pending[id] = answered
 	if err := writeMessage(c.netConn, message); err != nil {
-		c.fail(err)
+		c.end(err)
 		return 0, nil, err
 	}
 	c.sentBytes.Add(int64(len(message)))
 	return id, answered, nil
 }
 
+// register returns the ID of a new call and the channel that receives its reply.
+func (c *conn) register() (uint64, <-chan *frame, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closeErr != nil {
+		return 0, nil, c.closeErr
+	}
+	c.nextID++
+	answered := make(chan *frame, 1)
+	c.pending[c.nextID] = answered
+	return c.nextID, answered, nil
+}
+
+func (c *conn) unregister(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
+}
+
 // writeMessage writes a message within writeTimeout.
 func writeMessage(conn net.Conn, message []byte) error {
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
@@ -154,6 +180,7 @@
 		return
 	}
 	c.closeErr = err
+	c.down.Store(true)
 	_ = c.netConn.Close()
 	for id, answered := range c.pending {
 		close(answered)
@@ -181,18 +208,17 @@
 	}
 }
 
-func (c *conn) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.fail(net.ErrClosed)
-}
+func (c *conn) close() { c.end(net.ErrClosed) }
 
-func (c *conn) isUp() bool {
+// end closes the connection because of an error.
+func (c *conn) end(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closeErr == nil
+	c.fail(err)
 }
 
+func (c *conn) isUp() bool { return !c.down.Load() }
+
 // countedConn is a connection of a tunnel, whose bytes a Mesh counts.
 type countedConn struct {
 	net.Conn
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -31,8 +31,10 @@
 
 	mu    sync.Mutex
 	conns map[string]*conn
-	// dialing holds, by address, a channel that is closed when the dial ends.
-	dialing map[string]chan struct{}
+	// dialing holds the dials under way, by address.
+	dialing map[string]*dial
+	// closed is set by Close.
+	closed bool
 	// readers are the goroutines that read the replies of dialled connections.
 	readers conc.WaitGroup
 	// carrier connects to upstreams for peers; nil refuses to.
@@ -59,7 +61,7 @@
 
 // NewMesh returns a mesh without connections.
 func NewMesh(self member.HostID, key []byte, opts ...Option) *Mesh {
-	m := &Mesh{self: self, key: key, conns: map[string]*conn{}, dialing: map[string]chan struct{}{}}
+	m := &Mesh{self: self, key: key, conns: map[string]*conn{}, dialing: map[string]*dial{}}
 	m.countTunnel = func(c net.Conn) net.Conn { return &countedConn{c, m} }
 	for _, opt := range opts {
 		opt(m)
@@ -74,6 +76,7 @@
 // Close closes the dialled connections and waits for their readers.
 func (m *Mesh) Close() {
 	m.mu.Lock()
+	m.closed = true
 	for _, c := range m.conns {
 		c.close()
 	}
@@ -92,52 +95,63 @@
 	return c.call(ctx, k, request, reply)
 }
 
-// connect returns the connection to an address and dials it if necessary. One caller
-// dials an address at a time; the others wait until that ends or their contexts do.
+// dial is one attempt to open a connection. conn and err are set before done is closed.
+type dial struct {
+	done chan struct{}
+	conn *conn
+	err  error
+}
+
+// connect returns the connection to an address. If there is none, it waits for a dial until that or the
+// context ends. The dial goes on without its callers, because a peer that is suspended still accepts
+// connections and then says nothing.
 func (m *Mesh) connect(ctx context.Context, address string) (*conn, error) {
-	for {
-		m.mu.Lock()
-		if c := m.conns[address]; c != nil && c.isUp() {
-			m.mu.Unlock()
-			return c, nil
-		}
-		done, dialing := m.dialing[address]
-		if !dialing {
-			done = make(chan struct{})
-			m.dialing[address] = done
-		}
+	m.mu.Lock()
+	if c := m.conns[address]; c != nil && c.isUp() {
 		m.mu.Unlock()
-		if !dialing {
-			return m.dial(ctx, address, done)
-		}
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		}
+		return c, nil
+	}
+	d := m.dialing[address]
+	if d == nil {
+		d = &dial{done: make(chan struct{})}
+		m.dialing[address] = d
+		go m.dial(d, address)
+	}
+	m.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 }
 
-// dial opens a connection, stores it and starts its reader. It closes done in any case.
-func (m *Mesh) dial(ctx context.Context, address string, done chan struct{}) (*conn, error) {
-	c, err := m.openConn(ctx, address)
+// dial opens a connection, stores it and starts its reader.
+func (m *Mesh) dial(d *dial, address string) {
+	defer close(d.done)
+	d.err = errDialPanicked
+	m.tasks.Do("peer dial", func() { d.conn, d.err = m.openConn(context.Background(), address) })
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.dialing, address)
-	close(done)
-	if err != nil {
-		return nil, err
+	if d.err != nil {
+		return
+	}
+	if m.closed {
+		d.conn.close()
+		return
 	}
-	m.conns[address] = c
+	m.conns[address] = d.conn
 	m.readers.Go(func() {
-		if !m.tasks.Do("peer replies", c.readReplies) {
+		if !m.tasks.Do("peer replies", d.conn.readReplies) {
 			// Without its reader the connection would leave each call without a reply.
-			c.close()
+			d.conn.close()
 		}
 	})
-	return c, nil
 }
 
+var errDialPanicked = errors.New("the dial panicked")
+
 // openConn dials an address and performs the handshake.
 func (m *Mesh) openConn(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
