forward: a run isn't moved to the engine that it is on

Streams that had to leave a link or a carrier were copied, again and again, from their engine to the same engine (seen in TestCarriedRequests under the race detector: 'copied from=i-6 to=i-6'), while the time for the move went by.

Cause: while targets are tried, the run counts at the target tried last. If the links of all others are in use, the placer takes the source for a free engine. Where the engine leaves it is excluded for that; where only the link is left it wasn't.

TestRunIsNotMovedToItsOwnEngine failed before.

--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -120,3 +120,46 @@
 		})
 	}
 }
+
+// TestRunIsNotMovedToItsOwnEngine guards against copies of a run to the engine that it is on, when it moves off a link
+// and the links of all other engines are in use.
+func TestRunIsNotMovedToItsOwnEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		script, transport := &engineScript{eventCount: 9}, &fakeTransport{}
+		transport.linksBroken.Store(true)
+		f, sink := newForwarder(t, transport), &fakeSink{}
+		f.fleet.Suspect(time.Now(), "llm3")
+		f.updatePlacementEngines(time.Now(), f.Table())
+		transport.send = func(ctx context.Context, u Upstream, r *UpstreamRequest) (*Response, error) {
+			if r.Continue != nil {
+				return script.send(ctx, u, r)
+			}
+			// The link is checked 1.8 s after the start; turns lapse.
+			time.AfterFunc(1700*time.Millisecond, func() {
+				for _, other := range f.fleet.Available(time.Now(), "llm") {
+					if other.ID != u.ID {
+						_, err := f.acquireTurn(ctx, other, TurnRequest{Engine: other.ID, Run: "another"})
+						is.NoErr(err)
+					}
+				}
+			})
+			a := answer(200, "")
+			a.Body = &silentBody{Reader: strings.NewReader(sseEvent(1)), rest: strings.NewReader(""), silence: time.Hour, closed: make(chan struct{})}
+			return a, nil
+		}
+		moves := 0
+		transport.move = func(_ context.Context, from Upstream, r MoveRequest) (MoveResult, error) {
+			moves++
+			is.True(r.TargetAddress != from.Address) // copied to its own engine
+			return MoveResult{Handle: "h"}, nil
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		f.Serve(t.Context(), call("/llm/"), sink)
+		cancel()
+		is.Equal(moves, 2)
+		is.True(!sink.truncated)
+		synctest.Wait()
+	})
+}
--- a/forward/move.go
+++ b/forward/move.go
@@ -317,7 +317,8 @@
 // chooseTarget finds the best engine whose link no other move uses. If all links that it tried
 // are in use, it waits for the last of them, and returns that engine even if the wait fails.
 func (m *mover) chooseTarget(ctx context.Context, x *exchange, run *ownRun) (to Upstream, endTurn func(), found bool) {
-	var busy []member.UpstreamID
+	// Once the run counts elsewhere, the source is like any other engine to the placer.
+	busy := []member.UpstreamID{m.source.ID}
 	endTurn = func() {}
 	for range maxMoveTargets {
 		next, ok := x.relocate(ctx, x.now(), run, busy)
