--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -16,6 +16,9 @@
 	// carriedStreamSilence is how long a stream that a peer carries may be silent before its run moves:
 	// this host can't check the peer's link.
 	carriedStreamSilence = 2 * time.Second
+	// carrierLeaveTime is how long after the carrier's stop was noticed a run may take to move. It is well
+	// below a grace period.
+	carrierLeaveTime = 2 * time.Second
 	// linkCheckTimeout bounds the check of a link.
 	linkCheckTimeout = 400 * time.Millisecond
 	// sourceEndTimeout is how long the stream of a run that isn't at its engine any more may stay open. It
@@ -62,7 +65,10 @@
 	if carrier == "" || !x.peers.isStopping(carrier) {
 		return nil
 	}
-	next, err := m.tryMove(ctx, x, run, x.now().Add(moveTimeout))
+	if m.carrierStopSeen.IsZero() {
+		m.carrierStopSeen = x.now()
+	}
+	next, err := m.tryMove(ctx, x, run, m.carrierStopSeen.Add(carrierLeaveTime))
 	if next == nil {
 		x.journal.Request(x.call.ID, "not moved off a stopping carrier", "from", m.source.ID, "carrier", carrier, "err", err)
 	}
--- a/forward/move.go
+++ b/forward/move.go
@@ -77,6 +77,8 @@
 	// it last changed or the link was last checked. Only watchEngine uses them.
 	progress   int64
 	progressAt time.Time
+	// carrierStopSeen is when watchEngine noticed that the peer that carries the stream stops.
+	carrierStopSeen time.Time
 
 	mu sync.Mutex
 	// abortable is set while the run is moved for pace, which a sign that the source departs
