forward: a move off a stopping carrier that fails is tried again at once

A target that is full, or a way that takes too long, cost a stream 0.6 s of its carrier's grace period, so that two or three attempts were all it had: 1 to 7 of 16 streams were cut in TestCarriedRequests under the race detector at a load of 45.

Cause: the move was tried once in each round of checks. A move off an engine that leaves is tried again after 50 ms; this one is now, too, for two seconds, unless the run has ended or its engine leaves.

TestStreamOverBrokenLink, 'carrier stops, a target is full', failed before: the move took longer than a second.

--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -59,8 +59,8 @@
 
 // leaveStoppingCarrier moves the run to another engine because the peer that carries the stream stops,
 // and ends the tunnel at the end of its grace period. Connections for the move go over this host's own
-// link or through other peers.
-func (m *mover) leaveStoppingCarrier(ctx context.Context, x *exchange, run *ownRun) *handover {
+// link or through other peers. leaving is closed when the engine itself leaves.
+func (m *mover) leaveStoppingCarrier(ctx context.Context, x *exchange, run *ownRun, leaving <-chan struct{}) *handover {
 	carrier := m.answer.Signals.Via
 	if carrier == "" || !x.peers.isStopping(carrier) {
 		return nil
@@ -68,11 +68,27 @@
 	if m.carrierStopSeen.IsZero() {
 		m.carrierStopSeen = x.now()
 	}
-	next, err := m.tryMove(ctx, x, run, m.carrierStopSeen.Add(carrierLeaveTime))
-	if next == nil {
+	by := m.carrierStopSeen.Add(carrierLeaveTime)
+	for {
+		next, err := m.tryMove(ctx, x, run, by)
+		if next != nil || m.isRunStopping() {
+			return next
+		}
 		x.journal.Request(x.call.ID, "not moved off a stopping carrier", "from", m.source.ID, "carrier", carrier, "err", err)
+		if errors.Is(err, ErrRunNotFound) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-leaving:
+			return nil
+		case <-time.After(moveRetryDelay):
+		}
+		if !x.now().Before(by) {
+			return nil
+		}
 	}
-	return next
 }
 
 // linkBroken reports whether an upstream is reached, but only through a peer.
--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -64,7 +64,9 @@
 		silence      time.Duration
 		// copyTime is how long a copy takes.
 		copyTime time.Duration
-		moveErr  error
+		// refused is how many copies targets refuse.
+		refused int
+		moveErr error
 		// want is what the caller gets, and cut is whether its answer is incomplete.
 		want  string
 		cut   bool
@@ -79,6 +81,7 @@
 		"carried, silent for a second":    {carrier: "h2", silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
 		"carrier stops, moved":            {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, want: events(1, 9), moves: 2, within: time.Second},
 		"carrier stops, run not there":    {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 3, within: 2 * time.Second},
+		"carrier stops, a target is full": {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, refused: 1, want: events(1, 9), moves: 3, within: time.Second},
 		"carrier stops, links are busy":   {carrier: "h2", carrierStops: true, silence: time.Hour, copyTime: 700 * time.Millisecond, want: events(1, 9), moves: 4, within: 3700 * time.Millisecond},
 		"silent for a second":             {silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
 		"silent for longer, then goes on": {silence: 4 * time.Second, want: events(1, 9), within: 4100 * time.Millisecond},
@@ -102,6 +105,9 @@
 				transport.move = func(context.Context, Upstream, MoveRequest) (MoveResult, error) {
 					moves++
 					time.Sleep(c.copyTime)
+					if moves <= c.refused {
+						return MoveResult{}, ErrTargetUnavailable
+					}
 					return MoveResult{Handle: "h"}, c.moveErr
 				}
 				f, sink := newForwarder(t, transport), &fakeSink{}
--- a/forward/move.go
+++ b/forward/move.go
@@ -145,7 +145,7 @@
 		case <-leaving:
 			return m.evacuate(ctx, x, run)
 		case <-tick.C:
-			if next := m.leaveStoppingCarrier(ctx, x, run); next != nil || m.isRunStopping() {
+			if next := m.leaveStoppingCarrier(ctx, x, run, leaving); next != nil || m.isRunStopping() {
 				return next
 			}
 			if next := m.leaveBrokenLink(ctx, x, run); next != nil || m.isRunStopping() {
