--- a/forward/returned.go
+++ b/forward/returned.go
@@ -170,6 +170,8 @@
 	switch {
 	case err != nil:
 		return "no answer"
+	case health.Instance == "":
+		return "the answer doesn't say who gives it"
 	case health.Instance != c.ID:
 		return "another upstream answers"
 	case !health.Healthy || health.Signals.Leaving:
