forward: a caller that left isn't told that a lost request surely didn't run

A caller that had only closed its sending side got a 503, the promise that its request hasn't run and never will (REFUSED), although an engine may have run it: the first engine of a resumable stream lost the request, and the caller left while it waited for a place on another.

Cause: the refusal of a caller that left wasn't marked as one of a request that may have run. Since such callers get their refusal, that decides between 502 and 503.

TestCallerLeftAfterLostTry failed before and passes.

--- a/forward/callerleft_test.go
+++ b/forward/callerleft_test.go
@@ -197,3 +197,30 @@
 		})
 	}
 }
+
+// TestCallerLeftAfterLostTry checks that the refusal of a request whose caller leaves while it waits for a second
+// engine says that the first one may have run it: a caller that has only closed its sending side reads the refusal.
+func TestCallerLeftAfterLostTry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var f *Forwarder
+		transport := &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+			now := time.Now()
+			for _, id := range []policy.RunID{"a", "b"} {
+				f.engines.place(t.Context(), now, "llm", policy.Request{Run: id, PromptTokens: 33_000, MaxOutputTokens: 1000, Deadline: now.Add(time.Minute)})
+			}
+			return nil, io.ErrUnexpectedEOF
+		}}
+		f = newResumableForwarder(t, transport, 2, 100)
+		c := testConfig(3)
+		c.Routes[2].Resumable, c.Routes[2].Attempts, c.Routes[2].Objective = true, 2, 30*time.Second
+		f.Configure(time.Now(), c)
+		f.updatePlacementEngines(time.Now(), f.Table())
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(100*time.Millisecond, leave)
+		sink := &fakeSink{}
+		f.Serve(ctx, call("/llm/"), sink)
+		is.Equal(len(transport.sentTo()), 1)
+		is.Equal(sink.refused, &Refusal{Code: CodeCallerLeft, MayHaveRun: true})
+	})
+}
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -15,7 +15,11 @@
 // markMayHaveRun returns r, unless an earlier engine may have worked on the request. Then it
 // returns a refusal that says so, whatever the last engine reported.
 func (s *streamExchange) markMayHaveRun(r Refusal) Refusal {
-	if !s.mayHaveRun || r.MayHaveRun || r.Code == CodeCallerLeft {
+	if !s.mayHaveRun || r.MayHaveRun {
+		return r
+	}
+	if r.Code == CodeCallerLeft {
+		r.MayHaveRun = true
 		return r
 	}
 	return s.withQuarantineCode(s.now(), Refusal{Code: CodeLost, MayHaveRun: true})
