forward: a moved run isn't tried again at an engine past its drain time

A run that was moved and whose engines weren't reached was sent again to its source until 2 s after the stop. The source of a move usually leaves, so that the request could reach it later than drain_ms after the list had said so (DRAIN), 2.3 s in the test with a drain time of 2 s.

Cause: the wait for a way to the engines counted from the stop of the run only. An engine that leaves isn't tried again in the last 500 ms of its drain time or later; the target, and the first try, are as before.

TestMovedRunAvoidsDrainedEngine failed before and passes. 'no engine reached' of TestMove has 34 sends instead of 41, as the last seven were to the source past its drain time.

--- a/forward/move.go
+++ b/forward/move.go
@@ -48,6 +48,9 @@
 	// continueRetryDelay the wait between tries. Engines keep copies for longer.
 	continueTimeout    = 2 * time.Second
 	continueRetryDelay = 100 * time.Millisecond
+	// drainMargin is how long before the end of its drain time an engine isn't tried again: connecting takes
+	// time, and the list had said earlier that the engine leaves.
+	drainMargin = 500 * time.Millisecond
 )
 
 // handover says where a stopped run continues.
@@ -432,7 +435,7 @@
 
 // continueRun sends the request to the engine that holds the copy. If that engine refuses, it
 // sends the request to the engine where the run was stopped. While neither is reached, it tries
-// again until continueTimeout.
+// again until continueTimeout, or until the engine's drain time ends.
 func (s *streamExchange) continueRun(ctx context.Context, h *handover) (Upstream, *Response, error) {
 	targets := []Upstream{h.target}
 	if h.target.ID != h.source.ID {
@@ -461,7 +464,7 @@
 				s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
 				return Upstream{}, nil, err
 			}
-			if _, kept := notSentVerdict(err); errors.Is(err, ErrNotSent) && !kept {
+			if _, kept := notSentVerdict(err); errors.Is(err, ErrNotSent) && !kept && s.mayRetryAt(s.now().Add(continueRetryDelay), u) {
 				unreached = append(unreached, u)
 			}
 		}
@@ -474,6 +477,13 @@
 	}
 }
 
+// mayRetryAt reports whether a run that an engine wasn't reached for may be sent there again: not once the engine
+// has left for the drain time.
+func (f *Forwarder) mayRetryAt(now time.Time, u Upstream) bool {
+	left := f.fleet.LeavingFor(now, u.ID)
+	return left == 0 || left+drainMargin <= f.settings.DrainTime
+}
+
 // errNotTheRun reports an answer to a moved run that isn't its stream. The engine may have continued the run.
 var errNotTheRun = errors.New("the answer isn't the stream of the run")
 
