forward: a stream that broke off is resumed beyond an engine that surely didn't run it

Callers of a resumable stream whose engine had ended got it cut if the one engine that was asked to resume it wasn't reached, rejected it or had given its address to another, though further engines were free. A dead address among the engines is enough.

--- a/forward/resume.go
+++ b/forward/resume.go
@@ -86,8 +86,8 @@
 }
 
 // resume lets another engine run a stream that broke off and continue it after the last event
-// that the caller has. It returns false if the route, the retry budget or the engines don't
-// allow that, or if the other engine brings no stream.
+// that the caller has. An engine that surely didn't run it is followed by another. It returns false if the
+// route, the retry budget or the engines don't allow that, or if the other engine brings no stream.
 func (s *streamExchange) resume(ctx context.Context, broken Upstream) (Upstream, *Response, bool) {
 	s.mayHaveRun = true
 	if s.eventCount > 0 && s.lastEventID == "" {
@@ -98,19 +98,26 @@
 		return Upstream{}, nil, false
 	}
 	s.excluded = append(s.excluded, broken.ID)
-	u, refusal, ok := s.place(ctx)
-	if !ok {
-		s.journal.Request(s.call.ID, "not resumed", "why", refusal.Code)
-		return Upstream{}, nil, false
-	}
-	answer, err := s.send(ctx, u, s.initialContinuation())
-	if err == nil && answer.isStream() {
-		s.journal.Request(s.call.ID, "resumed", "from", broken.ID, "upstream", u.ID, "after", s.lastEventID)
-		return u, answer, true
+	for range maxConnectAttempts {
+		u, refusal, ok := s.place(ctx)
+		if !ok {
+			s.journal.Request(s.call.ID, "not resumed", "why", refusal.Code)
+			break
+		}
+		answer, err := s.send(ctx, u, s.initialContinuation())
+		if err == nil && answer.isStream() {
+			s.journal.Request(s.call.ID, "resumed", "from", broken.ID, "upstream", u.ID, "after", s.lastEventID)
+			return u, answer, true
+		}
+		s.releasePlace(false)
+		notRun := err == nil && answer.NotRun
+		hasNotRun := notRun || errors.Is(err, ErrNotSent) || err == nil && answer.WrongInstance
+		// The call records the engine's failure. The caller's answer is cut if no engine is left, so the
+		// refusal isn't sent.
+		last := s.classifyFailure(ctx, u, answer, err)
+		if !hasNotRun || ctx.Err() != nil || !s.mayTryAnother(ctx, u, last, notRun) {
+			break
+		}
 	}
-	s.releasePlace(false)
-	// The caller's answer is cut either way, so the refusal is dropped; the call records the
-	// engine's failure.
-	s.classifyFailure(ctx, u, answer, err)
 	return Upstream{}, nil, false
 }
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -123,6 +123,48 @@
 	is.Equal(*sink.refused, Refusal{Code: CodeLost, MayHaveRun: true})
 }
 
+// TestResumeAfterEngineWithoutRun checks that a stream that broke off continues at a third engine if the second one
+// surely didn't run it, and at no third one if it may have.
+func TestResumeAfterEngineWithoutRun(t *testing.T) {
+	notRun, wrong, bad := answer(503, ""), answer(421, ""), answer(200, "id: 2\n\n")
+	notRun.NotRun, wrong.WrongInstance, bad.Signed = true, true, false
+	for name, c := range map[string]struct {
+		second    *Response
+		secondErr error
+		resumed   bool
+	}{
+		"not reached":        {nil, ErrNotSent, true},
+		"rejected":           {notRun, nil, true},
+		"another's address":  {wrong, nil, true},
+		"lost":               {nil, io.ErrUnexpectedEOF, false},
+		"without signature":  {bad, nil, false},
+		"failed the request": {answer(500, ""), nil, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tries := 0
+			transport := &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+				switch tries++; tries {
+				case 1:
+					return brokenAnswer("id: 1\n\n"), nil
+				case 2:
+					return c.second, c.secondErr
+				default:
+					return answer(200, "id: 2\n\n"), nil
+				}
+			}}
+			f, sink := newResumableForwarder(t, transport, 3, 100), &fakeSink{}
+			f.Serve(t.Context(), call("/llm/"), sink)
+			is.Equal(sink.truncated, !c.resumed)
+			is.Equal(sink.body.String() == "id: 1\n\nid: 2\n\n", c.resumed)
+			sent := transport.sentTo()
+			is.Equal(len(sent), map[bool]int{true: 3, false: 2}[c.resumed])
+			is.True(len(sent) < 3 || sent[2] != sent[0] && sent[2] != sent[1])
+			is.Equal(len(f.engines.runStates(time.Now())), 0) // every place was freed
+		})
+	}
+}
+
 // TestResumeSilent checks that a resumable stream leaves an engine that stays silent, and the
 // request to that engine is cancelled.
 func TestResumeSilent(t *testing.T) {
