forward: the placement goes on after a panic in its loop

Callers saw nothing of it yet: no such panic is known. A panic in the loop that refreshes the placement left the host without one until it was stopped, so that its queues got no decisions, and one in a check of an unreached or returned upstream ended all further checks unreported.

Cause: Run waited for its checks, which end with its context only, before it returned the panic; and the checks' panics were kept for that wait. Run ends its checks now, and reports and repeats them like the host's other loops.

TestPlacementPanics failed before and passes.

--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/cell"
 	"github.com/shedpath/shedpath/clock"
@@ -297,10 +295,13 @@
 
 // Run keeps the placement up to date, and drops state that has expired, until the context ends.
 func (f *Forwarder) Run(ctx context.Context) {
-	var checks conc.WaitGroup
+	var checks sync.WaitGroup
 	defer checks.Wait()
-	checks.Go(func() { f.runUnreachedChecks(ctx) })
-	checks.Go(func() { f.runReturnChecks(ctx) })
+	// After a panic the checks end, so that Run returns and can be called again.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	checks.Go(func() { f.tasks.Loop(ctx, "unreached upstreams", f.runUnreachedChecks) })
+	checks.Go(func() { f.tasks.Loop(ctx, "returned upstreams", f.runReturnChecks) })
 	tick := time.NewTicker(poolRefreshInterval)
 	defer tick.Stop()
 	suspended := f.settings.Clock.TotalSuspended()
--- a/forward/panic_test.go
+++ b/forward/panic_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/clock/clocktest"
 )
 
 // panicReader panics where its reader returns an error.
@@ -105,6 +107,51 @@
 	})
 }
 
+// TestPlacementPanics checks that the placement goes on after a panic in its loop or in a check of an upstream, and that
+// each panic is reported when it happens.
+func TestPlacementPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		machine := clocktest.NewMachine(t)
+		transport := &fakeTransport{checkReachable: func(Upstream) error { panic("a mistake") }, checkHealth: func(Upstream) (bool, error) { panic("a mistake") }}
+		f, journal := newForwarder(t, transport), &panickyJournal{event: "was suspended"}
+		f.journal = journal
+		f.setClock(machine.Clock())
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			f.tasks.Loop(ctx, "placement", f.Run)
+		}()
+		time.Sleep(2 * time.Second)
+		f.fleet.MarkUnreached(f.now(), "llm2")
+		time.Sleep(5 * time.Second)
+		is.True(len(journal.linesWithPrefix("panicked task=unreached upstream why=a mistake")) > 1)
+
+		machine.Suspend(time.Second)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(journal.linesWithPrefix("panicked task=placement why=a mistake")), 1)
+		machine.Suspend(time.Second)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(journal.linesWithPrefix("panicked task=placement why=a mistake")), 2) // the loop ran again
+		cancel()
+		<-ended
+	})
+}
+
+// panickyJournal panics when one event is recorded.
+type panickyJournal struct {
+	recordingJournal
+	event string
+}
+
+func (j *panickyJournal) HostEvent(event string, keyvals ...any) {
+	if event == j.event {
+		panic("a mistake")
+	}
+	j.recordingJournal.HostEvent(event, keyvals...)
+}
+
 // panickyPeers panics in each call.
 type panickyPeers struct{ Peers }
 
--- a/forward/returned.go
+++ b/forward/returned.go
@@ -5,10 +5,9 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/shedpath/shedpath/eligibility"
 )
 
@@ -120,7 +119,7 @@
 func (f *Forwarder) runReturnChecks(ctx context.Context) {
 	tick := time.NewTicker(returnCheckTick)
 	defer tick.Stop()
-	var checks conc.WaitGroup
+	var checks sync.WaitGroup
 	defer checks.Wait()
 	for {
 		select {
@@ -129,7 +128,7 @@
 		case <-tick.C:
 		}
 		for _, c := range f.fleet.dueReturns(f.now(), f.settings.DrainTime, maxReturnChecksPerTick) {
-			checks.Go(func() { f.checkReturn(ctx, c) })
+			checks.Go(func() { f.tasks.Do("returned upstream", func() { f.checkReturn(ctx, c) }) })
 		}
 	}
 }
--- a/forward/unreached.go
+++ b/forward/unreached.go
@@ -7,11 +7,10 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -121,7 +120,7 @@
 func (f *Forwarder) runUnreachedChecks(ctx context.Context) {
 	tick := time.NewTicker(unreachedCheckTick)
 	defer tick.Stop()
-	var checks conc.WaitGroup
+	var checks sync.WaitGroup
 	defer checks.Wait()
 	var pending, reached atomic.Int64
 	limit := minChecksPerTick
@@ -140,9 +139,11 @@
 			pending.Add(1)
 			checks.Go(func() {
 				defer pending.Add(-1)
-				if f.checkUnreached(ctx, u) {
-					reached.Add(1)
-				}
+				f.tasks.Do("unreached upstream", func() {
+					if f.checkUnreached(ctx, u) {
+						reached.Add(1)
+					}
+				})
 			})
 		}
 	}
