forward: a test of a run that has ended and whose rest comes slowly

A stream that goes on after the check of its link was guarded only where all of the rest comes within 250 ms: without the look at the progress no test failed. With it taken out, 'link broken, run ended, slow rest' fails; it passes on this code.

--- a/forward/brokenlink_test.go
+++ b/forward/brokenlink_test.go
@@ -66,6 +66,8 @@
 		copyTime time.Duration
 		// refused is how many copies targets refuse.
 		refused int
+		// pause is how long the engine is silent again after its next event.
+		pause   time.Duration
 		moveErr error
 		// want is what the caller gets, and cut is whether its answer is incomplete.
 		want  string
@@ -74,17 +76,18 @@
 		// within is how long the answer takes at most.
 		within time.Duration
 	}{
-		"link broken, moved":              {linkBroken: true, silence: time.Hour, want: events(1, 9), moves: 2, within: 3 * time.Second},
-		"link broken, run not there":      {linkBroken: true, silence: time.Hour, moveErr: ErrRunNotFound, want: events(1, 4), cut: true, moves: 1, within: 3 * time.Second},
-		"link broken, run just ended":     {linkBroken: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 1, within: 2 * time.Second},
-		"a peer's link broke, moved":      {carrier: "h2", silence: time.Hour, want: events(1, 9), moves: 2, within: 4 * time.Second},
-		"carried, silent for a second":    {carrier: "h2", silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
-		"carrier stops, moved":            {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, want: events(1, 9), moves: 2, within: time.Second},
-		"carrier stops, run not there":    {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 3, within: 2 * time.Second},
-		"carrier stops, a target is full": {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, refused: 1, want: events(1, 9), moves: 3, within: time.Second},
-		"carrier stops, links are busy":   {carrier: "h2", carrierStops: true, silence: time.Hour, copyTime: 700 * time.Millisecond, want: events(1, 9), moves: 4, within: 3700 * time.Millisecond},
-		"silent for a second":             {silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
-		"silent for longer, then goes on": {silence: 4 * time.Second, want: events(1, 9), within: 4100 * time.Millisecond},
+		"link broken, moved":                {linkBroken: true, silence: time.Hour, want: events(1, 9), moves: 2, within: 3 * time.Second},
+		"link broken, run not there":        {linkBroken: true, silence: time.Hour, moveErr: ErrRunNotFound, want: events(1, 4), cut: true, moves: 1, within: 3 * time.Second},
+		"link broken, run just ended":       {linkBroken: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 1, within: 2 * time.Second},
+		"link broken, run ended, slow rest": {linkBroken: true, silence: 1900 * time.Millisecond, pause: 500 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 1, within: 3 * time.Second},
+		"a peer's link broke, moved":        {carrier: "h2", silence: time.Hour, want: events(1, 9), moves: 2, within: 4 * time.Second},
+		"carried, silent for a second":      {carrier: "h2", silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
+		"carrier stops, moved":              {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, want: events(1, 9), moves: 2, within: time.Second},
+		"carrier stops, run not there":      {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, moveErr: ErrRunNotFound, want: events(1, 9), moves: 3, within: 2 * time.Second},
+		"carrier stops, a target is full":   {carrier: "h2", carrierStops: true, silence: 1900 * time.Millisecond, refused: 1, want: events(1, 9), moves: 3, within: time.Second},
+		"carrier stops, links are busy":     {carrier: "h2", carrierStops: true, silence: time.Hour, copyTime: 700 * time.Millisecond, want: events(1, 9), moves: 4, within: 3700 * time.Millisecond},
+		"silent for a second":               {silence: time.Second, want: events(1, 9), within: 1100 * time.Millisecond},
+		"silent for longer, then goes on":   {silence: 4 * time.Second, want: events(1, 9), within: 4100 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -98,7 +101,9 @@
 					}
 					a := answer(200, "")
 					a.Signals.Via = c.carrier
-					a.Body = &silentBody{Reader: strings.NewReader(events(1, 4)), rest: strings.NewReader(events(5, 9)), silence: c.silence, closed: make(chan struct{})}
+					closed := make(chan struct{})
+					rest := &silentBody{Reader: strings.NewReader(events(5, 5)), rest: strings.NewReader(events(6, 9)), silence: c.pause, closed: closed}
+					a.Body = &silentBody{Reader: strings.NewReader(events(1, 4)), rest: rest, silence: c.silence, closed: closed}
 					return a, nil
 				}
 				moves := 0
