forward: requests with one ID that wait for a place are all decided

A caller that sends a request again under its ID while the first still waits for a place, say because it gave up on the first, could get no answer before its deadline, or never without one, although places were free.

Cause: the channel of the second replaced that of the first, so the first got no decision; and when the first left, the second was taken out of the queue. Each now has its channel, and the run stays in the queue while one waits. Left: two such requests that are placed still count as one run, and its place is free when the first of them ends.

--- a/forward/engineplacer.go
+++ b/forward/engineplacer.go
@@ -53,8 +53,9 @@
 	remote map[member.UpstreamID]Upstream
 	// poolEngines are the engines that the policy pool knows: available and remote.
 	poolEngines map[member.UpstreamID]Upstream
-	// waiting holds, for each queued request, the channel that receives its decision.
-	waiting map[policy.RunID]chan policy.Decision
+	// waiting holds, for each queued run, the channels that receive its decision: several, if callers
+	// use an ID for more than one request at a time.
+	waiting map[policy.RunID][]chan policy.Decision
 	// ownRuns are the runs of this host; peerRuns are those of its peers, with the host of
 	// each.
 	ownRuns  map[policy.RunID]*ownRun
@@ -165,7 +166,7 @@
 		p := e.pools[name]
 		if p == nil {
 			p = &enginePool{
-				poolEngines: map[member.UpstreamID]Upstream{}, waiting: map[policy.RunID]chan policy.Decision{},
+				poolEngines: map[member.UpstreamID]Upstream{}, waiting: map[policy.RunID][]chan policy.Decision{},
 				ownRuns: map[policy.RunID]*ownRun{}, peerRuns: map[policy.RunID]member.HostID{}, unconfirmedGrants: map[policy.RunID]time.Time{},
 			}
 			p.pool = policy.NewPool(policy.Settings{})
@@ -321,10 +322,10 @@
 // advance delivers the decisions that the policy pool makes on queued requests.
 func (p *enginePool) advance(now time.Time) {
 	for _, d := range p.pool.Advance(now) {
-		if waiting := p.waiting[d.Run]; waiting != nil {
-			delete(p.waiting, d.Run)
+		for _, waiting := range p.waiting[d.Run] {
 			waiting <- d
 		}
+		delete(p.waiting, d.Run)
 	}
 }
 
@@ -356,7 +357,7 @@
 	d := p.pool.Submit(now, r)
 	if d.Verdict == policy.Queued {
 		decision := make(chan policy.Decision, 1)
-		p.waiting[r.Run] = decision
+		p.waiting[r.Run] = append(p.waiting[r.Run], decision)
 		e.mu.Unlock()
 		select {
 		case d = <-decision:
@@ -372,12 +373,16 @@
 	return p.poolEngines[d.Engine], p.addOwnRun(r, d.Engine), d
 }
 
-// withdraw cancels a queued request whose context has ended.
+// withdraw cancels a queued request whose context has ended. The run stays in the queue while another
+// request waits for it.
 func (e *enginePlacer) withdraw(p *enginePool, run policy.RunID, decision chan policy.Decision) policy.Decision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	delete(p.waiting, run)
-	p.pool.Finish(e.now(), policy.Finish{Run: run})
+	p.waiting[run] = slices.DeleteFunc(p.waiting[run], func(c chan policy.Decision) bool { return c == decision })
+	if len(p.waiting[run]) == 0 {
+		delete(p.waiting, run)
+		p.pool.Finish(e.now(), policy.Finish{Run: run})
+	}
 	select {
 	case <-decision:
 	default:
