--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -81,8 +81,7 @@
 	// ownFailingUntil and shareLeavingUntil are the latest values of all upstreams. They save a
 	// scan of the upstreams for each message to peers if this host has no recent findings.
 	ownFailingUntil, shareLeavingUntil time.Time
-	// mayHaveUnreached and mayHaveRelisted are set if an upstream may be unreached or relisted. They
-	// save a scan of the upstreams for each look at the checks that are due.
+	// mayHaveUnreached and mayHaveRelisted save a scan of the upstreams for checks that are due.
 	mayHaveUnreached, mayHaveRelisted bool
 	// restarted are the upstreams that started a new incarnation since the last TakeRestarted.
 	restarted []member.UpstreamID
@@ -339,7 +338,7 @@
 	}
 	switch {
 	case isRelisted:
-		k.relisted, f.mayHaveRelisted = relistedState{at: now}, true
+		f.setRelisted(now, k)
 	case listedLeaving:
 		k.relisted = relistedState{}
 	}
--- a/forward/leaving.go
+++ b/forward/leaving.go
@@ -64,7 +64,7 @@
 	k.leavingSelfReported, k.leavingDeclared, k.leavingUnconfirmed = true, true, false
 	if k.hasReturned && !toThisHost {
 		// The peer may not know yet that the upstream has returned.
-		k.relisted, f.mayHaveRelisted = relistedState{at: now}, true
+		f.setRelisted(now, k)
 	}
 	if toThisHost && !k.gone {
 		f.shareLeaving(k, now.Add(declaredLeavingShareTime))
--- a/forward/returned.go
+++ b/forward/returned.go
@@ -50,16 +50,21 @@
 	trustedFrom time.Time
 }
 
+// hasRelisted reports whether some upstream may be relisted. The mutex must be held.
+func (f *Fleet) hasRelisted() bool { return f.mayHaveRelisted }
+
+// setRelisted records that an upstream was listed again. The mutex must be held.
+func (f *Fleet) setRelisted(now time.Time, k *knownUpstream) {
+	k.relisted, f.mayHaveRelisted = relistedState{at: now}, true
+}
+
 // dueReturns returns at most limit relisted upstreams that are to be checked now, and schedules their next checks.
 // The first check is due once the upstream, if it was still leaving, would have ended.
 func (f *Fleet) dueReturns(now time.Time, drain time.Duration, limit int) []returnCheck {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.mayHaveRelisted {
-		return nil
-	}
-	f.mayHaveRelisted = false
 	var due []returnCheck
+	f.mayHaveRelisted = false
 	for _, k := range f.upstreams {
 		if k.relisted.at.IsZero() {
 			continue
@@ -117,16 +122,10 @@
 
 // runReturnChecks checks relisted upstreams until the context ends.
 func (f *Forwarder) runReturnChecks(ctx context.Context) {
-	tick := time.NewTicker(returnCheckTick)
-	defer tick.Stop()
 	var checks sync.WaitGroup
 	defer checks.Wait()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for f.fleet.awaitChecks(ctx, (*Fleet).hasRelisted) {
+		PauseFor(ctx, returnCheckTick)
 		for _, c := range f.fleet.dueReturns(f.now(), f.settings.DrainTime, maxReturnChecksPerTick) {
 			checks.Go(func() { f.tasks.Do("returned upstream", func() { f.checkReturn(ctx, c) }) })
 		}
--- a/forward/unreached.go
+++ b/forward/unreached.go
@@ -50,9 +50,10 @@
 	}
 	isNew := k.unreached.since.IsZero()
 	if isNew {
-		k.unreached.since, f.mayHaveUnreached = now, true
+		k.unreached.since = now
 	}
 	k.unreached.checkAt = now.Add(unreachedCheckInterval)
+	f.mayHaveUnreached = true
 	k.suspectUntil = laterOf(k.suspectUntil, now.Add(suspectDuration))
 	f.notify(true)
 	return isNew
@@ -86,16 +87,35 @@
 	return n
 }
 
+// hasUnreached reports whether some upstream may be unreached. The mutex must be held.
+func (f *Fleet) hasUnreached() bool { return f.mayHaveUnreached }
+
+// awaitChecks waits until there is something to check, and reports false if the context has ended. has must only read
+// the fleet.
+func (f *Fleet) awaitChecks(ctx context.Context, has func(*Fleet) bool) bool {
+	for ctx.Err() == nil {
+		changed := f.Changed()
+		f.mu.Lock()
+		found := has(f)
+		f.mu.Unlock()
+		if found {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return false
+}
+
 // dueChecks returns at most limit upstreams whose check is due, the longest due first, and schedules their next
 // checks.
 func (f *Fleet) dueChecks(now time.Time, limit int) []Upstream {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.mayHaveUnreached {
-		return nil
-	}
-	f.mayHaveUnreached = false
 	var due []*knownUpstream
+	f.mayHaveUnreached = false
 	for _, k := range f.upstreams {
 		if k.unreached.since.IsZero() {
 			continue
@@ -118,18 +138,12 @@
 
 // runUnreachedChecks checks the upstreams that this host couldn't connect to until the context ends.
 func (f *Forwarder) runUnreachedChecks(ctx context.Context) {
-	tick := time.NewTicker(unreachedCheckTick)
-	defer tick.Stop()
 	var checks sync.WaitGroup
 	defer checks.Wait()
 	var pending, reached atomic.Int64
 	limit := minChecksPerTick
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
+	for f.fleet.awaitChecks(ctx, (*Fleet).hasUnreached) {
+		PauseFor(ctx, unreachedCheckTick)
 		if reached.Swap(0) > 0 {
 			limit = min(2*limit, maxChecksPerTick)
 		} else {
