internal/peer: a call whose connection broke says why

Cause: the error of a broken connection left out its cause, so that 'leader not followed' didn't tell a malformed reply from a cut link. Evidence: TestMalformedReplyIsReported failed before.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -116,7 +116,7 @@
 func (c *conn) closeError() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return trace.ConnectionProblem(c.closeErr, "the connection to the peer broke")
+	return trace.ConnectionProblem(c.closeErr, "the connection to the peer broke: %v", c.closeErr)
 }
 
 // send writes a request and returns its call ID and the channel that receives the reply.
--- a/internal/peer/nesting_test.go
+++ b/internal/peer/nesting_test.go
@@ -10,7 +10,9 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"net"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,6 +117,23 @@
 	is.NoErr(err)
 }
 
+// TestMalformedReplyIsReported checks that a call says why its connection ended.
+func TestMalformedReplyIsReported(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	m := newTestMesh(t, testKey)
+	c := newConn(near, &m.sentBytes, &m.receivedBytes)
+	go c.readReplies()
+	go func() {
+		_, _ = readFrame(far)
+		_, _ = far.Write(frameOf(bytes.Repeat([]byte{0x91}, 1000)))
+	}()
+	var answer wireHeartbeat
+	err := c.call(t.Context(), kindHeartbeat, wireHeartbeat{}, &answer)
+	is.True(errors.Is(err, errMalformed))
+	is.True(strings.Contains(err.Error(), errMalformed.Error()))
+}
+
 // TestInflatedReplies checks that compressed bytes which stand for very many are an error.
 func TestInflatedReplies(t *testing.T) {
 	is := is.New(t)
