--- a/forward/brokenlink.go
+++ b/forward/brokenlink.go
@@ -21,7 +21,7 @@
 	carrierLeaveTime = 2 * time.Second
 	// linkCheckTimeout bounds the check of a link.
 	linkCheckTimeout = 400 * time.Millisecond
-	// sourceEndTimeout is how long the stream of a run that isn't at its engine any more may stay open. It
+	// sourceEndTimeout is how long the stream of a run that has left its engine may stay open. It
 	// normally ends before the final copy is done.
 	sourceEndTimeout = 250 * time.Millisecond
 )
--- a/forward/call.go
+++ b/forward/call.go
@@ -214,7 +214,7 @@
 	Life Incarnation
 	// Instance is the ID of the upstream that answered; empty if the answer has none.
 	Instance member.UpstreamID
-	// WrongInstance says that another upstream now uses the address, whether or not it told its ID.
+	// WrongInstance says that another upstream now uses the address, whether or not it gave its ID.
 	WrongInstance bool
 	Signals       Signals
 }
--- a/forward/unframed_test.go
+++ b/forward/unframed_test.go
@@ -74,7 +74,7 @@
 func TestUnframedAnswerAfterSuspension(t *testing.T) {
 	for name, c := range map[string]struct {
 		path string
-		// backoff says that the upstream mayn't be asked; otherwise it doesn't tell its ID.
+		// backoff says that the upstream mayn't be asked; otherwise it doesn't give its ID.
 		backoff bool
 		slept   time.Duration
 		cut     bool
--- a/permit/limiter.go
+++ b/permit/limiter.go
@@ -78,7 +78,7 @@
 type Limiter struct {
 	// NamedLimits holds the newest limit that each upstream named.
 	NamedLimits ratelimit.Limits
-	// Tasks runs the requests that nobody waits for.
+	// Tasks runs the requests whose results aren't awaited.
 	Tasks supervise.Report
 
 	self member.Entry
