forward: a host accepts streams late in its stop only if their deadline is before its end

Callers saw streams of some events cut at the end of a host's stop, though they had been sent more than three seconds after its SIGTERM. A stopping host accepted a stream if twice its expected duration and a second fitted in before the end: for 2.5 s by the caller's estimate of its output, then by the longest output. The expected duration is that of an engine of the usual pace; a crowded or slow engine needs more, and the stream is cut where the grace period ends. Class: an estimate that is taken for a bound.

Now a stream that arrives later than 2.5 s after the start of the stop is accepted if its own deadline is earlier than the end. Others are refused at once, and another host serves them.

TestStreamAcceptedLateInStopIsNotCut failed before in three of its four cases. TestStopping held that a request of at most 40 tokens is accepted after 2.6 s, which is the fault: it now holds that it is refused. The line "interrupted" says how many of the interrupted requests had been accepted while the host stopped.

--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -72,16 +72,20 @@
 }
 
 // interrupt ends every request in flight and waits up to interruptTimeout for the final
-// answers. A stopping host accepts requests by an estimate of their length. Callers whose
-// request outlasts its estimate get an answer instead of a closed connection.
+// answers. A stopping host accepts some requests by an estimate of their length. Callers whose
+// request outlasts its estimate before its answer begins get an answer instead of a closed connection.
 func (f *Forwarder) interrupt(idle <-chan struct{}) {
 	f.mu.Lock()
-	if len(f.inFlight) > 0 {
-		f.journal.HostEvent("interrupted", "running", len(f.inFlight))
-	}
-	for _, end := range f.inFlight {
+	acceptedWhileStopping := 0
+	for x, end := range f.inFlight {
+		if x.call.Arrived.After(f.stoppingSince) {
+			acceptedWhileStopping++
+		}
 		end(errStopped)
 	}
+	if len(f.inFlight) > 0 {
+		f.journal.HostEvent("interrupted", "running", len(f.inFlight), "accepted_while_stopping", acceptedWhileStopping)
+	}
 	f.mu.Unlock()
 	timeout := time.NewTimer(interruptTimeout)
 	defer timeout.Stop()
@@ -118,13 +122,12 @@
 
 // Bounds of the requests that a stopping host still accepts.
 const (
-	// hintTrustPeriod is how long after the start of the stop a stream is accepted by the
-	// caller's estimate of its output, which is often far off. A stream that is cut at the end
-	// of the grace period is acceptable only if it arrived in the first three seconds of the
-	// stop.
-	hintTrustPeriod = 2500 * time.Millisecond
-	// A stream is accepted if streamDurationMultiplier times its expected duration and
-	// streamStopMargin fit in before the stop deadline.
+	// estimateTrustPeriod is how long after the start of the stop a stream is accepted by its expected
+	// length. Its callers' next attempts may reach other hosts that stop, and a stream that outlasts the grace
+	// period may be cut if it arrived in the first three seconds of the stop.
+	estimateTrustPeriod = 2500 * time.Millisecond
+	// A stream is accepted by its expected length if streamDurationMultiplier times its expected duration
+	// and streamStopMargin fit in before the stop deadline.
 	streamDurationMultiplier = 2
 	streamStopMargin         = time.Second
 	// maxExpectedCallDuration is longer than all but one in some thousands of plain calls
@@ -156,13 +159,18 @@
 	return maxExpectedCallDuration
 }
 
-// streamEndsBefore reports whether a stream is expected to end before deadline by. The length
-// of its output is bounded by the request's maximum or, soon after the start of the stop, by
-// the caller's estimate; a stream with neither is not expected to end.
+// streamEndsBefore reports whether a stream ends before the end of a stop that started at since: its deadline
+// is earlier or, soon after the start of the stop, its expected duration fits in.
 func (x *exchange) streamEndsBefore(now, since, by time.Time) bool {
+	if !x.deadline.IsZero() && x.deadline.Before(by) {
+		return true
+	}
+	if now.Sub(since) > estimateTrustPeriod {
+		return false
+	}
 	p := x.call.Prompt
 	outputTokens := p.MaxOutputTokens
-	if p.ExpectedOutputTokens > 0 && now.Sub(since) <= hintTrustPeriod && (outputTokens <= 0 || p.ExpectedOutputTokens < outputTokens) {
+	if p.ExpectedOutputTokens > 0 && (outputTokens <= 0 || p.ExpectedOutputTokens < outputTokens) {
 		outputTokens = p.ExpectedOutputTokens
 	}
 	if outputTokens <= 0 {
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -50,8 +52,8 @@
 			{0, 400, 2000, true},
 			{0, 0, 40, false}, // the maximum output is short
 			{0, 400, 40, false},
-			{2600 * time.Millisecond, 20, 2000, true}, // too late to trust the caller's estimate
-			{2600 * time.Millisecond, 0, 40, false},
+			{2600 * time.Millisecond, 20, 2000, true}, // too late to trust an estimate
+			{2600 * time.Millisecond, 0, 40, true},
 			{6 * time.Second, 0, 40, true}, // no time is left
 		} {
 			time.Sleep(time.Until(began.Add(100*time.Millisecond + c.since)))
@@ -63,6 +65,70 @@
 	})
 }
 
+// slowEvents is the body of a stream whose events come one gap apart.
+type slowEvents struct {
+	gap time.Duration
+	// events is how many events there are, and sent how many were read.
+	events, sent int
+}
+
+func (b *slowEvents) Read(p []byte) (int, error) {
+	if b.sent == b.events {
+		return 0, io.EOF
+	}
+	if b.sent++; b.sent > 1 {
+		time.Sleep(b.gap)
+	}
+	return copy(p, sseEvent(b.sent)), nil
+}
+
+func (b *slowEvents) Close() error { return nil }
+
+// TestStreamAcceptedLateInStopIsNotCut guards against streams that a host accepts more than three seconds after the start
+// of its stop, by their expected length, and cuts at the end of its grace period.
+func TestStreamAcceptedLateInStopIsNotCut(t *testing.T) {
+	const grace, callerTimeout = 7600 * time.Millisecond, 6 * time.Second
+	for name, arrivesAt := range map[string]time.Duration{
+		"after 3.1 s": 3100 * time.Millisecond, "after 4 s": 4 * time.Second, "after 5 s": 5 * time.Second, "after 6 s": 6 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for firstEvent := 500 * time.Millisecond; firstEvent < callerTimeout; firstEvent += 100 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					f := newForwarder(t, &fakeTransport{send: func(ctx context.Context, _ Upstream, r *UpstreamRequest) (*Response, error) {
+						a := answer(200, "")
+						a.ContentLength = -1
+						if r.Call.ID == "r1" {
+							a.Body = &slowEvents{gap: 20 * time.Millisecond, events: 400}
+							return a, nil
+						}
+						PauseFor(ctx, firstEvent)
+						a.Body = &slowEvents{gap: 300 * time.Millisecond, events: 3}
+						return a, ctx.Err()
+					}})
+					ctx, cancel := context.WithTimeout(t.Context(), grace)
+					defer cancel()
+					var running sync.WaitGroup
+					defer running.Wait()
+					// It lasts until the end of the grace period.
+					running.Go(func() { f.Serve(t.Context(), call("/llm/"), &fakeSink{}) })
+					synctest.Wait()
+					running.Go(func() { f.Close(ctx) })
+					time.Sleep(arrivesAt)
+					f.ContactProved(time.Now())
+					f.originProvedAt.advance(time.Now())
+					f.updatePlacementEngines(time.Now(), f.Table())
+					request, sink := call("/llm/"), &fakeSink{}
+					request.ID, request.CallerTimeout, request.Prompt.Tokens, request.Prompt.MaxOutputTokens = "r2", callerTimeout, 1000, 48
+					f.Serve(t.Context(), request, sink)
+					if took := time.Since(request.Arrived); sink.truncated && took < callerTimeout {
+						t.Errorf("the first event comes after %v: the stream is cut after %v", firstEvent, took)
+					}
+				})
+			}
+		})
+	}
+}
+
 // TestStoppingRetryAfter checks when callers that a stopping host refuses are to retry: at
 // once if another host of the zone accepts requests, otherwise when they no longer reach the
 // same host, spread over time.
