forward: a stopping host decides by the time at which a request's body is complete

Callers whose body takes seconds to arrive, as over a slow link, were accepted by a host near the end of its stop and got an error or a cut stream when it ended. Call.Arrived is the time at which the header was read, and the decision whether a request ends before the stop took that for the present time. So a stream complete after six seconds of the stop was still accepted by its expected length, as if it had come in the first, and a plain call in the last tenth of a second, as if a second were left. Class: an old time that is taken for the present.

Now the decision goes by the clock. A request that comes too late is refused as not run, and another host serves it.

Found by review; no log of callers shows it.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -148,7 +148,8 @@
 	if x.noUpstreamInRegions(now) {
 		return Refusal{Code: CodeRegion, RetryAfter: maxRetryAfter}, false
 	}
-	if !x.endsBeforeStop(now) {
+	// The body may have taken seconds to arrive.
+	if now := x.now(); !x.endsBeforeStop(now) {
 		x.journal.Request(x.call.ID, "would outlast the stop", "stopping_for", now.Sub(x.stopStartedAt()), "limit", x.call.Prompt.MaxOutputTokens, "hint", x.call.Prompt.ExpectedOutputTokens)
 		return Refusal{Code: CodeStopping, RetryAfter: x.stoppingRetryAfter(now)}, false
 	}
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -129,6 +129,52 @@
 	}
 }
 
+// TestSlowBodyLateInStopIsRefused guards against requests that a stopping host accepts by the time at which their header
+// arrived, though their body took seconds and the rest of the stop is too short for them.
+func TestSlowBodyLateInStopIsRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		// arrived and complete are the times from the start of the stop to the header and to the end of the body.
+		arrived, complete time.Duration
+		refused           bool
+	}{
+		"stream, a quick body":          {"/llm/", time.Second, time.Second, false},
+		"stream, complete after 3 s":    {"/llm/", time.Second, 3 * time.Second, true},
+		"stream, complete at the end":   {"/llm/", time.Second, 6900 * time.Millisecond, true},
+		"stream, begun before the stop": {"/llm/", -time.Second, 6900 * time.Millisecond, true},
+		"call, complete in time":        {"/order/", time.Second, 5 * time.Second, false},
+		"call, complete at the end":     {"/order/", time.Second, 6900 * time.Millisecond, true},
+		"call, begun before the stop":   {"/order/", -time.Second, 6900 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwarder(t, &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+					return answer(200, "id: 1\ndata: x\n\n"), nil
+				}})
+				config := testConfig(2)
+				for i := range config.Routes {
+					config.Routes[i].Timeout = time.Minute
+				}
+				f.Configure(time.Now(), config)
+				ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
+				defer cancel()
+				f.Stop(ctx)
+				request, sink := call(c.path), &fakeSink{}
+				request.Arrived = time.Now().Add(c.arrived)
+				request.Prompt.Tokens, request.Prompt.MaxOutputTokens = 1000, 40
+				time.Sleep(c.complete)
+				f.ContactProved(time.Now())
+				f.originProvedAt.advance(time.Now())
+				f.updatePlacementEngines(time.Now(), f.Table())
+				f.Serve(t.Context(), request, sink)
+				is.Equal(sink.refused != nil, c.refused)
+				is.True(!c.refused || sink.refused.Code == CodeStopping)
+			})
+		})
+	}
+}
+
 // TestStoppingRetryAfter checks when callers that a stopping host refuses are to retry: at
 // once if another host of the zone accepts requests, otherwise when they no longer reach the
 // same host, spread over time.
