forward: tests of a stopping host's bound for late streams and of its count of interrupted requests

Without the rule that accepts a late stream by its deadline, and without the check that it has one, all tests passed, and so they did with a count that stayed zero. Each of these changes now fails a case.

--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -129,6 +129,84 @@
 	}
 }
 
+// TestLateStreamNeedsDeadlineBeforeEndOfStop checks that a stream late in a stop is accepted if its deadline, the caller's or
+// the route's, is before the end, and refused if it has none or the end isn't known.
+func TestLateStreamNeedsDeadlineBeforeEndOfStop(t *testing.T) {
+	const grace, arrivesAt = 7 * time.Second, 3 * time.Second
+	for name, c := range map[string]struct {
+		callerTimeout, routeTimeout time.Duration
+		endUnknown                  bool
+		refused                     bool
+	}{
+		"the caller's":             {3900 * time.Millisecond, time.Minute, false, false},
+		"the route's":              {time.Minute, 3900 * time.Millisecond, false, false},
+		"the route's only":         {0, 3900 * time.Millisecond, false, false},
+		"later":                    {4100 * time.Millisecond, time.Minute, false, true},
+		"none":                     {0, 0, false, true},
+		"the end of the stop":      {4 * time.Second, time.Minute, false, true},
+		"the end isn't known":      {3900 * time.Millisecond, time.Minute, true, true},
+		"none and no end is known": {0, 0, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwarder(t, &fakeTransport{send: func(context.Context, Upstream, *UpstreamRequest) (*Response, error) {
+					return answer(200, "id: 1\ndata: x\n\n"), nil
+				}})
+				config := testConfig(2)
+				for i := range config.Routes {
+					config.Routes[i].Timeout = c.routeTimeout
+				}
+				f.Configure(time.Now(), config)
+				ctx, cancel := t.Context(), context.CancelFunc(func() {})
+				if !c.endUnknown {
+					ctx, cancel = context.WithTimeout(ctx, grace)
+				}
+				defer cancel()
+				f.Stop(ctx)
+				time.Sleep(arrivesAt)
+				f.ContactProved(time.Now())
+				f.originProvedAt.advance(time.Now())
+				f.updatePlacementEngines(time.Now(), f.Table())
+				request, sink := call("/llm/"), &fakeSink{}
+				request.CallerTimeout, request.Prompt.Tokens, request.Prompt.MaxOutputTokens = c.callerTimeout, 1000, 40
+				f.Serve(t.Context(), request, sink)
+				is.Equal(sink.refused != nil, c.refused)
+				is.True(!c.refused || sink.refused.Code == CodeStopping)
+			})
+		})
+	}
+}
+
+// TestInterruptedCountsThoseAcceptedInStop checks that the end of a stop logs how many requests it interrupts, and how many of them
+// arrived while the host stopped.
+func TestInterruptedCountsThoseAcceptedInStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newForwarder(t, &fakeTransport{send: func(ctx context.Context, _ Upstream, _ *UpstreamRequest) (*Response, error) {
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}})
+		journal := &recordingJournal{}
+		f.journal = journal
+		serve := func(id RequestID) {
+			request := call("/llm/")
+			request.ID, request.Prompt.Tokens, request.Prompt.MaxOutputTokens = id, 1000, 40
+			go f.Serve(t.Context(), request, &fakeSink{})
+			synctest.Wait()
+		}
+		serve("r1")
+		ctx, cancel := context.WithTimeout(t.Context(), 7*time.Second)
+		defer cancel()
+		go f.Close(ctx)
+		time.Sleep(time.Second)
+		serve("r2")
+		serve("r3")
+		time.Sleep(7 * time.Second)
+		is.Equal(journal.linesWithPrefix("interrupted"), []string{"interrupted running=3 accepted_while_stopping=2"})
+	})
+}
+
 // TestSlowBodyLateInStopIsRefused guards against requests that a stopping host accepts by the time at which their header
 // arrived, though their body took seconds and the rest of the stop is too short for them.
 func TestSlowBodyLateInStopIsRefused(t *testing.T) {
