--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -11,7 +11,6 @@
 	"syscall"
 	"time"
 
-	"github.com/shedpath/shedpath/eligibility"
 	"github.com/shedpath/shedpath/quarantine"
 )
 
@@ -81,39 +80,3 @@
 		x.recordCrash(now, u)
 	}
 }
-
-// endedWithUpstream reports whether an answer that has no declared end, and whose connection was closed,
-// was broken off by the end of its upstream. If this host was suspended meanwhile, the upstream's address may already
-// belong to another instance.
-func (x *exchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
-	ended, err := x.checkUpstreamEnded(ctx, u)
-	if !ended {
-		ended, err = x.replaced(ctx, u)
-	}
-	if ended {
-		x.journal.Request(x.call.ID, "answer ended with its upstream", "upstream", u.ID, "looked", err)
-	}
-	return ended
-}
-
-// replaced reports whether an upstream's address belongs to another instance by now, or can't be reached. That isn't
-// known if a backoff or a rate limit forbids to ask, or the answer has no ID. The upstream counts as replaced then right
-// after a suspension, in which the address may have been given to another, and if it may not be asked, once it is no
-// longer listed, unless it is known to leave.
-func (x *exchange) replaced(ctx context.Context, u Upstream) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
-	defer cancel()
-	health, err := x.checkHealth(ctx, &x.service, u, eligibility.Identity)
-	var notAsked *notSentError
-	if err != nil && !errors.As(err, &notAsked) {
-		return true, err
-	}
-	if health.Instance != "" || health.WrongInstance {
-		return health.WrongInstance || health.Instance != u.ID, nil
-	}
-	if x.settings.Clock.MaxMessageDelay(x.now()) > 0 {
-		return true, err
-	}
-	_, listed := x.fleet.Upstream(u.ID)
-	return err != nil && !listed && x.fleet.LeavingFor(x.now(), u.ID) == 0, err
-}
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -165,6 +165,7 @@
 func (silentObserver) Repeated(string)                      {}
 func (silentObserver) UnreadableEntries(int)                {}
 func (silentObserver) ConnectionBroken(bool)                {}
+func (silentObserver) Identified(Identity)                  {}
 func (silentObserver) Suspended(time.Duration)              {}
 func (silentObserver) Panicked()                            {}
 func (silentObserver) ZoneShift(zoneload.Outcome)           {}
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -97,6 +97,8 @@
 	// ConnectionBroken counts a connection that an upstream ended before its answer was
 	// complete. ended is set if the upstream itself had ended.
 	ConnectionBroken(ended bool)
+	// Identified counts what was found out about the upstream of an answer without a declared end.
+	Identified(Identity)
 	// Permit counts the outcome of a request for a permit to send to a bounded upstream.
 	Permit(permit.Outcome)
 	// Signal counts what upstreams report about themselves in their answers.
--- a/internal/peer/permits_test.go
+++ b/internal/peer/permits_test.go
@@ -83,6 +83,7 @@
 func (nopMetrics) Moved(string, time.Duration)                  {}
 func (nopMetrics) UnreadableEntries(int)                        {}
 func (nopMetrics) ConnectionBroken(bool)                        {}
+func (nopMetrics) Identified(forward.Identity)                  {}
 func (nopMetrics) Permit(permit.Outcome)                        {}
 func (nopMetrics) Send(eligibility.Verdict)                     {}
 func (nopMetrics) Signal(forward.SignalKind)                    {}
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -43,6 +43,7 @@
 	storeCalls         *prometheus.CounterVec
 	unreadableEntries  prometheus.Counter
 	brokenConnections  *prometheus.CounterVec
+	unframedAnswers    *prometheus.CounterVec
 	suspendedSeconds   prometheus.Counter
 	panics             prometheus.Counter
 	hangs              *prometheus.CounterVec
@@ -79,6 +80,7 @@
 	f.Intake = newIntake(&f.registry, f.log)
 	f.unreadableEntries = f.counter("unread_entries_total", "Entries of the platform's store that could not be read or used.").WithLabelValues()
 	f.brokenConnections = f.counter("broken_connections_total", "Connections that an upstream ended before its answer was complete, by whether the upstream itself had ended.", "upstream")
+	f.unframedAnswers = f.counter("unframed_answers_total", "Answers without a declared end, by who was found to have their upstream's address.", "upstream")
 	f.suspendedSeconds = f.counter("suspended_seconds_total", "Time for which this machine was suspended.").WithLabelValues()
 	f.panics = f.counter("panics_total", "Panics that were recovered from, in requests and in tasks of the host.").WithLabelValues()
 	f.hangs = f.counter("hangs_total", "Times that this host was found hanging, by what can't go on: a lock or a request.", "what")
@@ -174,6 +176,9 @@
 	f.brokenConnections.WithLabelValues(upstream).Inc()
 }
 
+// Identified counts what was found out about the upstream of an answer without a declared end.
+func (f *Forward) Identified(i forward.Identity) { f.unframedAnswers.WithLabelValues(string(i)).Inc() }
+
 // Suspended adds to the time for which this machine was suspended.
 func (f *Forward) Suspended(d time.Duration) { f.suspendedSeconds.Add(d.Seconds()) }
 
--- a/internal/telemetry/golden_test.go
+++ b/internal/telemetry/golden_test.go
@@ -119,6 +119,9 @@
 	f.Carried("h1", uplink.Target{}, uplink.ErrBusy)
 	f.ConnectionBroken(true)
 	f.ConnectionBroken(false)
+	for _, i := range []forward.Identity{forward.IdentitySame, forward.IdentityPresumed, forward.IdentityOther, forward.IdentityEnded, forward.IdentityUnknown} {
+		f.Identified(i)
+	}
 	for _, o := range []permit.Outcome{permit.Granted, permit.Deferred, permit.OwnTurn, permit.NoTurn} {
 		f.Permit(o)
 	}
