forward: a whole answer without a declared end isn't cut because its upstream says late who it is

Callers of answers that end with their connection got all of a stream and then a reset, or a failure in place of a whole call, if the upstream's health path didn't answer within 50 ms.

Cause: no answer in time, and any failed connection, counted as the end of the upstream. Now there are three results. The host asks until the upstream answers, or the request's deadline, its caller's leave or the host's stop ends the wait; the events have been passed on by then. One question may take 5 s, as it loses its place in the queue when it is repeated; failed ones are repeated after a pause that doubles from 20 to 500 ms. What is unknown at the end is cut as before, but isn't counted against the upstream.

A refused connection, another incarnation or another ID still end the answer at once, also while a question waits. An accepted connection isn't taken for the upstream: another process may have its address at once, and bytes on other connections may have been sent before the close. After a question that failed, an upstream that may not be asked isn't presumed to be the same.

The place of a run is free after 50 ms of the wait, and a call isn't counted as running at its upstream meanwhile.

--- a/forward/answerend.go
+++ b/forward/answerend.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"time"
 
 	"github.com/shedpath/shedpath/eligibility"
 )
@@ -29,47 +31,126 @@
 	IdentityUnknown Identity = "unknown"
 )
 
-// endedWithUpstream reports whether an answer that has no declared end, and whose connection was closed,
-// was broken off by the end of its upstream. If this host was suspended meanwhile, the upstream's address may already
-// belong to another instance.
-func (x *exchange) endedWithUpstream(ctx context.Context, u Upstream) bool {
+const (
+	// identityTimeout bounds one question. It is long, as a question that waits for a slot loses its place in the
+	// upstream's queue when it is repeated.
+	identityTimeout = 5 * time.Second
+	// minIdentityPause is the pause after the first question that brought no answer. It doubles with each further one up
+	// to maxIdentityPause.
+	minIdentityPause = 20 * time.Millisecond
+	maxIdentityPause = 500 * time.Millisecond
+	// maxIdentityWait bounds the wait of a request that has no deadline.
+	maxIdentityWait = time.Minute
+	// maxUnreachedTime is how long a request that may be run elsewhere waits for an upstream that can't be connected to.
+	// Callers give up a stream that is silent for two seconds or more.
+	maxUnreachedTime = time.Second
+	// endedRunPlaceTime is how long a run whose stream has ended keeps its place while its engine is asked.
+	endedRunPlaceTime = 50 * time.Millisecond
+)
+
+// errEndUnknown ends an answer of which it wasn't found out in time whether it is whole.
+var errEndUnknown = errors.New("it isn't known whether the upstream ended")
+
+// checkWhole returns an error if an answer without a declared end, whose connection was closed, may not count as whole:
+// io.ErrUnexpectedEOF if its upstream ended, or errEndUnknown. repeatable says that the request may be run elsewhere.
+func (x *exchange) checkWhole(ctx context.Context, u Upstream, repeatable bool) error {
+	switch x.identify(ctx, u, repeatable) {
+	case IdentitySame, IdentityPresumed:
+		return nil
+	case IdentityUnknown:
+		return errEndUnknown
+	default:
+		return io.ErrUnexpectedEOF
+	}
+}
+
+// identify finds out who has the address of an upstream whose answer has ended. A crowded upstream answers late, and one with
+// too many connections resets the question, so it is asked until it answers or ctx ends. If the request is
+// repeatable, an upstream that hasn't accepted a connection is given up after maxUnreachedTime.
+func (x *exchange) identify(ctx context.Context, u Upstream, repeatable bool) Identity {
+	ctx, cancel := context.WithTimeout(ctx, maxIdentityWait)
+	defer cancel()
 	began := x.now()
-	found := IdentityEnded
-	ended, err := x.checkUpstreamEnded(ctx, u)
-	if !ended {
-		found, err = x.askIdentity(ctx, u)
+	q := identityQuestion{exchange: x, upstream: u}
+	asked := 1
+	found, wait, err := q.ask(ctx)
+	for pause := minIdentityPause; found == IdentityUnknown && wait >= 0; pause = min(2*pause, maxIdentityPause) {
+		PauseFor(ctx, max(pause, wait))
+		if ctx.Err() != nil || repeatable && !q.reached && x.now().Sub(began) >= maxUnreachedTime {
+			break
+		}
+		asked++
+		found, wait, err = q.ask(ctx)
 	}
 	x.observer.Identified(found)
 	if found != IdentitySame {
-		x.journal.Request(x.call.ID, "upstream not identified", "upstream", u.ID, "outcome", found, "took", x.now().Sub(began), "err", err)
+		x.journal.Request(x.call.ID, "upstream not identified", "upstream", u.ID, "outcome", found, "took", x.now().Sub(began), "tries", asked, "err", err)
 	}
-	ended = found != IdentitySame && found != IdentityPresumed
-	if ended {
+	if found == IdentityEnded || found == IdentityOther {
 		x.journal.Request(x.call.ID, "answer ended with its upstream", "upstream", u.ID, "looked", err)
 	}
-	return ended
+	return found
 }
 
-// askIdentity asks an upstream who it is. That isn't known if a backoff or a rate limit forbids to ask, or the answer
-// has no ID. The upstream is presumed to be the same then, but not right after a suspension, in which the address may have
-// been given to another, nor if it may not be asked and is no longer listed, unless it is known to leave.
-func (x *exchange) askIdentity(ctx context.Context, u Upstream) (Identity, error) {
-	ctx, cancel := context.WithTimeout(ctx, reachTimeout)
+// identityQuestion is the question who has the address of an upstream.
+type identityQuestion struct {
+	*exchange
+	upstream Upstream
+	// suspended says that this host was suspended shortly before a question, so that the address may have been given to
+	// another instance.
+	suspended bool
+	// reached says that a connection to the address was accepted.
+	reached bool
+	// failed says that a question brought no answer.
+	failed bool
+}
+
+// ask asks once. If the result is IdentityUnknown, wait is how long not to ask again, or negative if that brings nothing.
+func (q *identityQuestion) ask(ctx context.Context) (found Identity, wait time.Duration, err error) {
+	q.suspended = q.suspended || q.settings.Clock.MaxMessageDelay(q.now()) > 0
+	ended, err := q.checkUpstreamEnded(ctx, q.upstream)
+	if ended {
+		return IdentityEnded, 0, err
+	}
+	q.reached = q.reached || err == nil
+	bounded, cancel := context.WithTimeout(ctx, identityTimeout)
 	defer cancel()
-	health, err := x.checkHealth(ctx, &x.service, u, eligibility.Identity)
-	var notAsked *notSentError
+	health, err := q.checkHealth(bounded, &q.service, q.upstream, eligibility.Identity)
+	if v, notAsked := notSentVerdict(err); notAsked {
+		return q.presume(), q.boundWait(v.Wait), err
+	}
+	q.suspended = q.suspended || q.settings.Clock.MaxMessageDelay(q.now()) > 0
 	switch {
-	case err != nil && !errors.As(err, &notAsked):
-		return IdentityUnknown, err
-	case health.WrongInstance || health.Instance != "" && health.Instance != u.ID:
-		return IdentityOther, err
+	case err != nil:
+		q.failed = true
+		return IdentityUnknown, 0, err
+	case health.WrongInstance || health.Instance != "" && health.Instance != q.upstream.ID:
+		return IdentityOther, 0, nil
 	case health.Instance != "":
-		return IdentitySame, err
-	case x.settings.Clock.MaxMessageDelay(x.now()) > 0:
-		return IdentityUnknown, err
+		return IdentitySame, 0, nil
+	case !q.suspended:
+		return IdentityPresumed, 0, nil
+	case health.Rejected:
+		return IdentityUnknown, 0, nil
+	default:
+		return IdentityUnknown, -1, nil
 	}
-	if _, listed := x.fleet.Upstream(u.ID); err != nil && !listed && x.fleet.LeavingFor(x.now(), u.ID) == 0 {
-		return IdentityUnknown, err
+}
+
+// presume returns what to take an upstream for that may not be asked. It is presumed to be the same unless this host was
+// suspended, a question failed, or the upstream is no longer listed and isn't known to leave.
+func (q *identityQuestion) presume() Identity {
+	_, listed := q.fleet.Upstream(q.upstream.ID)
+	if q.suspended || q.failed || !listed && q.fleet.LeavingFor(q.now(), q.upstream.ID) == 0 {
+		return IdentityUnknown
+	}
+	return IdentityPresumed
+}
+
+// boundWait returns wait, or a negative time if the request's deadline is before its end.
+func (q *identityQuestion) boundWait(wait time.Duration) time.Duration {
+	if left := q.timeLeft(q.now()); wait >= maxIdentityWait || left > 0 && wait >= left {
+		return -1
 	}
-	return IdentityPresumed, err
+	return wait
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -66,6 +66,9 @@
 	for err != nil && s.callerErr == nil {
 		var resumed bool
 		if u, a, resumed = s.resume(ctx, lastEngine); !resumed {
+			if errors.Is(err, errEndUnknown) && s.route.Resumable && ctx.Err() == nil {
+				err = s.checkWhole(ctx, lastEngine, false)
+			}
 			break
 		}
 		lastEngine, err = s.relayRun(ctx, u, a)
@@ -84,6 +87,8 @@
 		}
 		s.fleet.RecordSuccess(lastEngine.ID)
 		s.recordSurvival(s.now())
+	case errors.Is(err, errEndUnknown):
+		// Nothing speaks against the engine.
 	case s.callerErr == nil && ctx.Err() == nil:
 		now := s.now()
 		if s.carrier != "" || s.linkBroken(ctx, lastEngine) {
@@ -108,8 +113,9 @@
 	p := &unaryExchange{exchange: s.exchange}
 	p.responseMemory.budget = &s.answerBudget
 	defer p.responseMemory.release()
-	p.readBody(ctx, &t)
+	p.readBody(&t)
 	s.releasePlace(false)
+	p.checkEnd(ctx, &t)
 	if t.err != nil || !a.Signed || claimsNotRun(a.Status) {
 		s.refuse(Refusal{Code: CodeBadAnswer, MayHaveRun: true}, "upstream", u.ID, "status", a.Status, "err", t.err)
 		return
@@ -157,7 +163,7 @@
 		err := s.relayEvents(ctx, first, a)
 		closeBody(a)
 		if err == nil && !m.isRunStopping() {
-			err = s.checkEnd(ctx, u, a)
+			err = s.checkEnd(ctx, u, a, m)
 		}
 		if err == nil && (a.Framed || !m.isRunStopping()) {
 			// A framed answer that reached its end is complete, even if a move is in progress:
@@ -169,7 +175,7 @@
 		if next == nil && err == nil && !m.isRunStopping() {
 			// The run ended by itself before it could be stopped.
 			m.cancel(s)
-			if err := s.checkEnd(ctx, u, a); err != nil {
+			if err := s.checkEnd(ctx, u, a, m); err != nil {
 				return u, err
 			}
 			return u, s.ensureAnswerStarted(first)
@@ -185,12 +191,38 @@
 	}
 }
 
-// checkEnd returns io.ErrUnexpectedEOF if the end of an engine's stream isn't the end of its run.
-func (s *streamExchange) checkEnd(ctx context.Context, u Upstream, a *Response) error {
-	if !a.Framed && (s.engineFirstEventAt.IsZero() || s.endedWithUpstream(ctx, u)) {
+// checkEnd returns an error if the end of an engine's stream isn't the end of its run, or that isn't known.
+func (s *streamExchange) checkEnd(ctx context.Context, u Upstream, a *Response, m *mover) error {
+	if a.Framed {
+		return nil
+	}
+	if s.engineFirstEventAt.IsZero() {
 		return io.ErrUnexpectedEOF
 	}
-	return nil
+	repeatable := s.mayResume(ctx)
+	whole := make(chan error, 1)
+	s.tasks.Go("identity", func() {
+		// After a panic the channel is closed without a result.
+		defer close(whole)
+		whole <- s.checkWhole(ctx, u, repeatable)
+	})
+	timer := time.NewTimer(endedRunPlaceTime)
+	defer timer.Stop()
+	for {
+		select {
+		case err, checked := <-whole:
+			if !checked {
+				return errPanicked
+			}
+			return err
+		case <-timer.C:
+			// The run doesn't go on at the engine, so others may have its place.
+			if !m.isRunStopping() {
+				m.cancel(s)
+				s.releasePlace(false)
+			}
+		}
+	}
 }
 
 // orUnexpectedEOF returns the error of a stream that ended too early: err, or
--- a/forward/resume.go
+++ b/forward/resume.go
@@ -32,6 +32,11 @@
 	return s.route.Resumable && code == CodeLost && ctx.Err() == nil
 }
 
+// mayResume reports whether another engine may continue the stream if this one broke it off.
+func (s *streamExchange) mayResume(ctx context.Context) bool {
+	return s.mayRunAgain(ctx, CodeLost) && s.attempts+1 < s.route.Attempts && (s.eventCount == 0 || s.lastEventID != "")
+}
+
 // takeRetry counts an engine that may have run the request, and reports whether the route and
 // the shared retry budget allow another send.
 func (s *streamExchange) takeRetry(reason string) bool {
--- a/forward/unary.go
+++ b/forward/unary.go
@@ -135,10 +135,14 @@
 }
 
 // readBody reads the body of an attempt's response, or the beginning of one that is too long to be buffered.
-func (p *unaryExchange) readBody(ctx context.Context, t *upstreamAttempt) {
+func (p *unaryExchange) readBody(t *upstreamAttempt) {
 	t.body, t.hasMore, t.err = p.responseMemory.readBody(t.response)
-	if t.err == nil && !t.hasMore && !t.response.Framed && p.endedWithUpstream(ctx, t.upstream) {
-		t.err = io.ErrUnexpectedEOF
+}
+
+// checkEnd sets the error of an attempt whose response was read to its end if that isn't the end of the answer.
+func (p *unaryExchange) checkEnd(ctx context.Context, t *upstreamAttempt) {
+	if t.err == nil && !t.hasMore && !t.response.Framed {
+		t.err = p.checkWhole(ctx, t.upstream, p.route.Kind == KindSafe)
 	}
 }
 
@@ -147,11 +151,10 @@
 	t := upstreamAttempt{upstream: u}
 	t.response, t.err = p.sendTo(ctx, u, out)
 	if t.err == nil {
-		p.readBody(ctx, &t)
+		p.readBody(&t)
 	}
 	now := p.now()
 	t.elapsed = now.Sub(startedAt)
-	p.recordRolloutAttempt(ctx, now, u, &t)
 	switch {
 	case errors.Is(t.err, ErrNotSent), t.err == nil && (t.response.WrongInstance || t.response.Signals.RetryAfter > 0):
 		// A response that asks for backoff doesn't count against the upstream's latency or
@@ -160,6 +163,14 @@
 	default:
 		p.plainChooser.done(now, u.ID, t.elapsed, !t.succeeded())
 	}
+	if t.err == nil {
+		// The upstream is through with the request, so it is no longer counted there. One that is safe to repeat is hedged meanwhile.
+		p.checkEnd(ctx, &t)
+		if t.err != nil && !errors.Is(t.err, errEndUnknown) {
+			p.plainChooser.countFailure(p.now(), u.ID)
+		}
+	}
+	p.recordRolloutAttempt(ctx, now, u, &t)
 	return t
 }
 
@@ -310,10 +321,13 @@
 			err = p.sink.Write(chunk[:n])
 		}
 		if errors.Is(readErr, io.EOF) {
-			if t.response.Framed || !p.endedWithUpstream(ctx, t.upstream) {
+			readErr = nil
+			if !t.response.Framed {
+				readErr = p.checkWhole(ctx, t.upstream, false)
+			}
+			if readErr == nil {
 				return err
 			}
-			readErr = io.ErrUnexpectedEOF
 		}
 		if readErr != nil {
 			err = &brokenAnswerError{readErr}
