telemetry: a line written after the log is closed doesn't end the process

RingLog.Write after Close panicked (send on closed channel). A goroutine that outlasts Daemon.Run, such as the one that rereads the settings or a request that is interrupted at the end of a stop, could so end the process with exit status 2 while last answers were still in its sockets' buffers. Under the race detector a SIGHUP just before the end was seen writing to the log while it was closed.

Write and Close now exclude each other, and lines after Close are dropped and counted.

--- a/internal/telemetry/ringlog.go
+++ b/internal/telemetry/ringlog.go
@@ -13,10 +13,13 @@
 // a bounded buffer for a goroutine that writes them. Lines that don't fit are dropped and
 // counted. Use NewRingLog.
 type RingLog struct {
-	lines     chan []byte
-	dropped   atomic.Int64
-	drained   chan struct{}
-	closeOnce sync.Once
+	lines   chan []byte
+	dropped atomic.Int64
+	drained chan struct{}
+
+	mu sync.Mutex
+	// closed is set once lines is closed.
+	closed bool
 }
 
 // ringCapacity is how many lines may be queued: what a busy host logs in a second or two.
@@ -35,8 +38,16 @@
 	return r
 }
 
-// Write queues one line, or drops it if the buffer is full. It never returns an error.
+// Write queues one line, or drops it if the buffer is full or the log closed: goroutines that outlast
+// the log, as a request that is interrupted at the end of a stop, must not end the process by a last line.
+// It never returns an error.
 func (r *RingLog) Write(line []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		r.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case r.lines <- append([]byte(nil), line...):
 	default:
@@ -48,8 +59,13 @@
 // Dropped returns how many lines have been dropped so far.
 func (r *RingLog) Dropped() int64 { return r.dropped.Load() }
 
-// Close writes the queued lines and stops the goroutine. Write must not be called after it.
+// Close writes the queued lines and stops the goroutine. Lines that are written later are dropped.
 func (r *RingLog) Close() {
-	r.closeOnce.Do(func() { close(r.lines) })
+	r.mu.Lock()
+	if !r.closed {
+		r.closed = true
+		close(r.lines)
+	}
+	r.mu.Unlock()
 	<-r.drained
 }
