forward: a request leaves an engine with a late first event only if it may run elsewhere

Callers of resumable streams got 502 (upstream_lost) for requests that an engine was about to answer. One and a half times the objective after it was sent, a request was withdrawn from its engine, and only then did the host look for a retry in the shared budget and for another engine. Without either the request was lost, and a request of a stream that may have run isn't repeated by its caller. On crowded engines every first event is late, and the budget is used up soon. Class: an expected duration decides that something is over.

Now the host first looks for room at an engine that wasn't tried, by its own view, and takes the retry from the budget. Without these the request stays, and the host looks again every 200 ms until the first event. What an engine that never answers costs is bounded as before by the request's own deadline. The watch ends with the request, also after a panic.

TestSilentEngineIsNotLeftForNothing (no retry is left, the other engines leave, are full, or have room later) failed before in all four cases with upstream_lost. TestResumeSilent still holds that a silent engine is left at one and a half times the objective.

--- a/forward/resume.go
+++ b/forward/resume.go
@@ -6,7 +6,10 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
+
+	"github.com/shedpath/shedpath/quarantine"
 )
 
 // errFirstEventLate cancels a send to an engine that is silent for too long.
@@ -44,10 +47,12 @@
 	return s.attempts < s.route.Attempts && s.takeRetryBudget(reason)
 }
 
-// takeRetryBudget takes a retry from the shared budget, records it, and reports whether one was
-// left.
+// takeRetryBudget takes a retry from the shared budget unless one is reserved, records it, and reports
+// whether one was left.
 func (s *streamExchange) takeRetryBudget(reason string) bool {
-	if !s.retries.takeRetry(s.now(), s.service.Name) {
+	reserved := s.retryReserved
+	s.retryReserved = false
+	if !reserved && !s.retries.takeRetry(s.now(), s.service.Name) {
 		s.journal.Request(s.call.ID, "not repeated", "why", "retry budget used up", "after", reason)
 		return false
 	}
@@ -55,18 +60,21 @@
 	return true
 }
 
+// silenceCheckInterval is how often a stream whose first event is late looks for another engine.
+const silenceCheckInterval = 200 * time.Millisecond
+
 // sendFirst sends the request to its engine. A resumable stream with attempts left is withdrawn
-// from an engine that stays silent for too long: it would be late there, and another engine may
-// still answer in time.
+// from an engine that stays silent for too long, once it may run on another one: it would be late
+// there, and another engine may still answer in time.
 func (s *streamExchange) sendFirst(ctx context.Context, u Upstream) (*Response, error) {
 	begin := s.initialContinuation()
 	if !s.route.Resumable || s.attempts+1 >= s.route.Attempts || s.route.Objective <= 0 {
 		return s.send(ctx, u, begin)
 	}
 	bounded, cancel := context.WithCancelCause(ctx)
-	silent := time.AfterFunc(firstEventTimeout(s.route.Objective), func() { cancel(errFirstEventLate) })
+	stopWatch := s.watchSilence(bounded, u, func() { cancel(errFirstEventLate) })
 	answer, err := s.send(bounded, u, begin)
-	if err != nil || !silent.Stop() {
+	if withdrawn := stopWatch(); err != nil || withdrawn {
 		if answer != nil {
 			closeBody(answer)
 		}
@@ -81,6 +89,61 @@
 	return answer, nil
 }
 
+// watchSilence withdraws the request from its engine when the first event is late and the request may run on
+// another one. stop ends the watch and reports whether the request was withdrawn.
+func (s *streamExchange) watchSilence(ctx context.Context, u Upstream, withdraw func()) (stop func() (withdrawn bool)) {
+	arrived, ended := make(chan struct{}), make(chan struct{})
+	withdrawn := false
+	s.tasks.Go("silent engine", func() {
+		defer close(ended)
+		timer := time.NewTimer(firstEventTimeout(s.route.Objective))
+		defer timer.Stop()
+		for {
+			select {
+			case <-arrived:
+				return
+			case <-ctx.Done():
+				return
+			case <-timer.C:
+			}
+			if s.reserveRetry(ctx, s.now(), u) {
+				withdrawn = true
+				withdraw()
+				return
+			}
+			timer.Reset(silenceCheckInterval)
+		}
+	})
+	return func() bool {
+		close(arrived)
+		<-ended
+		return withdrawn
+	}
+}
+
+// reserveRetry takes a retry from the shared budget for a request that is to leave its engine, and reports
+// whether one was left. It takes none unless another engine has room: a request that is withdrawn for nothing is lost.
+func (s *streamExchange) reserveRetry(ctx context.Context, now time.Time, u Upstream) bool {
+	if ctx.Err() != nil || s.quarantineEvidence(now).Standing >= quarantine.TrialDue || !s.hasRoomBeside(now, u) {
+		return false
+	}
+	s.retryReserved = s.retries.takeRetry(now, s.service.Name)
+	return s.retryReserved
+}
+
+// hasRoomBeside reports whether an engine that the request wasn't sent to could take it, by this host's view.
+func (s *streamExchange) hasRoomBeside(now time.Time, u Upstream) bool {
+	tried := append(slices.Clone(s.excluded), u.ID)
+	if s.service.Engine != nil {
+		r := s.policyRequest()
+		r.ExcludedEngines = tried
+		return s.engines.hasRoomAnywhere(now, s.service.Name, r)
+	}
+	return slices.ContainsFunc(s.Forwarder.candidates(now, s.service.Name), func(other Upstream) bool {
+		return !slices.Contains(tried, other.ID) && s.zoneAllowed(other.Zone)
+	})
+}
+
 // initialContinuation returns where a new run starts: after the last event that the caller has
 // of an earlier answer. It is nil for a run from the beginning.
 func (s *streamExchange) initialContinuation() *Continuation {
--- a/forward/resume_test.go
+++ b/forward/resume_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // newResumableForwarder returns a forwarder whose route "/llm/" has resumable streams.
@@ -189,3 +191,61 @@
 		is.Equal(sink.body.String(), "id: 1\n\n")
 	})
 }
+
+// TestSilentEngineIsNotLeftForNothing guards against requests that are lost because they were withdrawn from an engine
+// with a late first event, although no other engine could run them.
+func TestSilentEngineIsNotLeftForNothing(t *testing.T) {
+	const answersAfter, roomAfter = 5 * time.Second, 3500 * time.Millisecond
+	others := []member.UpstreamID{"llm2", "llm3"}
+	for name, c := range map[string]struct {
+		slack float64
+		// prepare changes what the other engines can do before the request arrives.
+		prepare func(t *testing.T, f *Forwarder)
+		tries   int
+	}{
+		"no retry is left": {0, func(*testing.T, *Forwarder) {}, 1},
+		"the other engines leave": {100, func(_ *testing.T, f *Forwarder) {
+			for _, id := range others {
+				f.fleet.MarkLeaving(time.Now(), id, 0, true)
+			}
+		}, 1},
+		"the other engines are full": {100, func(t *testing.T, f *Forwarder) {
+			for _, id := range others {
+				fillEngine(t, f, id)
+			}
+		}, 1},
+		"another engine has room later": {100, func(t *testing.T, f *Forwarder) {
+			for _, id := range others {
+				fillEngine(t, f, id)
+			}
+			full := f.engines.pools["llm"].ownRuns["fill-llm2"]
+			time.AfterFunc(roomAfter, func() { f.engines.finish(time.Now(), "llm", full, false) })
+		}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tries := 0
+				f, sink := newResumableForwarder(t, &fakeTransport{send: func(ctx context.Context, _ Upstream, _ *UpstreamRequest) (*Response, error) {
+					if tries++; tries == 1 {
+						PauseFor(ctx, answersAfter)
+					}
+					return answer(200, "id: 1\n\n"), context.Cause(ctx)
+				}}, 2, c.slack), &fakeSink{}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				go f.Run(ctx)
+				synctest.Wait()
+				c.prepare(t, f)
+				synctest.Wait()
+				began := time.Now()
+				f.Serve(ctx, call("/llm/"), sink)
+				is.Equal(sink.refused, nil)
+				is.Equal(sink.body.String(), "id: 1\n\n")
+				is.Equal(tries, c.tries)
+				is.Equal(time.Since(began) < answersAfter, c.tries > 1)
+			})
+		})
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -62,6 +62,8 @@
 	// attempts counts the engines that may have run the request, and rejections those that
 	// reported that they didn't.
 	attempts, rejections int
+	// retryReserved is set if the next retry was already taken from the shared budget.
+	retryReserved bool
 	// mayHaveRun is set if an engine may have worked on the request.
 	mayHaveRun bool
 	// callerErr is the error of the caller's connection; nil while it works.
@@ -191,30 +193,35 @@
 		layout, own := s.peers.cellLayout()
 		s.engines.setAvailable(now, s.service.Name, s.placementEngines(now, s.service.Name, layout, own))
 	}
-	p := s.call.Prompt
-	r := policy.Request{
-		Run: s.runID(), Route: policyRoute(s.route), Account: s.account.Name,
-		Priority:     s.placementPriority(),
-		PromptTokens: max(p.Tokens, 1), MaxOutputTokens: p.MaxOutputTokens, Prefix: p.PrefixHash, PrefixTokens: p.PrefixTokens,
-		QueueBytes: len(s.call.Body), Objective: s.route.Objective, ExcludedEngines: s.excluded, AllowedZones: s.zones,
-		OnlyGroup: string(s.versions.get().Only), ExcludedGroup: string(s.versions.get().Except),
-		ArrivedAt: s.call.Arrived, Deadline: s.call.Arrived.Add(s.route.Objective),
-	}
 	if s.service.Engine == nil {
 		return s.placePlain(ctx)
 	}
+	r := s.policyRequest()
 	u, run, refusal, ok := s.placeWithPermit(ctx, now, r)
 	if !ok {
 		return u, refusal, false
 	}
 	s.run = run.ownRun
-	d := run.decision
+	d, p := run.decision, s.call.Prompt
 	s.shareRunChange(u)
 	s.journal.Request(s.call.ID, "placed", "upstream", u.ID, "waited", d.Waited, "first_foreseen", d.TimeToFirstToken, "memory_foreseen", d.PeakMemory, "runs", d.BatchSize, "zone", u.Zone, "skipped", s.skippedUpstreams, "prompt", p.Tokens, "limit", p.MaxOutputTokens, "hint", p.ExpectedOutputTokens, "list_revision", s.fleet.Revision(), "contact_age", s.ContactAge(now))
 	s.logPace(now, u, r.Run)
 	return u, Refusal{}, true
 }
 
+// policyRequest returns the request as the policy sees it.
+func (s *streamExchange) policyRequest() policy.Request {
+	p := s.call.Prompt
+	return policy.Request{
+		Run: s.runID(), Route: policyRoute(s.route), Account: s.account.Name,
+		Priority:     s.placementPriority(),
+		PromptTokens: max(p.Tokens, 1), MaxOutputTokens: p.MaxOutputTokens, Prefix: p.PrefixHash, PrefixTokens: p.PrefixTokens,
+		QueueBytes: len(s.call.Body), Objective: s.route.Objective, ExcludedEngines: s.excluded, AllowedZones: s.zones,
+		OnlyGroup: string(s.versions.get().Only), ExcludedGroup: string(s.versions.get().Except),
+		ArrivedAt: s.call.Arrived, Deadline: s.call.Arrived.Add(s.route.Objective),
+	}
+}
+
 // placementPriority returns the request's priority in the policy, where more urgent requests have a
 // higher one. In a zone's queue, the route's urgency decides between requests of the same urgency:
 // an account's urgency replaces that of the route, and routes with different objectives would
--- a/forward/zonequeue.go
+++ b/forward/zonequeue.go
@@ -431,6 +431,15 @@
 	return p != nil && p.pool.HasRoom(now, r)
 }
 
+// hasRoomAnywhere reports whether an engine of any zone could take a request, by this host's view.
+func (e *enginePlacer) hasRoomAnywhere(now time.Time, service ServiceName, r policy.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.Zone = e.zone
+	p := e.pools[service]
+	return p != nil && p.pool.HasRoom(now, r)
+}
+
 // revokeGrant frees a place that was granted to a peer's run and that the peer hasn't reported.
 func (e *enginePlacer) revokeGrant(now time.Time, service ServiceName, run policy.RunID) bool {
 	e.mu.Lock()
