forward: a peer that doesn't answer for a place in 40 ms still counts as live

A request for a place in another zone that wasn't answered within peerRequestTimeout (40 ms) marked the peer as one whose share failed. It wasn't live from then on until its next message, which comes within some seconds: it wasn't asked to carry connections, didn't count among the hosts by which limits are shared, wasn't followed, and had no duties. A host without processor for 60 ms finds every peer silent, and so loses all hosts of other zones one by one; then it places runs there by its own incomplete view, and has fewer hosts left that could carry a connection if its own link breaks. Class: a question that isn't answered in time is taken for an answer.

Now the peer isn't asked for places for 500 ms, and for twice as long after each further request without a reply, up to 8 s, until a message from it arrives. Whether it is live is decided by shares alone.

TestUnansweredPlacementRequestIsNotTheEndOfAPeer failed before: 0 live peers after one unanswered request, want 1. It also holds that a peer whose share fails is noticed.

--- a/forward/peerset.go
+++ b/forward/peerset.go
@@ -89,6 +89,10 @@
 	rosterCursor HostCursor
 	// lastShareFailed says that the last share to the peer failed.
 	lastShareFailed bool
+	// placementPauseUntil is until when the peer isn't asked for places, and unansweredCount how many pauses it has had
+	// since its last message.
+	placementPauseUntil time.Time
+	unansweredCount     int
 	// lastExchange is when both hosts last sent each other their state including their runs.
 	lastExchange time.Time
 	// sameCell says that the peer is in this host's cell; cell is the peer's cell.
@@ -168,6 +172,7 @@
 		delete(p.unreachableUntil, s.From.ID)
 	}
 	state.originAge, state.distrusted, state.listRevision = s.OriginAge, false, s.List
+	state.placementPauseUntil, state.unansweredCount = time.Time{}, 0
 	return isNew
 }
 
--- a/forward/remoteplacement.go
+++ b/forward/remoteplacement.go
@@ -53,11 +53,15 @@
 
 const (
 	// peerRequestTimeout bounds a call that asks a peer for a place or a permit. Zones are a
-	// millisecond or two apart; a peer that is slower than this counts as unreachable.
+	// millisecond or two apart; a request doesn't wait for a peer that is slower than this.
 	peerRequestTimeout = 40 * time.Millisecond
 	// placementGrantTTL is how long a place stays reserved for another host's run until that
 	// host reports the run, which it does within about 5 ms.
 	placementGrantTTL = 300 * time.Millisecond
+	// initialPlacementPause is how long a peer that didn't reply isn't asked for a place, unless a message from it
+	// arrives. The pause doubles with each further request without a reply, up to maxPlacementPause.
+	initialPlacementPause = 500 * time.Millisecond
+	maxPlacementPause     = 8 * time.Second
 )
 
 // newPlacementRequest returns the placement request that host self sends for r.
@@ -135,7 +139,7 @@
 		cancel()
 		if err != nil {
 			f.journal.Request(RequestID(r.Run), "not answered for a place", "peer", peer.ID, "err", err)
-			f.peers.markUnresponsive(peer.ID)
+			f.peers.recordUnanswered(f.now(), peer.ID)
 			anyUnreachable = true
 			continue
 		}
@@ -252,14 +256,17 @@
 	return u, found
 }
 
-// markUnresponsive marks a peer that didn't reply. It isn't asked again until a message from
-// it arrives.
-func (p *peerSet) markUnresponsive(id member.HostID) {
+// recordUnanswered records that a peer didn't reply to a request for a place. It isn't asked for one for a while. That
+// says nothing about whether it is live: peerRequestTimeout is short, and this host may itself have had no processor.
+func (p *peerSet) recordUnanswered(now time.Time, id member.HostID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if s := p.known[id]; s != nil {
-		s.lastShareFailed = true
+	s := p.known[id]
+	if s == nil || now.Before(s.placementPauseUntil) {
+		return
 	}
+	s.placementPauseUntil = now.Add(min(initialPlacementPause<<min(s.unansweredCount, 8), maxPlacementPause))
+	s.unansweredCount++
 }
 
 // placementZones reports whether this host places runs on engines of its own zone, and in
@@ -285,14 +292,14 @@
 	}
 }
 
-// randomPeerOutsideCell picks a random live host of a zone from outside this host's cell.
+// randomPeerOutsideCell picks a random live host of a zone from outside this host's cell, that may be asked for a place.
 func (p *peerSet) randomPeerOutsideCell(now time.Time, zone member.Zone) (Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var chosen Peer
 	n := uint64(0)
 	for _, s := range p.known {
-		if s.Zone != zone || s.sameCell || s.stopping || !s.live(now) {
+		if s.Zone != zone || s.sameCell || s.stopping || !s.live(now) || now.Before(s.placementPauseUntil) {
 			continue
 		}
 		n++
--- a/forward/remoteplacement_test.go
+++ b/forward/remoteplacement_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
+	"github.com/shedpath/shedpath/uplink"
 )
 
 // remoteZonePeer is the interface of one host to a single host of another zone.
@@ -206,3 +207,54 @@
 		is.Equal(run.engine, d.Engine)
 	})
 }
+
+// TestUnansweredPlacementRequestIsNotTheEndOfAPeer guards against hosts that take a peer for gone, and so have no host
+// left to carry their connections, because one of their placement requests wasn't answered within some milliseconds.
+// A host without processor for that long finds every peer silent.
+func TestUnansweredPlacementRequestIsNotTheEndOfAPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far, peer := newTwoZoneHosts(t)
+		fillEngine(t, near, "near")
+		place := func(run policy.RunID) {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*peerRequestTimeout)
+			defer cancel()
+			placeRun(ctx, near, run)
+		}
+		peer.dropRequests = true
+		place("r1")
+		is.Equal(near.LivePeers(), 1)
+		is.Equal(len(near.UplinkPeers(uplink.Target{})), 1)
+		peer.dropRequests = false
+		place("r2")
+		is.Equal(peer.calls, 1) // it isn't asked again at once
+		time.Sleep(initialPlacementPause)
+		place("r3")
+		is.Equal(peer.calls, 2)
+		is.True(far.engines.pools["llm"].peerRuns["r3"] != "")
+		near.peers.recordShareResult("h2", errConnectionLost)
+		is.Equal(near.LivePeers(), 0) // a peer that can't be reached is noticed
+	})
+}
+
+// TestPauseBetweenUnansweredPlacementRequests checks that the pause in which a silent peer isn't asked for a place
+// doubles, up to a maximum, until a message from it arrives.
+func TestPauseBetweenUnansweredPlacementRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far, _ := newTwoZoneHosts(t)
+		pause := func() time.Duration {
+			near.peers.recordUnanswered(time.Now(), "h2")
+			for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+				if _, found := near.peers.randomPeerOutsideCell(time.Now(), "z2"); found {
+					return time.Since(began)
+				}
+				near.peers.recordUnanswered(time.Now(), "h2") // a request that was under way doesn't extend the pause
+				is.True(time.Since(began) <= maxPlacementPause)
+			}
+		}
+		is.Equal([]time.Duration{pause(), pause(), pause()}, []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second})
+		near.peers.recordShare(time.Now(), Share{From: far.peers.self})
+		is.Equal(pause(), initialPlacementPause)
+	})
+}
