forward: peers get the time to say that only the own link refuses an upstream

Over an own link that refuses connections, callers of whole answers without a declared end got them cut or refused on a busy host.

Cause: the connection before the identity question had 50 ms. A refusal by the own link counts as the upstream's unless a peer says otherwise, and peers that hadn't answered by then said nothing. The connection may take a second now, which is more than a dial takes with its peers; a dial whose peers are silent for all of its own time is still taken as refused. Whether a connection that broke was a crash is asked as before.

Found in the log of TestWholeAnswerReachesClient beside load (twelve copies with -race for 45 s, load about 65): outcome=ended after 51 ms, "connection refused; context deadline exceeded".

Seven cases ("own link cut, peers slow") failed before.

--- a/forward/answerend.go
+++ b/forward/answerend.go
@@ -35,6 +35,9 @@
 	// identityTimeout bounds one question. It is long, as a question that waits for a slot loses its place in the
 	// upstream's queue when it is repeated.
 	identityTimeout = 5 * time.Second
+	// identityReachTimeout bounds the connection before a question. An own link that is cut refuses connections, too, so the
+	// peers that are asked for another way need the time to answer.
+	identityReachTimeout = time.Second
 	// minIdentityPause is the pause after the first question that brought no answer. It doubles with each further one up
 	// to maxIdentityPause.
 	minIdentityPause = 20 * time.Millisecond
@@ -108,7 +111,7 @@
 // ask asks once. If the result is IdentityUnknown, wait is how long not to ask again, or negative if that brings nothing.
 func (q *identityQuestion) ask(ctx context.Context) (found Identity, wait time.Duration, err error) {
 	q.suspended = q.suspended || q.settings.Clock.MaxMessageDelay(q.now()) > 0
-	ended, err := q.checkUpstreamEnded(ctx, q.upstream)
+	ended, err := q.checkUpstreamEnded(ctx, q.upstream, identityReachTimeout)
 	if ended {
 		return IdentityEnded, 0, err
 	}
--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -40,6 +40,8 @@
 	onlyFirst bool
 	// connectDelay is how long a connection takes.
 	connectDelay time.Duration
+	// linkRefuses has the host's own link refuse connections, so that peers take connectDelay to make one.
+	linkRefuses bool
 
 	mu     sync.Mutex
 	script []identityAnswer
@@ -94,7 +96,7 @@
 		PauseFor(ctx, f.connectDelay)
 		f.mu.Lock()
 	}
-	if f.closed {
+	if f.closed || f.linkRefuses && ctx.Err() != nil {
 		return false, ErrPortClosed
 	}
 	return ctx.Err() == nil, ctx.Err()
@@ -146,19 +148,21 @@
 	for name, c := range map[string]struct {
 		script       []identityAnswer
 		connectDelay time.Duration
+		linkRefuses  bool
 	}{
-		"at once":                      {[]identityAnswer{{}}, 0},
-		"waits 80 ms for a slot":       {[]identityAnswer{{delay: 80 * time.Millisecond}}, 0},
-		"waits 500 ms for a slot":      {[]identityAnswer{{delay: 500 * time.Millisecond}}, 0},
-		"waits 3 s for a slot":         {[]identityAnswer{{delay: 3 * time.Second}}, 0},
-		"first question reset":         {[]identityAnswer{reset, {}}, 0},
-		"too many connections, thrice": {[]identityAnswer{reset, reset, reset, {delay: 100 * time.Millisecond}}, 0},
-		"a slow link":                  {[]identityAnswer{{delay: 250 * time.Millisecond}}, 200 * time.Millisecond},
+		"at once":                      {[]identityAnswer{{}}, 0, false},
+		"waits 80 ms for a slot":       {[]identityAnswer{{delay: 80 * time.Millisecond}}, 0, false},
+		"waits 500 ms for a slot":      {[]identityAnswer{{delay: 500 * time.Millisecond}}, 0, false},
+		"waits 3 s for a slot":         {[]identityAnswer{{delay: 3 * time.Second}}, 0, false},
+		"first question reset":         {[]identityAnswer{reset, {}}, 0, false},
+		"too many connections, thrice": {[]identityAnswer{reset, reset, reset, {delay: 100 * time.Millisecond}}, 0, false},
+		"a slow link":                  {[]identityAnswer{{delay: 250 * time.Millisecond}}, 200 * time.Millisecond, false},
+		"own link cut, peers slow":     {[]identityAnswer{{}}, 200 * time.Millisecond, true},
 	} {
 		for kind, a := range unframedAnswers {
 			t.Run(kind+", "+name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					transport := &unframedTransport{script: c.script, connectDelay: c.connectDelay, body: a.body}
+					transport := &unframedTransport{script: c.script, connectDelay: c.connectDelay, linkRefuses: c.linkRefuses, body: a.body}
 					f, counter := newUnframedHost(t, transport)
 					sink := &fakeSink{}
 					f.Serve(t.Context(), call(a.path), sink)
--- a/forward/brokenconnection.go
+++ b/forward/brokenconnection.go
@@ -66,7 +66,7 @@
 	if !closedByUpstream(cause) || ctx.Err() != nil {
 		return
 	}
-	ended, err := x.checkUpstreamEnded(ctx, u)
+	ended, err := x.checkUpstreamEnded(ctx, u, reachTimeout)
 	x.observer.ConnectionBroken(ended)
 	x.recordBrokenDeparture(now, u, ended)
 	// An upstream that had announced that it leaves ended as announced.
--- a/forward/quarantine.go
+++ b/forward/quarantine.go
@@ -167,8 +167,8 @@
 
 // checkUpstreamEnded checks whether an upstream ended when the connection to it broke. An
 // upstream that still listens may have restarted at once, which shows as a new incarnation.
-func (x *exchange) checkUpstreamEnded(ctx context.Context, u Upstream) (ended bool, probeErr error) {
-	reach, cancel := context.WithTimeout(ctx, reachTimeout)
+func (x *exchange) checkUpstreamEnded(ctx context.Context, u Upstream, timeout time.Duration) (ended bool, probeErr error) {
+	reach, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, err := x.transport.CheckReachable(reach, u)
 	if errors.Is(err, ErrPortClosed) {
