forward: the turns of moves aren't granted by a host that stops

Callers saw streams cut when their engine left, although it had said so 2 s before: with hosts stopped one after the other, the host that grants the turns of that engine's link had ended 0.12 s before the notice. The others still counted it as live, as they do for 1.6 s after its last message, got no turn, and copied all runs of the engine at once. Copies that take 0.2 s one after the other took 0.8 to 1.2 s each, and two runs were still there when the engine ended.

A host tells its peers that it stops, but the choice of the arbiter didn't look at that. It does now, for peers and for the host itself; if all hosts of a cell stop, they go on granting turns. The same choice decides who probes an engine while the list isn't current and who reads its reports, so a host that stops hands these over, too.

--- a/forward/turns.go
+++ b/forward/turns.go
@@ -183,25 +183,37 @@
 	})
 }
 
-// arbiter returns the live host of the engine's cell that grants its turns; this host if the
-// cell has no live one.
+// arbiter returns the host of the engine's cell that grants its turns: a live one that isn't stopping; if there is
+// none, a live one; this host if the cell has no live one. A host that stops may have ended before its silence
+// shows that.
 func (p *peerSet) arbiter(now time.Time, u Upstream) Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var near []Peer
+	var staying, stopping []Peer
+	add := func(peer Peer, stops bool) {
+		if stops {
+			stopping = append(stopping, peer)
+		} else {
+			staying = append(staying, peer)
+		}
+	}
 	cell := p.layout.UpstreamCell(u.ID, u.Zone)
 	if p.ownCell == cell {
-		near = append(near, p.self)
+		add(p.self, p.stopping)
 	}
 	for _, s := range p.known {
 		if s.cell == cell && s.live(now) {
-			near = append(near, s.Peer)
+			add(s.Peer, s.stopping)
 		}
 	}
-	if len(near) == 0 {
+	candidates := staying
+	if len(candidates) == 0 {
+		candidates = stopping
+	}
+	if len(candidates) == 0 {
 		return p.self
 	}
-	return member.HighestRanked("moves off "+string(u.ID), near)
+	return member.HighestRanked("moves off "+string(u.ID), candidates)
 }
 
 // errTurnNotGranted means that the turn of an engine was not granted.
--- a/forward/turns_test.go
+++ b/forward/turns_test.go
@@ -5,12 +5,15 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/shedpath/shedpath/member"
 )
 
 // TestTurns checks that runs leave an engine one at a time, the highest priority first, and
@@ -106,3 +109,42 @@
 		is.True(got.Sub(ended) <= 2*turnCheckInterval) // not a whole turn later
 	})
 }
+
+// TestArbiterStays guards against an engine whose runs are all copied at once, each too slowly, because the host that grants
+// their turns has stopped.
+func TestArbiterStays(t *testing.T) {
+	now := time.Now()
+	share := func(id member.HostID, stopping bool) Share {
+		return Share{From: Peer{ID: id, Zone: "z1"}, Stopping: stopping}
+	}
+	for name, c := range map[string]struct {
+		selfStops bool
+		shares    []Share
+		// want are the hosts of which each grants the turns of some engine.
+		want map[member.HostID]bool
+	}{
+		"all stay":         {false, []Share{share("h2", false), share("h3", false)}, map[member.HostID]bool{"h1": true, "h2": true, "h3": true}},
+		"a peer stops":     {false, []Share{share("h2", false), share("h2", true), share("h3", false)}, map[member.HostID]bool{"h1": true, "h3": true}},
+		"this host stops":  {true, []Share{share("h2", false), share("h3", false)}, map[member.HostID]bool{"h2": true, "h3": true}},
+		"all peers stop":   {false, []Share{share("h2", true), share("h3", true)}, map[member.HostID]bool{"h1": true}},
+		"all hosts stop":   {true, []Share{share("h2", true)}, map[member.HostID]bool{"h1": true, "h2": true}},
+		"a peer is back":   {true, []Share{share("h2", true), share("h2", false)}, map[member.HostID]bool{"h2": true}},
+		"alone, and stops": {true, nil, map[member.HostID]bool{"h1": true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := newPeerSet(Peer{ID: "h1", Zone: "z1"}, nil)
+			for _, s := range c.shares {
+				p.recordShare(now, s)
+			}
+			if c.selfStops {
+				p.markStopping()
+			}
+			got := map[member.HostID]bool{}
+			for n := range 100 {
+				got[p.arbiter(now, Upstream{ID: member.UpstreamID(fmt.Sprint("llm", n)), Zone: "z1"}).ID] = true
+			}
+			is.Equal(got, c.want)
+		})
+	}
+}
