forward: a run that no engine continues is no failure of the move's target

When a run was stopped for a move and neither the target nor the source continued it, the target was recorded as the engine that broke off the stream, though it had refused without running it or wasn't reached: no new work for 2 to 8 s in the whole zone, its other runs were moved off it, a failed answer for its version in a rollout, and the wrong engine in the line of the cut stream.

The error now says that no engine continues the run, and names the engine where it was stopped. An engine that closes the connection of a continuation is recorded, whichever of the two it is, and without the times of the engine before.

--- a/forward/move.go
+++ b/forward/move.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -433,9 +434,14 @@
 	return moved, err
 }
 
+// errNotContinued means that no engine continues a run that was stopped for a move. It is no failure of an engine:
+// those that were asked didn't run it.
+var errNotContinued = errors.New("no engine continues the run")
+
 // continueRun sends the request to the engine that holds the copy. If that engine refuses, it
 // sends the request to the engine where the run was stopped. While neither is reached, it tries
-// again until continueTimeout, or until the engine's drain time ends.
+// again until continueTimeout, or until the engine's drain time ends. With an error it returns the
+// engine that lost the run, or with errNotContinued the one where the run was stopped.
 func (s *streamExchange) continueRun(ctx context.Context, h *handover) (Upstream, *Response, error) {
 	targets := []Upstream{h.target}
 	if h.target.ID != h.source.ID {
@@ -462,7 +468,7 @@
 			if !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrTargetUnavailable) {
 				// The engine may have continued the run; events of two runs must not be mixed.
 				s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
-				return Upstream{}, nil, err
+				return u, nil, err
 			}
 			if _, kept := notSentVerdict(err); errors.Is(err, ErrNotSent) && !kept && s.mayRetryAt(s.now().Add(continueRetryDelay), u) {
 				unreached = append(unreached, u)
@@ -470,7 +476,7 @@
 		}
 		if len(unreached) == 0 || ctx.Err() != nil || s.now().Add(continueRetryDelay).Sub(h.stoppedAt) > continueTimeout {
 			s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
-			return Upstream{}, nil, lastErr
+			return h.source, nil, fmt.Errorf("%w: %w", errNotContinued, lastErr)
 		}
 		targets = unreached
 		PauseFor(ctx, continueRetryDelay)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -89,6 +89,8 @@
 		s.recordSurvival(s.now())
 	case errors.Is(err, errEndUnknown):
 		// Nothing speaks against the engine.
+	case errors.Is(err, errNotContinued):
+		// No engine broke off a stream.
 	case s.callerErr == nil && ctx.Err() == nil:
 		now := s.now()
 		if s.carrier != "" || s.linkBroken(ctx, lastEngine) {
@@ -186,7 +188,8 @@
 		}
 		m.stop()
 		if u, a, err = s.continueRun(ctx, next); err != nil {
-			return next.target, err
+			s.engineFirstEventAt, s.source, s.carrier = time.Time{}, u, ""
+			return u, err
 		}
 	}
 }
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -361,6 +361,51 @@
 	})
 }
 
+// TestLostMoveBlamesNoOtherEngine guards against an engine that gets no new work, and whose runs are moved, because it didn't
+// run a request that was to continue there.
+func TestLostMoveBlamesNoOtherEngine(t *testing.T) {
+	all := map[member.UpstreamID]bool{"llm1": true, "llm4": true, "llm5": true}
+	for name, c := range map[string]struct {
+		script engineScript
+		// breaksOff says that the engine that holds the copy closes the connection without an answer.
+		breaksOff bool
+	}{
+		"all refuse":         {engineScript{refusesContinuation: all}, false},
+		"none is reached":    {engineScript{unreachedSends: 100}, false},
+		"target breaks off":  {engineScript{}, true},
+		"target isn't there": {engineScript{unreachedSends: 1, refusesContinuation: all}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				e := c.script
+				e.eventCount, e.handle, e.copyTime, e.stopped = 60, "h", 200*time.Millisecond, make(chan struct{})
+				transport := &fakeTransport{move: e.move}
+				var last member.UpstreamID
+				transport.send = func(ctx context.Context, u Upstream, r *UpstreamRequest) (*Response, error) {
+					if last = u.ID; r.Continue != nil && c.breaksOff {
+						return nil, io.ErrUnexpectedEOF
+					}
+					return e.send(ctx, u, r)
+				}
+				f, sink := newForwarder(t, transport), &fakeSink{}
+				f.fleet.Replace(time.Now(), upstreamsWithLeaving(f, "llm2", "llm3"), rev(1))
+				f.updatePlacementEngines(time.Now(), f.Table()) // llm1 gets the run
+				time.AfterFunc(100*time.Millisecond, func() {
+					f.fleet.Replace(time.Now(), append(upstreamsWithLeaving(f, "llm1"), llmUpstream("llm4", 2, false), llmUpstream("llm5", 2, false)), rev(2))
+					f.updatePlacementEngines(time.Now(), f.Table())
+				})
+				f.Serve(t.Context(), call("/llm/"), sink)
+				is.True(sink.truncated)
+				for _, id := range []member.UpstreamID{"llm4", "llm5"} {
+					is.Equal(f.fleet.IsFailing(time.Now(), id), c.breaksOff && id == last)
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // TestEndedWhileStopped checks that a stream that reached its end is complete although a move
 // has copied its memory. If another engine continued it, its last events would come twice.
 func TestEndedWhileStopped(t *testing.T) {
