forward: an entry older than a sign that its upstream leaves doesn't take it back

Callers saw streams placed on engines that were known to leave, and one lost: while the platform's store was away, engines said in their health checks that they leave, and peers passed that on. The first read of the list after that had their entries as before the outage, and took the signs back, in one case of an engine whose end this host had seen 3 s earlier. New runs and moves went there until the list caught up.

An entry that is the same as when the sign came says nothing about it. The upstream goes on counting as leaving and is asked after the drain time, as those are that were dropped and listed again; a newer entry takes the sign back at once, as before.

TestUnconfirmedLeaving had demanded that the same entry takes the sign back at once. It now demands that it doesn't, that the upstream is asked, and that a newer entry does.

Two new cases of TestReturnedUpstream and TestUnconfirmedLeaving failed before.

--- a/forward/fleet.go
+++ b/forward/fleet.go
@@ -144,7 +144,7 @@
 	// retiredByRollout says that the upstream is leaving because a rollout retired its version.
 	retiredByRollout bool
 	// leavingUnconfirmed says that a source other than the list indicates that the upstream
-	// leaves; the list may take that back.
+	// leaves; a newer entry of the list, or the upstream itself, may take that back.
 	leavingUnconfirmed bool
 	// leavingStarted is closed when the upstream starts leaving; nil until leavingChannel is
 	// called.
@@ -154,7 +154,7 @@
 	suspectUntil time.Time
 	// unreached is what is known of failed connections of this host.
 	unreached unreachedState
-	// relisted is set while the upstream is listed as staying after it was said to leave, and
+	// relisted is set while the list has the upstream as staying after it was said to leave, and
 	// hasReturned once it turned out to stay.
 	relisted    relistedState
 	hasReturned bool
@@ -324,10 +324,15 @@
 		before.Revision = c.Revision
 	}
 	same := !k.gone && !k.missing && !k.unusable && before == c.Upstream
-	if !c.Leaving && !k.leavingDeclared && (k.leavingUnconfirmed || k.gone && c.Revision.After(k.Revision)) {
-		// The list overrides other sources, and an entry that expired while its upstream was
+	switch stays := !c.Leaving && !k.leavingDeclared; {
+	case stays && k.leavingUnconfirmed && !k.retiredByRollout && c.Revision == k.Revision:
+		// The entry is older than the sign, so the upstream is asked.
+		isRelisted = k.relisted.at.IsZero()
+	case stays && (k.leavingUnconfirmed || k.gone && c.Revision.After(k.Revision)):
+		// A newer entry overrides other sources, and an entry that expired while its upstream was
 		// partitioned comes back.
 		k.cancelLeaving()
+		k.relisted = relistedState{}
 	}
 	// An incarnation that reported that it leaves never comes back.
 	k.leavingDeclared = k.leavingDeclared || c.Leaving
--- a/forward/fleet_test.go
+++ b/forward/fleet_test.go
@@ -132,8 +132,8 @@
 	<-f.LeavingStarted("a")
 }
 
-// TestUnconfirmedLeaving checks that the list takes back another source's sign that an upstream
-// leaves.
+// TestUnconfirmedLeaving checks that a newer entry of the list takes back another source's sign that an upstream
+// leaves, and that the entry which the sign contradicts doesn't.
 func TestUnconfirmedLeaving(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
@@ -145,7 +145,12 @@
 	is.Equal(f.LeavingMarks(now), []LeavingMark{{Upstream: "a", Remaining: 900 * time.Millisecond}})
 	is.Equal(len(f.LeavingMarks(now.Add(time.Minute))), 0)
 	f.Replace(now, []Upstream{llmUpstream("a", 1, false)}, rev(4))
+	is.Equal(len(availableIDs(&f, now)), 0)
+	is.Equal(f.RelistedCount(), 1) // a is asked
+	<-f.LeavingStarted("a")
+	f.Replace(now, []Upstream{llmUpstream("a", 5, false)}, rev(5))
 	is.Equal(availableIDs(&f, now), map[member.UpstreamID]bool{"a": true})
+	is.Equal(f.RelistedCount(), 0)
 }
 
 // TestUnconfirmedLeavingIsNotForwarded checks that followers receive an upstream as the list
--- a/forward/returned.go
+++ b/forward/returned.go
@@ -22,9 +22,10 @@
 	maxReturnCheckInterval     = 8 * time.Second
 )
 
-// relistedState is what is known of an upstream without an incarnation that was said to leave, was dropped from the
-// list and is listed as staying again. The list may say so late, so the upstream counts as leaving until it is known
-// to have returned. The zero value stands for any other upstream.
+// relistedState is what is known of an upstream that was said to leave and that the list has as staying: one without
+// an incarnation that was dropped from the list and is listed again, or one for whose leaving there are signs that are
+// newer than its entry. The list may be late, so the upstream counts as leaving until it is known to have returned. The
+// zero value stands for any other upstream.
 type relistedState struct {
 	// at is when the list had the upstream again; zero if it hasn't.
 	at time.Time
--- a/forward/returned_test.go
+++ b/forward/returned_test.go
@@ -94,10 +94,13 @@
 
 func (d *returnDrill) isUsed() bool { return d.usedIDs()["app1"] }
 
-// TestReturnedUpstream checks when an upstream without an incarnation is used again that was said to leave and is
-// listed as staying.
+// TestReturnedUpstream checks when an upstream is used again that was said to leave and is listed as staying.
 func TestReturnedUpstream(t *testing.T) {
 	leaves, gone, back := entryChange(5, true), goneChange(6), entryChange(7, false)
+	sign := func(d *returnDrill) {
+		d.apply(entryChange(5, false))
+		d.fleet.MarkLeaving(time.Now(), "app1", 0, true)
+	}
 	for name, c := range map[string]struct {
 		prepare func(d *returnDrill)
 		changes []Change
@@ -121,9 +124,15 @@
 			d.Configure(time.Now(), testConfig(3))
 			d.fleet.RecordSelfReportedLeaving(time.Now(), "app1", 0, true)
 		}, []Change{gone, back}, selfReportRetention},
-		"made again while nobody looked":       {nil, []Change{leaves, madeAt(6, back)}, 2 * time.Second},
-		"made before, not gone in between":     {nil, []Change{leaves, madeAt(3, back)}, 0},
-		"never said to leave":                  {nil, []Change{gone, back}, time.Nanosecond},
+		"made again while nobody looked":   {nil, []Change{leaves, madeAt(6, back)}, 2 * time.Second},
+		"made before, not gone in between": {nil, []Change{leaves, madeAt(3, back)}, 0},
+		"never said to leave":              {nil, []Change{gone, back}, time.Nanosecond},
+		"a sign newer than its entry":      {sign, []Change{entryChange(5, false)}, 2 * time.Second},
+		"a newer entry than the sign":      {sign, []Change{entryChange(6, false)}, time.Nanosecond},
+		"a sign, it says that it leaves": {func(d *returnDrill) {
+			sign(d)
+			d.healthy.Store(false)
+		}, []Change{entryChange(5, false), entryChange(5, false)}, 0},
 		"its zone is out of service meanwhile": {func(d *returnDrill) { d.closeZone("z1", 3) }, []Change{leaves, gone, back}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
