forward: a stopped run's engines are tried for two seconds after its final copy, not after its stop

Callers saw streams cut although a copy of their run was there. A run that moves is stopped for its final copy, which may wait for other copies on its links (moveTimeout, 3 s). The engines that hold the copy are then tried for two seconds while none is reached, but these were counted from the stop. After a copy of two seconds the first failed connection to both engines cut the stream. Class: an expected duration, that of the final copy, decides that something is over.

Now the two seconds begin when the run is sent to the engine that holds its copy. An engine that no longer has it says so, which ends the tries as before, and so do the caller and the request's deadline.

TestMovedRunIsTriedAgainAfterSlowCopy failed before for copies of 2 s and 2.9 s (stream cut after one failed round); it also holds that the tries end after two seconds if no engine is reached.

--- a/forward/cutstream_test.go
+++ b/forward/cutstream_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -81,6 +82,59 @@
 	}
 }
 
+// TestMovedRunIsTriedAgainAfterSlowCopy guards against streams that are cut, although their copy is there, because the final
+// copy waited for busy links and the first connection to the engine that holds it fails.
+func TestMovedRunIsTriedAgainAfterSlowCopy(t *testing.T) {
+	for _, copyTime := range []time.Duration{0, continueTimeout, moveTimeout - 100*time.Millisecond} {
+		for name, failures := range map[string]int{"one failed round": 2, "none is reached": 1000} {
+			t.Run(fmt.Sprint(copyTime, " ", name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					read, write := io.Pipe()
+					tries := 0
+					var copied time.Time
+					transport := &fakeTransport{}
+					transport.send = func(_ context.Context, _ Upstream, r *UpstreamRequest) (*Response, error) {
+						if r.Continue == nil {
+							go func() { _, _ = io.WriteString(write, sseEvent(1)) }()
+							a := answer(200, "")
+							a.ContentLength, a.Framed, a.Body = -1, true, read
+							return a, nil
+						}
+						if tries++; tries <= failures {
+							return nil, ErrNotSent
+						}
+						return answer(200, sseEvent(2)), nil
+					}
+					transport.move = func(_ context.Context, _ Upstream, r MoveRequest) (MoveResult, error) {
+						if r.StopSource {
+							_ = write.CloseWithError(io.ErrUnexpectedEOF)
+							time.Sleep(copyTime)
+							copied = time.Now()
+						}
+						return MoveResult{Handle: "h"}, nil
+					}
+					f, sink := newForwarder(t, transport), &fakeSink{}
+					f.fleet.Suspect(time.Now(), "llm2")
+					f.fleet.Suspect(time.Now(), "llm3")
+					f.updatePlacementEngines(time.Now(), f.Table()) // llm1 gets the run
+					time.AfterFunc(100*time.Millisecond, func() {
+						f.fleet.Replace(time.Now(), upstreamsWithLeaving(f, "llm1"), rev(2))
+						f.updatePlacementEngines(time.Now(), f.Table())
+					})
+					f.Serve(t.Context(), call("/llm/"), sink)
+					is.Equal(sink.truncated, failures > 2)
+					is.True(time.Since(copied) <= continueTimeout)
+					if failures <= 2 {
+						is.Equal(sink.body.String(), sseEvent(1)+sseEvent(2))
+					}
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
+
 // TestStreamCutAtDeadlineWhileItsReaderIsSlow guards against a stream that ends as complete although its caller hasn't got all of it.
 func TestStreamCutAtDeadlineWhileItsReaderIsSlow(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/forward/move.go
+++ b/forward/move.go
@@ -45,8 +45,8 @@
 	permitValidity = time.Second
 	// moveTimeout bounds one copy; several copies may wait for one link.
 	moveTimeout = 3 * time.Second
-	// continueTimeout is how long after a run was stopped its engines are tried while none is reached, and
-	// continueRetryDelay the wait between tries. Engines keep copies for longer.
+	// continueTimeout is how long the engines of a stopped run are tried while none is reached, however long the final
+	// copy took, and continueRetryDelay the wait between tries. Engines keep copies for longer.
 	continueTimeout    = 2 * time.Second
 	continueRetryDelay = 100 * time.Millisecond
 	// drainMargin is how long before the end of its drain time an engine isn't tried again: connecting takes
@@ -440,7 +440,7 @@
 
 // continueRun sends the request to the engine that holds the copy. If that engine refuses, it
 // sends the request to the engine where the run was stopped. While neither is reached, it tries
-// again until continueTimeout, or until the engine's drain time ends. With an error it returns the
+// again for continueTimeout, or until the engine's drain time ends. With an error it returns the
 // engine that lost the run, or with errNotContinued the one where the run was stopped.
 func (s *streamExchange) continueRun(ctx context.Context, h *handover) (Upstream, *Response, error) {
 	targets := []Upstream{h.target}
@@ -452,7 +452,7 @@
 		return cmp.Compare(s.backoffs.Remaining(s.now(), a.ID), s.backoffs.Remaining(s.now(), b.ID))
 	})
 	var lastErr error
-	counted := map[member.UpstreamID]bool{}
+	began, counted := s.now(), map[member.UpstreamID]bool{}
 	for {
 		var unreached []Upstream
 		for _, u := range targets {
@@ -474,7 +474,7 @@
 				unreached = append(unreached, u)
 			}
 		}
-		if len(unreached) == 0 || ctx.Err() != nil || s.now().Add(continueRetryDelay).Sub(h.stoppedAt) > continueTimeout {
+		if len(unreached) == 0 || ctx.Err() != nil || s.now().Add(continueRetryDelay).Sub(began) > continueTimeout {
 			s.observer.Moved("lost", s.now().Sub(h.stoppedAt))
 			return h.source, nil, fmt.Errorf("%w: %w", errNotContinued, lastErr)
 		}
