platform, telemetry: the last line of a host says what it left

A host's log ended with stopped whether its requests were through or not, so a process that closed connections with requests in progress, or dropped lines of its log, couldn't be told from one that was through.

stopped now has in_progress and dropped_lines; a process without the line ended by a fault or was killed. TestSignalsWhileStopping reads both as zero and failed without them; a count above zero is only tested for the counter.

--- a/internal/cli/serve_test.go
+++ b/internal/cli/serve_test.go
@@ -44,7 +44,7 @@
 			ended := make(chan struct{})
 			var signalling sync.WaitGroup
 			signalling.Go(func() { signalUntil(ended, host.Process, sig) })
-			awaitLine(t, lines, "msg=stopped")
+			awaitLine(t, lines, "msg=stopped in_progress=0 dropped_lines=0")
 			close(ended)
 			signalling.Wait()
 			_, err := io.Copy(io.Discard, lines)
--- a/internal/telemetry/forward.go
+++ b/internal/telemetry/forward.go
@@ -6,6 +6,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,7 @@
 
 	accepted           prometheus.Counter
 	inProgress         prometheus.Gauge
+	inProgressCount    atomic.Int64
 	answers            *prometheus.CounterVec
 	requestDuration    *prometheus.HistogramVec
 	firstEvent         prometheus.Observer
@@ -138,11 +140,19 @@
 func (f *Forward) Accepted() {
 	f.accepted.Inc()
 	f.inProgress.Inc()
+	f.inProgressCount.Add(1)
 }
 
+// InProgress returns the number of accepted requests that haven't ended.
+func (f *Forward) InProgress() int64 { return f.inProgressCount.Load() }
+
+// DroppedLines returns how many lines the log has dropped.
+func (f *Forward) DroppedLines() int64 { return f.ringLog.Dropped() }
+
 // Answered counts a request that ended and records how long it took.
 func (f *Forward) Answered(kind forward.Kind, outcome string, took time.Duration) {
 	f.inProgress.Dec()
+	f.inProgressCount.Add(-1)
 	f.answers.WithLabelValues(string(kind), outcome).Inc()
 	f.requestDuration.WithLabelValues(string(kind)).Observe(took.Seconds())
 }
