forward: a host accepts plain calls late in its stop only if their deadline is before its end

Callers of plain calls got an error for a call that may have run, or an answer of more than a megabyte cut midway, though they had sent the call more than three seconds after the host's SIGTERM and their deadline was far. A stopping host accepted a call if a second fitted in before the end, as all but one in some thousands take less; the others were interrupted there.

Now what holds for streams holds for calls: later than 2.5 s after the start of the stop their deadline has to be before the end. Before that a second has to fit in, as up to now. Calls whose caller and route allow little more than a second are accepted as before; those with longer timeouts are refused as not run from then on, and another host serves them.

TestCallAcceptedLateInStopIsNotCut failed before in all four cases. In TestSlowBodyLateInStopIsRefused the call that is complete in time has a deadline now; the other cases are unchanged.

--- a/forward/stopping.go
+++ b/forward/stopping.go
@@ -122,8 +122,8 @@
 
 // Bounds of the requests that a stopping host still accepts.
 const (
-	// estimateTrustPeriod is how long after the start of the stop a stream is accepted by its expected
-	// length. Its callers' next attempts may reach other hosts that stop, and a stream that outlasts the grace
+	// estimateTrustPeriod is how long after the start of the stop a request is accepted by its expected
+	// duration. Its caller's next attempts may reach other hosts that stop, and a request that outlasts the grace
 	// period may be cut if it arrived in the first three seconds of the stop.
 	estimateTrustPeriod = 2500 * time.Millisecond
 	// A stream is accepted by its expected length if streamDurationMultiplier times its expected duration
@@ -131,43 +131,36 @@
 	streamDurationMultiplier = 2
 	streamStopMargin         = time.Second
 	// maxExpectedCallDuration is longer than all but one in some thousands of plain calls
-	// take. A shorter timeout of the caller replaces it.
+	// take.
 	maxExpectedCallDuration = time.Second
 )
 
-// endsBeforeStop reports whether a request is expected to end before this host stops.
+// endsBeforeStop reports whether a request ends before this host stops: its deadline is earlier or, soon after the start of
+// the stop, its expected duration fits in.
 func (x *exchange) endsBeforeStop(now time.Time) bool {
 	x.mu.Lock()
 	stopping, since, by := x.stopping.Load(), x.stoppingSince, x.stopDeadline
 	x.mu.Unlock()
+	isStream := x.route.Kind == KindStream
 	switch {
 	case !stopping:
 		return true
-	case x.route.Kind != KindStream:
-		return by.IsZero() || now.Add(x.expectedCallDuration(now)).Before(by)
+	case by.IsZero():
+		return !isStream
+	case !x.deadline.IsZero() && x.deadline.Before(by):
+		return true
+	case now.Sub(since) > estimateTrustPeriod:
+		return false
+	case isStream:
+		return x.streamEndsBefore(now, by)
 	default:
-		return x.streamEndsBefore(now, since, by)
-	}
-}
-
-// expectedCallDuration returns how long a plain call takes at most, by the caller's timeout
-// and maxExpectedCallDuration.
-func (x *exchange) expectedCallDuration(now time.Time) time.Duration {
-	if left := x.timeLeft(now); left > 0 {
-		return min(left, maxExpectedCallDuration)
+		return now.Add(maxExpectedCallDuration).Before(by)
 	}
-	return maxExpectedCallDuration
 }
 
-// streamEndsBefore reports whether a stream ends before the end of a stop that started at since: its deadline
-// is earlier or, soon after the start of the stop, its expected duration fits in.
-func (x *exchange) streamEndsBefore(now, since, by time.Time) bool {
-	if !x.deadline.IsZero() && x.deadline.Before(by) {
-		return true
-	}
-	if now.Sub(since) > estimateTrustPeriod {
-		return false
-	}
+// streamEndsBefore reports whether a stream is expected to end before deadline by. A stream that names neither a maximum
+// nor an estimate of its output is not.
+func (x *exchange) streamEndsBefore(now, by time.Time) bool {
 	p := x.call.Prompt
 	outputTokens := p.MaxOutputTokens
 	if p.ExpectedOutputTokens > 0 && (outputTokens <= 0 || p.ExpectedOutputTokens < outputTokens) {
--- a/forward/stopping_test.go
+++ b/forward/stopping_test.go
@@ -129,6 +129,73 @@
 	}
 }
 
+// slowBytes is the body of a long answer, of which a part comes after each gap.
+type slowBytes struct {
+	ctx  context.Context
+	gap  time.Duration
+	left int
+}
+
+func (b *slowBytes) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	PauseFor(b.ctx, b.gap)
+	n := min(len(p), b.left, 64<<10)
+	b.left -= n
+	return n, b.ctx.Err()
+}
+
+func (b *slowBytes) Close() error { return nil }
+
+// TestCallAcceptedLateInStopIsNotCut guards against plain calls that a host accepts more than three seconds after the start of
+// its stop, as most take less than a second, and interrupts at the end of its grace period.
+func TestCallAcceptedLateInStopIsNotCut(t *testing.T) {
+	const grace = 7600 * time.Millisecond
+	for name, arrivesAt := range map[string]time.Duration{
+		"after 3.1 s": 3100 * time.Millisecond, "after 4 s": 4 * time.Second, "after 5 s": 5 * time.Second, "after 6 s": 6 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, callerTimeout := range []time.Duration{time.Second, 3 * time.Second, 39 * time.Second} {
+				for gap := 20 * time.Millisecond; gap < 100*time.Millisecond; gap += 20 * time.Millisecond {
+					synctest.Test(t, func(t *testing.T) {
+						f := newForwarder(t, &fakeTransport{send: func(ctx context.Context, _ Upstream, r *UpstreamRequest) (*Response, error) {
+							a := answer(200, "")
+							a.ContentLength = 4 << 20
+							a.Body = &slowBytes{ctx, gap, 4 << 20}
+							if r.Call.ID == "r1" {
+								a.Body = &slowBytes{ctx, time.Second, 4 << 20}
+							}
+							return a, nil
+						}})
+						config := testConfig(2)
+						for i := range config.Routes {
+							config.Routes[i].Timeout = time.Minute
+						}
+						f.Configure(time.Now(), config)
+						ctx, cancel := context.WithTimeout(t.Context(), grace)
+						defer cancel()
+						var running sync.WaitGroup
+						defer running.Wait()
+						// It lasts until the end of the grace period.
+						running.Go(func() { f.Serve(t.Context(), call("/order/"), &fakeSink{}) })
+						synctest.Wait()
+						running.Go(func() { f.Close(ctx) })
+						time.Sleep(arrivesAt)
+						request, sink := call("/order/"), &fakeSink{}
+						request.ID, request.CallerTimeout = "r2", callerTimeout
+						f.Serve(t.Context(), request, sink)
+						interrupted := sink.truncated || sink.refused != nil && sink.refused.MayHaveRun
+						if took := time.Since(request.Arrived); interrupted && took < callerTimeout {
+							t.Errorf("the deadline is in %v, and %v are between parts: interrupted after %v", callerTimeout, gap, took)
+						}
+					})
+				}
+			}
+		})
+	}
+}
+
 // TestLateStreamNeedsDeadlineBeforeEndOfStop checks that a stream late in a stop is accepted if its deadline, the caller's or
 // the route's, is before the end, and refused if it has none or the end isn't known.
 func TestLateStreamNeedsDeadlineBeforeEndOfStop(t *testing.T) {
@@ -214,15 +281,16 @@
 		path string
 		// arrived and complete are the times from the start of the stop to the header and to the end of the body.
 		arrived, complete time.Duration
+		callerTimeout     time.Duration
 		refused           bool
 	}{
-		"stream, a quick body":          {"/llm/", time.Second, time.Second, false},
-		"stream, complete after 3 s":    {"/llm/", time.Second, 3 * time.Second, true},
-		"stream, complete at the end":   {"/llm/", time.Second, 6900 * time.Millisecond, true},
-		"stream, begun before the stop": {"/llm/", -time.Second, 6900 * time.Millisecond, true},
-		"call, complete in time":        {"/order/", time.Second, 5 * time.Second, false},
-		"call, complete at the end":     {"/order/", time.Second, 6900 * time.Millisecond, true},
-		"call, begun before the stop":   {"/order/", -time.Second, 6900 * time.Millisecond, true},
+		"stream, a quick body":          {"/llm/", time.Second, time.Second, 39 * time.Second, false},
+		"stream, complete after 3 s":    {"/llm/", time.Second, 3 * time.Second, 39 * time.Second, true},
+		"stream, complete at the end":   {"/llm/", time.Second, 6900 * time.Millisecond, 39 * time.Second, true},
+		"stream, begun before the stop": {"/llm/", -time.Second, 6900 * time.Millisecond, 39 * time.Second, true},
+		"call, complete in time":        {"/order/", time.Second, 5 * time.Second, 5 * time.Second, false},
+		"call, complete at the end":     {"/order/", time.Second, 6900 * time.Millisecond, 39 * time.Second, true},
+		"call, begun before the stop":   {"/order/", -time.Second, 6900 * time.Millisecond, 39 * time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -239,7 +307,7 @@
 				defer cancel()
 				f.Stop(ctx)
 				request, sink := call(c.path), &fakeSink{}
-				request.Arrived = time.Now().Add(c.arrived)
+				request.Arrived, request.CallerTimeout = time.Now().Add(c.arrived), c.callerTimeout
 				request.Prompt.Tokens, request.Prompt.MaxOutputTokens = 1000, 40
 				time.Sleep(c.complete)
 				f.ContactProved(time.Now())
@@ -332,6 +400,30 @@
 	}
 }
 
+// TestCallsInShortStop checks that a call whose deadline is after the end of a short stop is accepted while a usual call fits in.
+func TestCallsInShortStop(t *testing.T) {
+	for arrivesAt, refused := range map[time.Duration]bool{0: false, 900 * time.Millisecond: false, 1100 * time.Millisecond: true} {
+		t.Run(arrivesAt.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newForwarder(t, &fakeTransport{send: sendAfterDelay})
+				config := testConfig(2)
+				for i := range config.Routes {
+					config.Routes[i].Timeout = time.Minute
+				}
+				f.Configure(time.Now(), config)
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+				defer cancel()
+				f.Stop(ctx)
+				time.Sleep(arrivesAt)
+				sink := &fakeSink{}
+				f.Serve(t.Context(), call("/order/"), sink)
+				is.Equal(sink.refused != nil, refused)
+			})
+		})
+	}
+}
+
 // TestPeersLearnOfStop checks that all hosts know at once that one of them stops, so that they open no
 // connections through it and their streams leave it while there is time.
 func TestPeersLearnOfStop(t *testing.T) {
