forward: an engine isn't taken for failing by a host whose machine was just suspended

All hosts of a cell avoided an engine that worked, for two to eight seconds, and moved runs off it. An engine counts as failing if a first event is late and none of its other runs made progress within 1.2 s. Peers report the progress twice a second. A host whose machine was suspended has only reports from before, while the time since then has grown by the suspension; if the first event became late before the next report arrived, it took its own silence for the engine's. Class: a question that isn't answered in time is taken for an answer.

Now a wait for the first event in which the machine was suspended is followed by another of engineProgressTimeout before the engine is judged. An engine that stays silent is found as before, up to 1.2 s later.

A process that is stopped (SIGSTOP) rather than suspended with its machine isn't noticed by the clock, and isn't covered.

--- a/forward/failingupstream.go
+++ b/forward/failingupstream.go
@@ -162,14 +162,14 @@
 // watchFirstEvent records the engine as failing if its first event is late and none of its
 // other runs makes progress. A late first event alone may just mean that the engine is full:
 // all hosts of the zone would avoid it for seconds, and the other engines would have to take
-// its load. stop ends the watch.
+// its load. After a suspension of this host's machine, reports of its progress have yet to arrive. stop ends the watch.
 func (s *streamExchange) watchFirstEvent(id member.UpstreamID) (stop func()) {
 	if s.route.Objective <= 0 {
 		return func() {}
 	}
 	arrived := make(chan struct{})
 	s.tasks.Go("first event", func() {
-		timer := time.NewTimer(firstEventTimeout(s.route.Objective))
+		timer, slept := time.NewTimer(firstEventTimeout(s.route.Objective)), s.settings.Clock.TotalSuspended()
 		defer timer.Stop()
 		for {
 			select {
@@ -177,7 +177,9 @@
 				return
 			case <-timer.C:
 			}
-			if now := s.now(); !s.engines.hasRecentProgress(now, s.service.Name, id) {
+			sleptBefore := slept
+			slept = s.settings.Clock.TotalSuspended()
+			if now := s.now(); slept == sleptBefore && !s.engines.hasRecentProgress(now, s.service.Name, id) {
 				s.recordEngineFailure(now, id, "the first event is late")
 				return
 			}
--- a/forward/suspended_test.go
+++ b/forward/suspended_test.go
@@ -17,6 +17,7 @@
 	"github.com/shedpath/shedpath/clock/clocktest"
 	"github.com/shedpath/shedpath/history"
 	"github.com/shedpath/shedpath/member"
+	"github.com/shedpath/shedpath/policy"
 	"github.com/shedpath/shedpath/quarantine"
 )
 
@@ -321,3 +322,47 @@
 		})
 	}
 }
+
+// TestWorkingEngineIsNotFailingAfterSuspension guards against engines that a whole cell avoids because the first event of a
+// request is late at a host that was suspended, which has no recent report of the engine's other runs. An engine that stays
+// silent after the suspension is still noticed.
+func TestWorkingEngineIsNotFailingAfterSuspension(t *testing.T) {
+	for _, slept := range clocktest.SuspensionDurations[1:] {
+		for _, working := range []bool{true, false} {
+			t.Run(fmt.Sprint(slept, " working ", working), func(t *testing.T) {
+				silent := func(ctx context.Context, _ Upstream, _ *UpstreamRequest) (*Response, error) {
+					<-ctx.Done()
+					return nil, context.Cause(ctx)
+				}
+				transport := &fakeTransport{send: silent}
+				withSuspendableHost(t, transport, func(is *is.I, f *Forwarder, s *clocktest.Machine) {
+					ctx, stop := context.WithCancel(context.Background())
+					defer synctest.Wait()
+					defer stop()
+					go f.Run(ctx)
+					synctest.Wait()
+					request := call("/llm/")
+					request.Arrived = f.now()
+					go f.Serve(ctx, request, &fakeSink{})
+					synctest.Wait()
+					engine := transport.sentTo()[0]
+					began, suspended, marked := time.Now(), false, false
+					late := firstEventTimeout(1800 * time.Millisecond)
+					for made := policy.Tokens(100); time.Since(began) < late+3*time.Second; made += 50 {
+						if !suspended || working {
+							f.engines.replacePeerRuns(f.now(), "h2", []RunState{{Run: "other", Service: "llm", Engine: engine, Prompt: 100, Made: made, Limit: 5000}}, nil)
+						}
+						time.Sleep(shareInterval)
+						if !suspended && time.Since(began) > late-shareInterval {
+							s.Suspend(slept)
+							suspended = true
+							time.Sleep(shareInterval) // the next report
+						}
+						marked = marked || len(f.fleet.FailingMarks(f.now())) > 0
+					}
+					is.Equal(marked, !working)
+				})
+			})
+		}
+	}
+}
