--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -119,11 +119,7 @@
 func newUnframedHost(t *testing.T, transport Transport) (*Forwarder, *identityCounter) {
 	f, counter := newForwarder(t, transport), &identityCounter{}
 	f.observer = counter
-	config := testConfig(2)
-	for n := range config.Routes {
-		config.Routes[n].Timeout = time.Minute
-	}
-	f.Configure(f.now(), config)
+	setRouteTimeouts(f, time.Minute)
 	return f, counter
 }
 
--- a/forward/fake_test.go
+++ b/forward/fake_test.go
@@ -228,6 +228,15 @@
 	return f
 }
 
+// setRouteTimeouts has all routes of testConfig allow a time.
+func setRouteTimeouts(f *Forwarder, timeout time.Duration) {
+	config := testConfig(2)
+	for n := range config.Routes {
+		config.Routes[n].Timeout = timeout
+	}
+	f.Configure(f.now(), config)
+}
+
 // call returns a caller's request for a path.
 func call(path string) *Call {
 	return &Call{
