--- a/forward/answerend.go
+++ b/forward/answerend.go
@@ -13,9 +13,9 @@
 )
 
 // An answer that has no declared end ends with its connection. It is whole if its upstream closed the connection, and
-// broken off if its upstream ended, which looks the same. So the upstream is asked who it is.
+// broken off if its upstream ended, which looks the same. So the upstream's identity is checked.
 
-// Identity is what is known about who has the address of an upstream.
+// Identity is what is known about the instance at the address of an upstream.
 type Identity string
 
 const (
@@ -67,7 +67,7 @@
 	}
 }
 
-// identify finds out who has the address of an upstream whose answer has ended. A crowded upstream answers late, and one with
+// identify finds out which instance is at the address of an upstream whose answer has ended. A crowded upstream answers late, and one with
 // too many connections resets the question, so it is asked until it answers or ctx ends. If the request is
 // repeatable, an upstream that hasn't accepted a connection is given up after maxUnreachedTime.
 func (x *exchange) identify(ctx context.Context, u Upstream, repeatable bool) Identity {
@@ -95,7 +95,7 @@
 	return found
 }
 
-// identityQuestion is the question who has the address of an upstream.
+// identityQuestion is the question which instance is at the address of an upstream.
 type identityQuestion struct {
 	*exchange
 	upstream Upstream
--- a/forward/answerend_test.go
+++ b/forward/answerend_test.go
@@ -21,7 +21,7 @@
 	"github.com/shedpath/shedpath/member"
 )
 
-// identityAnswer is how an upstream answers the question who it is, or lets itself be reached.
+// identityAnswer is how an upstream answers an identity question or a connection.
 type identityAnswer struct {
 	delay time.Duration
 	// instance answers; empty for the upstream itself.
@@ -123,7 +123,7 @@
 	return f, counter
 }
 
-// silent is an upstream that accepts connections and never says who it is.
+// silent is an upstream that accepts connections and never answers an identity question.
 const silent = time.Hour
 
 // unframedAnswers are requests and their whole answers, by name.
@@ -138,7 +138,7 @@
 }
 
 // TestWholeAnswerIsNotCutBeforeItsUpstreamIsIdentified guards against a whole answer without a declared end that is cut or lost because
-// its upstream doesn't say at once, or not on the first connection, who it is.
+// its upstream answers the identity question late, or not on the first connection.
 func TestWholeAnswerIsNotCutBeforeItsUpstreamIsIdentified(t *testing.T) {
 	reset := identityAnswer{err: syscall.ECONNRESET}
 	for name, c := range map[string]struct {
@@ -176,7 +176,7 @@
 }
 
 // TestUnidentifiedUpstreamIsNotTakenForWhole guards against an answer that counts as whole although its upstream ended while it was
-// asked who it is, or never says so.
+// asked for its identity, or never answers.
 func TestUnidentifiedUpstreamIsNotTakenForWhole(t *testing.T) {
 	const delay = 500 * time.Millisecond
 	for name, c := range map[string]struct {
