forward: the time of the last update of paces is guarded

A host's new configuration and its placement's loop both read and wrote pacesUpdatedAt without a lock, since placement by pace is there. Callers hardly see it: paces were at worst updated twice in 0.4 s. Under the race detector the host's process ended with exit status 66.

A test of two goroutines alone doesn't show it, as the placement's lock orders them on one processor.

--- a/forward/enginepace.go
+++ b/forward/enginepace.go
@@ -168,10 +168,9 @@
 
 // updatePaces drops what is known of engines that are gone, and logs what has changed.
 func (f *Forwarder) updatePaces(now time.Time) {
-	if !f.engines.paceEnabled || now.Sub(f.pacesUpdatedAt) < paceCheckInterval {
+	if !f.engines.paceEnabled || !f.paceUpdateDue(now) {
 		return
 	}
-	f.pacesUpdatedAt = now
 	f.engines.forgetPaces(f.fleet.goneAmong(f.engines.prunePaces(now)))
 	f.engines.takePaceChanges(func(name ServiceName, p *servicePace) {
 		if c := p.unloggedChange; c != nil {
@@ -190,6 +189,17 @@
 	})
 }
 
+// paceUpdateDue reports whether the last update is paceCheckInterval ago; it then counts as made now.
+func (f *Forwarder) paceUpdateDue(now time.Time) bool {
+	f.pacesUpdatedMu.Lock()
+	defer f.pacesUpdatedMu.Unlock()
+	if now.Sub(f.pacesUpdatedAt) < paceCheckInterval {
+		return false
+	}
+	f.pacesUpdatedAt = now
+	return true
+}
+
 // prunePaces drops expired observations, and returns the engines that remain known.
 func (e *enginePlacer) prunePaces(now time.Time) []member.UpstreamID {
 	e.mu.Lock()
--- a/forward/forwarder.go
+++ b/forward/forwarder.go
@@ -154,7 +154,8 @@
 	signalLogLimiter event.Limiter
 	// paceLogLimiter bounds the log lines about invalid pace marks, by service.
 	paceLogLimiter event.Limiter
-	// pacesUpdatedAt is when Run last updated the pace of engines.
+	// pacesUpdatedAt is when the pace of engines was last updated. pacesUpdatedMu guards it.
+	pacesUpdatedMu sync.Mutex
 	pacesUpdatedAt time.Time
 	// zoneLoadLogLimiter bounds the log lines about unusable loads of other zones.
 	zoneLoadLogLimiter event.Limiter
