--- /dev/null
+++ b/review/harness-2/reborn.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The shedpath authors
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// cases are the cases by the names under which scripts play them.
+var cases = map[string]func(s *site, trouble bool) (broken []string, err error){
+	"reborn": reborn,
+}
+
+// fleet are the bounds of the whole fleet's sheet, with the memory of a small host.
+var fleet = bounds{contactMS: 6000, drainMS: 5000, applyMS: 5000, heartbeatMS: 2000, retrySlack: 52, memoryMB: 284}
+
+const (
+	key       = "k8v9v77emvd5wjiuwbg3"
+	modelName = "llm-balcao"
+	plainName = "pedidos-app"
+)
+
+// configuration is a small document of the operator.
+func configuration(version int, streamTimeoutMS int) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []any{
+			map[string]any{
+				"name": "quote-chat", "host": "ficu95.example", "path_prefix": "/lohu930/", "kind": "streaming", "service": modelName,
+				"timeout_ms": streamTimeoutMS, "target_latency_ms": 1800, "gap_aim_ms": 180, "max_attempts": 1, "priority": 1, "sticky": true,
+			},
+			map[string]any{
+				"name": "stock-line", "host": "ficu95.example", "path_prefix": "/pule252/", "kind": "unsafe", "service": plainName,
+				"timeout_ms": 1500, "target_latency_ms": 150, "max_attempts": 1, "priority": 2,
+			},
+			map[string]any{
+				"name": "order-status", "host": "ficu95.example", "path_prefix": "/puxa403/", "kind": "safe", "service": plainName,
+				"timeout_ms": 1500, "target_latency_ms": 150, "max_attempts": 2, "priority": 2,
+			},
+		},
+		"services": []any{
+			map[string]any{
+				"name": modelName, "health_path": "/health", "max_conns": 232,
+				"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 33640, "token_kv_bytes": 163840, "link_mbps": 24000, "moves": true, "backups": true, "stride": 4},
+			},
+			map[string]any{"name": plainName, "health_path": "/health", "max_conns": 96},
+		},
+		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []any{key}}},
+		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
+	}
+}
+
+// prompt are the headers of a generation.
+var prompt = map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "Length-Hint": "80"}
+
+// reborn: a worker crashes behind a cut and starts again under the id that it had. Its answer, which has no length,
+// was under way. When the cut heals, the rest of what it had sent and the end of its connection arrive.
+func reborn(s *site, trouble bool) ([]string, error) {
+	s.store.put("op/config", configuration(7, 39000))
+	beat := 2 * time.Second
+	place, err := s.addWorker("i-7f3a91c2", modelName, "recife-a", beat, "-framed=false", "-events", "30", "-gap", "100ms")
+	if err != nil {
+		return nil, err
+	}
+	if err := s.startHosts([]string{"recife-a", "recife-b", "fortaleza-c"}, fleet); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	done := make(chan answer, 1)
+	go func() {
+		done <- s.ask(context.Background(), s.hosts[0], "POST", "/lohu930/2f", key, 39*time.Second, prompt, strings.Repeat("x", 1460))
+	}()
+	if trouble {
+		time.Sleep(time.Second)
+		s.note("the worker is cut off from all machines and the store", place.id, "", nil)
+		s.setCutFromStore(place, true)
+		place.proxy.cut()
+		time.Sleep(300 * time.Millisecond)
+		s.note("the worker crashes", place.id, "", nil)
+		s.kill(place.command)
+		time.Sleep(500 * time.Millisecond)
+		if err := s.startWorker(place); err != nil {
+			return nil, err
+		}
+		time.Sleep(1200 * time.Millisecond)
+		s.note("the cut heals", place.id, "", nil)
+		s.setCutFromStore(place, false)
+		place.proxy.heal()
+	}
+	a := <-done
+	if a.err == nil && a.status == 200 && a.seal != "" && !strings.Contains(a.body, "event: done") {
+		events := strings.Count(a.body, "event: token")
+		return []string{fmt.Sprintf("MIXED: the client got a success with the worker's seal that ended as complete after %d of 30 events", events)}, nil
+	}
+	if !trouble && (a.err != nil || a.status != 200 || !strings.Contains(a.body, "event: done")) {
+		return nil, fmt.Errorf("%w: the undisturbed answer isn't whole: %d %v", errCannotRun, a.status, a.err)
+	}
+	return nil, nil
+}
