--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -8,6 +8,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -37,6 +39,13 @@
 		return 2
 	}
 	defer s.end()
+	go func() {
+		interrupts := make(chan os.Signal, 1)
+		signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT)
+		<-interrupts
+		s.end()
+		os.Exit(2)
+	}()
 	broken, err := run(s, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
--- a/review/harness-2/proxy.go
+++ b/review/harness-2/proxy.go
@@ -4,8 +4,10 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
+	"time"
 )
 
 // proxy carries the connections to one address. While it is cut, it holds all bytes and ends of connections in
@@ -17,6 +19,8 @@
 
 	mu   sync.Mutex
 	open chan struct{} // closed while the link works
+	// generation rises with each silence. Connections of an earlier generation carry nothing any more.
+	generation int
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -48,12 +52,36 @@
 	}
 }
 
-// wait returns once the link works.
-func (p *proxy) wait() {
+// A peer that is silent for good doesn't acknowledge bytes or keep-alive probes either, which the system here does
+// for the proxy. So the proxy resets a silent connection when a host's own time limits would end it: userTimeout after
+// the first bytes that the host sent on it or, if there are none by then, when the host's probes, one a second, would
+// have been without an answer for three seconds.
+const userTimeout = 3 * time.Second
+
+// idleTimeout is from the silence to the end of a connection that only has probes: three seconds from the last probe
+// before the silence.
+func idleTimeout() time.Duration { return 2*time.Second + rand.N(time.Second) }
+
+// silence has all open connections go silent for good, without a reset. New ones work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.generation++
+}
+
+func (p *proxy) currentGeneration() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.generation
+}
+
+// wait returns once the link works, and reports whether a connection of the generation isn't silent.
+func (p *proxy) wait(generation int) bool {
 	p.mu.Lock()
 	open := p.open
 	p.mu.Unlock()
 	<-open
+	return p.currentGeneration() == generation
 }
 
 func (p *proxy) serve() {
@@ -67,7 +95,8 @@
 }
 
 func (p *proxy) carry(caller *net.TCPConn) {
-	p.wait()
+	generation := p.currentGeneration()
+	p.wait(generation)
 	c, err := net.Dial("tcp", p.target)
 	if err != nil {
 		// A closed port resets.
@@ -77,19 +106,50 @@
 	}
 	server := c.(*net.TCPConn)
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(server, caller) })
-	both.Go(func() { p.copy(caller, server) })
+	written := make(chan struct{})
+	go p.limit(generation, caller, written)
+	both.Go(func() { p.copy(generation, server, caller, written) })
+	both.Go(func() { p.copy(generation, caller, server, nil) })
 	both.Wait()
 	_ = caller.Close()
 	_ = server.Close()
 }
 
+// limit resets a connection that has gone silent when the host's own limits could end it.
+func (p *proxy) limit(generation int, caller *net.TCPConn, written chan struct{}) {
+	for p.currentGeneration() == generation {
+		time.Sleep(10 * time.Millisecond)
+	}
+	select {
+	case <-written:
+		time.Sleep(userTimeout)
+	case <-time.After(idleTimeout()):
+		select {
+		case <-written:
+			time.Sleep(userTimeout)
+		default:
+		}
+	}
+	_ = caller.SetLinger(0)
+	_ = caller.Close()
+}
+
 // copy passes on bytes, an end as an end and a reset as a reset.
-func (p *proxy) copy(to, from *net.TCPConn) {
+// A silent connection's first bytes close written.
+func (p *proxy) copy(generation int, to, from *net.TCPConn, written chan struct{}) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
-		p.wait()
+		if !p.wait(generation) {
+			if err != nil {
+				return
+			}
+			if written != nil {
+				close(written)
+				written = nil
+			}
+			continue
+		}
 		if n > 0 {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				_ = from.SetLinger(0)
--- a/review/harness-2/reborn.go
+++ b/review/harness-2/reborn.go
@@ -57,16 +57,17 @@
 // prompt are the headers of a generation.
 var prompt = map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "Length-Hint": "80"}
 
-// reborn: a worker crashes behind a cut and starts again under the id that it had. Its answer, which has no length,
-// was under way. When the cut heals, the rest of what it had sent and the end of its connection arrive.
+// reborn: one of ten model workers crashes behind a cut and starts again under the id that it had. Its answer, which
+// has no length, was under way. When the cut heals, the rest of what it had sent and the end of its connection arrive.
 func reborn(s *site, trouble bool) ([]string, error) {
 	s.store.put("op/config", configuration(7, 39000))
-	beat := 2 * time.Second
-	place, err := s.addWorker("i-7f3a91c2", modelName, "recife-a", beat, "-framed=false", "-events", "30", "-gap", "100ms")
-	if err != nil {
-		return nil, err
+	zones := []string{"recife-a", "recife-b", "fortaleza-c"}
+	for n := range 10 {
+		if _, err := s.addWorker(fmt.Sprintf("i-7f3a91c%d", n), modelName, zones[n%3], 2*time.Second, "-framed=false", "-events", "30", "-gap", "100ms"); err != nil {
+			return nil, err
+		}
 	}
-	if err := s.startHosts([]string{"recife-a", "recife-b", "fortaleza-c"}, fleet); err != nil {
+	if err := s.startHosts(zones, fleet); err != nil {
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
@@ -76,27 +77,33 @@
 	}()
 	if trouble {
 		time.Sleep(time.Second)
+		runs := s.told(func(n note) bool { return n.What == "runs" })
+		if len(runs) != 1 {
+			return nil, fmt.Errorf("%w: %d workers run the request", errCannotRun, len(runs))
+		}
+		place := s.workers[runs[0].Worker]
 		s.note("the worker is cut off from all machines and the store", place.id, "", nil)
 		s.setCutFromStore(place, true)
 		place.proxy.cut()
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond)
 		s.note("the worker crashes", place.id, "", nil)
 		s.kill(place.command)
 		time.Sleep(500 * time.Millisecond)
 		if err := s.startWorker(place); err != nil {
 			return nil, err
 		}
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(2 * time.Second)
 		s.note("the cut heals", place.id, "", nil)
 		s.setCutFromStore(place, false)
 		place.proxy.heal()
 	}
 	a := <-done
-	if a.err == nil && a.status == 200 && a.seal != "" && !strings.Contains(a.body, "event: done") {
-		events := strings.Count(a.body, "event: token")
-		return []string{fmt.Sprintf("MIXED: the client got a success with the worker's seal that ended as complete after %d of 30 events", events)}, nil
+	time.Sleep(200 * time.Millisecond)
+	whole := strings.Contains(a.body, "event: done")
+	if a.err == nil && a.status == 200 && a.seal != "" && !whole {
+		return []string{fmt.Sprintf("MIXED: the client got a success with the worker's seal that ended as complete after %d of 30 events", strings.Count(a.body, "event: token"))}, nil
 	}
-	if !trouble && (a.err != nil || a.status != 200 || !strings.Contains(a.body, "event: done")) {
+	if !trouble && (a.err != nil || a.status != 200 || !whole) {
 		return nil, fmt.Errorf("%w: the undisturbed answer isn't whole: %d %v", errCannotRun, a.status, a.err)
 	}
 	return nil, nil
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -30,9 +30,10 @@
 type site struct {
 	store    *store
 	registry string
-	storeAt  string
-	folder   string
-	record   *os.File
+	// toStore carries the hosts' connections to the store.
+	toStore *proxy
+	folder  string
+	record  *os.File
 
 	mu       sync.Mutex
 	notes    []note
@@ -69,10 +70,14 @@
 		return nil, err
 	}
 	s := &site{store: newStore(), folder: folder, record: record, workers: map[string]*workerPlace{}}
-	if s.storeAt, err = serve(s.store); err != nil {
+	at, err := serve(s.store)
+	if err != nil {
+		return nil, err
+	}
+	if s.toStore, err = newProxy(at); err != nil {
 		return nil, err
 	}
-	at, err := serve(http.HandlerFunc(s.registerWorker))
+	at, err = serve(http.HandlerFunc(s.registerWorker))
 	s.registry = "http://" + at
 	return s, err
 }
@@ -101,8 +106,8 @@
 		<-r.Context().Done()
 		return
 	}
-	s.note("entry written", id, "", entry["born"])
 	s.store.put("servers/"+id, entry)
+	s.note("entry written", id, "", map[string]any{"born": entry["born"], "state": entry["state"]})
 }
 
 // note records one line.
@@ -247,7 +252,7 @@
 value_bytes = 1048576
 ttl_min_ms = 1000
 `, h.name, ips[n], zone, first, first+5, strings.Join(seeds, ","), b.heartbeatMS, zoneTable, h.front, h.ready, ips[n], first+12,
-			b.memoryMB, b.contactMS, b.drainMS, b.applyMS, b.retrySlack, s.storeAt)
+			b.memoryMB, b.contactMS, b.drainMS, b.applyMS, b.retrySlack, s.toStore.address())
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return err
 		}
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -26,9 +26,12 @@
 	framed                    bool
 	engine                    bool
 
-	mu     sync.Mutex
-	active int
-	runs   atomic.Int64
+	mu       sync.Mutex
+	active   int
+	draining bool
+	runs     atomic.Int64
+	// beatNow has the entry written at once.
+	beatNow chan struct{}
 }
 
 // note is one line of a worker's or the driver's record.
@@ -51,7 +54,7 @@
 
 func runWorker(arguments []string) int {
 	flags := flag.NewFlagSet("worker", flag.ExitOnError)
-	w := &worker{born: time.Now().UnixMilli()}
+	w := &worker{born: time.Now().UnixMilli(), beatNow: make(chan struct{}, 1)}
 	flags.StringVar(&w.id, "id", "", "")
 	flags.StringVar(&w.service, "service", "", "")
 	flags.StringVar(&w.zone, "zone", "", "")
@@ -75,15 +78,24 @@
 func (w *worker) register(registry string, beat time.Duration) {
 	client := &http.Client{Timeout: beat}
 	for seq := 1; ; seq++ {
+		w.mu.Lock()
+		state := "ready"
+		if w.draining {
+			state = "draining"
+		}
+		w.mu.Unlock()
 		entry, _ := json.Marshal(map[string]any{
-			"service": w.service, "address": w.public, "zone": w.zone, "version": "v1", "slots": 24, "state": "ready",
+			"service": w.service, "address": w.public, "zone": w.zone, "version": "v1", "slots": 24, "state": state,
 			"cold_remaining_ms": 0, "seq": seq, "born": w.born,
 		})
 		r, _ := http.NewRequest(http.MethodPut, registry+"/"+w.id, bytes.NewReader(entry))
 		if answer, err := client.Do(r); err == nil {
 			_ = answer.Body.Close()
 		}
-		time.Sleep(beat)
+		select {
+		case <-time.After(beat):
+		case <-w.beatNow:
+		}
 	}
 }
 
@@ -93,11 +105,24 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	w.mu.Lock()
+	draining := w.draining
+	w.mu.Unlock()
 	switch r.URL.Path {
+	case "/standin/drain":
+		w.mu.Lock()
+		w.draining = true
+		w.mu.Unlock()
+		w.beatNow <- struct{}{}
+		return
 	case "/health":
 		w.tell("health asked", "", nil)
 		out.Header().Set("Instance-Id", w.id)
-		reply(out, http.StatusOK, map[string]any{"born": w.born})
+		status := http.StatusOK
+		if draining {
+			status = http.StatusServiceUnavailable
+		}
+		reply(out, status, map[string]any{"born": w.born})
 		return
 	case "/shedpath/report":
 		w.mu.Lock()
@@ -164,7 +189,7 @@
 	if send == nil {
 		return
 	}
-	if !send("first half of the answer to "+id+"; ") {
+	if !send("first half of the answer to " + id + "; ") {
 		return
 	}
 	time.Sleep(w.gap)
@@ -178,6 +203,11 @@
 // begin writes the head of an answer. Without framing the answer ends with its connection.
 func (w *worker) begin(out http.ResponseWriter, id, kind string) (send func(string) bool, end func()) {
 	if w.framed {
+		w.mu.Lock()
+		if w.draining {
+			out.Header().Set("Connection", "close")
+		}
+		w.mu.Unlock()
 		out.Header().Set("Content-Type", kind)
 		out.Header().Set("Request-Id", id)
 		out.Header().Set("Response-Seal", w.seal())
