--- a/review/harness-2/proxy.go
+++ b/review/harness-2/proxy.go
@@ -21,6 +21,8 @@
 	open chan struct{} // closed while the link works
 	// generation rises with each silence. Connections of an earlier generation carry nothing any more.
 	generation int
+	// user, idle and spread are set by setLimits; zero resets no connection.
+	user, idle, spread time.Duration
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -52,15 +54,15 @@
 	}
 }
 
-// A peer that is silent for good doesn't acknowledge bytes or keep-alive probes either, which the system here does
-// for the proxy. So the proxy resets a silent connection when a host's own time limits would end it: userTimeout after
-// the first bytes that the host sent on it or, if there are none by then, when the host's probes, one a second, would
-// have been without an answer for three seconds.
-const userTimeout = 3 * time.Second
-
-// idleTimeout is from the silence to the end of a connection that only has probes: three seconds from the last probe
-// before the silence.
-func idleTimeout() time.Duration { return 2*time.Second + rand.N(time.Second) }
+// setLimits says when the hosts' own limits end a silent connection. A peer that is silent for good doesn't acknowledge
+// bytes or keep-alive probes, which the system here does for the proxy. So the proxy resets a silent connection when the
+// host's limits would end it: user after the first bytes that the host sent on it (TCP_USER_TIMEOUT) or, if there are
+// none by then, at a time from idle to idle and spread, when the host's probes have been without an answer for long enough.
+func (p *proxy) setLimits(user, idle, spread time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.user, p.idle, p.spread = user, idle, spread
+}
 
 // silence has all open connections go silent for good, without a reset. New ones work.
 func (p *proxy) silence() {
@@ -106,8 +108,9 @@
 	}
 	server := c.(*net.TCPConn)
 	var both sync.WaitGroup
-	written := make(chan struct{})
-	go p.limit(generation, caller, written)
+	written, ended := make(chan struct{}), make(chan struct{})
+	defer close(ended)
+	go p.limit(generation, caller, written, ended)
 	both.Go(func() { p.copy(generation, server, caller, written) })
 	both.Go(func() { p.copy(generation, caller, server, nil) })
 	both.Wait()
@@ -115,18 +118,29 @@
 	_ = server.Close()
 }
 
-// limit resets a connection that has gone silent when the host's own limits could end it.
-func (p *proxy) limit(generation int, caller *net.TCPConn, written chan struct{}) {
+// limit resets a connection that has gone silent when the host's own limits would end it. ended is closed when the
+// connection ends by itself.
+func (p *proxy) limit(generation int, caller *net.TCPConn, written, ended chan struct{}) {
 	for p.currentGeneration() == generation {
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case <-ended:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	p.mu.Lock()
+	user, idle, spread := p.user, p.idle, p.spread
+	p.mu.Unlock()
+	if user == 0 {
+		return
 	}
 	select {
 	case <-written:
-		time.Sleep(userTimeout)
-	case <-time.After(idleTimeout()):
+		time.Sleep(user)
+	case <-time.After(idle + rand.N(spread+1)):
 		select {
 		case <-written:
-			time.Sleep(userTimeout)
+			time.Sleep(user)
 		default:
 		}
 	}
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -77,6 +77,8 @@
 	if s.toStore, err = newProxy(at); err != nil {
 		return nil, err
 	}
+	// A host's probes, one a second, end an idle connection to the store three seconds after the last answer.
+	s.toStore.setLimits(3*time.Second, 2*time.Second, time.Second)
 	at, err = serve(http.HandlerFunc(s.registerWorker))
 	s.registry = "http://" + at
 	return s, err
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -124,6 +124,11 @@
 		}
 		reply(out, status, map[string]any{"born": w.born})
 		return
+	case "/shedpath/kv-move":
+		// Every other worker is out of reach for this one.
+		w.tell("move asked", "", nil)
+		reply(out, http.StatusServiceUnavailable, map[string]any{})
+		return
 	case "/shedpath/report":
 		w.mu.Lock()
 		active := w.active
