--- a/review/harness-2/reborn.go
+++ b/review/harness-2/reborn.go
@@ -57,8 +57,9 @@
 // prompt are the headers of a generation.
 var prompt = map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "Length-Hint": "80"}
 
-// reborn: one of ten model workers crashes behind a cut and starts again under the id that it had. Its answer, which
-// has no length, was under way. When the cut heals, the rest of what it had sent and the end of its connection arrive.
+// reborn: one of ten workers crashes behind a cut and starts again under the id that it had. Its answer, which has no
+// length, was under way. When the cut heals, the rest of what it had sent and the end of its connection arrive. This
+// happens once to a stream and once to a plain request.
 func reborn(s *site, trouble bool) ([]string, error) {
 	s.store.put("op/config", configuration(7, 39000))
 	zones := []string{"recife-a", "recife-b", "fortaleza-c"}
@@ -66,45 +67,74 @@
 		if _, err := s.addWorker(fmt.Sprintf("i-7f3a91c%d", n), modelName, zones[n%3], 2*time.Second, "-framed=false", "-events", "30", "-gap", "100ms"); err != nil {
 			return nil, err
 		}
+		if _, err := s.addWorker(fmt.Sprintf("i-02d9e6b%d", n), plainName, zones[n%3], 2*time.Second, "-framed=false", "-engine=false", "-gap", "700ms"); err != nil {
+			return nil, err
+		}
 	}
 	if err := s.startHosts(zones, fleet); err != nil {
 		return nil, err
 	}
 	time.Sleep(2 * time.Second)
+	var broken []string
+	a, err := s.askThroughCut(trouble, time.Second, 500*time.Millisecond, 2*time.Second, func() answer {
+		return s.ask(context.Background(), s.hosts[0], "POST", "/lohu930/2f", key, 39*time.Second, prompt, strings.Repeat("x", 1460))
+	})
+	if err != nil {
+		return nil, err
+	}
+	whole := strings.Contains(a.body, "event: done")
+	if a.err == nil && a.status == 200 && a.seal != "" && !whole {
+		broken = append(broken, fmt.Sprintf("MIXED: the client got a success with the worker's seal that ended as complete after %d of 30 events", strings.Count(a.body, "event: token")))
+	}
+	if !trouble && (a.err != nil || a.status != 200 || !whole) {
+		return nil, fmt.Errorf("%w: the undisturbed stream isn't whole: %d %v", errCannotRun, a.status, a.err)
+	}
+	a, err = s.askThroughCut(trouble, 200*time.Millisecond, 200*time.Millisecond, 300*time.Millisecond, func() answer {
+		return s.ask(context.Background(), s.hosts[1], "POST", "/pule252/2f", key, 1500*time.Millisecond, nil, "x")
+	})
+	if err != nil {
+		return nil, err
+	}
+	whole = strings.Contains(a.body, "second half")
+	if a.err == nil && a.status == 200 && a.seal != "" && !whole {
+		broken = append(broken, fmt.Sprintf("MIXED: the client got a success with the worker's seal and the body %q", a.body))
+	}
+	if !trouble && (a.err != nil || a.status != 200 || !whole) {
+		return nil, fmt.Errorf("%w: the undisturbed answer isn't whole: %d %v", errCannotRun, a.status, a.err)
+	}
+	return broken, nil
+}
+
+// askThroughCut sends a request. With trouble, the worker that runs it is cut off from all machines and the store after
+// before, its process is killed and started again a while later, and the cut heals.
+func (s *site) askThroughCut(trouble bool, before, down, after time.Duration, ask func() answer) (answer, error) {
+	isRun := func(n note) bool { return n.What == "runs" }
+	earlier := len(s.told(isRun))
 	done := make(chan answer, 1)
-	go func() {
-		done <- s.ask(context.Background(), s.hosts[0], "POST", "/lohu930/2f", key, 39*time.Second, prompt, strings.Repeat("x", 1460))
-	}()
+	go func() { done <- ask() }()
 	if trouble {
-		time.Sleep(time.Second)
-		runs := s.told(func(n note) bool { return n.What == "runs" })
+		time.Sleep(before)
+		runs := s.told(isRun)[earlier:]
 		if len(runs) != 1 {
-			return nil, fmt.Errorf("%w: %d workers run the request", errCannotRun, len(runs))
+			return answer{}, fmt.Errorf("%w: %d workers run the request", errCannotRun, len(runs))
 		}
 		place := s.workers[runs[0].Worker]
 		s.note("the worker is cut off from all machines and the store", place.id, "", nil)
 		s.setCutFromStore(place, true)
 		place.proxy.cut()
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(down / 2)
 		s.note("the worker crashes", place.id, "", nil)
 		s.kill(place.command)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(down / 2)
 		if err := s.startWorker(place); err != nil {
-			return nil, err
+			return answer{}, err
 		}
-		time.Sleep(2 * time.Second)
+		time.Sleep(after)
 		s.note("the cut heals", place.id, "", nil)
 		s.setCutFromStore(place, false)
 		place.proxy.heal()
 	}
 	a := <-done
 	time.Sleep(200 * time.Millisecond)
-	whole := strings.Contains(a.body, "event: done")
-	if a.err == nil && a.status == 200 && a.seal != "" && !whole {
-		return []string{fmt.Sprintf("MIXED: the client got a success with the worker's seal that ended as complete after %d of 30 events", strings.Count(a.body, "event: token"))}, nil
-	}
-	if !trouble && (a.err != nil || a.status != 200 || !whole) {
-		return nil, fmt.Errorf("%w: the undisturbed answer isn't whole: %d %v", errCannotRun, a.status, a.err)
-	}
-	return nil, nil
+	return a, nil
 }
