--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -56,7 +56,6 @@
 	proxy             *proxy
 	arguments         []string
 	command           *exec.Cmd
-	registered        sync.Mutex
 	cutFromStore      bool
 }
 
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -99,13 +99,6 @@
 	s.write(key, text, 0)
 }
 
-// drop removes a key for the operator or a worker.
-func (s *store) drop(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(key)
-}
-
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
