--- a/review/harness-2/reborn.go
+++ b/review/harness-2/reborn.go
@@ -24,44 +24,11 @@
 	plainName = "pedidos-app"
 )
 
-// configuration is a small document of the operator.
-func configuration(version int, streamTimeoutMS int) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			map[string]any{
-				"name": "quote-chat", "host": "ficu95.example", "path_prefix": "/lohu930/", "kind": "streaming", "service": modelName,
-				"timeout_ms": streamTimeoutMS, "target_latency_ms": 1800, "gap_aim_ms": 180, "max_attempts": 1, "priority": 1, "sticky": true,
-			},
-			map[string]any{
-				"name": "stock-line", "host": "ficu95.example", "path_prefix": "/pule252/", "kind": "unsafe", "service": plainName,
-				"timeout_ms": 1500, "target_latency_ms": 150, "max_attempts": 1, "priority": 2,
-			},
-			map[string]any{
-				"name": "order-status", "host": "ficu95.example", "path_prefix": "/puxa403/", "kind": "safe", "service": plainName,
-				"timeout_ms": 1500, "target_latency_ms": 150, "max_attempts": 2, "priority": 2,
-			},
-		},
-		"services": []any{
-			map[string]any{
-				"name": modelName, "health_path": "/health", "max_conns": 232,
-				"engine": map[string]any{"slots": 24, "kv_capacity_tokens": 33640, "token_kv_bytes": 163840, "link_mbps": 24000, "moves": true, "backups": true, "stride": 4},
-			},
-			map[string]any{"name": plainName, "health_path": "/health", "max_conns": 96},
-		},
-		"tenants": []any{map[string]any{"name": "huka270", "api_keys": []any{key}}},
-		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-	}
-}
-
-// prompt are the headers of a generation.
-var prompt = map[string]string{"Model": "m", "Token-Usage": "1460,80", "Prompt-Prefix": "5c1e07a2:800,91bd3f06:410,e4402b7d:250", "Length-Hint": "80"}
-
 // reborn: one of ten workers crashes behind a cut and starts again under the id that it had. Its answer, which has no
 // length, was under way. When the cut heals, the rest of what it had sent and the end of its connection arrive. This
 // happens once to a stream and once to a plain request.
 func reborn(s *site, trouble bool) ([]string, error) {
-	s.store.put("op/config", configuration(7, 39000))
+	s.store.put(configKey, configuration(7))
 	zones := []string{"recife-a", "recife-b", "fortaleza-c"}
 	for n := range 10 {
 		if _, err := s.addWorker(fmt.Sprintf("i-7f3a91c%d", n), modelName, zones[n%3], 2*time.Second, "-framed=false", "-events", "30", "-gap", "100ms"); err != nil {
--- a/review/harness-2/silent.go
+++ b/review/harness-2/silent.go
@@ -19,7 +19,7 @@
 // silent: the open connections to the store go silent for good, while new ones work. Right after it a worker says
 // that it leaves, and the store takes that.
 func silent(s *site, trouble bool) ([]string, error) {
-	s.store.put("op/config", configuration(7, 39000))
+	s.store.put(configKey, configuration(7))
 	zones := []string{"recife-a", "recife-b", "fortaleza-c"}
 	var places []*workerPlace
 	for n := range 3 {
--- a/review/harness-2/silentkey.go
+++ b/review/harness-2/silentkey.go
@@ -16,9 +16,9 @@
 // takes a key away.
 func silentKey(s *site, trouble bool) ([]string, error) {
 	const revoked = "q2h7cmvd5wjiuwbg3k8v9"
-	first := configuration(7, 39000)
-	first["tenants"] = []any{map[string]any{"name": "huka270", "api_keys": []any{key, revoked}}}
-	s.store.put("op/config", first)
+	first := configuration(7)
+	first["tenants"] = decodeDocument[[]any](twoKeysDocument)
+	s.store.put(configKey, first)
 	zones := []string{"recife-a", "recife-b", "fortaleza-c"}
 	for n := range 3 {
 		if _, err := s.addWorker(fmt.Sprintf("i-2b01d9e%d", n), plainName, zones[n], 1200*time.Millisecond, "-engine=false", "-gap", "10ms"); err != nil {
@@ -35,7 +35,7 @@
 		s.toStore.silence()
 	}
 	time.Sleep(100 * time.Millisecond)
-	s.store.put("op/config", configuration(9, 39000))
+	s.store.put(configKey, configuration(9))
 	acknowledged := time.Now()
 	s.note("the store has taken version 9 without the key", "", "", nil)
 	from := acknowledged.Add(time.Duration(small.applyMS) * time.Millisecond)
--- a/review/harness-2/silentworkers.go
+++ b/review/harness-2/silentworkers.go
@@ -32,8 +32,8 @@
 	for name, value := range prompt {
 		r.Header.Set(name, value)
 	}
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "39000")
+	r.Header.Set(headerRequestID, id)
+	r.Header.Set(headerDeadline, "39000")
 	r.Header.Set("Authorization", "Bearer "+key)
 	s.note("client sends", "", id, map[string]any{"host": h.name})
 	var left sync.Once
@@ -69,7 +69,7 @@
 // silentWorkers: the open connections to the workers go silent for good, while new ones work. Streams that were under
 // way there get no event any more, until their clients leave.
 func silentWorkers(s *site, trouble bool) ([]string, error) {
-	s.store.put("op/config", configuration(7, 39000))
+	s.store.put(configKey, configuration(7))
 	zones := []string{"recife-a", "recife-b", "fortaleza-c"}
 	var places []*workerPlace
 	for n := range 6 {
--- a/review/harness-2/site.go
+++ b/review/harness-2/site.go
@@ -16,6 +16,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -35,6 +37,10 @@
 	folder  string
 	record  *os.File
 
+	// began is when the case began, and bornBase that in milliseconds of the time of day, as run.sh told it.
+	began    time.Time
+	bornBase int64
+
 	mu       sync.Mutex
 	notes    []note
 	children []*exec.Cmd
@@ -68,7 +74,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &site{store: newStore(), folder: folder, record: record, workers: map[string]*workerPlace{}}
+	s := &site{store: newStore(), folder: folder, record: record, workers: map[string]*workerPlace{}, began: time.Now()}
+	if s.bornBase, err = strconv.ParseInt(os.Getenv("NOW_MS"), 10, 64); err != nil {
+		return nil, fmt.Errorf("%w: NOW_MS isn't set to the present time: %w", errCannotRun, err)
+	}
 	at, err := serve(s.store)
 	if err != nil {
 		return nil, err
@@ -346,7 +355,8 @@
 	if err != nil {
 		return err
 	}
-	place.command = exec.Command(program, place.arguments...)
+	born := strconv.FormatInt(s.bornBase+time.Since(s.began).Milliseconds(), 10)
+	place.command = exec.Command(program, append(slices.Clone(place.arguments), "-born", born)...)
 	out, err := place.command.StdoutPipe()
 	if err != nil {
 		return err
@@ -424,8 +434,8 @@
 		return answer{err: err}
 	}
 	r.Host = "ficu95.example"
-	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(headerRequestID, id)
+	r.Header.Set(headerDeadline, fmt.Sprint(deadline.Milliseconds()))
 	r.Header.Set("Authorization", "Bearer "+key)
 	for name, value := range header {
 		r.Header.Set(name, value)
@@ -437,7 +447,7 @@
 	if err == nil {
 		text, readErr := io.ReadAll(response.Body)
 		_ = response.Body.Close()
-		a = answer{status: response.StatusCode, seal: response.Header.Get("Response-Seal"), body: string(text), err: readErr}
+		a = answer{status: response.StatusCode, seal: response.Header.Get(headerSeal), body: string(text), err: readErr}
 	}
 	a.took = time.Since(began)
 	failure := ""
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -108,7 +108,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	switch {
-	case r.URL.Path == "/shedpath/kv-key":
+	case r.URL.Path == keyPath:
 		s.mu.Lock()
 		i := s.items[q.Get("key")]
 		s.mu.Unlock()
@@ -117,15 +117,15 @@
 			return
 		}
 		reply(w, http.StatusOK, *i)
-	case r.URL.Path == "/shedpath/kv-range":
+	case r.URL.Path == rangePath:
 		s.serveRange(w, q.Get("path_prefix"), q.Get("since_rev"))
-	case r.URL.Path == "/shedpath/kv-watch":
+	case r.URL.Path == watchPath:
 		after, _ := strconv.ParseUint(q.Get("since_rev"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
 		s.serveWatch(w, r, q.Get("path_prefix"), after, time.Duration(wait)*time.Millisecond)
-	case r.URL.Path == "/shedpath/kv-txn":
+	case r.URL.Path == txnPath:
 		s.serveTxn(w, r)
-	case r.URL.Path == "/shedpath/kv-lease":
+	case r.URL.Path == leasePath:
 		var in struct {
 			TTL int64 `json:"ttl_ms"`
 		}
@@ -136,10 +136,10 @@
 		s.leases[id] = &lease{ttl: ttl, ends: time.Now().Add(ttl)}
 		s.mu.Unlock()
 		reply(w, http.StatusOK, map[string]any{"lease": id, "ttl_ms": in.TTL})
-	case strings.HasPrefix(r.URL.Path, "/shedpath/kv-keep/"):
-		s.withLease(w, strings.TrimPrefix(r.URL.Path, "/shedpath/kv-keep/"), func(_ uint64, l *lease) { l.ends = time.Now().Add(l.ttl) })
-	case strings.HasPrefix(r.URL.Path, "/shedpath/kv-lease-end/"):
-		s.withLease(w, strings.TrimPrefix(r.URL.Path, "/shedpath/kv-lease-end/"), func(_ uint64, l *lease) { l.ends = time.Now() })
+	case strings.HasPrefix(r.URL.Path, keepPath):
+		s.withLease(w, strings.TrimPrefix(r.URL.Path, keepPath), func(_ uint64, l *lease) { l.ends = time.Now().Add(l.ttl) })
+	case strings.HasPrefix(r.URL.Path, endPath):
+		s.withLease(w, strings.TrimPrefix(r.URL.Path, endPath), func(_ uint64, l *lease) { l.ends = time.Now() })
 	default:
 		reply(w, http.StatusNotFound, map[string]any{})
 	}
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -54,7 +54,7 @@
 
 func runWorker(arguments []string) int {
 	flags := flag.NewFlagSet("worker", flag.ExitOnError)
-	w := &worker{born: time.Now().UnixMilli(), beatNow: make(chan struct{}, 1)}
+	w := &worker{beatNow: make(chan struct{}, 1)}
 	flags.StringVar(&w.id, "id", "", "")
 	flags.StringVar(&w.service, "service", "", "")
 	flags.StringVar(&w.zone, "zone", "", "")
@@ -63,6 +63,7 @@
 	flags.DurationVar(&w.gap, "gap", 100*time.Millisecond, "time between events, or half the time of other work")
 	flags.BoolVar(&w.framed, "framed", true, "answers have a length or an end of their own")
 	flags.BoolVar(&w.engine, "engine", true, "a model worker")
+	flags.Int64Var(&w.born, "born", 0, "the start, in milliseconds of the time of day")
 	listen := flags.String("listen", "", "")
 	registry := flags.String("registry", "", "where the entry is written")
 	beat := flags.Duration("beat", 1200*time.Millisecond, "heartbeat_ms")
@@ -100,8 +101,8 @@
 }
 
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
-	if expected := r.Header.Get("Expect-Instance"); expected != "" && expected != w.id {
-		out.Header().Set("Instance-Id", w.id)
+	if expected := r.Header.Get(headerExpect); expected != "" && expected != w.id {
+		out.Header().Set(headerInstance, w.id)
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -117,31 +118,30 @@
 		return
 	case "/health":
 		w.tell("health asked", "", nil)
-		out.Header().Set("Instance-Id", w.id)
+		out.Header().Set(headerInstance, w.id)
 		status := http.StatusOK
 		if draining {
 			status = http.StatusServiceUnavailable
 		}
 		reply(out, status, map[string]any{"born": w.born})
 		return
-	case "/shedpath/kv-move":
+	case movePath:
 		// Every other worker is out of reach for this one.
 		w.tell("move asked", "", nil)
 		reply(out, http.StatusServiceUnavailable, map[string]any{})
 		return
-	case "/shedpath/report":
+	case reportPath:
 		w.mu.Lock()
 		active := w.active
 		w.mu.Unlock()
-		reply(out, http.StatusOK, map[string]any{
-			"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "busy": false, "seq": 0,
-			"queued": 0, "active": active, "kv_used": 3000 * active, "kv_total": 33640, "handles": 0, "state": "ready", "next_token": 0, "runs": []any{}, "born": w.born,
-		})
+		report := decodeDocument[map[string]any](reportDocument)
+		report["active"], report["born"] = active, w.born
+		reply(out, http.StatusOK, report)
 		return
 	}
-	id := r.Header.Get("Request-Id")
+	id := r.Header.Get(headerRequestID)
 	if id == "" {
-		out.Header().Set("Not-Executed", "1")
+		out.Header().Set(headerNotRun, "1")
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -214,8 +214,8 @@
 		}
 		w.mu.Unlock()
 		out.Header().Set("Content-Type", kind)
-		out.Header().Set("Request-Id", id)
-		out.Header().Set("Response-Seal", w.seal())
+		out.Header().Set(headerRequestID, id)
+		out.Header().Set(headerSeal, w.seal())
 		control := http.NewResponseController(out)
 		return func(text string) bool {
 			_, err := io.WriteString(out, text)
@@ -226,7 +226,7 @@
 	if err != nil {
 		return nil, nil
 	}
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nConnection: close\r\n\r\n", kind, id, w.seal())
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: %s\r\n%s: %s\r\n%s: %s\r\nConnection: close\r\n\r\n", kind, headerRequestID, id, headerSeal, w.seal())
 	if _, err := io.WriteString(c, head); err != nil {
 		return nil, nil
 	}
