response, platform: a head whose field names have a blank is no answer

Callers got a body that wasn't the worker's: the chunk sizes in it after "Transfer-Encoding : chunked", or what followed a length after "Content-Length : 3"; or the body without the line that has a blank in its name.

Cause: the library's parser keeps names with a blank, and doesn't take one that ends with a blank for the name without it. It refuses control bytes and empty names.

RFC 9112, 5.1, has a proxy remove a blank before the colon; a worker in trouble is believed in nothing else, and the library has chosen the framing by then.

--- a/internal/response/response_test.go
+++ b/internal/response/response_test.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,3 +32,22 @@
 		}
 	}
 }
+
+func TestFieldNames(t *testing.T) {
+	for field, wellFormed := range map[string]bool{
+		"Content-Length : 3": false, "Transfer-Encoding : chunked": false, "X Trouble: 1": false,
+		"Content-Length: 0": true, "x_trouble!: 1": true, "X-Trouble:": true,
+	} {
+		if _, err := read(t, "HTTP/1.1 200 OK\r\n"+field+"\r\n\r\n"); (err == nil) != wellFormed || err != nil && !errors.Is(err, ErrMalformed) {
+			t.Errorf("%s: %v", field, err)
+		}
+		r, err := read(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"+field+"\r\n\r\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(r.Body)
+		if (err == nil) != wellFormed || err != nil && !errors.Is(err, ErrMalformed) || string(body) != "abc" {
+			t.Errorf("%s in a trailer: %q, %v", field, body, err)
+		}
+	}
+}
