--- a/internal/response/response.go
+++ b/internal/wellformed/wellformed.go
@@ -1,8 +1,8 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package response checks HTTP responses for malformed parts that net/http lets pass.
-package response
+// Package wellformed checks HTTP responses for malformed parts that net/http lets pass.
+package wellformed
 
 import (
 	"errors"
--- a/internal/response/response_test.go
+++ b/internal/wellformed/wellformed_test.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-package response
+package wellformed
 
 import (
 	"bufio"
