wellformed, service, engine, consul, platform: malformed answers fail through net/http's transport, too

The transport parses heads with the same library code. Behind shedpath entry a caller got a service's answer with status 000, 099, 600 or 999, or one with a blank in a name; by reading, a store's answer whose "Store-Era : 5" the parser doesn't take for the era counted as one without it.

Change: wellformed.Transport checks each response, and informational ones by the library's hook. The library doesn't bound those that a hook has seen, so they are counted, up to 64 as for workers. cutanswer.Check plays malformed answers to every client that it plays cut ones to: the store, moves, reports, health checks, discards, consul, engines and services.

Measured: 101 malformed answers counted as whole in TestCutAnswer and TestCutStoreAnswer before, none after.

--- a/internal/consul/client.go
+++ b/internal/consul/client.go
@@ -24,6 +24,7 @@
 
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/history"
+	"github.com/shedpath/shedpath/internal/wellformed"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -60,7 +61,7 @@
 func New(base string, opts ...Option) *Client {
 	c := &Client{
 		base:       strings.TrimRight(base, "/"),
-		httpClient: &http.Client{},
+		httpClient: &http.Client{Transport: wellformed.Transport{Base: http.DefaultTransport}},
 		budget:     NewBudget(PlatformWritesPerSecond, PlatformReadsPerSecond),
 		breaker:    &breaker{},
 		observe:    func(string, string) {},
--- a/internal/cutanswer/cutanswer.go
+++ b/internal/cutanswer/cutanswer.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The shedpath authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package cutanswer tests clients with HTTP answers that break off after each of their bytes.
+// Package cutanswer tests clients with HTTP answers that break off after each of their bytes, or that are malformed.
 package cutanswer
 
 import (
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 )
@@ -93,8 +94,24 @@
 	}
 }
 
-// Check answers a client's call with each beginning of an answer, and with the whole one. The call must fail on each of the
-// former only.
+// malform returns an answer with its status or the name of a field made malformed in several ways.
+func malform(text string) []string {
+	statusLine, rest, _ := strings.Cut(text, "\r\n")
+	var malformed []string
+	for _, status := range []string{"000", "+12", "-00", "099", "600", "999", "1000"} {
+		malformed = append(malformed, strings.Replace(text, " 200 ", " "+status+" ", 1))
+	}
+	for _, field := range []string{"X Trouble: 1", "X-Trouble : 1", " X-Trouble: 1", "X-Trouble\t: 1", "X\x01Trouble: 1", "X\x7fTrouble: 1", ": 1"} {
+		malformed = append(malformed, statusLine+"\r\n"+field+"\r\n"+rest, "HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+text)
+		if chunks, ended := strings.CutSuffix(text, "0\r\n\r\n"); ended {
+			malformed = append(malformed, chunks+"0\r\n"+field+"\r\n\r\n")
+		}
+	}
+	return malformed
+}
+
+// Check answers a client's call with each beginning of an answer, with malformed answers, and with the whole one. The call
+// must fail on all but the last.
 func (s *Server) Check(t *testing.T, text string, call func() error) {
 	t.Helper()
 	for n := range text {
@@ -105,6 +122,12 @@
 			}
 		}
 	}
+	for _, malformed := range malform(text) {
+		s.answer.Store(&answer{text: malformed})
+		if call() == nil {
+			t.Errorf("the malformed answer %q counts as whole", malformed)
+		}
+	}
 	s.answer.Store(&answer{text: text})
 	if err := call(); err != nil {
 		t.Fatalf("the answer %q: %v", text, err)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,6 +25,7 @@
 
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/internal/wellformed"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/policy"
 )
@@ -69,7 +70,7 @@
 		ResponseHeaderTimeout:  headerTimeout,
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
-	c := &Client{idleTimeout: defaultIdleTimeout, transport: transport, http: &http.Client{Transport: transport}}
+	c := &Client{idleTimeout: defaultIdleTimeout, transport: transport, http: &http.Client{Transport: wellformed.Transport{Base: transport}}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -22,6 +22,7 @@
 
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/internal/wellformed"
 	"github.com/shedpath/shedpath/member"
 )
 
@@ -86,7 +87,7 @@
 	req.Header = r.Header.Clone()
 	req.Header.Set("X-Request-Id", r.ID)
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(req.Header))
-	response, err := c.transport.RoundTrip(req)
+	response, err := wellformed.Transport{Base: c.transport}.RoundTrip(req)
 	if err != nil && !connected.Load() {
 		return entry.ServiceAnswer{}, trace.Wrap(entry.ErrNotSent, "%v", err)
 	}
