service, daemon: an answer that its service reset isn't whole

Behind shedpath entry a caller got the first part of a service's answer as the whole one: the same fault as at the workers. The transport closes the connection when the write of the request fails, but its read of the body has found the end by then.

Change: connections to services over the own link are each a socket.Conn, also those that are carried for a peer. Not those through a peer: a tunnel has a last frame of its own, and may be closed before the whole request is read. Engines' streams and the JSON of engines and the store have an end of their own, so nothing changes for them.

TestResetIsNoEnd of daemon failed before.

--- a/internal/daemon/uplink.go
+++ b/internal/daemon/uplink.go
@@ -10,6 +10,7 @@
 
 	"github.com/shedpath/shedpath/entry"
 	"github.com/shedpath/shedpath/internal/peer"
+	"github.com/shedpath/shedpath/internal/socket"
 	"github.com/shedpath/shedpath/member"
 	"github.com/shedpath/shedpath/uplink"
 )
@@ -31,14 +32,14 @@
 func (n *upstreamNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	target, known := n.entry.UplinkTarget(address)
 	if !known {
-		return n.direct(ctx, network, address)
+		return socket.Dial(n.direct)(ctx, network, address)
 	}
 	return n.dialer.Dial(ctx, target)
 }
 
 // DialDirect connects to an upstream over the own link.
 func (n *upstreamNetwork) DialDirect(ctx context.Context, t uplink.Target) (net.Conn, error) {
-	return n.direct(ctx, "tcp", t.Address)
+	return socket.Dial(n.direct)(ctx, "tcp", t.Address)
 }
 
 // Peers returns the entries that may carry a connection to an upstream.
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -22,6 +22,7 @@
 
 	"github.com/shedpath/shedpath/backoff"
 	"github.com/shedpath/shedpath/entry"
+	"github.com/shedpath/shedpath/internal/socket"
 	"github.com/shedpath/shedpath/internal/wellformed"
 	"github.com/shedpath/shedpath/member"
 )
@@ -49,7 +50,7 @@
 // New returns a Client.
 func New(opts ...Option) *Client {
 	c := &Client{transport: &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:       socket.Dial((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		DisableKeepAlives: true,
 		// The caller negotiates encodings with the service itself.
 		DisableCompression: true,
