peer: a whole answer isn't cut because its upload is left unread

Callers whose host was cut off from a worker got a 502 or a cut stream in place of an answer that the worker had sent as a whole: one that was early, had no length and ended with its connection while the upload was still being written.

Cause: the host that carries the connection closed its link with bytes of the upload unread, after the last frame. Closing such a connection resets it and drops what isn't sent yet. It also closed the worker's connection as soon as a write to it failed, with the rest of the answer unread.

Change: what the worker doesn't read is discarded until the caller's host closes the tunnel, which it does once it has the answer. The worker's connection and its place are released at its end, as before. The carrier's stop ends the wait.

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -217,13 +217,27 @@
 	var toUpstream conc.WaitGroup
 	defer toUpstream.Wait()
 	defer link.Close()
+	callerLeft := make(chan struct{})
 	toUpstream.Go(func() {
-		// A caller that leaves closes its connection; the upstream then stops working for it. An error
-		// ends the tunnel like the end of the connection does.
-		_, _ = io.Copy(upstream, reader)
+		defer close(callerLeft)
+		// An upstream may answer and end before it has read everything. The rest is discarded until the caller closes its
+		// connection, as it does when it has the answer. Any error of reading ends the tunnel like that does.
+		if _, err := io.Copy(upstream, reader); err != nil {
+			_, _ = io.Copy(io.Discard, reader)
+		}
+		// The upstream stops working for a caller that has left.
 		_ = upstream.Close()
 	})
-	return copyAnswer(link, upstream)
+	if err := copyAnswer(link, upstream); err != nil {
+		return err
+	}
+	_ = upstream.Close()
+	// Closing the link with unread bytes would reset it, and drop frames that haven't been sent yet.
+	select {
+	case <-callerLeft:
+	case <-ctx.Done():
+	}
+	return nil
 }
 
 func isTunnelError(err error) bool {
