forward: an answer without a length isn't whole if its upstream says that it has started again

Cause: the question who has the address compared the ID only. The answer tells the start, too, and the list may be late.

Change: a later start than that of the upstream that was sent to counts as its end. The check of the listed start stays.

--- a/forward/answerend.go
+++ b/forward/answerend.go
@@ -129,6 +129,9 @@
 		return IdentityUnknown, 0, err
 	case health.WrongInstance || health.Instance != "" && health.Instance != q.upstream.ID:
 		return IdentityOther, 0, nil
+	case health.Life.newerThan(q.upstream.Incarnation):
+		// The list of upstreams may not have the restart yet.
+		return IdentityEnded, 0, nil
 	case health.Instance != "":
 		return IdentitySame, 0, nil
 	case !q.suspended:
