--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -17,7 +17,8 @@
 //
 // Linux reports a failure of a connection, such as a reset, once: to whichever of read and write looks first. Later
 // reads return an end of the data, which looks the same as that of a connection whose other side closed it. So if a Write
-// was given the failure, Read returns it, too, in place of io.EOF.
+// was given the failure, Read returns it, too, in place of io.EOF. A reset after an end that has arrived is no failure. A
+// time-out is one even then, if the end hadn't been read: the two can't be told apart.
 //
 // The end of the data is the end of the connection: a Write in progress then fails with os.ErrDeadlineExceeded, as does
 // any later one.
