--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -231,6 +231,7 @@
 	if err := copyAnswer(link, upstream); err != nil {
 		return err
 	}
+	// The answer is whole, whatever closing brings.
 	_ = upstream.Close()
 	// Closing the link with unread bytes would reset it, and drop frames that haven't been sent yet.
 	select {
