--- a/internal/daemon/uplink_test.go
+++ b/internal/daemon/uplink_test.go
@@ -25,7 +25,7 @@
 func (lonelyNetwork) Peers(uplink.Target) []member.Entry { return nil }
 
 // TestResetIsNoEnd guards against a connection to an upstream whose reset reads as the end of an answer because a write
-// was given it. Connections for peers are opened in the same way.
+// has received the error. Connections for peers are opened in the same way.
 func TestResetIsNoEnd(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -220,8 +220,8 @@
 	callerLeft := make(chan struct{})
 	toUpstream.Go(func() {
 		defer close(callerLeft)
-		// An upstream may answer and end before it has read everything. The rest is discarded until the caller closes its
-		// connection, as it does when it has the answer. Any error of reading ends the tunnel like that does.
+		// An upstream may answer and close before it has read the whole request. The rest is discarded until the caller closes the
+		// link, which it does once it has the answer. An error on the link ends the tunnel, too.
 		if _, err := io.Copy(upstream, reader); err != nil {
 			_, _ = io.Copy(io.Discard, reader)
 		}
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -13,22 +13,21 @@
 	"time"
 )
 
-// Conn is a TCP connection on which an end of the data is only reported if the other side sent one.
+// Conn is a TCP connection whose Read returns io.EOF only if the other side has closed its end.
 //
-// Linux reports a failure of a connection, such as a reset, once: to whichever of read and write looks first. Later
-// reads return an end of the data, which looks the same as that of a connection whose other side closed it. So if a Write
-// was given the failure, Read returns it, too, in place of io.EOF. A reset after an end that has arrived is no failure. A
-// time-out is one even then, if the end hadn't been read: the two can't be told apart.
+// Linux reports a connection error, such as a reset, to a single call, which may be a read or a write. Reads after that
+// return an end of file, as if the other side had closed the connection. So Read returns a connection error that a Write
+// has received in place of io.EOF. A reset after the end of the data is no such error. A time-out is one even if the end had
+// arrived, as long as it wasn't read: the kernel doesn't distinguish the two.
 //
-// The end of the data is the end of the connection: a Write in progress then fails with os.ErrDeadlineExceeded, as does
-// any later one.
+// Once Read has met the end of the data, a Write in progress and any later one fails with os.ErrDeadlineExceeded.
 type Conn struct {
 	net.Conn
 
 	// writing is held during a Write.
 	writing sync.Mutex
-	// failure is the failure of the connection that a Write was given; nil if there was none.
-	failure error
+	// writeErr is the connection error that a Write has received; nil if there was none.
+	writeErr error
 }
 
 // NewConn returns a Conn for a connection that has no deadline for writes.
@@ -42,8 +41,8 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(p)
-	if c.failure == nil && isConnectionFailure(err) {
-		c.failure = err
+	if c.writeErr == nil && isConnectionError(err) {
+		c.writeErr = err
 	}
 	return n, err
 }
@@ -52,26 +51,26 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
-		if failure := c.writeFailure(); failure != nil {
-			err = failure
+		if writeErr := c.stopWriting(); writeErr != nil {
+			err = writeErr
 		}
 	}
 	return n, err
 }
 
-// writeFailure ends the Write in progress and returns the failure that this or an earlier one was given.
-func (c *Conn) writeFailure() error {
-	// A Write that waits for the other side would go on for as long as it doesn't read. The system call of one that was given a
-	// failure has returned, which its deadline doesn't change. An error means that the connection is closed, and so is the Write.
+// stopWriting ends the Write in progress and returns the connection error that it or an earlier one has received.
+func (c *Conn) stopWriting() error {
+	// Without a deadline, a Write could wait for as long as the other side doesn't read. If the kernel has given it a connection
+	// error, it returns that all the same. SetWriteDeadline only fails if the connection is closed, which ends the Write, too.
 	_ = c.SetWriteDeadline(time.Unix(0, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	return c.failure
+	return c.writeErr
 }
 
-// isConnectionFailure reports whether an error of a write is that of the connection. EPIPE isn't: it says that the connection
-// had ended before, by the end of the data or by a failure that was reported already.
-func isConnectionFailure(err error) bool {
+// isConnectionError reports whether a write failed because of the connection's state. EPIPE doesn't count: it means that the
+// other side had closed the connection before, or that the error has been reported to another call.
+func isConnectionError(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno) && errno != syscall.EPIPE
 }
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -24,7 +24,7 @@
 	is.NoErr(c.Close())
 }
 
-// TestResetIsNoEnd guards against a reset that reads as the end of the data because a write was given it.
+// TestResetIsNoEnd guards against a reset that reads as the end of the data because a write has received the error.
 func TestResetIsNoEnd(t *testing.T) {
 	is := is.New(t)
 	for range 50 {
@@ -46,8 +46,8 @@
 	}
 }
 
-// TestResetGivenToWrite is the case in which the write has the failure before anything is read.
-func TestResetGivenToWrite(t *testing.T) {
+// TestResetReportedToWrite checks a reset that a write has received before anything is read.
+func TestResetReportedToWrite(t *testing.T) {
 	is := is.New(t)
 	raw, server := pair(t, &net.Dialer{})
 	client := NewConn(raw)
@@ -66,7 +66,7 @@
 	is.Equal(string(body), "part") // what has arrived is read
 	is.True(errors.Is(err, syscall.ECONNRESET))
 	_, err = client.Read(make([]byte, 1))
-	is.True(errors.Is(err, syscall.ECONNRESET)) // and the failure stays
+	is.True(errors.Is(err, syscall.ECONNRESET)) // and the error stays
 }
 
 // TestEndBesideWrite guards against an end of the data that counts as a failure, or that is only reported after the write.
