socket, platform: the deadline that ends a Write isn't a time of day

TestNoWallClock refuses time.Unix outside of the clock's package; the deadline is now a time next to the zero time, which net takes as over.

--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -58,11 +58,14 @@
 	return n, err
 }
 
+// past is a deadline that is over at any time; the zero time would be none.
+var past = time.Time{}.Add(1)
+
 // stopWriting ends the Write in progress and returns the connection error that it or an earlier one has received.
 func (c *Conn) stopWriting() error {
 	// Without a deadline, a Write could wait for as long as the other side doesn't read. If the kernel has given it a connection
 	// error, it returns that all the same. SetWriteDeadline only fails if the connection is closed, which ends the Write, too.
-	_ = c.SetWriteDeadline(time.Unix(0, 0))
+	_ = c.SetWriteDeadline(past)
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	return c.writeErr
